--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN = $(VENV)/bin
+
+.PHONY: demo test lint format dist venv
+
+$(BIN)/heatherdyke: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $@
+
+venv: $(BIN)/heatherdyke
+
+demo: venv
+	$(BIN)/heatherdyke demo
+
+test: venv
+	$(BIN)/python -m pytest
+
+lint: venv
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/flake8 heatherdyke tests
+
+format: venv
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
--- /dev/null
+++ b/heatherdyke/__main__.py
@@ -0,0 +1,6 @@
+"""Entry point of ``python -m heatherdyke`` and of the shipped file."""
+
+from heatherdyke.cli import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/heatherdyke/clock.py
@@ -0,0 +1,17 @@
+"""Clocks as values, so that decisions take the time as an argument."""
+
+from time import monotonic, time
+
+
+class Clock:
+    """Reads the monotonic clock and the wall clock, both in seconds."""
+
+    __slots__ = ()
+
+    def now(self) -> float:
+        """Return monotonic seconds; only differences have a meaning."""
+        return monotonic()
+
+    def wall(self) -> float:
+        """Return seconds since the epoch, for people to read."""
+        return time()
--- /dev/null
+++ b/heatherdyke/errors.py
@@ -0,0 +1,182 @@
+"""The exception tree: one class per failure, each naming its remedy."""
+
+from enum import Enum
+
+
+class RunState(Enum):
+    """Whether work of a failed request may have run on a backend server."""
+
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+
+
+class HeatherdykeError(Exception):
+    """Base of all errors that heatherdyke raises.
+
+    ``kind`` is a stable identifier and ``remedy`` tells the reader what to
+    do about the failure.
+    """
+
+    kind = "internal"
+    exit_code = 1
+
+    def __init__(self, detail: str, remedy: str) -> None:
+        super().__init__(f"{detail}; {remedy}")
+        self.detail = detail
+        self.remedy = remedy
+
+
+class SettingsError(HeatherdykeError):
+    """Settings are invalid; ``faults`` holds every one of them."""
+
+    kind = "invalid_settings"
+    exit_code = 2
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__(
+            "invalid settings: " + "; ".join(faults),
+            "correct the flags or environment variables named",
+        )
+        self.faults = faults
+
+
+class TransportError(HeatherdykeError):
+    """A connection failed; ``sent`` says if the request may have arrived."""
+
+    kind = "transport"
+
+    def __init__(self, detail: str, sent: bool) -> None:
+        super().__init__(detail, "retry if the request is idempotent")
+        self.sent = sent
+
+
+class ConnectionRefused(TransportError):
+    """The peer's host answered that nothing listens at the address."""
+
+    kind = "connection_refused"
+
+
+class ConnectionSilent(TransportError):
+    """The connection made no progress within its timeout."""
+
+    kind = "connection_silent"
+
+
+class PlatformError(HeatherdykeError):
+    """The platform's object API could not serve a call."""
+
+    kind = "platform"
+
+
+class PlatformUnavailable(PlatformError):
+    """The platform did not answer; a write may have taken effect."""
+
+    kind = "platform_unavailable"
+    exit_code = 4
+
+
+class VersionConflict(PlatformError):
+    """A conditional update met another version than it named."""
+
+    kind = "version_conflict"
+    exit_code = 5
+
+    def __init__(self, key: str, current_version: int) -> None:
+        super().__init__(
+            f"object {key!r} is at version {current_version}",
+            "read it again and repeat the change",
+        )
+        self.key = key
+        self.current_version = current_version
+
+
+class RequestError(HeatherdykeError):
+    """A caller's request ends without an answer.
+
+    ``status`` is the HTTP status, ``run_state`` tells whether work may have
+    run, and ``retry_after_s`` when to come back (None: do not repeat as is).
+    """
+
+    kind = "request_failed"
+    status = 500
+
+    def __init__(
+        self,
+        detail: str,
+        remedy: str,
+        run_state: RunState = RunState.NOT_RUN,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(detail, remedy)
+        self.run_state = run_state
+        self.retry_after_s = retry_after_s
+
+
+class InvalidRequest(RequestError):
+    """The request does not have the documented form."""
+
+    kind = "invalid_request"
+    status = 400
+
+
+class UnknownKey(RequestError):
+    """The team's key is missing or unknown."""
+
+    kind = "unknown_key"
+    status = 401
+
+
+class Forbidden(RequestError):
+    """The key's team may not use what the request names."""
+
+    kind = "forbidden"
+    status = 403
+
+
+class UnknownService(RequestError):
+    """No team's section declares the service."""
+
+    kind = "unknown_service"
+    status = 404
+
+
+class Overloaded(RequestError):
+    """The request cannot be served in time at the present load."""
+
+    kind = "overloaded"
+    status = 503
+
+
+class SpendingLimitReached(RequestError):
+    """The team has used the leaf work that its limit allows."""
+
+    kind = "spending_limit"
+    status = 429
+
+
+class ShuttingDown(RequestError):
+    """The instance stops and takes no new requests."""
+
+    kind = "shutting_down"
+    status = 503
+
+
+class DeadlineExceeded(RequestError):
+    """No answer worth giving was there at the deadline."""
+
+    kind = "deadline_exceeded"
+    status = 504
+
+
+class CoverageNotReached(RequestError):
+    """The answer would cover less than the caller's wanted coverage."""
+
+    kind = "coverage_not_reached"
+    status = 503
+
+
+class SnapshotUnavailable(RequestError):
+    """No one snapshot of the index could be read in time."""
+
+    kind = "snapshot_unavailable"
+    status = 503
--- /dev/null
+++ b/heatherdyke/http_connection.py
@@ -0,0 +1,200 @@
+"""One HTTP/1.1 client connection, owned by one task at a time.
+
+Parsing is httptools'; the connection adds what a pool library hides: whether
+a failed request may have arrived, and how long the peer made no progress.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import httptools
+
+from heatherdyke.errors import (
+    ConnectionRefused,
+    ConnectionSilent,
+    TransportError,
+)
+from heatherdyke.settings import split_address
+
+READ_BYTES = 65536
+CONNECT_TIMEOUT_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """Status and whole body of a response."""
+
+    status: int
+    body: bytes
+
+
+class _ResponseSink:
+    """Collects what httptools' callbacks report of one response."""
+
+    __slots__ = ("chunks", "complete", "keep_alive")
+
+    def __init__(self) -> None:
+        self.chunks: list[bytes] = []
+        self.complete = False
+
+    def on_body(self, body: bytes) -> None:
+        self.chunks.append(body)
+
+    def on_message_complete(self) -> None:
+        self.complete = True
+
+    def take(self) -> bytes:
+        data = b"".join(self.chunks)
+        self.chunks.clear()
+        return data
+
+
+class HttpConnection:
+    """A connection to one address; not safe for concurrent requests."""
+
+    __slots__ = ("address", "_reader", "_writer", "_usable")
+
+    def __init__(
+        self,
+        address: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.address = address
+        self._reader = reader
+        self._writer = writer
+        self._usable = True
+
+    @classmethod
+    async def open(
+        cls, address: str, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> "HttpConnection":
+        """Connect to ``host:port``.
+
+        Raises ConnectionRefused if nothing listens there, and
+        TransportError if the connection is not up within ``timeout_s``.
+        """
+        host, port = split_address(address)
+        try:
+            async with asyncio.timeout(timeout_s):
+                reader, writer = await asyncio.open_connection(host, port)
+        except ConnectionRefusedError as error:
+            raise ConnectionRefused(
+                f"{address} refused the connection", sent=False
+            ) from error
+        except (OSError, TimeoutError) as error:
+            raise TransportError(
+                f"{address} could not be connected: {error!r}", sent=False
+            ) from error
+        return cls(address, reader, writer)
+
+    @property
+    def usable(self) -> bool:
+        """Tell whether another request can be sent on the connection."""
+        return self._usable and not self._reader.at_eof()
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self._usable = False
+        self._writer.transport.abort()
+
+    async def request(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        timeout_s: float = 10.0,
+        headers: str = "",
+    ) -> HttpResponse:
+        """Send a request and return the response with its whole body.
+
+        ``headers`` holds further header lines, each ended by CRLF.  Raises
+        ConnectionSilent if no progress is made for ``timeout_s`` and
+        TransportError if the connection breaks; both close it.
+        """
+        sink = _ResponseSink()
+        parser = httptools.HttpResponseParser(sink)
+        try:
+            self._send(method, target, body, headers)
+            await self._read_until_complete(parser, sink, timeout_s)
+        except BaseException:
+            self.close()
+            raise
+        self._usable = parser.should_keep_alive()
+        return HttpResponse(parser.get_status_code(), sink.take())
+
+    async def stream_lines(
+        self, method: str, target: str, body: bytes, timeout_s: float
+    ) -> AsyncIterator[HttpResponse]:
+        """Send a request and yield each line of the response as it comes.
+
+        Raises as ``request`` does; abandoning the iterator closes the
+        connection.
+        """
+        sink = _ResponseSink()
+        parser = httptools.HttpResponseParser(sink)
+        rest = b""
+        try:
+            self._send(method, target, body, "")
+            while not sink.complete:
+                await self._feed(parser, timeout_s)
+                *lines, rest = (rest + sink.take()).split(b"\n")
+                for line in lines:
+                    yield HttpResponse(parser.get_status_code(), line)
+            if rest:
+                yield HttpResponse(parser.get_status_code(), rest)
+        except BaseException:
+            self.close()
+            raise
+        self._usable = parser.should_keep_alive()
+
+    def _send(
+        self, method: str, target: str, body: bytes, headers: str
+    ) -> None:
+        if not self.usable:
+            raise TransportError(
+                f"the connection to {self.address} is closed", sent=False
+            )
+        head = (
+            f"{method} {target} HTTP/1.1\r\nHost: {self.address}\r\n"
+            f"Content-Type: application/json\r\n{headers}"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        self._writer.write(head.encode("ascii") + body)
+
+    async def _read_until_complete(
+        self,
+        parser: httptools.HttpResponseParser,
+        sink: _ResponseSink,
+        timeout_s: float,
+    ) -> None:
+        while not sink.complete:
+            await self._feed(parser, timeout_s)
+
+    async def _feed(
+        self, parser: httptools.HttpResponseParser, timeout_s: float
+    ) -> None:
+        try:
+            async with asyncio.timeout(timeout_s):
+                data = await self._reader.read(READ_BYTES)
+        except TimeoutError as error:
+            raise ConnectionSilent(
+                f"{self.address} made no progress for {timeout_s:.3f} s",
+                sent=True,
+            ) from error
+        except OSError as error:
+            raise TransportError(
+                f"the connection to {self.address} broke: {error!r}",
+                sent=True,
+            ) from error
+        if not data:
+            raise TransportError(
+                f"{self.address} closed the connection", sent=True
+            )
+        try:
+            parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            raise TransportError(
+                f"{self.address} sent no HTTP: {error}", sent=True
+            ) from error
--- /dev/null
+++ b/heatherdyke/platform_client.py
@@ -0,0 +1,158 @@
+"""The adapter for the platform's object API.
+
+Every other module reaches the platform through this class only, so that
+another API is met by another adapter.
+"""
+
+from typing import Any, TypeVar
+from urllib.parse import quote
+
+import msgspec
+
+from heatherdyke.codec import decode, encode
+from heatherdyke.errors import (
+    PlatformUnavailable,
+    TransportError,
+    VersionConflict,
+)
+from heatherdyke.http_connection import HttpConnection, HttpResponse
+from heatherdyke.messages import ListedInstance, PlatformObject
+
+T = TypeVar("T")
+
+ABSENT_VERSION = 0
+MAX_IDLE_CONNECTIONS = 4
+
+
+class PlatformClient:
+    """Calls the platform; raises PlatformUnavailable when it cannot.
+
+    ``calls`` counts the calls made, for the capacity reckoning.
+    """
+
+    __slots__ = ("address", "timeout_s", "calls", "_idle")
+
+    def __init__(self, address: str, timeout_s: float = 2.0) -> None:
+        self.address = address
+        self.timeout_s = timeout_s
+        self.calls = 0
+        self._idle: list[HttpConnection] = []
+
+    async def get(self, key: str) -> PlatformObject | None:
+        """Return the object, or None if it does not exist."""
+        response = await self._call("GET", f"/objects?key={quote(key, '')}")
+        if response.status == 404:
+            return None
+        return decode(response.body, PlatformObject)
+
+    async def put(self, key: str, value: Any, if_version: int) -> int:
+        """Store ``value`` if the object is at ``if_version``.
+
+        ABSENT_VERSION creates.  Returns the new version.  Raises
+        VersionConflict, or PlatformUnavailable after which the write may
+        have taken effect.
+        """
+        response = await self._call(
+            "PUT",
+            f"/objects?key={quote(key, '')}&if_version={if_version}",
+            encode(value),
+        )
+        stored = decode(response.body, PlatformObject)
+        if response.status == 409:
+            raise VersionConflict(key, stored.version)
+        return stored.version
+
+    async def delete(self, key: str, if_version: int) -> None:
+        """Remove the object if it is at ``if_version``; as ``put`` raises."""
+        response = await self._call(
+            "DELETE",
+            f"/objects?key={quote(key, '')}&if_version={if_version}",
+        )
+        if response.status == 409:
+            stored = decode(response.body, PlatformObject)
+            raise VersionConflict(key, stored.version)
+
+    async def list(self, prefix: str) -> list[PlatformObject]:
+        """Return the objects whose keys start with ``prefix``, by key."""
+        response = await self._call("GET", f"/list?prefix={quote(prefix, '')}")
+        return decode(response.body, list[PlatformObject])
+
+    async def watch(
+        self, key: str, after_version: int, wait_s: float
+    ) -> PlatformObject | None:
+        """Return the object once it is newer than ``after_version``.
+
+        Returns None if it is not within ``wait_s``.  The platform counts a
+        waiting watch as a call.
+        """
+        response = await self._call(
+            "GET",
+            f"/watch?key={quote(key, '')}&after_version={after_version}"
+            f"&wait_s={wait_s}",
+            timeout_s=wait_s + self.timeout_s,
+        )
+        if response.status == 204:
+            return None
+        return decode(response.body, PlatformObject)
+
+    async def instances(self) -> list[ListedInstance]:
+        """Return the list of live and leaving instances, which lags."""
+        response = await self._call("GET", "/instances")
+        return decode(response.body, list[ListedInstance])
+
+    async def announce(self, row: ListedInstance) -> None:
+        """Tell the stand-in that an instance or backend server runs.
+
+        The platform itself knows its instances; only stand-ins need it.
+        """
+        await self._call("POST", "/instances", encode(row))
+
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        timeout_s: float | None = None,
+    ) -> HttpResponse:
+        self.calls += 1
+        timeout_s = self.timeout_s if timeout_s is None else timeout_s
+        try:
+            connection = await self._take_connection()
+            response = await connection.request(
+                method, target, body, timeout_s
+            )
+        except TransportError as error:
+            raise PlatformUnavailable(
+                f"the platform did not serve {method} {target}: "
+                f"{error.detail}",
+                "try again; read back what a write should have changed",
+            ) from error
+        self._give_back(connection)
+        if response.status >= 500:
+            raise PlatformUnavailable(
+                f"the platform answered {response.status} to "
+                f"{method} {target}",
+                "try again; read back what a write should have changed",
+            )
+        return response
+
+    async def _take_connection(self) -> HttpConnection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.usable:
+                return connection
+        return await HttpConnection.open(self.address, self.timeout_s)
+
+    def _give_back(self, connection: HttpConnection) -> None:
+        if connection.usable and len(self._idle) < MAX_IDLE_CONNECTIONS:
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+
+def convert_value(stored: PlatformObject, value_type: type[T]) -> T:
+    """Return the object's value as ``value_type``.
+
+    Raises msgspec.ValidationError if the fields do not fit.
+    """
+    return msgspec.convert(stored.value, value_type)
--- /dev/null
+++ b/heatherdyke/registry.py
@@ -0,0 +1,34 @@
+"""Registries that decorators fill, for behaviour that varies by name."""
+
+from collections.abc import Callable
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+
+
+class Registry(Generic[T]):
+    """Maps names to implementations of one kind of behaviour."""
+
+    __slots__ = ("subject", "by_name")
+
+    def __init__(self, subject: str) -> None:
+        self.subject = subject
+        self.by_name: dict[str, T] = {}
+
+    def register(self, name: str) -> Callable[[T], T]:
+        """Return a decorator that adds its target under ``name``."""
+
+        def add(target: T) -> T:
+            if name in self.by_name:
+                raise ValueError(f"{self.subject} {name!r} exists already")
+            self.by_name[name] = target
+            return target
+
+        return add
+
+    def find(self, name: str) -> T:
+        """Return what stands under ``name``; raises KeyError naming all."""
+        if name not in self.by_name:
+            known = ", ".join(sorted(self.by_name))
+            raise KeyError(f"no {self.subject} {name!r}: use one of {known}")
+        return self.by_name[name]
--- /dev/null
+++ b/heatherdyke/settings.py
@@ -0,0 +1,92 @@
+"""Settings of an instance, from flags and environment variables."""
+
+from dataclasses import dataclass, field
+from ipaddress import ip_address
+
+from heatherdyke.errors import SettingsError
+from heatherdyke.mechanisms import Mechanism
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """What one instance is told at its start.
+
+    Addresses are ``host:port`` with IP numbers.  ``name`` is the same over
+    restarts; the incarnation is drawn anew at each start.
+    """
+
+    name: str
+    zone: str
+    listen: str
+    platform: str
+    advertise: str = ""
+    heartbeat_interval_s: float = 0.5
+    lease_s: float = 2.0
+    drain_s: float = 20.0
+    extra_load_share: float = 0.05
+    disabled: frozenset[Mechanism] = field(default_factory=frozenset)
+
+    def uses(self, mechanism: Mechanism) -> bool:
+        """Tell whether ``mechanism`` is in use."""
+        return mechanism not in self.disabled
+
+    @property
+    def address(self) -> str:
+        """Return the address under which others reach this instance."""
+        return self.advertise or self.listen
+
+    @classmethod
+    def from_values(cls, disabled: str = "", **values) -> "Settings":
+        """Return checked settings; raises SettingsError naming all faults.
+
+        ``disabled`` is a comma-separated list of mechanism names.
+        """
+        faults: list[str] = []
+        for name in ("name", "zone"):
+            if not values.get(name):
+                faults.append(f"--{name} is empty: give a name")
+        for name in ("listen", "platform"):
+            _check_address(name, values.get(name, ""), faults)
+        if values.get("advertise"):
+            _check_address("advertise", values["advertise"], faults)
+        for name in ("heartbeat_interval_s", "lease_s", "drain_s"):
+            if values.get(name, 1.0) <= 0:
+                flag = name.replace("_", "-")
+                faults.append(f"--{flag} must be more than 0")
+        if not 0 <= values.get("extra_load_share", 0.0) <= 1:
+            faults.append("--extra-load-share must lie from 0 to 1")
+        mechanisms = _parse_mechanisms(disabled, faults)
+        if faults:
+            raise SettingsError(faults)
+        return cls(disabled=mechanisms, **values)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port; raises ValueError unless ``IP-number:port``."""
+    host, _, port = address.rpartition(":")
+    ip_address(host.strip("[]"))
+    number = int(port)
+    if not 0 < number < 65536:
+        raise ValueError(f"port {number} is not from 1 to 65535")
+    return host.strip("[]"), number
+
+
+def _check_address(name: str, address: str, faults: list[str]) -> None:
+    try:
+        split_address(address)
+    except ValueError:
+        faults.append(
+            f"--{name} {address!r} is not an IP number and port: "
+            "write it as 127.0.0.1:8080"
+        )
+
+
+def _parse_mechanisms(text: str, faults: list[str]) -> frozenset[Mechanism]:
+    mechanisms = set()
+    for name in filter(None, text.split(",")):
+        try:
+            mechanisms.add(Mechanism(name))
+        except ValueError:
+            known = ", ".join(m.value for m in Mechanism)
+            faults.append(f"--disable {name!r} is unknown: use one of {known}")
+    return frozenset(mechanisms)
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,32 @@
+"""Settings are checked as a whole and name every fault."""
+
+import pytest
+
+from heatherdyke.errors import SettingsError
+from heatherdyke.mechanisms import Mechanism
+from heatherdyke.settings import Settings
+
+
+class TestSettings:
+    def test_all_faults_are_told_at_once(self):
+        with pytest.raises(SettingsError) as caught:
+            Settings.from_values(
+                name="",
+                zone="brescia",
+                listen="localhost:1",
+                platform="127.0.0.1:1",
+                lease_s=0.0,
+                disabled="hedging,nothing",
+            )
+        assert len(caught.value.faults) == 4
+
+    def test_mechanisms_are_switched_off_by_name(self):
+        settings = Settings.from_values(
+            name="a",
+            zone="brescia",
+            listen="127.0.0.1:1",
+            platform="127.0.0.1:2",
+            disabled="hedging",
+        )
+        assert not settings.uses(Mechanism.HEDGING)
+        assert settings.uses(Mechanism.COLD_RAMP)
