--- /dev/null
+++ b/heatherdyke/component.py
@@ -0,0 +1,58 @@
+"""What an instance is made of, and what the parts ask of one another."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from blacksheep import Application
+
+from heatherdyke.config_model import ConfigDocument
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One run of an instance; a restart draws another incarnation."""
+
+    name: str
+    zone: str
+    address: str
+    incarnation: str
+
+
+class Component(Protocol):
+    """A part of an instance with routes and a long-running task."""
+
+    def add_routes(self, app: Application) -> None:
+        """Add the component's HTTP routes to the application."""
+
+    async def run(self) -> None:
+        """Work until cancelled."""
+
+    async def stop(self) -> None:
+        """Finish what runs before the instance exits."""
+
+
+class ConfigView(Protocol):
+    """What the search path asks of the configuration."""
+
+    @property
+    def document(self) -> ConfigDocument:
+        """Return the configuration in force."""
+
+    def zone_is_out(self, zone: str) -> bool:
+        """Tell whether operators have taken the zone out."""
+
+
+class MemberView(Protocol):
+    """What the search path asks of the membership."""
+
+    def members(self) -> list[Member]:
+        """Return the members that are not known gone."""
+
+    def home_of(self, leaf_id: str, zone: str) -> Member | None:
+        """Return the instance that is the leaf's home."""
+
+    def is_home(self, leaf_id: str) -> bool:
+        """Tell whether this instance is the leaf's home."""
+
+    def slots_allowed(self, leaf_id: str, slots: int) -> int:
+        """Return how many of the leaf's slots may be used right now."""
--- a/heatherdyke/config_model.py
+++ b/heatherdyke/config_model.py
@@ -47,7 +47,7 @@
 
     priority: int
     deadline_ms: int = 1000
-    wanted_coverage: float = 0.0
+    wanted_coverage: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/heatherdyke/entry.py
@@ -0,0 +1,130 @@
+"""Takes a caller's search and answers it from the homes' parts."""
+
+import asyncio
+from random import Random
+
+from heatherdyke.clock import Clock
+from heatherdyke.component import ConfigView
+from heatherdyke.component import Member
+from heatherdyke.component import MemberView
+from heatherdyke.config_index import ConfigIndexCache
+from heatherdyke.errors import SnapshotUnavailable
+from heatherdyke.hedging import ExtraLoadBudget
+from heatherdyke.hedging import HedgePolicy
+from heatherdyke.home import Home
+from heatherdyke.mechanisms import Mechanism
+from heatherdyke.messages import SearchAnswer
+from heatherdyke.messages import SearchRequest
+from heatherdyke.peer_client import PeerClient
+from heatherdyke.replica_choice import ReplicaViews
+from heatherdyke.replica_choice import replica_choices
+from heatherdyke.search_plan import SearchPlan
+from heatherdyke.search_plan import plan_search
+from heatherdyke.search_plan import usable_leaves
+from heatherdyke.search_run import SearchRun
+from heatherdyke.settings import Settings
+from heatherdyke.snapshot_book import SnapshotBook
+
+SNAPSHOT_RETRY_S = 1.0
+EARLY_FACTOR = 3.0
+
+
+class Entry:
+    """Answers searches; one SearchRun works on each."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        config: ConfigView,
+        members: MemberView,
+        home: Home,
+        peers: PeerClient,
+        snapshots: SnapshotBook,
+        clock: Clock,
+    ) -> None:
+        uses = settings.uses
+        self.settings = settings
+        self.home = home
+        self.peers = peers
+        self.snapshots = snapshots
+        self.clock = clock
+        self.index = ConfigIndexCache(config)
+        self.views = ReplicaViews()
+        budget = ExtraLoadBudget(
+            settings.extra_load_share, uses(Mechanism.EXTRA_LOAD_BUDGET)
+        )
+        self.hedges = HedgePolicy(budget, uses(Mechanism.HEDGING))
+        self._config = config
+        self._members = members
+        self._random = Random(settings.name)  # noqa: S311
+        self._choose = replica_choices.find(
+            "least-loaded" if uses(Mechanism.REPLICA_CHOICE) else "random"
+        )
+        self._tasks: set[asyncio.Task] = set()
+
+    async def search(
+        self, team: str, request: SearchRequest, request_id: str
+    ) -> SearchAnswer:
+        """Answer a team's search; raises RequestError with its reason."""
+        started_at = self.clock.now()
+        plan = plan_search(self.index.current(), team, request)
+        snapshot = self._pin_snapshot(plan)
+        run = SearchRun(self, plan, request, request_id, snapshot)
+        coverage = await run.work(started_at + plan.deadline_s)
+        result = coverage.result()
+        return SearchAnswer(
+            request_id=request_id,
+            snapshot=run.snapshot,
+            coverage=result,
+            coverage_share=result.share,
+            items=run.items(),
+            total=coverage.total(),
+            cost=run.cost,
+            elapsed_ms=(self.clock.now() - started_at) * 1000,
+            instance=self.settings.name,
+        )
+
+    def leaves_in_use(self, leaves: list[str]) -> list[str]:
+        """Return the leaves that may get new work."""
+        return usable_leaves(
+            self.index.current(), leaves, self._zone_is_out
+        )
+
+    def choose_leaf(self, leaves: list[str]) -> str:
+        """Return the replica to ask among ``leaves``, which is not empty."""
+        if len(leaves) == 1:
+            return leaves[0]
+        now = self.clock.now()
+        return self._choose(leaves, self.views, now, self._random)
+
+    def home_of(self, leaf_id: str) -> Member | None:
+        """Return the leaf's home; None means this instance."""
+        if not self.settings.uses(Mechanism.HOME_ROUTING):
+            return None
+        zone = self.index.current().leaf_by_id[leaf_id].zone
+        home = self._members.home_of(leaf_id, zone)
+        if home is None or home.name == self.settings.name:
+            return None
+        return home
+
+    def spawn(self, coroutine) -> asyncio.Task:
+        """Run a coroutine as a task that this entry keeps alive."""
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def _zone_is_out(self, zone: str) -> bool:
+        if not self.settings.uses(Mechanism.ZONE_OUT):
+            return False
+        return self._config.zone_is_out(zone)
+
+    def _pin_snapshot(self, plan: SearchPlan) -> int:
+        snapshot = self.snapshots.current(plan.index)
+        if snapshot is None:
+            raise SnapshotUnavailable(
+                f"no snapshot of index {plan.index!r} is known",
+                "come back when the platform has been reached",
+                retry_after_s=SNAPSHOT_RETRY_S,
+            )
+        return snapshot
--- a/heatherdyke/errors.py
+++ b/heatherdyke/errors.py
@@ -62,6 +62,15 @@
     kind = "connection_silent"
 
 
+class PartMismatch(TransportError):
+    """An answer names another request, shard or snapshot than was asked."""
+
+    kind = "part_mismatch"
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(detail, sent=True)
+
+
 class PlatformError(HeatherdykeError):
     """The platform's object API could not serve a call."""
 
--- /dev/null
+++ b/heatherdyke/home.py
@@ -0,0 +1,294 @@
+"""The home of leaves: runs parts of searches and reports them in groups."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from heatherdyke.clock import Clock
+from heatherdyke.component import ConfigView
+from heatherdyke.component import MemberView
+from heatherdyke.config_index import ConfigIndexCache
+from heatherdyke.config_model import LeafConfig
+from heatherdyke.errors import TransportError
+from heatherdyke.hedging import LatencyQuantile
+from heatherdyke.leaf_limit import LeafLimit
+from heatherdyke.leaf_worker import DrainHeard
+from heatherdyke.leaf_worker import LeafWork
+from heatherdyke.leaf_worker import LeafWorker
+from heatherdyke.leaf_worker import Submit
+from heatherdyke.leaf_worker import Withdraw
+from heatherdyke.leaf_worker import WorkerPolicy
+from heatherdyke.mechanisms import Mechanism
+from heatherdyke.merge import merge_items
+from heatherdyke.messages import Item
+from heatherdyke.messages import LeafAnswer
+from heatherdyke.messages import LeafRefusal
+from heatherdyke.messages import LeafRun
+from heatherdyke.messages import LeafRunAnswer
+from heatherdyke.messages import LeafSearch
+from heatherdyke.messages import Part
+from heatherdyke.messages import PartRequest
+from heatherdyke.messages import PartState
+from heatherdyke.messages import PeerCancel
+from heatherdyke.messages import PeerParts
+from heatherdyke.messages import PeerSearch
+from heatherdyke.settings import Settings
+
+MEDIAN = 0.5
+STATE_BY_REFUSAL = {
+    "deadline": PartState.LATE,
+    "snapshot_gone": PartState.SNAPSHOT_GONE,
+    "shard_split": PartState.SPLIT,
+}
+
+
+class Home:
+    """Does the searches of the leaves whose home this instance is."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        config: ConfigView,
+        members: MemberView,
+        clock: Clock,
+    ) -> None:
+        self._settings = settings
+        self._config = config
+        self._index = ConfigIndexCache(config)
+        self._members = members
+        self._clock = clock
+        self._worker_by_leaf: dict[str, LeafWorker] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._median = LatencyQuantile(MEDIAN)
+        self._works_by_request: dict[str, set[LeafWork]] = {}
+
+    @property
+    def running(self) -> int:
+        """Return how many searches and runs are at leaves."""
+        return sum(w.running for w in self._worker_by_leaf.values())
+
+    @property
+    def worker_by_leaf(self) -> dict[str, LeafWorker]:
+        """Return the workers by leaf id."""
+        return self._worker_by_leaf
+
+    async def search(self, group: PeerSearch) -> AsyncIterator[PeerParts]:
+        """Search a group of shards and yield their parts as they end.
+
+        The first message comes when all parts are done or
+        ``report_after_ms`` has passed, the others as parts follow.
+        """
+        collector = _Collector(self._clock)
+        parts = [self._start(group, part, collector) for part in group.parts]
+        refused = [part for part in parts if isinstance(part, Part)]
+        works = {work for work in parts if isinstance(work, LeafWork)}
+        self._works_by_request[group.request_id] = works
+        deadline = self._clock.now() + group.remaining_ms / 1000
+        report_at = self._clock.now() + group.report_after_ms / 1000
+        try:
+            done = await collector.collect(len(works), report_at)
+            left = len(works) - len(done)
+            yield _report(group, refused, done, last=not left)
+            while left:
+                done = await collector.collect(1, deadline)
+                left -= len(done)
+                last = not left or not done
+                yield _report(group, [], done, last)
+                if last:
+                    break
+        finally:
+            self._works_by_request.pop(group.request_id, None)
+            self._withdraw(works)
+
+    async def run_once(
+        self, leaf_id: str, question: LeafRun, priority: int
+    ) -> LeafRunAnswer | LeafRefusal:
+        """Send a run to the leaf, once.
+
+        Raises TransportError whose ``sent`` tells if it may have run.
+        """
+        worker = self._find_worker(leaf_id)
+        if worker is None:
+            return LeafRefusal(
+                question.request_id, question.shard, "not_home"
+            )
+        collector = _Collector(self._clock)
+        now = self._clock.now()
+        expires_at = now + question.remaining_ms / 1000
+        work = LeafWork(
+            leaf_id, question, priority, now, expires_at, collector.take
+        )
+        worker.inbox.put_nowait(Submit(work))
+        try:
+            done = await collector.collect(1, expires_at + 1.0)
+        finally:
+            if not work.sent:
+                worker.inbox.put_nowait(Withdraw(work))
+        if not done:
+            raise TransportError("the leaf gave no answer", sent=work.sent)
+        if isinstance(work.outcome, TransportError):
+            raise work.outcome
+        return work.outcome
+
+    def cancel(self, message: PeerCancel) -> None:
+        """Withdraw shards of a search that are no longer wanted."""
+        shards = set(message.shards)
+        works = self._works_by_request.get(message.request_id, set())
+        self._withdraw({w for w in works if w.question.shard in shards})
+
+    def hear_leaf_state(self, leaf_id: str, leaving: bool) -> None:
+        """Take in what the platform's list says of a leaf."""
+        worker = self._worker_by_leaf.get(leaf_id)
+        if worker is not None:
+            worker.inbox.put_nowait(DrainHeard(leaving))
+
+    def stop_workers(self) -> None:
+        """End all workers and their connections."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _start(
+        self, group: PeerSearch, part: PartRequest, collector: "_Collector"
+    ) -> LeafWork | Part:
+        worker = self._find_worker(part.leaf)
+        if worker is None:
+            return Part(part.shard, part.leaf, PartState.NOT_HOME)
+        question = LeafSearch(
+            group.request_id,
+            part.shard,
+            group.snapshot,
+            group.query,
+            group.limit,
+            group.remaining_ms,
+            self._settings.name,
+        )
+        now = self._clock.now()
+        expires_at = now + group.remaining_ms / 1000
+        work = LeafWork(
+            part.leaf, question, group.priority, now, expires_at, collector.take
+        )
+        worker.inbox.put_nowait(Submit(work))
+        return work
+
+    def _find_worker(self, leaf_id: str) -> LeafWorker | None:
+        config = self._index.current().leaf_by_id.get(leaf_id)
+        if config is None or not self._may_serve(leaf_id, config):
+            return None
+        worker = self._worker_by_leaf.get(leaf_id)
+        if worker is None or worker.config != config:
+            worker = self._start_worker(leaf_id, config)
+        return worker
+
+    def _may_serve(self, leaf_id: str, config: LeafConfig) -> bool:
+        uses = self._settings.uses
+        if uses(Mechanism.ZONE_OUT) and self._config.zone_is_out(config.zone):
+            return False
+        if not uses(Mechanism.HOME_ROUTING):
+            return True
+        return self._members.is_home(leaf_id)
+
+    def _start_worker(self, leaf_id: str, config: LeafConfig) -> LeafWorker:
+        uses = self._settings.uses
+        limit = LeafLimit(
+            config.slots, config.cold_slots, uses(Mechanism.COLD_RAMP)
+        )
+        policy = WorkerPolicy(
+            slots_allowed=lambda: self._slots_allowed(leaf_id, config),
+            reference_s=lambda: self._median.value_s,
+            observe_latency=self._median.add,
+            silence_timeout=uses(Mechanism.SILENCE_TIMEOUT),
+            match_parts=uses(Mechanism.PART_MATCH),
+            heed_drain=uses(Mechanism.LEAF_DRAIN),
+        )
+        worker = LeafWorker(leaf_id, config, limit, policy, self._clock)
+        self._worker_by_leaf[leaf_id] = worker
+        task = asyncio.create_task(worker.run())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return worker
+
+    def _slots_allowed(self, leaf_id: str, config: LeafConfig) -> int:
+        if self._settings.uses(Mechanism.HOME_ROUTING):
+            return self._members.slots_allowed(leaf_id, config.slots)
+        return max(1, config.slots // max(1, len(self._members.members())))
+
+    def _withdraw(self, works: set[LeafWork]) -> None:
+        for work in works:
+            if work.outcome is None:
+                leaf = self._worker_by_leaf.get(work.leaf_id)
+                if leaf is not None:
+                    leaf.inbox.put_nowait(Withdraw(work))
+
+
+class _Collector:
+    """Collects finished works of one group."""
+
+    __slots__ = ("_clock", "_finished")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._finished: asyncio.Queue[LeafWork] = asyncio.Queue()
+
+    def take(self, work: LeafWork) -> None:
+        """Receive a finished work; workers call it."""
+        self._finished.put_nowait(work)
+
+    async def collect(self, count: int, until: float) -> list[LeafWork]:
+        """Return up to ``count`` works, those done by ``until``."""
+        done: list[LeafWork] = []
+        while len(done) < count:
+            timeout_s = max(0.0, until - self._clock.now())
+            try:
+                async with asyncio.timeout(timeout_s):
+                    done.append(await self._finished.get())
+            except TimeoutError:
+                break
+        return done
+
+
+def _report(
+    group: PeerSearch, refused: list[Part], done: list[LeafWork], last: bool
+) -> PeerParts:
+    items: list[Item] = []
+    parts = list(refused)
+    for work in done:
+        parts.append(_to_part(work))
+        if isinstance(work.outcome, LeafAnswer):
+            items.extend(_with_shard(work.outcome))
+    merged = merge_items(items, group.limit)
+    return PeerParts(group.request_id, parts, merged, last)
+
+
+def _with_shard(answer: LeafAnswer) -> list[Item]:
+    return [
+        Item(item.id, item.score, item.text, answer.shard)
+        for item in answer.items
+    ]
+
+
+def _to_part(work: LeafWork) -> Part:
+    outcome = work.outcome
+    state = PartState.LOST
+    total = 0
+    snapshots: list[int] = []
+    children: list[str] = []
+    if isinstance(outcome, LeafAnswer):
+        total = outcome.total
+        state = PartState.WHOLE
+        if outcome.truncated:
+            state = PartState.TRUNCATED
+    elif isinstance(outcome, LeafRefusal):
+        state = STATE_BY_REFUSAL.get(outcome.kind, PartState.REFUSED)
+        snapshots = outcome.snapshots
+        children = outcome.children
+    return Part(
+        work.question.shard,
+        work.leaf_id,
+        state,
+        total,
+        snapshots,
+        children,
+        leaf_ms=work.took_s * 1000,
+        asked=int(work.sent),
+        draining=work.draining,
+        load=work.load,
+    )
--- /dev/null
+++ b/heatherdyke/leaf_limit.py
@@ -0,0 +1,102 @@
+"""How many searches a home may have at work on one leaf (pure).
+
+A leaf starts at what it bears when cold.  Each step up needs a number of
+searches that completed well, so that a server which stays slow stays at its
+cold limit however much time passes.  A shed, a reset or a new incarnation
+brings the limit down at once.
+"""
+
+from dataclasses import dataclass
+
+SUCCESSES_PER_STEP = 10
+SLOW_FACTOR = 3.0
+SLOW_ANSWERS_MEAN_COLD = 6
+SHED_PAUSE_S = 0.05
+SHED_PAUSE_MAX_S = 2.0
+
+
+@dataclass(slots=True)
+class LeafLimit:
+    """The limit of one leaf; times are monotonic seconds.
+
+    ``slots`` is the most it ever allows and ``cold_slots`` the start.
+    Without ``ramp`` the limit is always ``slots``.
+    """
+
+    slots: int
+    cold_slots: int = 1
+    ramp: bool = True
+    level: int = 0
+    incarnation: str = ""
+    cold_starts: int = 0
+    _successes: int = 0
+    _slow_answers: int = 0
+    _sheds_in_row: int = 0
+    _paused_until: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.cold_slots = max(1, min(self.cold_slots, self.slots))
+        self.level = self.cold_slots if self.ramp else self.slots
+
+    def allowed(self, now: float) -> int:
+        """Return how many searches may be at work at ``now``."""
+        if now < self._paused_until:
+            return 0
+        return self.level
+
+    def resumes_at(self, now: float) -> float | None:
+        """Return when a pause ends, or None if there is none."""
+        return self._paused_until if now < self._paused_until else None
+
+    def succeed(
+        self, incarnation: str, took_s: float, reference_s: float
+    ) -> None:
+        """Count an answer; ``reference_s`` is the usual time of one.
+
+        Another incarnation than before makes the leaf cold again.
+        """
+        if self._is_new(incarnation):
+            self.turn_cold()
+        self.incarnation = incarnation or self.incarnation
+        self._sheds_in_row = 0
+        if reference_s > 0 and took_s > SLOW_FACTOR * reference_s:
+            self._count_slow()
+            return
+        self._slow_answers = 0
+        self._successes += 1
+        if self._successes >= SUCCESSES_PER_STEP and self.level < self.slots:
+            self._successes = 0
+            self.level += 1
+
+    def shed(
+        self, now: float, incarnation: str, retry_after_s: float
+    ) -> None:
+        """Halve the limit and pause, longer with each shed in a row."""
+        if not self.ramp:
+            return
+        self.incarnation = incarnation or self.incarnation
+        self.level = max(self.cold_slots, self.level // 2)
+        self._successes = 0
+        pause_s = SHED_PAUSE_S * 2 ** min(self._sheds_in_row, 5)
+        self._sheds_in_row += 1
+        pause_s = min(max(pause_s, retry_after_s), SHED_PAUSE_MAX_S)
+        self._paused_until = max(self._paused_until, now + pause_s)
+
+    def turn_cold(self) -> None:
+        """Start again from the cold limit, as after a reset."""
+        if not self.ramp:
+            return
+        if self.level > self.cold_slots or self._successes:
+            self.cold_starts += 1
+        self.level = self.cold_slots
+        self._successes = 0
+        self._slow_answers = 0
+
+    def _is_new(self, incarnation: str) -> bool:
+        known = bool(self.incarnation and incarnation)
+        return known and incarnation != self.incarnation
+
+    def _count_slow(self) -> None:
+        self._slow_answers += 1
+        if self._slow_answers >= SLOW_ANSWERS_MEAN_COLD:
+            self.turn_cold()
--- a/heatherdyke/messages.py
+++ b/heatherdyke/messages.py
@@ -16,6 +16,7 @@
     id: str
     score: float
     text: str = ""
+    shard: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,7 +112,10 @@
     """One shard's result as the home reports it.
 
     ``snapshots`` lists what the leaf holds if it has lost the pinned one;
-    ``children`` names the shards that a split made of this one.
+    ``children`` names the shards that a split made of this one, ``asked``
+    counts the searches sent to the leaf, ``leaf_ms`` is the time from
+    submission to the answer, and ``load`` the work at the leaf's home
+    over what the home may send at once.
     """
 
     shard: str
@@ -122,6 +126,8 @@
     children: list[str] = field(default_factory=list)
     leaf_ms: float = 0.0
     asked: int = 0
+    draining: bool = False
+    load: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -249,3 +255,33 @@
     address: str
     incarnation: str
     state: InstanceState = InstanceState.LIVE
+
+
+@dataclass(frozen=True, slots=True)
+class PeerRun:
+    """A run for the home of its leaf; lower ``priority`` goes first."""
+
+    leaf: str
+    priority: int
+    run: LeafRun
+
+
+@dataclass(frozen=True, slots=True)
+class PeerRunOutcome:
+    """How a PeerRun ended: one of an answer, a refusal or a failure.
+
+    ``sent`` tells whether the run may have reached the leaf.
+    """
+
+    answer: LeafRunAnswer | None = None
+    refusal: LeafRefusal | None = None
+    failure: str = ""
+    sent: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class IndexSnapshots:
+    """The value of a ``snapshots/<index>`` object in the platform."""
+
+    current: int
+    held: list[int] = field(default_factory=list)
--- /dev/null
+++ b/heatherdyke/peer_client.py
@@ -0,0 +1,126 @@
+"""The adapter for other instances: asks a home for a group of parts."""
+
+from collections.abc import AsyncIterator
+from contextlib import aclosing
+
+import msgspec
+
+from heatherdyke.codec import decode
+from heatherdyke.codec import encode
+from heatherdyke.errors import ConnectionSilent
+from heatherdyke.errors import TransportError
+from heatherdyke.http_connection import HttpConnection
+from heatherdyke.messages import LeafRefusal
+from heatherdyke.messages import LeafRunAnswer
+from heatherdyke.messages import PeerCancel
+from heatherdyke.messages import PeerParts
+from heatherdyke.messages import PeerRun
+from heatherdyke.messages import PeerRunOutcome
+from heatherdyke.messages import PeerSearch
+
+MAX_IDLE_PER_PEER = 64
+CONNECT_TIMEOUT_S = 0.5
+REPLY_GRACE_S = 0.05
+CANCEL_TIMEOUT_S = 0.5
+STATUS_OK = 200
+
+
+class PeerClient:
+    """Connections to other instances, by their addresses."""
+
+    __slots__ = ("_idle_by_address",)
+
+    def __init__(self) -> None:
+        self._idle_by_address: dict[str, list[HttpConnection]] = {}
+
+    async def search(
+        self, address: str, group: PeerSearch
+    ) -> AsyncIterator[PeerParts]:
+        """Ask the home at ``address`` and yield what it reports.
+
+        Raises TransportError if the connection fails or falls silent.
+        """
+        connection = await self._take(address)
+        timeout_s = group.remaining_ms / 1000 + REPLY_GRACE_S
+        lines = connection.stream_lines(
+            "POST", "/peer/search", encode(group), timeout_s
+        )
+        try:
+            async with aclosing(lines):
+                async for line in lines:
+                    yield _decode_line(line.status, line.body)
+        except ConnectionSilent:
+            self._drop_idle(address)
+            raise
+        self._give_back(connection)
+
+    async def run_once(
+        self, address: str, question: PeerRun
+    ) -> LeafRunAnswer | LeafRefusal:
+        """Have the home at ``address`` run a request that runs once.
+
+        Raises TransportError; ``sent`` tells whether it may have run.
+        """
+        connection = await self._take(address)
+        timeout_s = question.run.remaining_ms / 1000 + REPLY_GRACE_S
+        response = await connection.request(
+            "POST", "/peer/run", encode(question), timeout_s
+        )
+        self._give_back(connection)
+        if response.status != STATUS_OK:
+            raise TransportError(
+                f"{address} answered {response.status}", sent=True
+            )
+        outcome = decode(response.body, PeerRunOutcome)
+        if outcome.answer is not None:
+            return outcome.answer
+        if outcome.refusal is not None:
+            return outcome.refusal
+        raise TransportError(outcome.failure, sent=outcome.sent)
+
+    async def cancel(self, address: str, message: PeerCancel) -> None:
+        """Withdraw shards at their home; a failure to do so is ignored."""
+        try:
+            connection = await self._take(address)
+            await connection.request(
+                "POST", "/peer/cancel", encode(message), CANCEL_TIMEOUT_S
+            )
+        except TransportError:
+            return
+        self._give_back(connection)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for address in list(self._idle_by_address):
+            self._drop_idle(address)
+
+    async def _take(self, address: str) -> HttpConnection:
+        idle = self._idle_by_address.setdefault(address, [])
+        while idle:
+            connection = idle.pop()
+            if connection.usable:
+                return connection
+            connection.close()
+        return await HttpConnection.open(address, CONNECT_TIMEOUT_S)
+
+    def _give_back(self, connection: HttpConnection) -> None:
+        idle = self._idle_by_address.setdefault(connection.address, [])
+        if connection.usable and len(idle) < MAX_IDLE_PER_PEER:
+            idle.append(connection)
+        else:
+            connection.close()
+
+    def _drop_idle(self, address: str) -> None:
+        for connection in self._idle_by_address.pop(address, []):
+            connection.close()
+
+
+def _decode_line(status: int, line: bytes) -> PeerParts:
+    if status != STATUS_OK:
+        raise TransportError(f"the home answered {status}", sent=True)
+    try:
+        return decode(line, PeerParts)
+    except msgspec.DecodeError as error:
+        raise TransportError(
+            f"the home's line is not readable: {error}", sent=True
+        ) from error
--- /dev/null
+++ b/heatherdyke/search_plan.py
@@ -0,0 +1,147 @@
+"""Which shards a search needs and which leaves may answer them (pure)."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from heatherdyke.config_index import ConfigIndex
+from heatherdyke.config_model import SectionConfig
+from heatherdyke.config_model import UrgencyConfig
+from heatherdyke.errors import Forbidden
+from heatherdyke.errors import InvalidRequest
+from heatherdyke.errors import UnknownService
+from heatherdyke.messages import SearchRequest
+
+MAX_LIMIT = 1000
+MAX_DEADLINE_MS = 600_000
+DEFAULT_URGENCY = UrgencyConfig(priority=5)
+
+
+@dataclass(frozen=True, slots=True)
+class SearchPlan:
+    """A checked search: its index, class and shards by qualified id.
+
+    A shard's qualified id is ``service/shard``.
+    """
+
+    index: str
+    urgency: UrgencyConfig
+    deadline_s: float
+    wanted_coverage: float
+    weight_by_shard: dict[str, float]
+    leaves_by_shard: dict[str, list[str]] = field(default_factory=dict)
+
+
+def plan_search(
+    config: ConfigIndex, team: str, request: SearchRequest
+) -> SearchPlan:
+    """Return the plan of a team's search.
+
+    Raises InvalidRequest, UnknownService or Forbidden.
+    """
+    _check_numbers(request)
+    sections = [
+        _find_section(config, team, service) for service in request.services
+    ]
+    services = [
+        section.services[name]
+        for section, name in zip(sections, request.services, strict=True)
+    ]
+    indexes = {service.index for service in services}
+    if len(indexes) != 1:
+        raise InvalidRequest(
+            f"the services belong to the indexes {sorted(indexes)}",
+            "search services of one index at a time",
+        )
+    urgency = _find_urgency(config.document.section_by_team[team], request.urgency)
+    weight_by_shard = {}
+    leaves_by_shard = {}
+    for name, service in zip(request.services, services, strict=True):
+        for shard, config in service.shards.items():
+            weight_by_shard[f"{name}/{shard}"] = config.weight
+            leaves_by_shard[f"{name}/{shard}"] = config.leaves
+    deadline_ms = request.deadline_ms or urgency.deadline_ms
+    wanted = request.wanted_coverage
+    return SearchPlan(
+        indexes.pop(),
+        urgency,
+        deadline_ms / 1000,
+        urgency.wanted_coverage if wanted is None else wanted,
+        weight_by_shard,
+        leaves_by_shard,
+    )
+
+
+def usable_leaves(
+    config: ConfigIndex,
+    leaves: list[str],
+    zone_is_out: Callable[[str], bool],
+) -> list[str]:
+    """Return those of the leaves that are declared and in zones in use."""
+    leaf_by_id = config.leaf_by_id
+    return [
+        leaf
+        for leaf in leaves
+        if leaf in leaf_by_id and not zone_is_out(leaf_by_id[leaf].zone)
+    ]
+
+
+def find_child_leaves(
+    config: ConfigIndex, service: str, child: str
+) -> list[str]:
+    """Return the leaves of a shard that a split made, or none."""
+    section = config.section_by_service.get(service)
+    if section is None:
+        return []
+    shard = section.services[service].shards.get(child)
+    return shard.leaves if shard is not None else []
+
+
+def _check_numbers(request: SearchRequest) -> None:
+    if not request.services:
+        raise InvalidRequest("no service is named", "name at least one")
+    if len(set(request.services)) != len(request.services):
+        raise InvalidRequest("a service is named twice", "name each once")
+    if not 0 < request.limit <= MAX_LIMIT:
+        raise InvalidRequest(
+            f"limit {request.limit} is out of range",
+            f"ask for 1 to {MAX_LIMIT} items",
+        )
+    deadline_ms = request.deadline_ms
+    if deadline_ms is not None and not 0 < deadline_ms <= MAX_DEADLINE_MS:
+        raise InvalidRequest(
+            f"deadline_ms {deadline_ms} is out of range",
+            f"give 1 to {MAX_DEADLINE_MS}",
+        )
+    wanted = request.wanted_coverage
+    if wanted is not None and not 0 <= wanted <= 1:
+        raise InvalidRequest(
+            f"wanted_coverage {wanted} is out of range", "give 0 to 1"
+        )
+
+
+def _find_section(
+    config: ConfigIndex, team: str, service: str
+) -> SectionConfig:
+    section = config.section_by_service.get(service)
+    if section is None:
+        raise UnknownService(
+            f"service {service!r} is not declared",
+            "use a service that a section of the configuration declares",
+        )
+    if team != section.team and team not in section.readers:
+        raise Forbidden(
+            f"team {team!r} may not search service {service!r}",
+            f"ask team {section.team!r} to name you in its readers",
+        )
+    return section
+
+
+def _find_urgency(section: SectionConfig, name: str) -> UrgencyConfig:
+    if name in section.urgency:
+        return section.urgency[name]
+    if name == "default":
+        return DEFAULT_URGENCY
+    known = ", ".join(sorted(section.urgency)) or "default"
+    raise InvalidRequest(
+        f"urgency class {name!r} is not declared", f"use one of {known}"
+    )
--- /dev/null
+++ b/heatherdyke/search_run.py
@@ -0,0 +1,357 @@
+"""One search under way: sends groups of parts and collects them."""
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from heatherdyke.coverage import CoverageCount
+from heatherdyke.errors import DeadlineExceeded
+from heatherdyke.errors import RunState
+from heatherdyke.errors import TransportError
+from heatherdyke.mechanisms import Mechanism
+from heatherdyke.merge import merge_items
+from heatherdyke.messages import Item
+from heatherdyke.messages import Part
+from heatherdyke.messages import PartRequest
+from heatherdyke.messages import PartState
+from heatherdyke.messages import PeerCancel
+from heatherdyke.messages import PeerParts
+from heatherdyke.messages import PeerSearch
+from heatherdyke.messages import SearchRequest
+from heatherdyke.search_plan import SearchPlan
+from heatherdyke.search_plan import find_child_leaves
+
+if TYPE_CHECKING:
+    from heatherdyke.entry import Entry
+
+RETURN_MARGIN_S = 0.004
+MAX_SNAPSHOT_RESTARTS = 2
+MAX_TRIES_PER_SHARD = 3
+HOME_SILENCE_FACTOR = 2.0
+HOME_SILENCE_EXTRA_S = 0.01
+EARLY_DELAYS = 4.0
+RETRYABLE = (PartState.REFUSED, PartState.LOST, PartState.NOT_HOME)
+
+
+@dataclass(slots=True, eq=False)
+class Group:
+    """Parts that went to one home, and which have not come back."""
+
+    address: str | None
+    pending_leaf_by_shard: dict[str, str]
+    restart: int
+    hedge_at: float
+    hedged: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class GroupReport:
+    """A home's message, or its failure, for the search's task."""
+
+    group: Group
+    parts: PeerParts | None
+    error: TransportError | None = None
+
+
+@dataclass(slots=True)
+class _ShardTry:
+    """Which leaves a shard was asked on and how many asks are open."""
+
+    tried: list[str] = field(default_factory=list)
+    open: int = 0
+
+
+class SearchRun:
+    """Works on one search until it is whole, good enough or late."""
+
+    def __init__(
+        self,
+        entry: "Entry",
+        plan: SearchPlan,
+        request: SearchRequest,
+        request_id: str,
+        snapshot: int,
+    ) -> None:
+        self.snapshot = snapshot
+        self.cost = 0
+        self._entry = entry
+        self._plan = plan
+        self._request = request
+        self._request_id = request_id
+        self._inbox: asyncio.Queue[GroupReport] = asyncio.Queue()
+        self._groups: set[Group] = set()
+        self._restarts = 0
+        self._newer_snapshot = 0
+        self._deadline = 0.0
+        self._started_at = 0.0
+        self._begin()
+
+    def items(self) -> list[Item]:
+        """Return the best items of the shards that answered."""
+        return merge_items(self._items, self._request.limit)
+
+    async def work(self, deadline: float) -> CoverageCount:
+        """Search until done or ``deadline`` and return what is covered.
+
+        Raises DeadlineExceeded if nothing at all was covered.
+        """
+        self._deadline = deadline - RETURN_MARGIN_S
+        self._started_at = self._entry.clock.now()
+        self._send(list(self._plan.weight_by_shard), hedge=False)
+        while self._groups and not self._is_enough():
+            report = await self._next_report()
+            if report is not None:
+                self._take(report)
+            elif self._entry.clock.now() >= self._deadline:
+                break
+            self._hedge_stragglers()
+        self._cancel_rest()
+        self._check_answer()
+        return self._coverage
+
+    def _begin(self) -> None:
+        check = self._entry.settings.uses(Mechanism.COVERAGE_CHECK)
+        self._coverage = CoverageCount(self._plan.weight_by_shard, check)
+        self._items: list[Item] = []
+        self._try_by_shard: dict[str, _ShardTry] = {}
+        self._leaves_by_shard = dict(self._plan.leaves_by_shard)
+
+    def _send(self, shards: list[str], hedge: bool) -> None:
+        """Ask one more replica of each of the shards."""
+        now = self._entry.clock.now()
+        group_by_address: dict[str | None, dict[str, str]] = {}
+        for shard in shards:
+            leaf = self._choose(shard)
+            if leaf is None:
+                continue
+            home = self._entry.home_of(leaf)
+            address = home.address if home is not None else None
+            group_by_address.setdefault(address, {})[shard] = leaf
+        hedge_at = now + self._silence_s()
+        for address, leaf_by_shard in group_by_address.items():
+            group = Group(address, leaf_by_shard, self._restarts, hedge_at)
+            group.hedged = hedge
+            self._start(group, now)
+
+    def _choose(self, shard: str) -> str | None:
+        attempt = self._try_by_shard.setdefault(shard, _ShardTry())
+        leaves = [
+            leaf
+            for leaf in self._entry.leaves_in_use(
+                self._leaves_by_shard.get(shard, [])
+            )
+            if leaf not in attempt.tried
+        ]
+        if not leaves or len(attempt.tried) >= MAX_TRIES_PER_SHARD:
+            return None
+        leaf = self._entry.choose_leaf(leaves)
+        attempt.tried.append(leaf)
+        attempt.open += 1
+        return leaf
+
+    def _start(self, group: Group, now: float) -> None:
+        self._groups.add(group)
+        for leaf in group.pending_leaf_by_shard.values():
+            self._entry.views.start(leaf)
+        if not group.hedged:
+            self._entry.hedges.budget.earn(len(group.pending_leaf_by_shard))
+        message = PeerSearch(
+            self._request_id,
+            self._entry.settings.name,
+            self.snapshot,
+            self._request.query,
+            self._plan.urgency.priority,
+            max(0.0, self._deadline - now) * 1000,
+            self._entry.hedges.delay_s() * 1000,
+            self._request.limit,
+            [
+                PartRequest(shard, leaf)
+                for shard, leaf in group.pending_leaf_by_shard.items()
+            ],
+        )
+        self._entry.spawn(self._ask(group, message))
+
+    async def _ask(self, group: Group, message: PeerSearch) -> None:
+        """Pass a home's messages on to the search's task."""
+        if group.address is None:
+            reports = self._entry.home.search(message)
+        else:
+            reports = self._entry.peers.search(group.address, message)
+        try:
+            async for parts in reports:
+                self._inbox.put_nowait(GroupReport(group, parts))
+        except TransportError as error:
+            self._inbox.put_nowait(GroupReport(group, None, error))
+
+    async def _next_report(self) -> GroupReport | None:
+        if not self._inbox.empty():
+            return self._inbox.get_nowait()
+        now = self._entry.clock.now()
+        times = [g.hedge_at for g in self._groups if not g.hedged]
+        early_at = self._early_at()
+        if early_at > now:
+            times.append(early_at)
+        until = min([*times, self._deadline])
+        try:
+            async with asyncio.timeout(max(0.0, until - now)):
+                return await self._inbox.get()
+        except TimeoutError:
+            return None
+
+    def _take(self, report: GroupReport) -> None:
+        group = report.group
+        if group.restart != self._restarts or group not in self._groups:
+            return
+        if report.parts is None:
+            self._fail(group)
+            return
+        self._items.extend(report.parts.items)
+        for part in report.parts.parts:
+            self._take_part(group, part)
+        if report.parts.last or not group.pending_leaf_by_shard:
+            self._groups.discard(group)
+        else:
+            group.hedge_at = self._entry.clock.now()
+        self._restart_if_gone()
+
+    def _take_part(self, group: Group, part: Part) -> None:
+        group.pending_leaf_by_shard.pop(part.shard, None)
+        now = self._entry.clock.now()
+        self._entry.views.finish(part, now)
+        self.cost += part.asked
+        self._try_by_shard[part.shard].open -= 1
+        self._coverage.add(part)
+        if part.state is PartState.WHOLE:
+            self._entry.hedges.latency.add(part.leaf_ms / 1000)
+        elif part.state is PartState.SPLIT:
+            self._ask_children(part)
+        elif part.state is PartState.SNAPSHOT_GONE:
+            self._note_gone(part)
+        elif part.state in RETRYABLE:
+            self._retry(part)
+
+    def _retry(self, part: Part) -> None:
+        """Ask another replica if a refused or lost part may cost it."""
+        budget = self._entry.hedges.budget
+        if part.state is PartState.REFUSED and part.asked:
+            budget.punish_shed()
+        if self._coverage.is_whole(part.shard):
+            return
+        if part.state is PartState.NOT_HOME:
+            self._try_by_shard[part.shard].tried.remove(part.leaf)
+            self._send([part.shard], hedge=True)
+        elif part.asked == 0 or budget.spend():
+            self._send([part.shard], hedge=True)
+
+    def _ask_children(self, part: Part) -> None:
+        service = part.shard.partition("/")[0]
+        for child in part.children:
+            name = child.rpartition("/")[2]
+            leaves = find_child_leaves(
+                self._entry.index.current(), service, name
+            )
+            self._leaves_by_shard[child] = leaves
+        self._send(part.children, hedge=True)
+
+    def _note_gone(self, part: Part) -> None:
+        newest = max(part.snapshots, default=0)
+        self._newer_snapshot = max(self._newer_snapshot, newest)
+        if newest <= self.snapshot:
+            self._send([part.shard], hedge=True)
+
+    def _restart_if_gone(self) -> None:
+        """Pin a newer snapshot when a leaf has dropped the pinned one."""
+        if self._newer_snapshot <= self.snapshot:
+            return
+        if self._restarts >= MAX_SNAPSHOT_RESTARTS:
+            return
+        self._cancel_rest()
+        self._restarts += 1
+        self.snapshot = self._newer_snapshot
+        self._entry.snapshots.learn(self._plan.index, self.snapshot)
+        if self._entry.settings.uses(Mechanism.SNAPSHOT_PIN):
+            self._begin()
+            self._send(list(self._plan.weight_by_shard), hedge=True)
+            return
+        missing = self._coverage.result().missing
+        self._try_by_shard.clear()
+        self._send(missing, hedge=True)
+
+    def _fail(self, group: Group) -> None:
+        self._groups.discard(group)
+        for shard, leaf in list(group.pending_leaf_by_shard.items()):
+            part = Part(shard, leaf, PartState.LOST)
+            self._take_part(group, part)
+
+    def _hedge_stragglers(self) -> None:
+        now = self._entry.clock.now()
+        for group in list(self._groups):
+            if group.hedged or group.hedge_at > now:
+                continue
+            group.hedged = True
+            self._hedge(list(group.pending_leaf_by_shard))
+
+    def _hedge(self, shards: list[str]) -> None:
+        chosen = []
+        for shard in shards:
+            if self._coverage.is_whole(shard) or not self._has_other(shard):
+                continue
+            if not self._entry.hedges.may_hedge():
+                break
+            chosen.append(shard)
+        if chosen:
+            self._send(chosen, hedge=True)
+
+    def _has_other(self, shard: str) -> bool:
+        tried = self._try_by_shard[shard].tried
+        leaves = self._entry.leaves_in_use(
+            self._leaves_by_shard.get(shard, [])
+        )
+        return any(leaf not in tried for leaf in leaves)
+
+    def _silence_s(self) -> float:
+        delay_s = self._entry.hedges.delay_s()
+        return HOME_SILENCE_FACTOR * delay_s + HOME_SILENCE_EXTRA_S
+
+    def _early_at(self) -> float:
+        """Return when an answer with the wanted coverage need not wait."""
+        delay_s = self._entry.hedges.delay_s()
+        return self._started_at + EARLY_DELAYS * delay_s
+
+    def _is_enough(self) -> bool:
+        share = self._coverage.covered_share()
+        if share >= 1.0:
+            return True
+        if share < self._plan.wanted_coverage or share == 0.0:
+            return False
+        return self._entry.clock.now() >= self._early_at()
+
+    def _cancel_rest(self) -> None:
+        for group in self._groups:
+            shards = list(group.pending_leaf_by_shard)
+            if not shards:
+                continue
+            self.cost += len(shards)
+            for leaf in group.pending_leaf_by_shard.values():
+                view = self._entry.views.of(leaf)
+                view.outstanding = max(0, view.outstanding - 1)
+            message = PeerCancel(self._request_id, shards)
+            if group.address is None:
+                self._entry.home.cancel(message)
+            else:
+                self._entry.spawn(
+                    self._entry.peers.cancel(group.address, message)
+                )
+        self._groups.clear()
+
+    def _check_answer(self) -> None:
+        if self._coverage.covered_share() > 0.0:
+            return
+        if not self._plan.weight_by_shard:
+            return
+        raise DeadlineExceeded(
+            "no shard answered in time",
+            "come back later or give a longer deadline",
+            RunState.MAY_HAVE_RUN if self.cost else RunState.NOT_RUN,
+            retry_after_s=1.0,
+        )
