Find a caller's team by its key

The lookup is pure, over the accepted document, so that the caller interface and the run interface share it. Ruled out: a scan with a constant-time comparison of each digest; the index is keyed by the digest of what the caller sent, so its timing tells nothing of the key.

--- /dev/null
+++ b/heatherdyke/caller_keys.py
@@ -0,0 +1,91 @@
+"""Which team a caller belongs to, by the key that it sends.
+
+A section holds only the SHA-256 digests of its keys, so that whoever reads
+the configuration cannot call in the team's name.
+"""
+
+from collections.abc import Mapping
+from hashlib import sha256
+
+from heatherdyke.config_model import ConfigDocument, SectionConfig
+from heatherdyke.errors import Forbidden, UnknownKey, UnknownService
+
+SCHEME = "bearer"
+
+
+class CallerKeys:
+    """Finds teams by key in one accepted configuration document."""
+
+    __slots__ = ("_document", "_team_by_key_hash", "_team_by_service")
+
+    def __init__(
+        self,
+        document: ConfigDocument,
+        team_by_key_hash: Mapping[str, str],
+        team_by_service: Mapping[str, str],
+    ) -> None:
+        self._document = document
+        self._team_by_key_hash = team_by_key_hash
+        self._team_by_service = team_by_service
+
+    @classmethod
+    def from_document(cls, document: ConfigDocument) -> "CallerKeys":
+        """Index the keys and services of all sections."""
+        team_by_key_hash = {}
+        team_by_service = {}
+        for team, section in document.section_by_team.items():
+            for key_hash in section.key_hashes:
+                team_by_key_hash[key_hash.lower()] = team
+            for service in section.services:
+                team_by_service[service] = team
+        return cls(document, team_by_key_hash, team_by_service)
+
+    def find_team(self, authorization: str | None) -> str:
+        """Return the team of an ``Authorization: Bearer KEY`` header value.
+
+        Raises UnknownKey if it is missing, has another form, or names a key
+        that no section knows.
+        """
+        key_hash = hash_key(_parse_bearer(authorization))
+        team = self._team_by_key_hash.get(key_hash)
+        if team is None:
+            raise UnknownKey(
+                "no team's section knows the key",
+                "send a key whose SHA-256 stands in the section's key_hashes",
+            )
+        return team
+
+    def check_access(self, team: str, service: str) -> SectionConfig:
+        """Return the section that declares ``service``.
+
+        Raises UnknownService if none does, and Forbidden unless ``team``
+        owns it or stands in its section's ``readers``.
+        """
+        owner = self._team_by_service.get(service)
+        if owner is None:
+            raise UnknownService(
+                f"no section declares the service {service!r}",
+                "correct the name or declare the service",
+            )
+        section = self._document.section_by_team[owner]
+        if team != owner and team not in section.readers:
+            raise Forbidden(
+                f"team {team!r} may not use the service {service!r}",
+                f"ask team {owner!r} to add it to the readers",
+            )
+        return section
+
+
+def hash_key(key: str) -> str:
+    """Return the hexadecimal SHA-256 under which a section knows a key."""
+    return sha256(key.encode()).hexdigest()
+
+
+def _parse_bearer(authorization: str | None) -> str:
+    scheme, _, key = (authorization or "").partition(" ")
+    if scheme.lower() != SCHEME or not key.strip():
+        raise UnknownKey(
+            "the request has no Authorization header with a bearer key",
+            "send 'Authorization: Bearer KEY' with a key of your team",
+        )
+    return key.strip()
