--- /dev/null
+++ b/heatherdyke/event_catalogue.py
@@ -0,0 +1,63 @@
+"""Writes docs/EVENTS.md from the registry of events.
+
+Usage: ``python -m heatherdyke.event_catalogue > docs/EVENTS.md``.
+"""
+
+from importlib import import_module
+from pkgutil import iter_modules
+
+import heatherdyke
+from heatherdyke.events import EventKind, kind_by_number
+
+SECTION_BY_THOUSAND = {
+    1: "Instance",
+    2: "Configuration and zones",
+    3: "Membership and homes",
+    4: "Search path and leaves",
+    5: "Run-once, admission and spending",
+    6: "Platform",
+}
+HEADER = """\
+# Events
+
+Every event has a number that never changes meaning. The same numbers stand
+in the logs (field `event.number`) and in `heatherdyke timeline`. This page
+is made from the registry: `python -m heatherdyke.event_catalogue`.
+"""
+
+
+def load_all_kinds() -> list[EventKind]:
+    """Import every module, so that each kind registers; return all kinds."""
+    for module in iter_modules(heatherdyke.__path__):
+        if module.name != "__main__":
+            import_module(f"heatherdyke.{module.name}")
+    return [kind_by_number[number] for number in sorted(kind_by_number)]
+
+
+def render_catalogue(kinds: list[EventKind]) -> str:
+    """Return the page's text in Markdown."""
+    parts = [HEADER]
+    section = 0
+    for kind in kinds:
+        if kind.number // 1000 != section:
+            section = kind.number // 1000
+            parts.append(f"\n## {section}xxx {SECTION_BY_THOUSAND[section]}\n")
+        parts.append(_entry(kind))
+    return "".join(parts)
+
+
+def _entry(kind: EventKind) -> str:
+    lines = [
+        f"\n### {kind.number} {kind.name}\n",
+        f"\n{kind.severity.value}. {kind.summary}\n",
+    ]
+    if kind.fields:
+        names = ", ".join(f"`{name}`" for name in kind.fields)
+        lines.append(f"\nFields: {names}.\n")
+    if kind.action:
+        lines.append(f"\nAction: {kind.action}\n")
+    return "".join(lines)
+
+
+if __name__ == "__main__":
+    print(render_catalogue(load_all_kinds()), end="")
--- a/heatherdyke/events.py
+++ b/heatherdyke/events.py
@@ -1,4 +1,9 @@
-"""The registry of numbered events that logs and the time line share."""
+"""The registry of numbered events that logs and the time line share.
+
+Numbers stand in ranges: 1xxx instance, 2xxx configuration and zones, 3xxx
+membership and homes, 4xxx search path and leaves, 5xxx run-once, admission
+and spending, 6xxx platform.
+"""
 
 from dataclasses import dataclass
 from enum import Enum
@@ -65,3 +70,42 @@
         "All requests have ended and the instance exits.",
     )
 )
+LOOP_STALLED = register(
+    EventKind(
+        1010,
+        "loop_stalled",
+        Severity.WARNING,
+        "The event loop stood still: the process was paused or overloaded.",
+        ("stall_s",),
+        "Look for a paused host, swapping, or too many requests a second.",
+    )
+)
+READINESS_CHANGED = register(
+    EventKind(
+        1011,
+        "readiness_changed",
+        Severity.INFO,
+        "The answer of /readyz changed; reasons say what is missing.",
+        ("ready", "reasons"),
+    )
+)
+CLOCK_REJECTED = register(
+    EventKind(
+        1012,
+        "clock_rejected",
+        Severity.WARNING,
+        "A peer sent a timestamp far ahead of this host's clock.",
+        ("detail",),
+        "Correct the clock of the host that is ahead.",
+    )
+)
+FIELDS_MISMATCHED = register(
+    EventKind(
+        1013,
+        "event_fields_mismatched",
+        Severity.ERROR,
+        "An event was recorded with other fields than the catalogue names.",
+        ("kind", "missing", "unknown"),
+        "Report it as a fault of heatherdyke.",
+    )
+)
--- /dev/null
+++ b/heatherdyke/metrics.py
@@ -0,0 +1,166 @@
+"""Latency histograms and counters of one instance, and their merge.
+
+Histograms are HdrHistogram's.  All share one range and precision, so that
+adding their encoded forms loses nothing.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US = 1
+HIGHEST_US = 100_000_000
+SIGNIFICANT_DIGITS = 2
+MAX_SERIES = 512
+OVERFLOW_LABEL = "other"
+PERCENTILES = (50.0, 99.0, 99.9)
+
+SeriesKey = tuple[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class LatencySeries:
+    """One series' histogram in HdrHistogram's base64 form, microseconds."""
+
+    name: str
+    label: str
+    histogram: str
+
+
+@dataclass(frozen=True, slots=True)
+class CounterSeries:
+    """One counter's value since the instance started."""
+
+    name: str
+    label: str
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class StatsPage:
+    """All series of one instance, or of several merged."""
+
+    instance: str
+    zone: str
+    incarnation: str
+    latencies: list[LatencySeries] = field(default_factory=list)
+    counters: list[CounterSeries] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class LatencySummary:
+    """What an operator reads of a series; durations in milliseconds."""
+
+    name: str
+    label: str
+    count: int
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    max_ms: float
+
+
+class Metrics:
+    """Collects latencies and counts by name and label.
+
+    After MAX_SERIES of a kind, further labels of a name share one series,
+    so that memory stays bounded.
+    """
+
+    __slots__ = ("_histogram_by_key", "_count_by_key")
+
+    def __init__(self) -> None:
+        self._histogram_by_key: dict[SeriesKey, HdrHistogram] = {}
+        self._count_by_key: dict[SeriesKey, int] = {}
+
+    def record_latency(self, name: str, label: str, seconds: float) -> None:
+        """Add one duration; those out of range count as the nearest bound."""
+        key = _bounded_key(self._histogram_by_key, name, label)
+        histogram = self._histogram_by_key.get(key)
+        if histogram is None:
+            histogram = _new_histogram()
+            self._histogram_by_key[key] = histogram
+        microseconds = int(seconds * 1e6)
+        histogram.record_value(min(max(microseconds, LOWEST_US), HIGHEST_US))
+
+    def count(self, name: str, label: str, n: int = 1) -> None:
+        """Add ``n`` to a counter."""
+        key = _bounded_key(self._count_by_key, name, label)
+        self._count_by_key[key] = self._count_by_key.get(key, 0) + n
+
+    def read(self, instance: str, zone: str, incarnation: str) -> StatsPage:
+        """Return all series as of now."""
+        return _page(
+            instance,
+            zone,
+            incarnation,
+            self._histogram_by_key,
+            self._count_by_key,
+        )
+
+
+def merge_stats(pages: Iterable[StatsPage]) -> StatsPage:
+    """Return the sum of several instances' series."""
+    histogram_by_key: dict[SeriesKey, HdrHistogram] = {}
+    count_by_key: dict[SeriesKey, int] = {}
+    for page in pages:
+        for series in page.latencies:
+            key = (series.name, series.label)
+            merged = histogram_by_key.setdefault(key, _new_histogram())
+            merged.add(HdrHistogram.decode(series.histogram))
+        for counter in page.counters:
+            key = (counter.name, counter.label)
+            count_by_key[key] = count_by_key.get(key, 0) + counter.count
+    return _page("", "", "", histogram_by_key, count_by_key)
+
+
+def summarise(series: LatencySeries) -> LatencySummary:
+    """Return count and percentiles of a series."""
+    histogram = HdrHistogram.decode(series.histogram)
+    p50, p99, p999 = (
+        histogram.get_value_at_percentile(percentile) / 1000
+        for percentile in PERCENTILES
+    )
+    return LatencySummary(
+        name=series.name,
+        label=series.label,
+        count=histogram.get_total_count(),
+        p50_ms=p50,
+        p99_ms=p99,
+        p999_ms=p999,
+        max_ms=histogram.get_max_value() / 1000,
+    )
+
+
+def _page(
+    instance: str,
+    zone: str,
+    incarnation: str,
+    histogram_by_key: dict[SeriesKey, HdrHistogram],
+    count_by_key: dict[SeriesKey, int],
+) -> StatsPage:
+    return StatsPage(
+        instance=instance,
+        zone=zone,
+        incarnation=incarnation,
+        latencies=[
+            LatencySeries(name, label, histogram.encode().decode())
+            for (name, label), histogram in sorted(histogram_by_key.items())
+        ],
+        counters=[
+            CounterSeries(name, label, count)
+            for (name, label), count in sorted(count_by_key.items())
+        ],
+    )
+
+
+def _bounded_key(by_key: dict, name: str, label: str) -> SeriesKey:
+    key = (name, label)
+    if key in by_key or len(by_key) < MAX_SERIES:
+        return key
+    return (name, OVERFLOW_LABEL)
+
+
+def _new_histogram() -> HdrHistogram:
+    return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
--- /dev/null
+++ b/heatherdyke/observe_component.py
@@ -0,0 +1,156 @@
+"""What an instance shows to operators over HTTP.
+
+``/events`` the journal, ``/stats`` encoded histograms and counters,
+``/metrics`` text for scraping, ``/healthz`` liveness, ``/readyz`` readiness
+and ``/members`` the instances that this one knows.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from blacksheep import Application, Content, Request, Response
+
+from heatherdyke.clock import Clock
+from heatherdyke.codec import encode
+from heatherdyke.events import LOOP_STALLED, READINESS_CHANGED
+from heatherdyke.health import (
+    HealthState,
+    Readiness,
+    judge_liveness,
+    judge_readiness,
+)
+from heatherdyke.http_routes import add_route
+from heatherdyke.journal import RING_EVENTS, Journal
+from heatherdyke.metrics import Metrics, StatsPage
+from heatherdyke.metrics_text import CONTENT_TYPE, render_metrics
+
+TURN_INTERVAL_S = 0.25
+STALL_S = 1.0
+JSON_TYPE = b"application/json"
+
+
+@dataclass(frozen=True, slots=True)
+class KnownInstance:
+    """An instance that another one knows, with its ``host:port``."""
+
+    name: str
+    zone: str
+    address: str
+
+
+class ObserveComponent:
+    """Serves the journal, the metrics and the health of one instance."""
+
+    __slots__ = (
+        "_journal",
+        "_metrics",
+        "_health",
+        "_members",
+        "_clock",
+        "_last_turn",
+        "_readiness",
+    )
+
+    def __init__(
+        self,
+        journal: Journal,
+        metrics: Metrics,
+        health: Callable[[], HealthState],
+        members: Callable[[], list[KnownInstance]],
+        clock: Clock | None = None,
+    ) -> None:
+        self._journal = journal
+        self._metrics = metrics
+        self._health = health
+        self._members = members
+        self._clock = clock or Clock()
+        self._last_turn = self._clock.now()
+        self._readiness: Readiness | None = None
+
+    def add_routes(self, app: Application) -> None:
+        """Register the routes named in the module's docstring."""
+        handler_by_path = {
+            "/events": self._serve_events,
+            "/stats": self._serve_stats,
+            "/metrics": self._serve_metrics,
+            "/healthz": self._serve_liveness,
+            "/readyz": self._serve_readiness,
+            "/members": self._serve_members,
+        }
+        for path, handler in handler_by_path.items():
+            add_route(app, "GET", path, handler)
+
+    async def run(self) -> None:
+        """Watch the loop and the readiness until cancelled."""
+        while True:
+            self._note_readiness()
+            self._last_turn = self._clock.now()
+            await asyncio.sleep(TURN_INTERVAL_S)
+            late_s = self._clock.now() - self._last_turn - TURN_INTERVAL_S
+            self._metrics.record_latency("loop_lag", "", max(0.0, late_s))
+            if late_s > STALL_S:
+                self._journal.record(LOOP_STALLED, stall_s=round(late_s, 3))
+
+    async def stop(self) -> None:
+        """Do nothing: the routes answer until the server ends."""
+
+    def _note_readiness(self) -> None:
+        readiness = judge_readiness(self._health())
+        if readiness != self._readiness:
+            self._readiness = readiness
+            self._journal.record(
+                READINESS_CHANGED,
+                ready=readiness.ready,
+                reasons=readiness.reasons,
+            )
+
+    async def _serve_events(self, request: Request) -> Response:
+        try:
+            after = _number(request, "after", 0)
+            limit = _number(request, "limit", RING_EVENTS)
+        except ValueError as error:
+            return Response(400, content=Content(b"text/plain", _text(error)))
+        return _json(200, self._journal.read(after, limit))
+
+    async def _serve_stats(self, request: Request) -> Response:
+        return _json(200, self._stats())
+
+    async def _serve_metrics(self, request: Request) -> Response:
+        text = render_metrics(self._stats()).encode()
+        return Response(200, content=Content(CONTENT_TYPE, text))
+
+    async def _serve_liveness(self, request: Request) -> Response:
+        liveness = judge_liveness(self._last_turn, self._clock.now())
+        return _json(200 if liveness.live else 503, liveness)
+
+    async def _serve_readiness(self, request: Request) -> Response:
+        readiness = judge_readiness(self._health())
+        return _json(200 if readiness.ready else 503, readiness)
+
+    async def _serve_members(self, request: Request) -> Response:
+        return _json(200, self._members())
+
+    def _stats(self) -> StatsPage:
+        journal = self._journal
+        return self._metrics.read(
+            journal.instance, journal.zone, journal.incarnation
+        )
+
+
+def _number(request: Request, name: str, default: int) -> int:
+    values = request.query.get(name)
+    if not values:
+        return default
+    if not values[0].isdecimal():
+        raise ValueError(f"{name}={values[0]!r} is not a number from 0 up")
+    return int(values[0])
+
+
+def _text(error: ValueError) -> bytes:
+    return f"{error}: give a whole number\n".encode()
+
+
+def _json(status: int, message: Any) -> Response:
+    return Response(status, content=Content(JSON_TYPE, encode(message)))
--- /dev/null
+++ b/tests/test_event_catalogue.py
@@ -0,0 +1,53 @@
+"""The events' page, and the fields that the code records."""
+
+import ast
+from importlib import import_module
+from pathlib import Path
+
+import heatherdyke
+from heatherdyke.event_catalogue import load_all_kinds, render_catalogue
+from heatherdyke.events import EventKind
+
+PACKAGE = Path(heatherdyke.__file__).parent
+PAGE = PACKAGE.parent / "docs" / "EVENTS.md"
+
+
+class TestCatalogue:
+    def test_page_matches_the_registry(self):
+        assert PAGE.read_text() == render_catalogue(load_all_kinds()), (
+            "run python -m heatherdyke.event_catalogue > docs/EVENTS.md"
+        )
+
+
+class TestRecordedFields:
+    def test_each_call_names_the_fields_of_its_kind(self):
+        faults = []
+        for path in sorted(PACKAGE.glob("*.py")):
+            for call in _record_calls(path):
+                faults.extend(_faults(path, call))
+        assert faults == []
+
+
+def _record_calls(path: Path) -> list[ast.Call]:
+    tree = ast.parse(path.read_text())
+    return [
+        node
+        for node in ast.walk(tree)
+        if isinstance(node, ast.Call)
+        and isinstance(node.func, ast.Attribute)
+        and node.func.attr == "record"
+        and node.args
+        and isinstance(node.args[0], ast.Name)
+        and node.args[0].id.isupper()
+    ]
+
+
+def _faults(path: Path, call: ast.Call) -> list[str]:
+    module = import_module(f"heatherdyke.{path.stem}")
+    kind = getattr(module, call.args[0].id)
+    names = [keyword.arg for keyword in call.keywords]
+    if not isinstance(kind, EventKind) or None in names:
+        return []
+    if set(names) == set(kind.fields):
+        return []
+    return [f"{path.name}:{call.lineno} {names} is not {kind.fields}"]
--- /dev/null
+++ b/tests/test_observe.py
@@ -0,0 +1,106 @@
+"""Metrics, health and the routes that show them."""
+
+import asyncio
+
+from blacksheep import Application
+from blacksheep.testing import TestClient
+
+from heatherdyke.codec import decode
+from heatherdyke.events import STOPPING
+from heatherdyke.health import HealthState, judge_liveness, judge_readiness
+from heatherdyke.journal import EventPage, Journal
+from heatherdyke.metrics import (
+    MAX_SERIES,
+    Metrics,
+    StatsPage,
+    merge_stats,
+    summarise,
+)
+from heatherdyke.metrics_text import render_metrics
+from heatherdyke.observe_component import ObserveComponent
+
+READY = HealthState(
+    config_known=True, members_known=True, leaving=False, zone_out=False
+)
+
+
+class TestMetrics:
+    def test_merge_equals_one_histogram_of_all(self):
+        parts = [Metrics(), Metrics()]
+        whole = Metrics()
+        for i in range(1, 2001):
+            seconds = i * i * 1e-6
+            parts[i % 2].record_latency("search", "urgent", seconds)
+            whole.record_latency("search", "urgent", seconds)
+        merged = merge_stats(m.read("", "", "") for m in parts)
+        assert merged == whole.read("", "", "")
+        assert summarise(merged.latencies[0]).count == 2000
+
+    def test_counters_add_up_over_instances(self):
+        parts = [Metrics(), Metrics()]
+        for metrics in parts:
+            metrics.count("refused", "overloaded", 3)
+        merged = merge_stats(m.read("", "", "") for m in parts)
+        assert [counter.count for counter in merged.counters] == [6]
+
+    def test_number_of_series_is_bounded(self):
+        metrics = Metrics()
+        for i in range(MAX_SERIES + 50):
+            metrics.count("refused", f"label{i}")
+        counters = metrics.read("", "", "").counters
+        assert len(counters) == MAX_SERIES + 1
+        assert sum(counter.count for counter in counters) == MAX_SERIES + 50
+
+    def test_text_for_scraping_escapes_labels(self):
+        metrics = Metrics()
+        metrics.record_latency("search", 'a"b', 0.002)
+        metrics.count("refused", "x")
+        text = render_metrics(metrics.read("", "", ""))
+        assert 'heatherdyke_search_seconds_count{label="a\\"b"} 1' in text
+        assert 'heatherdyke_refused_total{label="x"} 1' in text
+
+
+class TestHealth:
+    def test_ready_needs_every_condition(self):
+        assert judge_readiness(READY).ready
+        state = HealthState(
+            config_known=False,
+            members_known=False,
+            leaving=True,
+            zone_out=True,
+        )
+        assert len(judge_readiness(state).reasons) == 4
+
+    def test_live_while_the_loop_turns(self):
+        assert judge_liveness(10.0, 10.3).live
+        assert not judge_liveness(10.0, 16.0).live
+
+
+class TestObserveComponent:
+    def test_routes(self):
+        asyncio.run(self._check_routes())
+
+    async def _check_routes(self):
+        journal = Journal("a", zone="brescia", incarnation="i1")
+        metrics = Metrics()
+        metrics.count("searches", "urgent")
+        states = [READY]
+        component = ObserveComponent(
+            journal, metrics, lambda: states[0], lambda: []
+        )
+        app = Application()
+        component.add_routes(app)
+        await app.start()
+        client = TestClient(app)
+        journal.record(STOPPING)
+        response = await client.get("/events?after=0")
+        page = decode(await response.read(), EventPage)
+        assert page.events[0].number == STOPPING.number
+        assert (await client.get("/events?after=x")).status == 400
+        response = await client.get("/stats")
+        assert decode(await response.read(), StatsPage).counters[0].count == 1
+        assert "searches_total" in await (await client.get("/metrics")).text()
+        assert (await client.get("/healthz")).status == 200
+        assert (await client.get("/readyz")).status == 200
+        states[0] = HealthState(True, True, leaving=True, zone_out=False)
+        assert (await client.get("/readyz")).status == 503
--- /dev/null
+++ b/tests/test_timeline.py
@@ -0,0 +1,157 @@
+"""Hybrid clock, journal and the merged time line."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from heatherdyke.clock import Clock
+from heatherdyke.event_catalogue import load_all_kinds
+from heatherdyke.events import (
+    CLOCK_REJECTED,
+    FIELDS_MISMATCHED,
+    LOOP_STALLED,
+    STARTED,
+    STOPPING,
+)
+from heatherdyke.hybrid_clock import (
+    MAX_AHEAD_MS,
+    HybridTimestamp,
+    receive,
+    tick,
+)
+from heatherdyke.journal import Journal
+from heatherdyke.timeline import EventFilter, merge_events
+
+KEEP_ALL = EventFilter()
+
+
+class SteppedClock(Clock):
+    """A wall clock that the test sets."""
+
+    __slots__ = ("seconds",)
+
+    def __init__(self, seconds: float = 1000.0) -> None:
+        self.seconds = seconds
+
+    def wall(self) -> float:
+        return self.seconds
+
+
+class TestHybridClock:
+    def test_encoding_keeps_the_order(self):
+        stamps = [HybridTimestamp(w, c) for w in (1, 255, 256) for c in (0, 9)]
+        texts = [stamp.encode() for stamp in stamps]
+        assert texts == sorted(texts)
+        assert [HybridTimestamp.decode(text) for text in texts] == stamps
+
+    def test_full_counter_moves_to_the_next_millisecond(self):
+        full = HybridTimestamp(5, 0xFFFF)
+        assert tick(full, 5) == HybridTimestamp(6, 0)
+
+    def test_clock_far_ahead_is_rejected(self):
+        ahead = HybridTimestamp(MAX_AHEAD_MS + 2, 0)
+        with pytest.raises(ValueError, match="ahead"):
+            receive(HybridTimestamp(), ahead, 1)
+
+    @settings(derandomize=True, max_examples=200)
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 2), st.integers(0, 2), st.integers(0, 50)
+            ),
+            max_size=40,
+        )
+    )
+    def test_causes_have_smaller_timestamps(self, messages):
+        last = [HybridTimestamp() for _ in range(3)]
+        for sender, receiver, wall_ms in messages:
+            sent = tick(last[sender], wall_ms)
+            last[sender] = sent
+            received = receive(last[receiver], sent, 50 - wall_ms)
+            assert received > sent
+            assert received > last[receiver] or receiver == sender
+            last[receiver] = received
+
+
+class TestJournal:
+    def test_ring_is_bounded_and_counts_what_it_overwrote(self):
+        journal = Journal("a", capacity=3)
+        for _ in range(5):
+            journal.record(STOPPING)
+        page = journal.read()
+        assert [event.sequence for event in page.events] == [3, 4, 5]
+        assert page.overwritten == 2
+        assert journal.read(after=3).overwritten == 0
+
+    def test_reading_continues_where_it_ended(self):
+        journal = Journal("a", capacity=8)
+        for _ in range(5):
+            journal.record(STOPPING)
+        first = journal.read(limit=2)
+        rest = journal.read(after=first.next_after)
+        assert [event.sequence for event in rest.events] == [3, 4, 5]
+        assert journal.read(after=rest.next_after).events == []
+
+    def test_position_of_an_earlier_incarnation_starts_anew(self):
+        journal = Journal("a")
+        journal.record(STOPPING)
+        assert len(journal.read(after=900).events) == 1
+
+    def test_wrong_fields_are_reported(self):
+        journal = Journal("a")
+        journal.record(STARTED, address="127.0.0.1:1", colour="red")
+        numbers = [event.number for event in journal.read().events]
+        assert numbers == [FIELDS_MISMATCHED.number, STARTED.number]
+        fields = journal.read().events[0].fields
+        assert fields["missing"] == ["zone"]
+        assert fields["unknown"] == ["colour"]
+
+    def test_malformed_or_wrong_clock_is_reported_and_ignored(self):
+        journal = Journal("a", clock=SteppedClock())
+        for stamp in ("nonsense", HybridTimestamp(2**40, 0).encode()):
+            journal.observe(stamp)
+        events = journal.read().events
+        assert [e.number for e in events] == [CLOCK_REJECTED.number] * 2
+        assert journal.stamp() < HybridTimestamp(2**40, 0).encode()
+
+
+class TestTimeline:
+    def test_causal_order_holds_with_a_clock_that_is_behind(self):
+        ahead = Journal("z", clock=SteppedClock(1000.0))
+        behind = Journal("a", clock=SteppedClock(990.0))
+        ahead.record(STOPPING)
+        behind.observe(ahead.stamp())
+        behind.record(STOPPING)
+        ahead.observe(behind.stamp())
+        ahead.record(STOPPING)
+        streams = [behind.read().events, ahead.read().events]
+        merged = merge_events(streams, KEEP_ALL)
+        assert [event.instance for event in merged] == ["z", "a", "z"]
+
+    def test_event_in_two_streams_comes_once(self):
+        journal = Journal("a")
+        journal.record(STOPPING)
+        events = journal.read().events
+        assert len(merge_events([events, events], KEEP_ALL)) == 1
+
+    def test_filters(self):
+        journal = Journal("a", zone="brescia")
+        journal.record(STARTED, address="127.0.0.1:1", zone="brescia")
+        journal.record(LOOP_STALLED, stall_s=2.0)
+        events = journal.read().events
+
+        def count(**wanted) -> int:
+            return len(merge_events([events], EventFilter(**wanted)))
+
+        assert count(number=1010) == 1
+        assert count(zone="brescia") == 2
+        assert count(zone="verona") == 0
+        assert count(team="trincea") == 0
+
+
+class TestRegistry:
+    def test_every_number_is_in_a_known_range(self):
+        kinds = load_all_kinds()
+        assert all(1000 < kind.number < 7000 for kind in kinds)
+        names = [kind.name for kind in kinds]
+        assert len(names) == len(set(names))
