--- /dev/null
+++ b/heatherdyke/caller_api.py
@@ -0,0 +1,54 @@
+"""The adapter for callers: searches over HTTP with JSON."""
+
+from uuid import uuid4
+
+from blacksheep import Application
+from blacksheep import Request
+from blacksheep import Response
+
+from heatherdyke.caller_keys import CallerKeys
+from heatherdyke.component import ConfigView
+from heatherdyke.entry import Entry
+from heatherdyke.errors import HeatherdykeError
+from heatherdyke.http_routes import add_route
+from heatherdyke.http_support import json_response
+from heatherdyke.http_support import problem_response
+from heatherdyke.http_support import read_message
+from heatherdyke.messages import SearchRequest
+from heatherdyke.request_gate import RequestGate
+
+
+class CallerApi:
+    """Serves ``POST /search`` to the teams' callers."""
+
+    def __init__(
+        self, entry: Entry, config: ConfigView, gate: RequestGate
+    ) -> None:
+        self._entry = entry
+        self._config = config
+        self._gate = gate
+        self._keys = CallerKeys.from_document(config.document)
+        self._keys_document = config.document
+
+    def add_routes(self, app: Application) -> None:
+        """Add the callers' routes."""
+        add_route(app, "POST", "/search", self._search)
+
+    async def _search(self, request: Request) -> Response:
+        request_id = uuid4().hex
+        try:
+            with self._gate.admit():
+                team = self._find_team(request)
+                message = await read_message(request, SearchRequest)
+                answer = await self._entry.search(team, message, request_id)
+        except HeatherdykeError as error:
+            return problem_response(error, request_id)
+        return json_response(answer)
+
+    def _find_team(self, request: Request) -> str:
+        document = self._config.document
+        if document is not self._keys_document:
+            self._keys = CallerKeys.from_document(document)
+            self._keys_document = document
+        header = request.headers.get_first(b"Authorization")
+        return self._keys.find_team(header.decode() if header else None)
--- a/heatherdyke/caller_keys.py
+++ b/heatherdyke/caller_keys.py
@@ -7,8 +7,11 @@
 from collections.abc import Mapping
 from hashlib import sha256
 
-from heatherdyke.config_model import ConfigDocument, SectionConfig
-from heatherdyke.errors import Forbidden, UnknownKey, UnknownService
+from heatherdyke.config_model import ConfigDocument
+from heatherdyke.config_model import SectionConfig
+from heatherdyke.errors import Forbidden
+from heatherdyke.errors import UnknownKey
+from heatherdyke.errors import UnknownService
 
 SCHEME = "bearer"
 
--- a/heatherdyke/cli.py
+++ b/heatherdyke/cli.py
@@ -1,11 +1,14 @@
 """The command line; each command parses and calls an importable function."""
 
+import asyncio
 import sys
+from typing import Annotated
 
 import typer
 
 from heatherdyke import __version__
 from heatherdyke.errors import HeatherdykeError
+from heatherdyke.settings import Settings
 
 app = typer.Typer(
     name="heatherdyke",
@@ -15,12 +18,108 @@
 )
 
 
+def _option(name: str, text: str) -> typer.models.OptionInfo:
+    variable = "HEATHERDYKE_" + name.strip("-").replace("-", "_").upper()
+    return typer.Option(name, envvar=variable, help=text)
+
+
 @app.command()
 def version() -> None:
     """Print the version."""
     typer.echo(__version__)
 
 
+@app.command()
+def serve(
+    name: Annotated[str, _option("--name", "Name, kept over restarts.")] = "",
+    zone: Annotated[str, _option("--zone", "Availability zone.")] = "",
+    listen: Annotated[
+        str, _option("--listen", "IP number and port to serve on.")
+    ] = "",
+    platform: Annotated[
+        str, _option("--platform", "IP number and port of the object API.")
+    ] = "",
+    advertise: Annotated[
+        str, _option("--advertise", "Address that others use, if not LISTEN.")
+    ] = "",
+    heartbeat_interval_s: Annotated[
+        float, _option("--heartbeat-interval-s", "Seconds between heartbeats.")
+    ] = 0.5,
+    lease_s: Annotated[
+        float, _option("--lease-s", "Seconds that a confirmation lasts.")
+    ] = 2.0,
+    drain_s: Annotated[
+        float, _option("--drain-s", "Seconds that a shutdown may take.")
+    ] = 20.0,
+    extra_load_share: Annotated[
+        float,
+        _option("--extra-load-share", "Hedges and retries, over needed."),
+    ] = 0.05,
+    disable: Annotated[
+        str, _option("--disable", "Mechanisms to leave out, for proofs.")
+    ] = "",
+) -> None:
+    """Run one entry instance until SIGTERM."""
+    settings = Settings.from_values(
+        disabled=disable,
+        name=name,
+        zone=zone,
+        listen=listen,
+        platform=platform,
+        advertise=advertise,
+        heartbeat_interval_s=heartbeat_interval_s,
+        lease_s=lease_s,
+        drain_s=drain_s,
+        extra_load_share=extra_load_share,
+    )
+    from heatherdyke.instance import Instance
+
+    asyncio.run(Instance.from_settings(settings).serve())
+
+
+@app.command()
+def search(
+    query: str,
+    address: Annotated[
+        str, _option("--address", "IP number and port of an instance.")
+    ],
+    key: Annotated[str, _option("--key", "Your team's key.")],
+    service: Annotated[
+        list[str], typer.Option("--service", help="Service; repeatable.")
+    ],
+    urgency: Annotated[
+        str, _option("--urgency", "Urgency class of your section.")
+    ] = "default",
+    deadline_ms: Annotated[
+        int | None, _option("--deadline-ms", "Milliseconds to wait.")
+    ] = None,
+    wanted_coverage: Annotated[
+        float | None, _option("--wanted-coverage", "Share from 0 to 1.")
+    ] = None,
+    limit: Annotated[int, _option("--limit", "Items to return.")] = 10,
+    as_json: Annotated[bool, typer.Option("--json")] = False,
+) -> None:
+    """Search services and print the answer with its coverage."""
+    from heatherdyke.caller_client import CallerClient
+    from heatherdyke.caller_client import describe_answer
+    from heatherdyke.codec import encode
+    from heatherdyke.messages import SearchRequest
+
+    request = SearchRequest(
+        service, query, urgency, deadline_ms, wanted_coverage, limit
+    )
+    answer = asyncio.run(CallerClient(address, key).search(request))
+    typer.echo(encode(answer) if as_json else describe_answer(answer))
+
+
+@app.command()
+def demo() -> None:
+    """Run searches and an archive pull over embedded stand-ins."""
+    from heatherdyke.demo import run_demo
+
+    asyncio.run(run_demo(typer.echo))
+
+
 def main() -> None:
     """Run the command line; errors go to standard error with their remedy.
 
--- a/heatherdyke/clock.py
+++ b/heatherdyke/clock.py
@@ -1,6 +1,7 @@
 """Clocks as values, so that decisions take the time as an argument."""
 
-from time import monotonic, time
+from time import monotonic
+from time import time
 
 
 class Clock:
--- a/heatherdyke/codec.py
+++ b/heatherdyke/codec.py
@@ -4,7 +4,8 @@
 that instances of two releases understand each other.
 """
 
-from typing import Any, TypeVar
+from typing import Any
+from typing import TypeVar
 
 import msgspec
 
--- a/heatherdyke/config_index.py
+++ b/heatherdyke/config_index.py
@@ -1,6 +1,7 @@
 """Look-ups over a configuration document, built once for each document."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from dataclasses import field
 
 from heatherdyke.component import ConfigView
 from heatherdyke.config_model import ConfigDocument
@@ -14,9 +15,7 @@
 
     document: ConfigDocument
     leaf_by_id: dict[str, LeafConfig] = field(default_factory=dict)
-    section_by_service: dict[str, SectionConfig] = field(
-        default_factory=dict
-    )
+    section_by_service: dict[str, SectionConfig] = field(default_factory=dict)
 
     @classmethod
     def from_document(cls, document: ConfigDocument) -> "ConfigIndex":
--- a/heatherdyke/config_model.py
+++ b/heatherdyke/config_model.py
@@ -4,7 +4,8 @@
 is the set of all teams' sections, keyed by team.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from dataclasses import field
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherdyke/coverage.py
+++ b/heatherdyke/coverage.py
@@ -1,6 +1,7 @@
 """Counts what an answer covers of the pinned snapshot (pure)."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from dataclasses import field
 
 from heatherdyke.messages import Coverage
 from heatherdyke.messages import Part
--- a/heatherdyke/entry.py
+++ b/heatherdyke/entry.py
@@ -86,9 +86,7 @@
 
     def leaves_in_use(self, leaves: list[str]) -> list[str]:
         """Return the leaves that may get new work."""
-        return usable_leaves(
-            self.index.current(), leaves, self._zone_is_out
-        )
+        return usable_leaves(self.index.current(), leaves, self._zone_is_out)
 
     def choose_leaf(self, leaves: list[str]) -> str:
         """Return the replica to ask among ``leaves``, which is not empty."""
--- a/heatherdyke/event_catalogue.py
+++ b/heatherdyke/event_catalogue.py
@@ -7,7 +7,8 @@
 from pkgutil import iter_modules
 
 import heatherdyke
-from heatherdyke.events import EventKind, kind_by_number
+from heatherdyke.events import EventKind
+from heatherdyke.events import kind_by_number
 
 SECTION_BY_THOUSAND = {
     1: "Instance",
--- a/heatherdyke/health.py
+++ b/heatherdyke/health.py
@@ -9,7 +9,8 @@
 restarted; one that is only unready should not.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from dataclasses import field
 
 LIVE_WITHIN_S = 5.0
 
--- a/heatherdyke/hedging.py
+++ b/heatherdyke/hedging.py
@@ -1,6 +1,7 @@
 """When to ask a second replica, under one budget of extra load (pure)."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from dataclasses import field
 
 BUDGET_BURST = 40.0
 FIRST_DELAY_S = 0.02
--- a/heatherdyke/home.py
+++ b/heatherdyke/home.py
@@ -11,9 +11,9 @@
 from heatherdyke.errors import TransportError
 from heatherdyke.hedging import LatencyQuantile
 from heatherdyke.leaf_limit import LeafLimit
-from heatherdyke.leaf_worker import DrainHeard
 from heatherdyke.leaf_worker import LeafWork
 from heatherdyke.leaf_worker import LeafWorker
+from heatherdyke.leaf_worker import ListedAs
 from heatherdyke.leaf_worker import Submit
 from heatherdyke.leaf_worker import Withdraw
 from heatherdyke.leaf_worker import WorkerPolicy
@@ -108,9 +108,7 @@
         """
         worker = self._find_worker(leaf_id)
         if worker is None:
-            return LeafRefusal(
-                question.request_id, question.shard, "not_home"
-            )
+            return LeafRefusal(question.request_id, question.shard, "not_home")
         collector = _Collector(self._clock)
         now = self._clock.now()
         expires_at = now + question.remaining_ms / 1000
@@ -135,11 +133,13 @@
         works = self._works_by_request.get(message.request_id, set())
         self._withdraw({w for w in works if w.question.shard in shards})
 
-    def hear_leaf_state(self, leaf_id: str, leaving: bool) -> None:
+    def hear_leaf_state(
+        self, leaf_id: str, leaving: bool, incarnation: str
+    ) -> None:
         """Take in what the platform's list says of a leaf."""
         worker = self._worker_by_leaf.get(leaf_id)
         if worker is not None:
-            worker.inbox.put_nowait(DrainHeard(leaving))
+            worker.inbox.put_nowait(ListedAs(leaving, incarnation))
 
     def stop_workers(self) -> None:
         """End all workers and their connections."""
@@ -164,7 +164,12 @@
         now = self._clock.now()
         expires_at = now + group.remaining_ms / 1000
         work = LeafWork(
-            part.leaf, question, group.priority, now, expires_at, collector.take
+            part.leaf,
+            question,
+            group.priority,
+            now,
+            expires_at,
+            collector.take,
         )
         worker.inbox.put_nowait(Submit(work))
         return work
--- a/heatherdyke/http_connection.py
+++ b/heatherdyke/http_connection.py
@@ -10,11 +10,9 @@
 
 import httptools
 
-from heatherdyke.errors import (
-    ConnectionRefused,
-    ConnectionSilent,
-    TransportError,
-)
+from heatherdyke.errors import ConnectionRefused
+from heatherdyke.errors import ConnectionSilent
+from heatherdyke.errors import TransportError
 from heatherdyke.settings import split_address
 
 READ_BYTES = 65536
--- a/heatherdyke/http_routes.py
+++ b/heatherdyke/http_routes.py
@@ -1,8 +1,11 @@
 """Routes whose handlers are methods, which blacksheep cannot mark itself."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
+from collections.abc import Callable
 
-from blacksheep import Application, Request, Response
+from blacksheep import Application
+from blacksheep import Request
+from blacksheep import Response
 
 Handler = Callable[[Request], Awaitable[Response]]
 
--- a/heatherdyke/http_support.py
+++ b/heatherdyke/http_support.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass
 from math import ceil
-from typing import Any, TypeVar
+from typing import Any
+from typing import TypeVar
 
 import msgspec
 from blacksheep import Content
--- /dev/null
+++ b/heatherdyke/instance.py
@@ -0,0 +1,180 @@
+"""One entry instance: builds its parts, runs them and stops them."""
+
+import asyncio
+import signal
+from collections.abc import Callable
+
+from blacksheep import Application
+
+from heatherdyke.caller_api import CallerApi
+from heatherdyke.clock import Clock
+from heatherdyke.component import Component
+from heatherdyke.config_store import ConfigStore
+from heatherdyke.entry import Entry
+from heatherdyke.events import STARTED
+from heatherdyke.events import STOPPED
+from heatherdyke.events import STOPPING
+from heatherdyke.health import HealthState
+from heatherdyke.home import Home
+from heatherdyke.journal import Journal
+from heatherdyke.leaf_listing import LeafListing
+from heatherdyke.mechanisms import Mechanism
+from heatherdyke.member_task import MemberTask
+from heatherdyke.metrics import Metrics
+from heatherdyke.observe_component import KnownInstance
+from heatherdyke.observe_component import ObserveComponent
+from heatherdyke.peer_api import PeerApi
+from heatherdyke.peer_client import PeerClient
+from heatherdyke.platform_client import PlatformClient
+from heatherdyke.request_gate import RequestGate
+from heatherdyke.server import HttpServer
+from heatherdyke.settings import Settings
+from heatherdyke.snapshot_book import SnapshotBook
+
+BALANCER_LAG_S = 1.0
+RUNNING_CHECK_S = 0.02
+
+
+class Instance:
+    """An entry instance of the query tier."""
+
+    def __init__(self, settings: Settings, clock: Clock) -> None:
+        self.settings = settings
+        self.journal = Journal(settings.name, settings.zone, clock=clock)
+        self.metrics = Metrics()
+        self.gate = RequestGate()
+        self.peers = PeerClient()
+        self.platform = PlatformClient(settings.platform)
+        self.config = ConfigStore.from_settings(
+            settings, self.platform, self.journal, clock
+        )
+        self.members = MemberTask.from_settings(
+            settings, self.platform, self.journal, clock
+        )
+        self.journal.incarnation = self.members.incarnation
+        self.snapshots = SnapshotBook(self.platform)
+        self.home = Home(settings, self.config, self.members, clock)
+        self.entry = Entry(
+            settings,
+            self.config,
+            self.members,
+            self.home,
+            self.peers,
+            self.snapshots,
+            clock,
+        )
+        self.components: list[Component] = [
+            self.config,
+            self.members,
+            self.snapshots,
+            LeafListing(self.platform, self.home, settings, clock),
+            ObserveComponent(
+                self.journal, self.metrics, self._health, self._known, clock
+            ),
+        ]
+        self._server: HttpServer | None = None
+        self._tasks: list[asyncio.Task] = []
+        self._connect()
+
+    @classmethod
+    def from_settings(cls, settings: Settings) -> "Instance":
+        """Return an instance that is not running yet."""
+        return cls(settings, Clock())
+
+    async def start(self) -> None:
+        """Listen and start all parts; raises RuntimeError if it cannot."""
+        self._server = HttpServer(self._build_app(), self.settings.listen)
+        await self._server.start()
+        for component in self.components:
+            self._tasks.append(asyncio.create_task(component.run()))
+        self.journal.record(
+            STARTED, address=self.settings.address, zone=self.settings.zone
+        )
+
+    async def stop(self) -> None:
+        """Finish what runs, release the homes and stop.
+
+        Readiness goes down first; requests are still taken while the
+        balancer lags; then the running ones finish.
+        """
+        self.journal.record(STOPPING)
+        if self.settings.uses(Mechanism.GRACEFUL_SHUTDOWN):
+            await self._drain()
+        for component in reversed(self.components):
+            await component.stop()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.home.stop_workers()
+        if self._server is not None:
+            await self._server.stop()
+        self.peers.close()
+        self.journal.record(STOPPED)
+
+    async def serve(self) -> None:
+        """Run until SIGTERM or SIGINT; a second signal stops at once."""
+        stop_wanted = asyncio.Event()
+        stop_now = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, _on_signal(stop_wanted, stop_now))
+        await self.start()
+        await stop_wanted.wait()
+        stopping = asyncio.create_task(self.stop())
+        aborting = asyncio.create_task(stop_now.wait())
+        await asyncio.wait(
+            {stopping, aborting}, return_when=asyncio.FIRST_COMPLETED
+        )
+        aborting.cancel()
+        if not stopping.done():
+            stopping.cancel()
+
+    async def _drain(self) -> None:
+        self.gate.begin_leaving()
+        drain_s = self.settings.drain_s
+        await asyncio.sleep(min(BALANCER_LAG_S, drain_s / 2))
+        await self.members.release()
+        self.gate.close()
+        await self.gate.wait_until_idle(drain_s)
+        try:
+            async with asyncio.timeout(drain_s):
+                while self.home.running:
+                    await asyncio.sleep(RUNNING_CHECK_S)
+        except TimeoutError:
+            return
+
+    def _build_app(self) -> Application:
+        app = Application()
+        CallerApi(self.entry, self.config, self.gate).add_routes(app)
+        PeerApi(self.home).add_routes(app)
+        for component in self.components:
+            component.add_routes(app)
+        return app
+
+    def _connect(self) -> None:
+        """Let the parts hear of each other."""
+
+    def _health(self) -> HealthState:
+        return HealthState(
+            config_known=self.config.document.version > 0,
+            members_known=bool(self.members.members()),
+            leaving=self.gate.leaving,
+            zone_out=self.config.zone_is_out(self.settings.zone),
+        )
+
+    def _known(self) -> list[KnownInstance]:
+        return [
+            KnownInstance(member.name, member.zone, member.address)
+            for member in self.members.members()
+        ]
+
+
+def _on_signal(
+    stop_wanted: asyncio.Event, stop_now: asyncio.Event
+) -> Callable[[], None]:
+    def handle() -> None:
+        if stop_wanted.is_set():
+            stop_now.set()
+        stop_wanted.set()
+
+    return handle
--- a/heatherdyke/journal.py
+++ b/heatherdyke/journal.py
@@ -5,14 +5,19 @@
 """
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from dataclasses import field
 from typing import Any
 
 from loguru import logger
 
 from heatherdyke.clock import Clock
-from heatherdyke.events import CLOCK_REJECTED, FIELDS_MISMATCHED, EventKind
-from heatherdyke.hybrid_clock import HybridTimestamp, receive, tick
+from heatherdyke.events import CLOCK_REJECTED
+from heatherdyke.events import FIELDS_MISMATCHED
+from heatherdyke.events import EventKind
+from heatherdyke.hybrid_clock import HybridTimestamp
+from heatherdyke.hybrid_clock import receive
+from heatherdyke.hybrid_clock import tick
 
 CLOCK_HEADER = "X-Heatherdyke-Clock"
 RING_EVENTS = 8192
--- a/heatherdyke/leaf_client.py
+++ b/heatherdyke/leaf_client.py
@@ -100,9 +100,7 @@
     async def _post(
         self, target: str, body: bytes, timeout_s: float
     ) -> HttpResponse:
-        return await self._connection.request(
-            "POST", target, body, timeout_s
-        )
+        return await self._connection.request("POST", target, body, timeout_s)
 
     def _decode(self, response: HttpResponse, message_type):
         try:
--- a/heatherdyke/leaf_limit.py
+++ b/heatherdyke/leaf_limit.py
@@ -68,9 +68,7 @@
             self._successes = 0
             self.level += 1
 
-    def shed(
-        self, now: float, incarnation: str, retry_after_s: float
-    ) -> None:
+    def shed(self, now: float, incarnation: str, retry_after_s: float) -> None:
         """Halve the limit and pause, longer with each shed in a row."""
         if not self.ramp:
             return
--- a/heatherdyke/leaf_worker.py
+++ b/heatherdyke/leaf_worker.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import replace
-from heapq import heappop, heappush
+from heapq import heappop
+from heapq import heappush
 
 from heatherdyke.clock import Clock
 from heatherdyke.config_model import LeafConfig
@@ -28,7 +29,6 @@
 ANSWER_GRACE_S = 0.05
 SILENCE_FACTOR = 10.0
 MIN_SILENCE_S = 0.25
-DRAIN_CHECK_S = 1.0
 
 Outcome = LeafAnswer | LeafRefusal | LeafRunAnswer | TransportError
 
@@ -98,10 +98,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class DrainHeard:
-    """The platform's list says whether the leaf is leaving."""
+class ListedAs:
+    """The platform's list says whether this run of the leaf is leaving."""
 
     leaving: bool
+    incarnation: str
 
 
 @dataclass(slots=True)
@@ -205,7 +206,7 @@
         "_tasks",
         "_draining",
         "_reopen_at",
-        "_unfinished",
+        "_drained_incarnation",
     )
 
     def __init__(
@@ -230,7 +231,7 @@
         self._tasks: dict[ConnectionTask, asyncio.Task] = {}
         self._draining = False
         self._reopen_at = 0.0
-        self._unfinished = 0
+        self._drained_incarnation = ""
 
     @property
     def load(self) -> float:
@@ -273,8 +274,8 @@
                 self._idle.append(connection)
             case Closed(connection, refused):
                 self._drop(connection, refused)
-            case DrainHeard(leaving):
-                self._draining = leaving and self._policy.heed_drain
+            case ListedAs(leaving, incarnation):
+                self._hear_list(leaving, incarnation)
 
     def _enqueue(self, work: LeafWork) -> None:
         if self._draining:
@@ -351,7 +352,7 @@
                 answer.incarnation, took_s, self._policy.reference_s()
             )
             self._policy.observe_latency(took_s)
-            self._note_draining(answer.draining)
+            self._note_draining(answer.draining, answer.incarnation)
 
     def _count_refusal(
         self, work: LeafWork, refusal: LeafRefusal, now: float
@@ -361,11 +362,9 @@
                 now, refusal.incarnation, refusal.retry_after_ms / 1000
             )
         elif refusal.kind == "draining":
-            self._note_draining(True)
+            self._note_draining(True, refusal.incarnation)
 
-    def _count_failure(
-        self, work: LeafWork, error: TransportError
-    ) -> None:
+    def _count_failure(self, work: LeafWork, error: TransportError) -> None:
         """Keep the slot occupied while the leaf may still work."""
         if isinstance(error, ConnectionSilent):
             self._hold_slot(work)
@@ -382,9 +381,18 @@
         task = asyncio.create_task(release())
         task.add_done_callback(lambda _: None)
 
-    def _note_draining(self, draining: bool) -> None:
+    def _hear_list(self, leaving: bool, incarnation: str) -> None:
+        """Heed the list, which lags: it may not revive a drained run."""
+        if leaving:
+            if self.limit.incarnation in ("", incarnation):
+                self._note_draining(True, incarnation)
+        elif incarnation != self._drained_incarnation:
+            self._draining = False
+
+    def _note_draining(self, draining: bool, incarnation: str) -> None:
         if draining and self._policy.heed_drain and not self._draining:
             self._draining = True
+            self._drained_incarnation = incarnation
             self._refuse_queued()
 
     def _refuse_queued(self) -> None:
--- a/heatherdyke/messages.py
+++ b/heatherdyke/messages.py
@@ -4,7 +4,8 @@
 the message was sent, because instances share no clock.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from dataclasses import field
 from enum import Enum
 from typing import Any
 
--- a/heatherdyke/metrics.py
+++ b/heatherdyke/metrics.py
@@ -5,7 +5,8 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from dataclasses import field
 
 from hdrh.histogram import HdrHistogram
 
--- a/heatherdyke/observe_component.py
+++ b/heatherdyke/observe_component.py
@@ -10,21 +10,26 @@
 from dataclasses import dataclass
 from typing import Any
 
-from blacksheep import Application, Content, Request, Response
+from blacksheep import Application
+from blacksheep import Content
+from blacksheep import Request
+from blacksheep import Response
 
 from heatherdyke.clock import Clock
 from heatherdyke.codec import encode
-from heatherdyke.events import LOOP_STALLED, READINESS_CHANGED
-from heatherdyke.health import (
-    HealthState,
-    Readiness,
-    judge_liveness,
-    judge_readiness,
-)
+from heatherdyke.events import LOOP_STALLED
+from heatherdyke.events import READINESS_CHANGED
+from heatherdyke.health import HealthState
+from heatherdyke.health import Readiness
+from heatherdyke.health import judge_liveness
+from heatherdyke.health import judge_readiness
 from heatherdyke.http_routes import add_route
-from heatherdyke.journal import RING_EVENTS, Journal
-from heatherdyke.metrics import Metrics, StatsPage
-from heatherdyke.metrics_text import CONTENT_TYPE, render_metrics
+from heatherdyke.journal import RING_EVENTS
+from heatherdyke.journal import Journal
+from heatherdyke.metrics import Metrics
+from heatherdyke.metrics import StatsPage
+from heatherdyke.metrics_text import CONTENT_TYPE
+from heatherdyke.metrics_text import render_metrics
 
 TURN_INTERVAL_S = 0.25
 STALL_S = 1.0
--- a/heatherdyke/peer_api.py
+++ b/heatherdyke/peer_api.py
@@ -11,6 +11,7 @@
 from heatherdyke.errors import InvalidRequest
 from heatherdyke.errors import TransportError
 from heatherdyke.home import Home
+from heatherdyke.http_routes import add_route
 from heatherdyke.http_support import json_response
 from heatherdyke.http_support import problem_response
 from heatherdyke.http_support import read_message
@@ -32,9 +33,9 @@
 
     def add_routes(self, app: Application) -> None:
         """Add the routes under ``/peer``."""
-        app.router.add_post("/peer/search", self._search)
-        app.router.add_post("/peer/run", self._run)
-        app.router.add_post("/peer/cancel", self._cancel)
+        add_route(app, "POST", "/peer/search", self._search)
+        add_route(app, "POST", "/peer/run", self._run)
+        add_route(app, "POST", "/peer/cancel", self._cancel)
 
     async def _search(self, request: Request) -> Response:
         try:
--- a/heatherdyke/platform_client.py
+++ b/heatherdyke/platform_client.py
@@ -4,19 +4,21 @@
 another API is met by another adapter.
 """
 
-from typing import Any, TypeVar
+from typing import Any
+from typing import TypeVar
 from urllib.parse import quote
 
 import msgspec
 
-from heatherdyke.codec import decode, encode
-from heatherdyke.errors import (
-    PlatformUnavailable,
-    TransportError,
-    VersionConflict,
-)
-from heatherdyke.http_connection import HttpConnection, HttpResponse
-from heatherdyke.messages import ListedInstance, PlatformObject
+from heatherdyke.codec import decode
+from heatherdyke.codec import encode
+from heatherdyke.errors import PlatformUnavailable
+from heatherdyke.errors import TransportError
+from heatherdyke.errors import VersionConflict
+from heatherdyke.http_connection import HttpConnection
+from heatherdyke.http_connection import HttpResponse
+from heatherdyke.messages import ListedInstance
+from heatherdyke.messages import PlatformObject
 
 T = TypeVar("T")
 
--- a/heatherdyke/registry.py
+++ b/heatherdyke/registry.py
@@ -1,7 +1,8 @@
 """Registries that decorators fill, for behaviour that varies by name."""
 
 from collections.abc import Callable
-from typing import Generic, TypeVar
+from typing import Generic
+from typing import TypeVar
 
 T = TypeVar("T")
 
--- a/heatherdyke/replica_choice.py
+++ b/heatherdyke/replica_choice.py
@@ -1,6 +1,7 @@
 """Chooses which replica of a shard is asked (pure)."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from dataclasses import field
 from random import Random
 
 from heatherdyke.messages import Part
--- a/heatherdyke/search_plan.py
+++ b/heatherdyke/search_plan.py
@@ -1,7 +1,8 @@
 """Which shards a search needs and which leaves may answer them (pure)."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from dataclasses import field
 
 from heatherdyke.config_index import ConfigIndex
 from heatherdyke.config_model import SectionConfig
@@ -52,7 +53,9 @@
             f"the services belong to the indexes {sorted(indexes)}",
             "search services of one index at a time",
         )
-    urgency = _find_urgency(config.document.section_by_team[team], request.urgency)
+    urgency = _find_urgency(
+        config.document.section_by_team[team], request.urgency
+    )
     weight_by_shard = {}
     leaves_by_shard = {}
     for name, service in zip(request.services, services, strict=True):
--- a/heatherdyke/search_run.py
+++ b/heatherdyke/search_run.py
@@ -1,7 +1,8 @@
 """One search under way: sends groups of parts and collects them."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 from heatherdyke.coverage import CoverageCount
--- /dev/null
+++ b/heatherdyke/server.py
@@ -0,0 +1,69 @@
+"""Runs a blacksheep application on uvicorn inside the current loop."""
+
+import asyncio
+
+import uvicorn
+from blacksheep import Application
+
+from heatherdyke.settings import split_address
+
+BACKLOG = 2048
+KEEP_ALIVE_S = 75
+STOP_TIMEOUT_S = 5
+
+
+class _Server(uvicorn.Server):
+    """A uvicorn server that leaves signals to the instance."""
+
+    def capture_signals(self):  # noqa: D102
+        from contextlib import nullcontext
+
+        return nullcontext()
+
+
+class HttpServer:
+    """Serves one application on one address."""
+
+    __slots__ = ("_server", "_task")
+
+    def __init__(self, app: Application, address: str) -> None:
+        host, port = split_address(address)
+        config = uvicorn.Config(
+            app,
+            host=host,
+            port=port,
+            loop="asyncio",
+            http="httptools",
+            ws="none",
+            lifespan="on",
+            log_config=None,
+            access_log=False,
+            backlog=BACKLOG,
+            timeout_keep_alive=KEEP_ALIVE_S,
+            timeout_graceful_shutdown=STOP_TIMEOUT_S,
+        )
+        self._server = _Server(config)
+        self._task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Begin to listen; raises RuntimeError if the address is taken."""
+        self._task = asyncio.create_task(self._serve())
+        while not self._server.started:
+            if self._task.done():
+                self._task.result()
+                raise RuntimeError("the server ended before it listened")
+            await asyncio.sleep(0.005)
+
+    async def stop(self) -> None:
+        """Close the listener and the connections, and wait for the end."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
+
+    async def _serve(self) -> None:
+        try:
+            await self._server.serve()
+        except SystemExit as error:
+            raise RuntimeError(
+                "the address could not be listened on; choose a free port"
+            ) from error
--- a/heatherdyke/settings.py
+++ b/heatherdyke/settings.py
@@ -1,6 +1,7 @@
 """Settings of an instance, from flags and environment variables."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from dataclasses import field
 from ipaddress import ip_address
 
 from heatherdyke.errors import SettingsError
--- a/tests/test_caller_keys.py
+++ b/tests/test_caller_keys.py
@@ -2,13 +2,14 @@
 
 import pytest
 
-from heatherdyke.caller_keys import CallerKeys, hash_key
-from heatherdyke.config_model import (
-    ConfigDocument,
-    SectionConfig,
-    ServiceConfig,
-)
-from heatherdyke.errors import Forbidden, UnknownKey, UnknownService
+from heatherdyke.caller_keys import CallerKeys
+from heatherdyke.caller_keys import hash_key
+from heatherdyke.config_model import ConfigDocument
+from heatherdyke.config_model import SectionConfig
+from heatherdyke.config_model import ServiceConfig
+from heatherdyke.errors import Forbidden
+from heatherdyke.errors import UnknownKey
+from heatherdyke.errors import UnknownService
 
 
 def _keys() -> CallerKeys:
--- a/tests/test_event_catalogue.py
+++ b/tests/test_event_catalogue.py
@@ -5,7 +5,8 @@
 from pathlib import Path
 
 import heatherdyke
-from heatherdyke.event_catalogue import load_all_kinds, render_catalogue
+from heatherdyke.event_catalogue import load_all_kinds
+from heatherdyke.event_catalogue import render_catalogue
 from heatherdyke.events import EventKind
 
 PACKAGE = Path(heatherdyke.__file__).parent
--- a/tests/test_observe.py
+++ b/tests/test_observe.py
@@ -7,15 +7,16 @@
 
 from heatherdyke.codec import decode
 from heatherdyke.events import STOPPING
-from heatherdyke.health import HealthState, judge_liveness, judge_readiness
-from heatherdyke.journal import EventPage, Journal
-from heatherdyke.metrics import (
-    MAX_SERIES,
-    Metrics,
-    StatsPage,
-    merge_stats,
-    summarise,
-)
+from heatherdyke.health import HealthState
+from heatherdyke.health import judge_liveness
+from heatherdyke.health import judge_readiness
+from heatherdyke.journal import EventPage
+from heatherdyke.journal import Journal
+from heatherdyke.metrics import MAX_SERIES
+from heatherdyke.metrics import Metrics
+from heatherdyke.metrics import StatsPage
+from heatherdyke.metrics import merge_stats
+from heatherdyke.metrics import summarise
 from heatherdyke.metrics_text import render_metrics
 from heatherdyke.observe_component import ObserveComponent
 
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -1,26 +1,24 @@
 """Hybrid clock, journal and the merged time line."""
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import given
+from hypothesis import settings
 from hypothesis import strategies as st
 
 from heatherdyke.clock import Clock
 from heatherdyke.event_catalogue import load_all_kinds
-from heatherdyke.events import (
-    CLOCK_REJECTED,
-    FIELDS_MISMATCHED,
-    LOOP_STALLED,
-    STARTED,
-    STOPPING,
-)
-from heatherdyke.hybrid_clock import (
-    MAX_AHEAD_MS,
-    HybridTimestamp,
-    receive,
-    tick,
-)
+from heatherdyke.events import CLOCK_REJECTED
+from heatherdyke.events import FIELDS_MISMATCHED
+from heatherdyke.events import LOOP_STALLED
+from heatherdyke.events import STARTED
+from heatherdyke.events import STOPPING
+from heatherdyke.hybrid_clock import MAX_AHEAD_MS
+from heatherdyke.hybrid_clock import HybridTimestamp
+from heatherdyke.hybrid_clock import receive
+from heatherdyke.hybrid_clock import tick
 from heatherdyke.journal import Journal
-from heatherdyke.timeline import EventFilter, merge_events
+from heatherdyke.timeline import EventFilter
+from heatherdyke.timeline import merge_events
 
 KEEP_ALL = EventFilter()
 
