Hold and distribute the configuration and the zones monotonically

An instance may learn of sections and zones from the platform, a resumed watch or a peer, in any sequence. A section's version is now the head version of its edit, so that updates merge per team by the higher version and a delta is what lies above one number. Zones merge by order numbers in the same way. An incomplete delta advances no version.

--- /dev/null
+++ b/heatherdyke/config_api.py
@@ -0,0 +1,85 @@
+"""Serves the configuration in force to peers and operators over HTTP."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from blacksheep import Application, Content, Request, Response
+
+from heatherdyke.codec import encode
+from heatherdyke.config_state import (
+    ConfigDelta,
+    ConfigDigest,
+    UnreadableSection,
+)
+from heatherdyke.settings import split_address
+
+JSON_TYPE = b"application/json"
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigStatus:
+    """What one instance has in force, for operators.
+
+    ``platform_age_s`` is the time since the platform last answered a read
+    of the configuration, or None if it never did.
+    """
+
+    instance: str
+    zone: str
+    config_version: int
+    zones_version: int
+    zones_out: list[str]
+    version_by_team: dict[str, int] = field(default_factory=dict)
+    unreadable: list[UnreadableSection] = field(default_factory=list)
+    platform_age_s: float | None = None
+
+
+class ConfigApi:
+    """Handlers of ``/peer/config`` and ``/config/status``."""
+
+    __slots__ = ("_delta_since", "_observe", "_status")
+
+    def __init__(
+        self,
+        delta_since: Callable[[ConfigDigest], ConfigDelta | None],
+        observe: Callable[[str, ConfigDigest], None],
+        status: Callable[[], ConfigStatus],
+    ) -> None:
+        self._delta_since = delta_since
+        self._observe = observe
+        self._status = status
+
+    def add_routes(self, app: Application) -> None:
+        """Add both handlers to ``app``."""
+        app.router.add_get("/peer/config", self.serve_peer)
+        app.router.add_get("/config/status", self.serve_status)
+
+    async def serve_peer(self, request: Request) -> Response:
+        """Answer with what the asking peer lacks, or 204 if nothing."""
+        try:
+            digest = ConfigDigest(
+                int(_parameter(request, "since", "0")),
+                int(_parameter(request, "zones", "0")),
+            )
+            address = _parameter(request, "address", "")
+            if address:
+                split_address(address)
+        except ValueError:
+            return Response(400)
+        if address:
+            self._observe(address, digest)
+        delta = self._delta_since(digest)
+        return Response(204) if delta is None else _json(delta)
+
+    async def serve_status(self, request: Request) -> Response:
+        """Answer with the ConfigStatus of this instance."""
+        return _json(self._status())
+
+
+def _parameter(request: Request, name: str, default: str) -> str:
+    values = request.query.get(name)
+    return values[0] if values else default
+
+
+def _json(message: object) -> Response:
+    return Response(200, content=Content(JSON_TYPE, encode(message)))
--- /dev/null
+++ b/heatherdyke/config_events.py
@@ -0,0 +1,31 @@
+"""Reports what a merge of configuration changed."""
+
+from heatherdyke.config_state import MergeOutcome
+from heatherdyke.events import CONFIG_APPLIED, SECTION_UNREADABLE, ZONE_CHANGED
+from heatherdyke.journal import Journal
+
+
+def record_outcome(
+    journal: Journal, outcome: MergeOutcome, version: int, source: str
+) -> None:
+    """Record the changes of ``outcome``, which ``source`` brought."""
+    if outcome.teams or outcome.advanced:
+        journal.record(
+            CONFIG_APPLIED, version=version, teams=outcome.teams, source=source
+        )
+    for fault in outcome.unreadable:
+        journal.record(
+            SECTION_UNREADABLE,
+            team=fault.team,
+            version=fault.version,
+            reason=fault.reason,
+        )
+    for change in outcome.zones:
+        journal.record(
+            ZONE_CHANGED,
+            zone=change.zone,
+            state=change.entry.state.value,
+            order=change.entry.order,
+            editor=change.entry.editor,
+            source=source,
+        )
--- a/heatherdyke/config_model.py
+++ b/heatherdyke/config_model.py
@@ -6,6 +6,8 @@
 
 from dataclasses import dataclass, field
 
+import msgspec
+
 
 @dataclass(frozen=True, slots=True)
 class LeafConfig:
@@ -79,8 +81,10 @@
 class SectionPointer:
     """Where the accepted text of a section lies, in the head object.
 
-    ``object_key`` names an immutable platform object; ``edit`` is the nonce
-    of the edit that wrote it, by which a lost reply is resolved.
+    ``version`` is the head version that the edit made, so that versions of
+    all sections are in one order.  ``object_key`` names an immutable platform
+    object and is empty if the edit removed the section; ``edit`` is the nonce
+    of the edit, by which a lost reply is resolved.
     """
 
     version: int
@@ -88,6 +92,28 @@
     edit: str
     editor: str = ""
 
+    @property
+    def removed(self) -> bool:
+        """Tell whether the section was removed."""
+        return not self.object_key
+
+
+@dataclass(frozen=True, slots=True)
+class StoredSection:
+    """The immutable platform object that one edit writes.
+
+    ``base_edit`` is the edit that this one was made upon; it was the
+    section's newest when this one was accepted.  ``written_at`` is wall
+    time in seconds, for garbage collection.
+    """
+
+    team: str
+    edit: str
+    editor: str
+    base_edit: str
+    written_at: float
+    section: msgspec.Raw
+
 
 @dataclass(frozen=True, slots=True)
 class ConfigHead:
@@ -118,6 +144,7 @@
 
 
 HEAD_KEY = "config/head"
+SECTION_PREFIX = "config/section/"
 ZONES_KEY = "zones"
 SNAPSHOTS_PREFIX = "snapshots/"
 ROSTER_PREFIX = "roster/"
--- /dev/null
+++ b/heatherdyke/config_source.py
@@ -0,0 +1,138 @@
+"""Reads configuration from the platform and from peers."""
+
+from typing import TypeVar
+
+import msgspec
+
+from heatherdyke.codec import decode, encode
+from heatherdyke.config_model import (
+    HEAD_KEY,
+    ZONES_KEY,
+    ConfigHead,
+    SectionPointer,
+    StoredSection,
+)
+from heatherdyke.config_state import (
+    ConfigDelta,
+    ConfigDigest,
+    ConfigState,
+    SectionUpdate,
+)
+from heatherdyke.errors import TransportError, UnreadableObject
+from heatherdyke.http_connection import HttpConnection
+from heatherdyke.messages import PlatformObject
+from heatherdyke.platform_client import PlatformClient, convert_value
+from heatherdyke.zone_state import ZonesObject
+
+T = TypeVar("T")
+
+PEER_TIMEOUT_S = 1.0
+REMOVED_SECTION = msgspec.Raw(b"null")
+
+
+async def read_platform(
+    platform: PlatformClient, state: ConfigState
+) -> ConfigDelta:
+    """Return what the platform holds and ``state`` lacks.
+
+    Raises PlatformUnavailable, and UnreadableObject if the head or the
+    zones have another form than this release knows.
+    """
+    head = await platform.get(HEAD_KEY)
+    zones = await platform.get(ZONES_KEY)
+    delta = ConfigDelta()
+    if head is not None:
+        delta = await complete_head(platform, state, head)
+    if zones is None:
+        return delta
+    return ConfigDelta(delta.version, delta.updates, read_zones(zones))
+
+
+async def complete_head(
+    platform: PlatformClient, state: ConfigState, stored: PlatformObject
+) -> ConfigDelta:
+    """Return the delta to ``stored``, the head object, from ``state``.
+
+    The delta has version 0 if a section object could not be found, which a
+    lagging read can cause.  Raises PlatformUnavailable.
+    """
+    head = read_head(stored)
+    updates = []
+    complete = True
+    for team, pointer in state.missing(head).items():
+        update = await _read_section(platform, team, pointer)
+        if update is None:
+            complete = False
+        else:
+            updates.append(update)
+    return ConfigDelta(head.version if complete else 0, updates)
+
+
+def read_head(stored: PlatformObject) -> ConfigHead:
+    """Return the head that the platform object holds.
+
+    Raises UnreadableObject.
+    """
+    return _read_value(stored, ConfigHead)
+
+
+def read_zones(stored: PlatformObject) -> ZonesObject:
+    """Return the zones that the platform object holds.
+
+    Raises UnreadableObject.
+    """
+    return _read_value(stored, ZonesObject)
+
+
+async def read_peer(
+    address: str, own_address: str, digest: ConfigDigest
+) -> ConfigDelta | None:
+    """Return what the peer at ``address`` has and ``digest`` lacks.
+
+    Returns None if the peer has nothing newer.  The peer learns the digest
+    and asks back if it lacks something.  Raises TransportError.
+    """
+    connection = await HttpConnection.open(address, PEER_TIMEOUT_S)
+    try:
+        response = await connection.request(
+            "GET",
+            f"/peer/config?since={digest.config_version}"
+            f"&zones={digest.zones_version}&address={own_address}",
+            timeout_s=PEER_TIMEOUT_S,
+        )
+    finally:
+        connection.close()
+    if response.status == 204:
+        return None
+    if response.status != 200:
+        raise TransportError(
+            f"{address} answered {response.status} to /peer/config", sent=True
+        )
+    try:
+        return decode(response.body, ConfigDelta)
+    except msgspec.MsgspecError as error:
+        raise TransportError(
+            f"{address} sent no configuration: {error}", sent=True
+        ) from error
+
+
+async def _read_section(
+    platform: PlatformClient, team: str, pointer: SectionPointer
+) -> SectionUpdate | None:
+    if pointer.removed:
+        return SectionUpdate(team, pointer, REMOVED_SECTION)
+    stored = await platform.get(pointer.object_key)
+    if stored is None:
+        return None
+    try:
+        section = decode(encode(stored.value), StoredSection).section
+    except msgspec.MsgspecError:
+        return None
+    return SectionUpdate(team, pointer, section.copy())
+
+
+def _read_value(stored: PlatformObject, value_type: type[T]) -> T:
+    try:
+        return convert_value(stored, value_type)
+    except msgspec.MsgspecError as error:
+        raise UnreadableObject(stored.key, str(error)) from error
--- /dev/null
+++ b/heatherdyke/config_sync.py
@@ -0,0 +1,238 @@
+"""The tasks that bring newer configuration to an instance.
+
+Sources are the platform's watches, peers whose heartbeat shows a newer
+digest, and a random peer asked every second, so that a change reaches an
+instance that only peers can reach.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from heatherdyke.clock import Clock
+from heatherdyke.config_model import HEAD_KEY, ZONES_KEY
+from heatherdyke.config_source import (
+    complete_head,
+    read_head,
+    read_peer,
+    read_platform,
+    read_zones,
+)
+from heatherdyke.config_state import ConfigDelta, ConfigDigest, ConfigState
+from heatherdyke.errors import PlatformError, TransportError
+from heatherdyke.events import (
+    CONFIG_SOURCE_BACK,
+    CONFIG_SOURCE_LOST,
+    SECTION_MISSING,
+    STALL_DETECTED,
+)
+from heatherdyke.journal import Journal
+from heatherdyke.messages import InstanceKind, PlatformObject
+from heatherdyke.peer_directory import PeerDirectory
+from heatherdyke.platform_client import PlatformClient
+from heatherdyke.settings import Settings
+
+WATCH_WAIT_S = 1.0
+RETRY_S = 0.2
+GOSSIP_INTERVAL_S = 1.0
+FALLBACK_POLL_S = 15.0
+TICK_S = 0.1
+STALL_S = 1.0
+REFRESH_PEERS = 8
+
+
+class ConfigSync:
+    """Reads the sources and hands each delta to ``apply``.
+
+    ``is_reader`` tells whether this instance watches the platform for its
+    zone; the others read it seldom and rely on peers.
+    """
+
+    __slots__ = (
+        "is_reader",
+        "peers",
+        "platform_read_at",
+        "has_asked",
+        "has_heard",
+        "_address",
+        "_platform",
+        "_journal",
+        "_clock",
+        "_state",
+        "_apply",
+        "_listed_peers",
+        "_offers",
+        "_last_tick",
+        "_platform_lost",
+        "_announced_missing",
+    )
+
+    def __init__(
+        self,
+        settings: Settings,
+        platform: PlatformClient,
+        journal: Journal,
+        clock: Clock,
+        state: ConfigState,
+        apply: Callable[[ConfigDelta, str], None],
+    ) -> None:
+        self.is_reader: Callable[[], bool] = lambda: True
+        self.peers = PeerDirectory(settings.address, settings.zone)
+        self.platform_read_at: float | None = None
+        self.has_asked = False
+        self.has_heard = False
+        self._address = settings.address
+        self._platform = platform
+        self._journal = journal
+        self._clock = clock
+        self._state = state
+        self._apply = apply
+        self._listed_peers = set(settings.peers)
+        self._offers: asyncio.Queue[str] = asyncio.Queue()
+        self._last_tick = clock.now()
+        self._platform_lost = False
+        self._announced_missing: set[str] = set()
+        for address in settings.peers:
+            self.peers.learn(address)
+
+    @property
+    def stalled_s(self) -> float:
+        """Return the seconds since the configuration was last kept up."""
+        return self._clock.now() - self._last_tick
+
+    def offer(self, address: str, digest: ConfigDigest) -> None:
+        """Fetch from the peer what it has newer, if anything."""
+        self.peers.learn(address)
+        if digest.is_newer_than(self._state.digest):
+            self._offers.put_nowait(address)
+
+    async def run(self) -> None:
+        """Read all sources until cancelled."""
+        self._last_tick = self._clock.now()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._refresh())
+            group.create_task(self._keep_ticking())
+            group.create_task(self._watch(HEAD_KEY, self._take_head))
+            group.create_task(self._watch(ZONES_KEY, self._take_zones))
+            group.create_task(self._follow_offers())
+            group.create_task(self._gossip())
+            group.create_task(self._poll_seldom())
+
+    async def _refresh(self) -> None:
+        """Ask the platform and some peers once."""
+        addresses = self.peers.sample(REFRESH_PEERS)
+        await asyncio.gather(
+            self._read_platform(),
+            *(self._ask_peer(address) for address in addresses),
+        )
+        self.has_asked = True
+
+    async def _keep_ticking(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            if self.stalled_s >= STALL_S:
+                self._journal.record(
+                    STALL_DETECTED, stalled_s=round(self.stalled_s, 3)
+                )
+                await self._refresh()
+            self._last_tick = self._clock.now()
+
+    async def _watch(
+        self, key: str, take: Callable[[PlatformObject], Awaitable[bool]]
+    ) -> None:
+        version = 0
+        while True:
+            if not self.is_reader():
+                await asyncio.sleep(RETRY_S)
+                continue
+            try:
+                stored = await self._platform.watch(key, version, WATCH_WAIT_S)
+                self._note_platform()
+                if stored is None:
+                    continue
+                if await take(stored):
+                    version = stored.version
+                    continue
+            except PlatformError as error:
+                self._note_platform(error)
+            await asyncio.sleep(RETRY_S)
+
+    async def _take_head(self, stored: PlatformObject) -> bool:
+        delta = await complete_head(self._platform, self._state, stored)
+        self._apply(delta, "platform")
+        if not delta.version:
+            self._record_missing(stored)
+        return bool(delta.version)
+
+    async def _take_zones(self, stored: PlatformObject) -> bool:
+        self._apply(ConfigDelta(zones=read_zones(stored)), "platform")
+        return True
+
+    async def _follow_offers(self) -> None:
+        while True:
+            await self._ask_peer(await self._offers.get())
+
+    async def _gossip(self) -> None:
+        while True:
+            await asyncio.sleep(GOSSIP_INTERVAL_S)
+            address = self.peers.pick()
+            if address is not None:
+                await self._ask_peer(address)
+
+    async def _poll_seldom(self) -> None:
+        while True:
+            await self._learn_instances()
+            await asyncio.sleep(FALLBACK_POLL_S)
+            await self._read_platform()
+
+    async def _ask_peer(self, address: str) -> None:
+        digest = self._state.digest
+        try:
+            delta = await read_peer(address, self._address, digest)
+        except TransportError:
+            self.peers.note(address, answered=False)
+            return
+        self.peers.note(address, answered=True)
+        if delta is not None:
+            self._apply(delta, address)
+            self.has_heard = True
+
+    async def _read_platform(self) -> None:
+        try:
+            delta = await read_platform(self._platform, self._state)
+        except PlatformError as error:
+            self._note_platform(error)
+            return
+        self._note_platform()
+        self._apply(delta, "platform")
+        self.has_heard = True
+
+    async def _learn_instances(self) -> None:
+        try:
+            rows = await self._platform.instances()
+        except PlatformError:
+            return
+        rows = [row for row in rows if row.kind is InstanceKind.ENTRY]
+        for row in rows:
+            self.peers.learn(row.address, row.zone)
+        listed = {row.address for row in rows}
+        self.peers.forget_all_but(listed | self._listed_peers)
+
+    def _record_missing(self, stored: PlatformObject) -> None:
+        missing = self._state.missing(read_head(stored))
+        for team, pointer in missing.items():
+            if pointer.object_key in self._announced_missing:
+                continue
+            self._announced_missing.add(pointer.object_key)
+            self._journal.record(
+                SECTION_MISSING, team=team, object_key=pointer.object_key
+            )
+
+    def _note_platform(self, error: PlatformError | None = None) -> None:
+        if error is None:
+            self.platform_read_at = self._clock.now()
+        lost = error is not None
+        if lost == self._platform_lost:
+            return
+        self._platform_lost = lost
+        kind = CONFIG_SOURCE_LOST if lost else CONFIG_SOURCE_BACK
+        self._journal.record(kind, detail=error.detail if error else "")
--- a/heatherdyke/errors.py
+++ b/heatherdyke/errors.py
@@ -90,6 +90,19 @@
         self.current_version = current_version
 
 
+class UnreadableObject(PlatformError):
+    """A platform object has a form that this release does not know."""
+
+    kind = "unreadable_object"
+
+    def __init__(self, key: str, reason: str) -> None:
+        super().__init__(
+            f"object {key!r} cannot be read: {reason}",
+            "upgrade this release or correct the object",
+        )
+        self.key = key
+
+
 class RequestError(HeatherdykeError):
     """A caller's request ends without an answer.
 
--- a/heatherdyke/events.py
+++ b/heatherdyke/events.py
@@ -65,3 +65,99 @@
         "All requests have ended and the instance exits.",
     )
 )
+CONFIG_APPLIED = register(
+    EventKind(
+        2001,
+        "config_applied",
+        Severity.INFO,
+        "A newer configuration is in force.",
+        (
+            "version",
+            "teams",
+            "source",
+        ),
+    )
+)
+SECTION_UNREADABLE = register(
+    EventKind(
+        2002,
+        "section_unreadable",
+        Severity.ERROR,
+        "A section cannot be read; its last good version stays.",
+        (
+            "team",
+            "version",
+            "reason",
+        ),
+        "Upgrade the instance or correct the section.",
+    )
+)
+OLDER_CONFIG_IGNORED = register(
+    EventKind(
+        2003,
+        "older_config_ignored",
+        Severity.DEBUG,
+        "A source offered an older configuration.",
+        (
+            "version",
+            "held",
+            "source",
+        ),
+    )
+)
+SECTION_MISSING = register(
+    EventKind(
+        2004,
+        "section_missing",
+        Severity.WARNING,
+        "The head names a section object that cannot be read.",
+        (
+            "team",
+            "object_key",
+        ),
+        "Apply the section again if the event goes on.",
+    )
+)
+ZONE_CHANGED = register(
+    EventKind(
+        2005,
+        "zone_changed",
+        Severity.WARNING,
+        "An operator took a zone out or back in.",
+        (
+            "zone",
+            "state",
+            "order",
+            "editor",
+            "source",
+        ),
+    )
+)
+CONFIG_SOURCE_LOST = register(
+    EventKind(
+        2006,
+        "config_source_lost",
+        Severity.WARNING,
+        "The platform gives no configuration; peers stand in.",
+        ("detail",),
+        "Nothing at once; see to the platform.",
+    )
+)
+CONFIG_SOURCE_BACK = register(
+    EventKind(
+        2007,
+        "config_source_back",
+        Severity.INFO,
+        "The platform gives the configuration again.",
+        ("detail",),
+    )
+)
+STALL_DETECTED = register(
+    EventKind(
+        2008,
+        "stall_detected",
+        Severity.WARNING,
+        "The process stood still; it asks for newer configuration first.",
+        ("stalled_s",),
+    )
+)
--- a/heatherdyke/settings.py
+++ b/heatherdyke/settings.py
@@ -12,7 +12,8 @@
     """What one instance is told at its start.
 
     Addresses are ``host:port`` with IP numbers.  ``name`` is the same over
-    restarts; the incarnation is drawn anew at each start.
+    restarts; the incarnation is drawn anew at each start.  ``peers`` are
+    other instances to ask when the platform is down at the start.
     """
 
     name: str
@@ -20,6 +21,7 @@
     listen: str
     platform: str
     advertise: str = ""
+    peers: tuple[str, ...] = ()
     heartbeat_interval_s: float = 0.5
     lease_s: float = 2.0
     drain_s: float = 20.0
@@ -36,10 +38,13 @@
         return self.advertise or self.listen
 
     @classmethod
-    def from_values(cls, disabled: str = "", **values) -> "Settings":
+    def from_values(
+        cls, disabled: str = "", peers: str = "", **values
+    ) -> "Settings":
         """Return checked settings; raises SettingsError naming all faults.
 
-        ``disabled`` is a comma-separated list of mechanism names.
+        ``disabled`` is a comma-separated list of mechanism names and
+        ``peers`` one of addresses.
         """
         faults: list[str] = []
         for name in ("name", "zone"):
@@ -49,6 +54,9 @@
             _check_address(name, values.get(name, ""), faults)
         if values.get("advertise"):
             _check_address("advertise", values["advertise"], faults)
+        peer_addresses = tuple(filter(None, peers.split(",")))
+        for address in peer_addresses:
+            _check_address("peers", address, faults)
         for name in ("heartbeat_interval_s", "lease_s", "drain_s"):
             if values.get(name, 1.0) <= 0:
                 flag = name.replace("_", "-")
@@ -58,7 +66,7 @@
         mechanisms = _parse_mechanisms(disabled, faults)
         if faults:
             raise SettingsError(faults)
-        return cls(disabled=mechanisms, **values)
+        return cls(disabled=mechanisms, peers=peer_addresses, **values)
 
 
 def split_address(address: str) -> tuple[str, int]:
--- /dev/null
+++ b/heatherdyke/zone_state.py
@@ -0,0 +1,113 @@
+"""Which availability zones operators have taken out, merged monotonically.
+
+Pure: no I/O and no clock.  Each change of a zone carries an order number
+that grows over all changes of all zones, so that states learned from the
+platform and from peers merge in any sequence to the same result.
+"""
+
+from dataclasses import dataclass, field, replace
+from enum import Enum
+
+RECENT_EDITS = 16
+
+
+class ZoneService(Enum):
+    """Whether a zone may get new work."""
+
+    IN = "in"
+    OUT = "out"
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneEntry:
+    """The last change of one zone.
+
+    ``order`` is the version of the zones object that made it; ``edit`` is
+    the nonce of the change and ``recent_edits`` those before it, newest
+    first, by which a lost reply is resolved.
+    """
+
+    state: ZoneService
+    order: int
+    edit: str
+    editor: str = ""
+    reason: str = ""
+    recent_edits: list[str] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class ZonesObject:
+    """The platform object ``zones``; ``version`` grows by one a change."""
+
+    version: int = 0
+    zone_by_name: dict[str, ZoneEntry] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneChange:
+    """A zone's state as it has just been taken over."""
+
+    zone: str
+    entry: ZoneEntry
+
+
+class ZoneStates:
+    """The newest known state of each zone; a zone not named is in."""
+
+    __slots__ = ("zones", "_monotone")
+
+    def __init__(self, monotone: bool = True) -> None:
+        self.zones = ZonesObject()
+        self._monotone = monotone
+
+    def merge(self, other: ZonesObject) -> list[ZoneChange]:
+        """Take over every entry that is newer; return the changes."""
+        newer = {
+            zone: entry
+            for zone, entry in other.zone_by_name.items()
+            if self._is_newer(zone, entry)
+        }
+        version = other.version
+        if self._monotone:
+            version = max(version, self.zones.version)
+        self.zones = ZonesObject(version, self.zones.zone_by_name | newer)
+        return [ZoneChange(zone, entry) for zone, entry in newer.items()]
+
+    def is_out(self, zone: str) -> bool:
+        """Tell whether the zone is taken out."""
+        entry = self.zones.zone_by_name.get(zone)
+        return entry is not None and entry.state is ZoneService.OUT
+
+    def out_zones(self) -> list[str]:
+        """Return the names of the zones taken out, sorted."""
+        return sorted(z for z in self.zones.zone_by_name if self.is_out(z))
+
+    def _is_newer(self, zone: str, entry: ZoneEntry) -> bool:
+        held = self.zones.zone_by_name.get(zone)
+        if held is None:
+            return True
+        if not self._monotone:
+            return held != entry
+        return entry.order > held.order
+
+
+def change_zone(
+    zones: ZonesObject, zone: str, entry: ZoneEntry
+) -> ZonesObject:
+    """Return ``zones`` with one zone changed, at the next version.
+
+    The entry's order number and recent edits are filled in here.
+    """
+    held = zones.zone_by_name.get(zone)
+    recent = [] if held is None else [held.edit, *held.recent_edits]
+    version = zones.version + 1
+    entry = replace(entry, order=version, recent_edits=recent[:RECENT_EDITS])
+    return ZonesObject(version, zones.zone_by_name | {zone: entry})
+
+
+def has_edit(zones: ZonesObject, zone: str, edit: str) -> bool:
+    """Tell whether ``edit`` took effect, even if it was superseded."""
+    held = zones.zone_by_name.get(zone)
+    if held is None:
+        return False
+    return edit == held.edit or edit in held.recent_edits
--- /dev/null
+++ b/tests/config_platform.py
@@ -0,0 +1,75 @@
+"""An in-memory platform whose calls the tests can step, lose and age."""
+
+from typing import Any
+
+from heatherdyke.codec import decode, encode
+from heatherdyke.errors import PlatformUnavailable, VersionConflict
+from heatherdyke.messages import PlatformObject
+
+
+class Pause:
+    """Gives control back to whoever steps the coroutine."""
+
+    def __await__(self):
+        yield
+
+
+class MemoryPlatform:
+    """Holds every version of every object; a call is one step.
+
+    ``lost_replies`` counts the writes whose reply is lost after they took
+    effect; ``lag`` is how many versions the reads are behind.
+    """
+
+    def __init__(self) -> None:
+        self.versions_by_key: dict[str, list[Any]] = {}
+        self.lost_replies = 0
+        self.lag = 0
+        self.down = False
+
+    async def get(self, key: str) -> PlatformObject | None:
+        await self._enter()
+        versions = self.versions_by_key.get(key, [])
+        number = max(len(versions) - self.lag, 0)
+        if number == 0 or versions[number - 1] is None:
+            return None
+        return PlatformObject(key, number, decode(versions[number - 1], Any))
+
+    async def put(self, key: str, value: Any, if_version: int) -> int:
+        await self._enter()
+        versions = self.versions_by_key.setdefault(key, [])
+        if len(versions) != if_version:
+            raise VersionConflict(key, len(versions))
+        versions.append(encode(value))
+        if self.lost_replies:
+            self.lost_replies -= 1
+            raise PlatformUnavailable("the reply was lost", "read back")
+        return len(versions)
+
+    async def delete(self, key: str, if_version: int) -> None:
+        await self._enter()
+        if len(self.versions_by_key.get(key, [])) != if_version:
+            raise VersionConflict(key, len(self.versions_by_key[key]))
+        del self.versions_by_key[key]
+
+    async def list(self, prefix: str) -> list[PlatformObject]:
+        await self._enter()
+        return [
+            PlatformObject(key, len(versions), decode(versions[-1], Any))
+            for key, versions in sorted(self.versions_by_key.items())
+            if key.startswith(prefix)
+        ]
+
+    async def _enter(self) -> None:
+        await Pause()
+        if self.down:
+            raise PlatformUnavailable("the platform is down", "wait")
+
+
+def finish(coroutine: Any) -> Any:
+    """Step the coroutine to its end and return its result."""
+    while True:
+        try:
+            coroutine.send(None)
+        except StopIteration as stop:
+            return stop.value
