Make the platform's adapter importable

The method list() stood before an annotation list[...] in the class body, so that importing the module raised TypeError. It now stands after them.

--- a/heatherdyke/platform_client.py
+++ b/heatherdyke/platform_client.py
@@ -72,11 +72,6 @@
             stored = decode(response.body, PlatformObject)
             raise VersionConflict(key, stored.version)
 
-    async def list(self, prefix: str) -> list[PlatformObject]:
-        """Return the objects whose keys start with ``prefix``, by key."""
-        response = await self._call("GET", f"/list?prefix={quote(prefix, '')}")
-        return decode(response.body, list[PlatformObject])
-
     async def watch(
         self, key: str, after_version: int, wait_s: float
     ) -> PlatformObject | None:
@@ -100,6 +95,11 @@
         response = await self._call("GET", "/instances")
         return decode(response.body, list[ListedInstance])
 
+    async def list(self, prefix: str) -> list[PlatformObject]:
+        """Return the objects whose keys start with ``prefix``, by key."""
+        response = await self._call("GET", f"/list?prefix={quote(prefix, '')}")
+        return decode(response.body, list[PlatformObject])
+
     async def announce(self, row: ListedInstance) -> None:
         """Tell the stand-in that an instance or backend server runs.
 
