--- a/heatherdyke/config_api.py
+++ b/heatherdyke/config_api.py
@@ -51,8 +51,15 @@
 
     def add_routes(self, app: Application) -> None:
         """Add both handlers to ``app``."""
-        app.router.add_get("/peer/config", self.serve_peer)
-        app.router.add_get("/config/status", self.serve_status)
+
+        async def serve_peer(request: Request) -> Response:
+            return await self.serve_peer(request)
+
+        async def serve_status(request: Request) -> Response:
+            return await self.serve_status(request)
+
+        app.router.add_get("/peer/config", serve_peer)
+        app.router.add_get("/config/status", serve_status)
 
     async def serve_peer(self, request: Request) -> Response:
         """Answer with what the asking peer lacks, or 204 if nothing."""
