--- /dev/null
+++ b/heatherdyke/cli_observe.py
@@ -0,0 +1,154 @@
+"""The commands ``timeline`` and ``stats``."""
+
+import asyncio
+from datetime import UTC, datetime
+from typing import Annotated
+
+import typer
+
+from heatherdyke.codec import encode
+from heatherdyke.errors import SettingsError
+from heatherdyke.hybrid_clock import HybridTimestamp
+from heatherdyke.journal import Event
+from heatherdyke.observe_client import Unreachable
+from heatherdyke.observe_report import (
+    StatsReport,
+    describe_unreachable,
+    follow_timeline,
+    read_stats,
+    read_timeline,
+)
+from heatherdyke.settings import split_address
+from heatherdyke.timeline import EventFilter
+
+InstanceOption = Annotated[
+    str,
+    typer.Option(
+        envvar="HEATHERDYKE_INSTANCE",
+        help="Address of one instance; it names the others.",
+    ),
+]
+PlatformOption = Annotated[
+    str,
+    typer.Option(
+        envvar="HEATHERDYKE_PLATFORM",
+        help="Address of the platform; its list names the instances.",
+    ),
+]
+JsonOption = Annotated[bool, typer.Option("--json", help="Print JSON.")]
+
+
+def timeline(
+    instance: InstanceOption = "",
+    platform: PlatformOption = "",
+    request: Annotated[str, typer.Option(help="Request id or key.")] = "",
+    team: Annotated[str, typer.Option(help="Team.")] = "",
+    server: Annotated[str, typer.Option(help="Leaf id.")] = "",
+    zone: Annotated[str, typer.Option(help="Availability zone.")] = "",
+    event: Annotated[int, typer.Option(help="Event number.")] = 0,
+    follow: Annotated[bool, typer.Option(help="Go on until ^C.")] = False,
+    as_json: JsonOption = False,
+) -> None:
+    """Print the events of all reachable instances in causal order."""
+    check_addresses(instance, platform)
+    wanted = EventFilter(request, team, server, zone, event)
+    show = show_json if as_json else show_text
+    if follow:
+        asyncio.run(follow_timeline(instance, platform, wanted, show, warn))
+        return
+    report = asyncio.run(read_timeline(instance, platform, wanted))
+    if as_json:
+        typer.echo(encode(report).decode())
+        return
+    for found in report.events:
+        show_text(found)
+    for name, count in sorted(report.overwritten_by_instance.items()):
+        warn(f"{name}: {count} older events are overwritten")
+    warn_unreachable(report.unreachable)
+
+
+def stats(
+    instance: InstanceOption = "",
+    platform: PlatformOption = "",
+    as_json: JsonOption = False,
+) -> None:
+    """Print latencies and counters merged over all reachable instances."""
+    check_addresses(instance, platform)
+    report = asyncio.run(read_stats(instance, platform))
+    if as_json:
+        typer.echo(encode(report).decode())
+        return
+    for line in render_stats(report):
+        typer.echo(line)
+    warn_unreachable(report.unreachable)
+
+
+def check_addresses(instance: str, platform: str) -> None:
+    """Raise SettingsError unless an address is given and all are valid."""
+    faults = []
+    if not instance and not platform:
+        faults.append("no address: give --instance or --platform")
+    for flag, address in (("instance", instance), ("platform", platform)):
+        try:
+            if address:
+                split_address(address)
+        except ValueError:
+            faults.append(
+                f"--{flag} {address!r} is not an IP number and port: "
+                "write it as 127.0.0.1:8080"
+            )
+    if faults:
+        raise SettingsError(faults)
+
+
+def render_stats(report: StatsReport) -> list[str]:
+    """Return the report's lines for a terminal."""
+    lines = [f"{report.instances} instances"]
+    lines.append(
+        f"{'latency':24} {'label':20} {'count':>9} {'p50 ms':>9} "
+        f"{'p99 ms':>9} {'p99.9 ms':>9} {'max ms':>9}"
+    )
+    for row in report.latencies:
+        lines.append(
+            f"{row.name:24} {row.label:20} {row.count:9} {row.p50_ms:9.2f} "
+            f"{row.p99_ms:9.2f} {row.p999_ms:9.2f} {row.max_ms:9.2f}"
+        )
+    lines.append(f"{'counter':24} {'label':20} {'count':>9}")
+    for counter in report.counters:
+        lines.append(f"{counter.name:24} {counter.label:20} {counter.count:9}")
+    return lines
+
+
+def render_event(event: Event) -> str:
+    """Return the event as one line; the time is UTC."""
+    stamp = HybridTimestamp.decode(event.stamp)
+    moment = datetime.fromtimestamp(stamp.wall_ms / 1000, UTC)
+    fields = " ".join(
+        f"{name}={value}" for name, value in event.fields.items()
+    )
+    line = (
+        f"{moment:%H:%M:%S}.{stamp.wall_ms % 1000:03}+{stamp.counter} "
+        f"{event.zone}/{event.instance} {event.number} {event.name} {fields}"
+    )
+    return line.rstrip()
+
+
+def show_text(event: Event) -> None:
+    """Print the event as one line."""
+    typer.echo(render_event(event))
+
+
+def show_json(event: Event) -> None:
+    """Print the event as one line of JSON."""
+    typer.echo(encode(event).decode())
+
+
+def warn(text: str) -> None:
+    """Print a remark on standard error."""
+    typer.echo(text, err=True)
+
+
+def warn_unreachable(unreachable: list[Unreachable]) -> None:
+    """Name the instances that are missing from what was printed."""
+    for lost in unreachable:
+        warn(describe_unreachable(lost))
--- a/heatherdyke/errors.py
+++ b/heatherdyke/errors.py
@@ -90,6 +90,12 @@
         self.current_version = current_version
 
 
+class NoInstanceReachable(HeatherdykeError):
+    """None of the instances that a command asked gave an answer."""
+
+    kind = "no_instance_reachable"
+
+
 class RequestError(HeatherdykeError):
     """A caller's request ends without an answer.
 
--- a/heatherdyke/http_routes.py
+++ b/heatherdyke/http_routes.py
@@ -1,16 +1,27 @@
-"""Routes whose handlers are methods, which blacksheep cannot mark itself."""
+"""blacksheep applications that can share a process, and their routes."""
 
 from collections.abc import Awaitable, Callable
 
-from blacksheep import Application, Request, Response
+from blacksheep import Application, Request, Response, Router
 
 Handler = Callable[[Request], Awaitable[Response]]
 
 
+def new_application() -> Application:
+    """Return an application with a router of its own.
+
+    blacksheep's default router belongs to the first application only.
+    """
+    return Application(router=Router())
+
+
 def add_route(
     app: Application, method: str, path: str, handler: Handler
 ) -> None:
-    """Serve ``method`` on ``path`` by ``handler``, which may be a method."""
+    """Serve ``method`` on ``path`` by ``handler``.
+
+    The handler may be a bound method, which blacksheep cannot mark itself.
+    """
 
     async def handle(request: Request) -> Response:
         return await handler(request)
--- /dev/null
+++ b/heatherdyke/observe_client.py
@@ -0,0 +1,120 @@
+"""Reads journals and statistics of all instances that can be reached."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+from msgspec import DecodeError
+
+from heatherdyke.codec import decode
+from heatherdyke.errors import (
+    HeatherdykeError,
+    NoInstanceReachable,
+    TransportError,
+)
+from heatherdyke.http_connection import HttpConnection
+from heatherdyke.messages import InstanceKind
+from heatherdyke.observe_component import KnownInstance
+from heatherdyke.platform_client import PlatformClient
+
+T = TypeVar("T")
+
+TIMEOUT_S = 2.0
+MAX_OPEN_CONNECTIONS = 32
+
+
+@dataclass(frozen=True, slots=True)
+class Unreachable:
+    """An instance that gave no answer, and why."""
+
+    instance: KnownInstance
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Collected(Generic[T]):
+    """What the reachable instances answered, and which were not reachable."""
+
+    page_by_address: dict[str, T] = field(default_factory=dict)
+    unreachable: list[Unreachable] = field(default_factory=list)
+
+
+async def discover(instance: str, platform: str) -> list[KnownInstance]:
+    """Return the instances that ``instance`` and ``platform`` know.
+
+    Either address may be empty.  Raises NoInstanceReachable if neither
+    names any instance.
+    """
+    known_by_address: dict[str, KnownInstance] = {}
+    failures: list[str] = []
+    for address, ask in ((instance, _ask_instance), (platform, _ask_platform)):
+        try:
+            found = await ask(address) if address else []
+        except (HeatherdykeError, DecodeError) as error:
+            failures.append(str(error))
+            continue
+        for known in found:
+            known_by_address.setdefault(known.address, known)
+    if not known_by_address:
+        raise NoInstanceReachable(
+            "no instance could be found: " + "; ".join(failures),
+            "name a running one with --instance or the platform's address "
+            "with --platform",
+        )
+    return sorted(known_by_address.values(), key=lambda known: known.name)
+
+
+async def collect(
+    instances: list[KnownInstance],
+    target: Callable[[KnownInstance], str],
+    page_type: type[T],
+) -> Collected[T]:
+    """Get ``target`` from every instance, a bounded number at once."""
+    collected: Collected[T] = Collected()
+    gate = asyncio.Semaphore(MAX_OPEN_CONNECTIONS)
+
+    async def ask(instance: KnownInstance) -> None:
+        try:
+            async with gate:
+                page = await get_page(
+                    instance.address, target(instance), page_type
+                )
+        except (TransportError, DecodeError) as error:
+            collected.unreachable.append(Unreachable(instance, str(error)))
+        else:
+            collected.page_by_address[instance.address] = page
+
+    await asyncio.gather(*(ask(instance) for instance in instances))
+    collected.unreachable.sort(key=lambda lost: lost.instance.name)
+    return collected
+
+
+async def get_page(address: str, target: str, page_type: type[T]) -> T:
+    """Return the page that the instance at ``address`` has at ``target``.
+
+    Raises TransportError if it gives none.
+    """
+    connection = await HttpConnection.open(address, TIMEOUT_S)
+    try:
+        response = await connection.request("GET", target, timeout_s=TIMEOUT_S)
+    finally:
+        connection.close()
+    if response.status != 200:
+        raise TransportError(
+            f"{address} answered {response.status} to GET {target}", sent=True
+        )
+    return decode(response.body, page_type)
+
+
+async def _ask_instance(address: str) -> list[KnownInstance]:
+    return await get_page(address, "/members", list[KnownInstance])
+
+
+async def _ask_platform(address: str) -> list[KnownInstance]:
+    rows = await PlatformClient(address, TIMEOUT_S).instances()
+    return [
+        KnownInstance(row.name, row.zone, row.address)
+        for row in rows
+        if row.kind is InstanceKind.ENTRY
+    ]
--- /dev/null
+++ b/heatherdyke/observe_report.py
@@ -0,0 +1,146 @@
+"""Reports over all reachable instances: the time line and statistics."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from heatherdyke.clock import Clock
+from heatherdyke.errors import NoInstanceReachable
+from heatherdyke.follow import SettlingMerge
+from heatherdyke.journal import Event, EventPage
+from heatherdyke.metrics import (
+    CounterSeries,
+    LatencySummary,
+    StatsPage,
+    merge_stats,
+    summarise,
+)
+from heatherdyke.observe_client import (
+    Collected,
+    Unreachable,
+    collect,
+    discover,
+)
+from heatherdyke.observe_component import KnownInstance
+from heatherdyke.timeline import EventFilter, merge_events
+
+POLL_INTERVAL_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class TimelineReport:
+    """The merged events, and what is missing from them."""
+
+    events: list[Event] = field(default_factory=list)
+    unreachable: list[Unreachable] = field(default_factory=list)
+    overwritten_by_instance: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class StatsReport:
+    """The merged series, and which instances are missing from them."""
+
+    instances: int
+    latencies: list[LatencySummary] = field(default_factory=list)
+    counters: list[CounterSeries] = field(default_factory=list)
+    unreachable: list[Unreachable] = field(default_factory=list)
+
+
+async def read_timeline(
+    instance: str, platform: str, wanted: EventFilter
+) -> TimelineReport:
+    """Return the matching events of all instances, in causal order."""
+    instances = await discover(instance, platform)
+    collected = await collect(instances, lambda _: "/events", EventPage)
+    _require_answers(collected)
+    pages = collected.page_by_address.values()
+    return TimelineReport(
+        merge_events([page.events for page in pages], wanted),
+        collected.unreachable,
+        {p.instance: p.overwritten for p in pages if p.overwritten},
+    )
+
+
+async def follow_timeline(
+    instance: str,
+    platform: str,
+    wanted: EventFilter,
+    show: Callable[[Event], None],
+    warn: Callable[[str], None],
+) -> None:
+    """Show matching events as they come, until cancelled.
+
+    ``warn`` is told which instances are lost and which come back.
+    """
+    merge = SettlingMerge(wanted)
+    after_by_address: dict[str, int] = {}
+    lost: set[str] = set()
+    clock = Clock()
+    instances = await discover(instance, platform)
+
+    def target(known: KnownInstance) -> str:
+        return f"/events?after={after_by_address.get(known.address, 0)}"
+
+    while True:
+        collected = await collect(instances, target, EventPage)
+        for address, page in collected.page_by_address.items():
+            after_by_address[address] = page.next_after
+        merge.add([p.events for p in collected.page_by_address.values()])
+        for event in merge.release(int(clock.wall() * 1000)):
+            show(event)
+        lost = _note_changes(lost, collected.unreachable, warn)
+        await asyncio.sleep(POLL_INTERVAL_S)
+        instances = await _discover_again(instances, instance, platform)
+
+
+async def read_stats(instance: str, platform: str) -> StatsReport:
+    """Return the series of all instances, merged."""
+    instances = await discover(instance, platform)
+    collected = await collect(instances, lambda _: "/stats", StatsPage)
+    _require_answers(collected)
+    merged = merge_stats(collected.page_by_address.values())
+    return StatsReport(
+        len(collected.page_by_address),
+        [summarise(series) for series in merged.latencies],
+        merged.counters,
+        collected.unreachable,
+    )
+
+
+def describe_unreachable(missing: Unreachable) -> str:
+    """Return the line that tells an operator which instance is missing."""
+    return f"not reached: {missing.instance.name}: {missing.reason}"
+
+
+async def _discover_again(
+    known: list[KnownInstance], instance: str, platform: str
+) -> list[KnownInstance]:
+    """Return what is found now and before; what is lost may come back."""
+    try:
+        found = await discover(instance, platform)
+    except NoInstanceReachable:
+        return known
+    known_by_address = {known.address: known for known in [*known, *found]}
+    return list(known_by_address.values())
+
+
+def _require_answers(collected: Collected) -> None:
+    if not collected.page_by_address:
+        reasons = "; ".join(lost.reason for lost in collected.unreachable)
+        raise NoInstanceReachable(
+            f"none of {len(collected.unreachable)} instances answered: "
+            f"{reasons}",
+            "check the addresses and that the instances run",
+        )
+
+
+def _note_changes(
+    lost: set[str], unreachable: list[Unreachable], warn: Callable[[str], None]
+) -> set[str]:
+    lost_now = {missing.instance.name for missing in unreachable}
+    for missing in unreachable:
+        if missing.instance.name not in lost:
+            warn(describe_unreachable(missing))
+    for name in sorted(lost - lost_now):
+        warn(f"reached again: {name}")
+    return lost_now
--- /dev/null
+++ b/tests/test_cli_observe.py
@@ -0,0 +1,140 @@
+"""The commands timeline and stats over real HTTP."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+import uvicorn
+
+from heatherdyke.cli_observe import (
+    check_addresses,
+    render_event,
+    render_stats,
+)
+from heatherdyke.errors import NoInstanceReachable, SettingsError
+from heatherdyke.events import STARTED, STOPPING
+from heatherdyke.health import HealthState
+from heatherdyke.http_routes import new_application
+from heatherdyke.journal import Journal
+from heatherdyke.metrics import Metrics
+from heatherdyke.observe_component import KnownInstance, ObserveComponent
+from heatherdyke.observe_report import (
+    follow_timeline,
+    read_stats,
+    read_timeline,
+)
+from heatherdyke.timeline import EventFilter
+
+GONE = KnownInstance("gone", "verona", "127.0.0.1:1")
+
+
+class ServedInstance:
+    """The observed parts of an instance, served on a free port."""
+
+    def __init__(self, name: str, known: list[KnownInstance]) -> None:
+        self.name = name
+        self.journal = Journal(name, "brescia", "i1")
+        self.metrics = Metrics()
+        self.known = known
+        self.address = ""
+
+    @asynccontextmanager
+    async def serve(self):
+        app = new_application()
+        ObserveComponent(
+            self.journal,
+            self.metrics,
+            lambda: HealthState(True, True, False, False),
+            lambda: self.known,
+        ).add_routes(app)
+        config = uvicorn.Config(
+            app, host="127.0.0.1", port=0, log_level="error"
+        )
+        server = uvicorn.Server(config)
+        task = asyncio.create_task(server.serve())
+        while not server.started:
+            await asyncio.sleep(0.01)
+        port = server.servers[0].sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        self.known.append(KnownInstance(self.name, "brescia", self.address))
+        yield self
+        server.should_exit = True
+        await task
+
+
+@asynccontextmanager
+async def two_instances():
+    known = [GONE]
+    async with ServedInstance("a", known).serve() as first:
+        async with ServedInstance("b", known).serve() as second:
+            yield first, second
+
+
+class TestTimelineReport:
+    def test_merges_all_and_names_the_unreachable(self):
+        async def check():
+            async with two_instances() as (first, second):
+                first.journal.record(STOPPING)
+                second.journal.observe(first.journal.stamp())
+                second.journal.record(STOPPING)
+                report = await read_timeline(first.address, "", EventFilter())
+            assert [e.instance for e in report.events] == ["a", "b"]
+            assert "1002 instance_stopping" in render_event(report.events[0])
+            assert [u.instance.name for u in report.unreachable] == ["gone"]
+
+        asyncio.run(check())
+
+    def test_follow_shows_events_that_come_later(self):
+        async def check():
+            shown, warned = [], []
+            arrived = asyncio.Event()
+
+            def show(event):
+                shown.append(event.number)
+                arrived.set()
+
+            async with two_instances() as (first, second):
+                task = asyncio.create_task(
+                    follow_timeline(
+                        first.address, "", EventFilter(), show, warned.append
+                    )
+                )
+                second.journal.record(
+                    STARTED, address=second.address, zone="brescia"
+                )
+                async with asyncio.timeout(10):
+                    await arrived.wait()
+                task.cancel()
+            assert shown == [STARTED.number]
+            assert warned[0].startswith("not reached: gone")
+
+        asyncio.run(check())
+
+
+class TestStatsReport:
+    def test_sums_over_instances(self):
+        async def check():
+            async with two_instances() as (first, second):
+                for served in (first, second):
+                    served.metrics.record_latency("search", "urgent", 0.01)
+                    served.metrics.count("refused", "overloaded")
+                report = await read_stats(first.address, "")
+            assert report.instances == 2
+            assert report.latencies[0].count == 2
+            assert report.counters[0].count == 2
+            assert any("search" in line for line in render_stats(report))
+
+        asyncio.run(check())
+
+
+class TestAddresses:
+    def test_all_faults_are_told_at_once(self):
+        with pytest.raises(SettingsError) as caught:
+            check_addresses("localhost:1", "127.0.0.1")
+        assert len(caught.value.faults) == 2
+        with pytest.raises(SettingsError, match="give --instance"):
+            check_addresses("", "")
+
+    def test_no_instance_at_all_is_an_error(self):
+        with pytest.raises(NoInstanceReachable, match="--platform"):
+            asyncio.run(read_stats("127.0.0.1:1", ""))
--- a/tests/test_observe.py
+++ b/tests/test_observe.py
@@ -2,12 +2,12 @@
 
 import asyncio
 
-from blacksheep import Application
 from blacksheep.testing import TestClient
 
 from heatherdyke.codec import decode
 from heatherdyke.events import STOPPING
 from heatherdyke.health import HealthState, judge_liveness, judge_readiness
+from heatherdyke.http_routes import new_application
 from heatherdyke.journal import EventPage, Journal
 from heatherdyke.metrics import (
     MAX_SERIES,
@@ -88,7 +88,7 @@
         component = ObserveComponent(
             journal, metrics, lambda: states[0], lambda: []
         )
-        app = Application()
+        app = new_application()
         component.add_routes(app)
         await app.start()
         client = TestClient(app)
