--- a/heatherdyke/errors.py
+++ b/heatherdyke/errors.py
@@ -112,6 +112,12 @@
         self.key = key
 
 
+class NoInstanceReachable(HeatherdykeError):
+    """None of the instances that a command asked gave an answer."""
+
+    kind = "no_instance_reachable"
+
+
 class RequestError(HeatherdykeError):
     """A caller's request ends without an answer.
 
--- a/tests/test_observe.py
+++ b/tests/test_observe.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from blacksheep import Application
 from blacksheep.testing import TestClient
 
 from heatherdyke.codec import decode
@@ -10,6 +9,7 @@
 from heatherdyke.health import HealthState
 from heatherdyke.health import judge_liveness
 from heatherdyke.health import judge_readiness
+from heatherdyke.http_routes import new_application
 from heatherdyke.journal import EventPage
 from heatherdyke.journal import Journal
 from heatherdyke.metrics import MAX_SERIES
@@ -89,7 +89,7 @@
         component = ObserveComponent(
             journal, metrics, lambda: states[0], lambda: []
         )
-        app = Application()
+        app = new_application()
         component.add_routes(app)
         await app.start()
         client = TestClient(app)
