Keep client connections open after a whole response

Cause: httptools forgets a response's header fields after on_message_complete, so should_keep_alive() read later was always false and each request opened a connection of its own. Ruled out: a server that closes; the stand-in leaf keeps connections open. Before: the second request on a connection raised TransportError.

--- a/heatherdyke/http_connection.py
+++ b/heatherdyke/http_connection.py
@@ -32,17 +32,21 @@
 class _ResponseSink:
     """Collects what httptools' callbacks report of one response."""
 
-    __slots__ = ("chunks", "complete", "keep_alive")
+    __slots__ = ("chunks", "complete", "keep_alive", "parser")
 
     def __init__(self) -> None:
         self.chunks: list[bytes] = []
         self.complete = False
+        self.keep_alive = False
+        self.parser = httptools.HttpResponseParser(self)
 
     def on_body(self, body: bytes) -> None:
         self.chunks.append(body)
 
     def on_message_complete(self) -> None:
         self.complete = True
+        # The parser forgets the header fields after this callback.
+        self.keep_alive = self.parser.should_keep_alive()
 
     def take(self) -> bytes:
         data = b"".join(self.chunks)
@@ -114,14 +118,14 @@
         TransportError if the connection breaks; both close it.
         """
         sink = _ResponseSink()
-        parser = httptools.HttpResponseParser(sink)
+        parser = sink.parser
         try:
             self._send(method, target, body, headers)
             await self._read_until_complete(parser, sink, timeout_s)
         except BaseException:
             self.close()
             raise
-        self._usable = parser.should_keep_alive()
+        self._usable = sink.keep_alive
         return HttpResponse(parser.get_status_code(), sink.take())
 
     async def stream_lines(
@@ -133,7 +137,7 @@
         connection.
         """
         sink = _ResponseSink()
-        parser = httptools.HttpResponseParser(sink)
+        parser = sink.parser
         rest = b""
         try:
             self._send(method, target, body, "")
@@ -147,7 +151,7 @@
         except BaseException:
             self.close()
             raise
-        self._usable = parser.should_keep_alive()
+        self._usable = sink.keep_alive
 
     def _send(
         self, method: str, target: str, body: bytes, headers: str
