--- /dev/null
+++ b/heatherdyke/standin_http.py
@@ -0,0 +1,252 @@
+"""A small HTTP/1.1 server for the stand-ins.
+
+It feeds httptools' request parser from an asyncio.Protocol instead of using
+a web framework, because a test runs a hundred stand-ins on one machine and
+because faults need the bare connection: one that goes silent, is closed
+without a reply, or is refused beyond a cap.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from time import monotonic
+from typing import Any
+from urllib.parse import parse_qsl
+
+import httptools
+from loguru import logger
+
+from heatherdyke.codec import encode
+from heatherdyke.settings import split_address
+
+ADMIN_PREFIX = "/admin/"
+ADMIN_CONNECTIONS = 2
+LISTEN_BACKLOG = 512
+
+
+@dataclass(frozen=True, slots=True)
+class HttpReply:
+    """What a stand-in answers."""
+
+    status: int
+    body: bytes = b""
+
+    @classmethod
+    def from_message(cls, message: Any, status: int = 200) -> "HttpReply":
+        """Return a reply whose body is the message as JSON."""
+        return cls(status, encode(message))
+
+    def to_bytes(self) -> bytes:
+        """Return the response as it goes over the wire."""
+        head = (
+            f"HTTP/1.1 {self.status} X\r\n"
+            "Content-Type: application/json\r\n"
+            f"Content-Length: {len(self.body)}\r\n\r\n"
+        )
+        return head.encode("ascii") + self.body
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A whole request with the connection that it came on."""
+
+    method: str
+    path: str
+    query_by_name: dict[str, str]
+    body: bytes
+    connection: "ServerConnection"
+
+    @property
+    def is_admin(self) -> bool:
+        """Tell whether a test's controls are asked for, not the service."""
+        return self.path.startswith(ADMIN_PREFIX)
+
+
+# A handler returns None to close the connection without a reply.
+Handler = Callable[[HttpRequest], Awaitable[HttpReply | None]]
+
+
+class ServerConnection(asyncio.Protocol):
+    """One accepted connection; requests on it are served in turn."""
+
+    def __init__(self, server: "HttpServer") -> None:
+        self.opened_at = monotonic()
+        self.served = 0
+        self.is_admin = False
+        self.closed = False
+        self._server = server
+        self._silent = False
+        self._parser = httptools.HttpRequestParser(self)
+        self._url = b""
+        self._body = bytearray()
+        self._requests: asyncio.Queue[HttpRequest | None] = asyncio.Queue()
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Accept the connection unless the server's cap is reached."""
+        self._transport = transport
+        if not self._server.admit(self):
+            transport.abort()
+            return
+        self._server.keep(asyncio.create_task(self._serve()))
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Forget the connection; work on its last request goes on."""
+        self.closed = True
+        self._requests.put_nowait(None)
+        self._server.forget(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came; a connection gone silent ignores it."""
+        if self._silent:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.abort()
+
+    def on_url(self, url: bytes) -> None:
+        """Begin a request."""
+        self._url = url
+        self._body.clear()
+
+    def on_body(self, body: bytes) -> None:
+        """Take a piece of the request's body."""
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        """Queue the request that is now whole."""
+        parsed = httptools.parse_url(self._url)
+        query = (parsed.query or b"").decode("utf-8")
+        request = HttpRequest(
+            method=self._parser.get_method().decode("ascii"),
+            path=parsed.path.decode("utf-8"),
+            query_by_name=dict(parse_qsl(query)),
+            body=bytes(self._body),
+            connection=self,
+        )
+        self._requests.put_nowait(request)
+
+    def go_silent(self) -> None:
+        """Pass no more bytes in either direction, yet stay open."""
+        self._silent = True
+
+    def write(self, data: bytes) -> None:
+        """Send bytes unless the connection is silent or closed."""
+        if not self._silent and not self.closed:
+            self._transport.write(data)
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._transport.abort()
+
+    async def _serve(self) -> None:
+        while True:
+            request = await self._requests.get()
+            if request is None:
+                return
+            self.is_admin = self.is_admin or request.is_admin
+            try:
+                reply = await self._server.handle(request)
+            except Exception:
+                logger.exception("the stand-in failed at {}", request.path)
+                reply = HttpReply(500)
+            self.served += 1
+            if reply is None:
+                self.abort()
+                return
+            self.write(reply.to_bytes())
+
+
+class HttpServer:
+    """Listens on one address and passes requests to a handler."""
+
+    def __init__(
+        self, listen: str, handler: Handler, connection_cap: int = 0
+    ) -> None:
+        self._listen = listen
+        self._handler = handler
+        self._connection_cap = connection_cap
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task] = set()
+        self._address = listen
+        self.connections: set[ServerConnection] = set()
+        self.connections_max = 0
+        self.connections_refused = 0
+
+    @property
+    def address(self) -> str:
+        """Return ``host:port``, with the real port once started."""
+        return self._address
+
+    @property
+    def connections_now(self) -> int:
+        """Return how many connections are open, a test's own aside."""
+        return sum(not c.is_admin for c in self.connections)
+
+    async def start(self) -> None:
+        """Listen; port 0 lets the system choose one."""
+        host, _, port = self._listen.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: ServerConnection(self),
+            host,
+            int(port),
+            backlog=LISTEN_BACKLOG,
+        )
+        number = self._server.sockets[0].getsockname()[1]
+        self._address = f"{host}:{number}"
+        split_address(self._address)
+
+    async def stop(self) -> None:
+        """Stop listening and close every connection."""
+        if self._server is None:
+            return
+        self._server.close()
+        self._server = None
+        self.close_connections()
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def close_connections(self) -> None:
+        """Close every open connection at once."""
+        for connection in list(self.connections):
+            connection.abort()
+
+    def silence_connections(self) -> None:
+        """Make the open connections go silent; new ones work."""
+        for connection in self.connections:
+            connection.go_silent()
+
+    def admit(self, connection: ServerConnection) -> bool:
+        """Take a new connection, or refuse it beyond the cap."""
+        cap = self._connection_cap
+        if cap and self.connections_now >= cap + ADMIN_CONNECTIONS:
+            self.connections_refused += 1
+            return False
+        self.connections.add(connection)
+        return True
+
+    def keep(self, task: asyncio.Task) -> None:
+        """Hold the task that serves a connection until it ends."""
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def forget(self, connection: ServerConnection) -> None:
+        """Drop a closed connection."""
+        self.connections.discard(connection)
+
+    async def handle(self, request: HttpRequest) -> HttpReply | None:
+        """Serve one request; the cap counts connections of the service."""
+        if not request.is_admin:
+            cap = self._connection_cap
+            is_first = request.connection.served == 0
+            if is_first and cap and self.connections_now > cap:
+                self.connections_refused += 1
+                return None
+            self.connections_max = max(
+                self.connections_max, self.connections_now
+            )
+        return await self._handler(request)
