--- /dev/null
+++ b/heatherdyke/cli_standin.py
@@ -0,0 +1,76 @@
+"""Commands that run one stand-in as a process of its own."""
+
+import asyncio
+import signal
+from pathlib import Path
+from typing import Protocol
+
+import msgspec
+import typer
+
+from heatherdyke.codec import decode
+from heatherdyke.errors import SettingsError
+from heatherdyke.fault_proxy import FaultProxy, ProxyConfig
+from heatherdyke.standin_leaf import LeafStandin
+from heatherdyke.standin_leaf_model import LeafProfile
+from heatherdyke.standin_platform import PlatformStandin
+
+app = typer.Typer(
+    name="standin",
+    help="Run a stand-in for the platform, a leaf or the network.",
+    no_args_is_help=True,
+)
+
+
+class _Standin(Protocol):
+    address: str
+
+    async def start(self) -> None: ...
+
+    async def stop(self) -> None: ...
+
+
+@app.command()
+def platform(listen: str = "127.0.0.1:7000") -> None:
+    """Run the platform's stand-in until it is told to stop."""
+    _run(PlatformStandin(listen))
+
+
+@app.command()
+def leaf(profile: str) -> None:
+    """Run a leaf; PROFILE is a LeafProfile as JSON or ``@file``."""
+    _run(LeafStandin(_parse(profile, LeafProfile)))
+
+
+@app.command()
+def proxy(config: str) -> None:
+    """Run the fault proxy; CONFIG is a ProxyConfig as JSON or ``@file``."""
+    _run(FaultProxy(_parse(config, ProxyConfig)))
+
+
+def _parse(text: str, message_type: type):
+    if text.startswith("@"):
+        text = Path(text[1:]).read_text()
+    try:
+        return decode(text.encode(), message_type)
+    except msgspec.DecodeError as error:
+        raise SettingsError([str(error)]) from error
+
+
+def _run(standin: _Standin) -> None:
+    asyncio.run(_serve_until_signal(standin))
+
+
+async def _serve_until_signal(standin: _Standin) -> None:
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await standin.start()
+    typer.echo(f"listening on {standin.address}")
+    await stopped.wait()
+    await standin.stop()
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/tests/test_fault_proxy.py
@@ -0,0 +1,165 @@
+"""The fault proxy forwards, and fails in the ways it names."""
+
+import asyncio
+
+import pytest
+
+from heatherdyke.codec import encode
+from heatherdyke.errors import ConnectionSilent, TransportError
+from heatherdyke.fault_proxy import (
+    Direction,
+    FaultProxy,
+    ProxyConfig,
+    ProxyFaults,
+    RouteConfig,
+    RouteFaults,
+)
+from heatherdyke.http_connection import HttpConnection
+from heatherdyke.standin_http import HttpReply, HttpServer
+
+
+async def _echo(request):
+    return HttpReply(200, request.body)
+
+
+async def _ask(connection, text):
+    response = await connection.request("POST", "/", text, 0.2)
+    return response.body
+
+
+def _with_proxy(test):
+    async def run():
+        server = HttpServer("127.0.0.1:0", _echo)
+        await server.start()
+        route = RouteConfig("r", "127.0.0.1:0", server.address)
+        proxy = FaultProxy(ProxyConfig([route]))
+        await proxy.start()
+        try:
+            await test(proxy, proxy.route_by_name["r"].address)
+        finally:
+            await proxy.stop()
+            await server.stop()
+
+    asyncio.run(run())
+
+
+def _set(proxy, **faults):
+    proxy.set_faults(ProxyFaults({"r": RouteFaults(**faults)}))
+
+
+class TestTcpRoute:
+    def test_delay(self):
+        async def test(proxy, address):
+            connection = await HttpConnection.open(address)
+            _set(proxy, delay_ms=30)
+            loop = asyncio.get_running_loop()
+            begun = loop.time()
+            assert await _ask(connection, b"x") == b"x"
+            assert loop.time() - begun >= 0.06
+            connection.close()
+
+        _with_proxy(test)
+
+    def test_cut_closes_open_connections_and_new_ones(self):
+        async def test(proxy, address):
+            connection = await HttpConnection.open(address)
+            await _ask(connection, b"x")
+            _set(proxy, cut=True)
+            for _ in range(2):
+                with pytest.raises(TransportError):
+                    await _ask(connection, b"x")
+                connection = await HttpConnection.open(address)
+            _set(proxy)
+            connection = await HttpConnection.open(address)
+            assert await _ask(connection, b"x") == b"x"
+            connection.close()
+
+        _with_proxy(test)
+
+    def test_silent_and_one_way_loss_leave_connections_open(self):
+        async def test(proxy, address):
+            connection = await HttpConnection.open(address)
+            await _ask(connection, b"x")
+            _set(proxy, silent=True)
+            with pytest.raises(ConnectionSilent):
+                await _ask(connection, b"x")
+            connection = await HttpConnection.open(address)
+            assert await _ask(connection, b"x") == b"x"
+            _set(proxy, lose=Direction.FROM_TARGET)
+            with pytest.raises(ConnectionSilent):
+                await _ask(connection, b"x")
+
+        _with_proxy(test)
+
+    def test_cross_swaps_the_responses_of_two_connections(self):
+        async def test(proxy, address):
+            pair = [await HttpConnection.open(address) for _ in range(2)]
+            for connection in pair:
+                await _ask(connection, b"x")
+            _set(proxy, cross=1)
+            answers = await asyncio.gather(
+                _ask(pair[0], b"a"), _ask(pair[1], b"b")
+            )
+            assert answers == [b"b", b"a"]
+            for connection in pair:
+                connection.close()
+
+        _with_proxy(test)
+
+    def test_faults_are_set_over_http_and_checked(self):
+        async def test(proxy, address):
+            admin = await HttpConnection.open(proxy.address)
+            for route, status in (("r", 200), ("none", 400)):
+                body = encode(ProxyFaults({route: RouteFaults(cut=True)}))
+                response = await admin.request("POST", "/admin/faults", body)
+                assert response.status == status
+            assert proxy.route_by_name["r"].faults.cut
+            admin.close()
+
+        _with_proxy(test)
+
+
+class _Collector(asyncio.DatagramProtocol):
+    def __init__(self, answers):
+        self.answers = answers
+        self.received = asyncio.Queue()
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def datagram_received(self, data, address):
+        self.received.put_nowait(data)
+        if self.answers:
+            self.transport.sendto(data.upper(), address)
+
+
+class TestUdpRoute:
+    def test_forwards_both_ways_and_drops_when_cut(self):
+        async def test():
+            loop = asyncio.get_running_loop()
+            transport, target = await loop.create_datagram_endpoint(
+                lambda: _Collector(True), local_addr=("127.0.0.1", 0)
+            )
+            host, port = transport.get_extra_info("sockname")
+            route = RouteConfig("u", "127.0.0.1:0", f"{host}:{port}", udp=True)
+            proxy = FaultProxy(ProxyConfig([route]))
+            await proxy.start()
+            udp = proxy.route_by_name["u"]
+            host, port = udp.address.split(":")
+            sender, client = await loop.create_datagram_endpoint(
+                lambda: _Collector(False), remote_addr=(host, int(port))
+            )
+            sender.sendto(b"beat")
+            assert await target.received.get() == b"beat"
+            assert await client.received.get() == b"BEAT"
+            proxy.set_faults(ProxyFaults({"u": RouteFaults(cut=True)}))
+            sender.sendto(b"lost")
+            await asyncio.sleep(0.02)
+            proxy.set_faults(ProxyFaults({"u": RouteFaults()}))
+            sender.sendto(b"again")
+            assert await target.received.get() == b"again"
+            sender.close()
+            transport.close()
+            await proxy.stop()
+
+        asyncio.run(test())
