--- a/heatherdyke/fault_proxy.py
+++ b/heatherdyke/fault_proxy.py
@@ -6,7 +6,8 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from dataclasses import field
 from enum import Enum
 
 import msgspec
@@ -14,7 +15,9 @@
 from heatherdyke.codec import decode
 from heatherdyke.errors import SettingsError
 from heatherdyke.settings import split_address
-from heatherdyke.standin_http import HttpReply, HttpRequest, HttpServer
+from heatherdyke.standin_http import HttpReply
+from heatherdyke.standin_http import HttpRequest
+from heatherdyke.standin_http import HttpServer
 
 READ_BYTES = 65536
 
--- a/heatherdyke/standin_http.py
+++ b/heatherdyke/standin_http.py
@@ -7,7 +7,8 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
+from collections.abc import Callable
 from dataclasses import dataclass
 from time import monotonic
 from typing import Any
--- a/heatherdyke/standin_leaf.py
+++ b/heatherdyke/standin_leaf.py
@@ -7,39 +7,42 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
+from collections.abc import Callable
 from dataclasses import replace
-from time import monotonic, time
+from time import monotonic
+from time import time
 from typing import Any
 from uuid import uuid4
 
 import msgspec
 
-from heatherdyke.codec import decode, encode
+from heatherdyke.codec import decode
+from heatherdyke.codec import encode
 from heatherdyke.errors import PlatformUnavailable
-from heatherdyke.messages import (
-    InstanceKind,
-    InstanceState,
-    LeafAnswer,
-    LeafRefusal,
-    LeafRun,
-    LeafRunAnswer,
-    LeafSearch,
-    ListedInstance,
-    PeerCancel,
-)
+from heatherdyke.messages import InstanceKind
+from heatherdyke.messages import InstanceState
+from heatherdyke.messages import LeafAnswer
+from heatherdyke.messages import LeafRefusal
+from heatherdyke.messages import LeafRun
+from heatherdyke.messages import LeafRunAnswer
+from heatherdyke.messages import LeafSearch
+from heatherdyke.messages import ListedInstance
+from heatherdyke.messages import PeerCancel
 from heatherdyke.platform_client import PlatformClient
 from heatherdyke.registry import Registry
-from heatherdyke.standin_content import items_for, result_for
-from heatherdyke.standin_http import HttpReply, HttpRequest, HttpServer
-from heatherdyke.standin_leaf_model import (
-    LeafFaults,
-    LeafHealth,
-    LeafIncarnationRecord,
-    LeafProfile,
-    LeafRecord,
-)
-from heatherdyke.standin_slots import LeafSlots, Shed
+from heatherdyke.standin_content import items_for
+from heatherdyke.standin_content import result_for
+from heatherdyke.standin_http import HttpReply
+from heatherdyke.standin_http import HttpRequest
+from heatherdyke.standin_http import HttpServer
+from heatherdyke.standin_leaf_model import LeafFaults
+from heatherdyke.standin_leaf_model import LeafHealth
+from heatherdyke.standin_leaf_model import LeafIncarnationRecord
+from heatherdyke.standin_leaf_model import LeafProfile
+from heatherdyke.standin_leaf_model import LeafRecord
+from heatherdyke.standin_slots import LeafSlots
+from heatherdyke.standin_slots import Shed
 
 ANNOUNCE_INTERVAL_S = 1.0
 STATUS_BY_REFUSAL = {
--- a/heatherdyke/standin_leaf_model.py
+++ b/heatherdyke/standin_leaf_model.py
@@ -1,7 +1,8 @@
 """The typed profile, faults and record of a stand-in leaf."""
 
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from dataclasses import field
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherdyke/standin_platform.py
+++ b/heatherdyke/standin_platform.py
@@ -6,17 +6,22 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
 from time import monotonic
 from typing import Any
 
 import msgspec
 
 from heatherdyke.codec import decode
-from heatherdyke.messages import ListedInstance, PlatformObject
+from heatherdyke.messages import ListedInstance
+from heatherdyke.messages import PlatformObject
 from heatherdyke.registry import Registry
-from heatherdyke.standin_http import HttpReply, HttpRequest, HttpServer
+from heatherdyke.standin_http import HttpReply
+from heatherdyke.standin_http import HttpRequest
+from heatherdyke.standin_http import HttpServer
 
 MAX_VALUE_BYTES = 1024 * 1024
 ROW_LIFETIME_S = 3.0
--- a/tests/test_fault_proxy.py
+++ b/tests/test_fault_proxy.py
@@ -5,17 +5,17 @@
 import pytest
 
 from heatherdyke.codec import encode
-from heatherdyke.errors import ConnectionSilent, TransportError
-from heatherdyke.fault_proxy import (
-    Direction,
-    FaultProxy,
-    ProxyConfig,
-    ProxyFaults,
-    RouteConfig,
-    RouteFaults,
-)
+from heatherdyke.errors import ConnectionSilent
+from heatherdyke.errors import TransportError
+from heatherdyke.fault_proxy import Direction
+from heatherdyke.fault_proxy import FaultProxy
+from heatherdyke.fault_proxy import ProxyConfig
+from heatherdyke.fault_proxy import ProxyFaults
+from heatherdyke.fault_proxy import RouteConfig
+from heatherdyke.fault_proxy import RouteFaults
 from heatherdyke.http_connection import HttpConnection
-from heatherdyke.standin_http import HttpReply, HttpServer
+from heatherdyke.standin_http import HttpReply
+from heatherdyke.standin_http import HttpServer
 
 
 async def _echo(request):
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -4,14 +4,14 @@
 
 import pytest
 
-from heatherdyke.errors import PlatformUnavailable, VersionConflict
-from heatherdyke.messages import InstanceKind, ListedInstance
+from heatherdyke.errors import PlatformUnavailable
+from heatherdyke.errors import VersionConflict
+from heatherdyke.messages import InstanceKind
+from heatherdyke.messages import ListedInstance
 from heatherdyke.platform_client import PlatformClient
-from heatherdyke.standin_platform import (
-    InstanceList,
-    PlatformFaults,
-    PlatformStandin,
-)
+from heatherdyke.standin_platform import InstanceList
+from heatherdyke.standin_platform import PlatformFaults
+from heatherdyke.standin_platform import PlatformStandin
 
 ROW = ListedInstance("i1", InstanceKind.ENTRY, "z1", "127.0.0.1:1", "x")
 
