Test the search path's decisions

A shard that a leaf names as its own child made the coverage recurse without end; found by hypothesis, such a split now counts as no answer. The cold-start state machine fails without the ramp and passes with it.

--- a/heatherdyke/coverage.py
+++ b/heatherdyke/coverage.py
@@ -27,9 +27,10 @@
         """Take in a part; a whole one is never replaced by a worse one."""
         if self.state_by_shard.get(part.shard) is PartState.WHOLE:
             return
-        self.state_by_shard[part.shard] = part.state
         if part.state is PartState.SPLIT:
-            self.children_by_shard[part.shard] = list(part.children)
+            self._split(part)
+            return
+        self.state_by_shard[part.shard] = part.state
         if part.state in (PartState.WHOLE, PartState.TRUNCATED):
             self.total_by_shard[part.shard] = part.total
 
@@ -57,6 +58,19 @@
         total = sum(self.weight_by_shard.values())
         return Coverage(covered, total, sorted(missing))
 
+    def _split(self, part: Part) -> None:
+        """Note the children, unless a shard would descend from itself."""
+        if any(self._reaches(child, part.shard) for child in part.children):
+            return
+        self.state_by_shard[part.shard] = part.state
+        self.children_by_shard[part.shard] = list(part.children)
+
+    def _reaches(self, shard: str, wanted: str) -> bool:
+        if shard == wanted:
+            return True
+        children = self.children_by_shard.get(shard, [])
+        return any(self._reaches(child, wanted) for child in children)
+
     def _share(self, shard: str) -> float:
         children = self.children_by_shard.get(shard)
         if children:
--- /dev/null
+++ b/heatherdyke/demo.py
@@ -0,0 +1,165 @@
+"""A demonstration in one process: stand-ins, instances and searches."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+
+from heatherdyke.caller_client import CallerClient
+from heatherdyke.caller_client import describe_answer
+from heatherdyke.caller_keys import hash_key
+from heatherdyke.config_model import HEAD_KEY
+from heatherdyke.config_model import SNAPSHOTS_PREFIX
+from heatherdyke.config_model import ConfigHead
+from heatherdyke.config_model import LeafConfig
+from heatherdyke.config_model import SectionConfig
+from heatherdyke.config_model import SectionPointer
+from heatherdyke.config_model import ServiceConfig
+from heatherdyke.config_model import ShardConfig
+from heatherdyke.config_model import UrgencyConfig
+from heatherdyke.instance import Instance
+from heatherdyke.messages import IndexSnapshots
+from heatherdyke.messages import SearchRequest
+from heatherdyke.platform_client import ABSENT_VERSION
+from heatherdyke.platform_client import PlatformClient
+from heatherdyke.settings import Settings
+from heatherdyke.standin_leaf import LeafStandin
+from heatherdyke.standin_leaf_model import LeafProfile
+from heatherdyke.standin_platform import PlatformStandin
+
+ZONES = ("brescia", "bergamo", "verona")
+TEAM = "demo"
+KEY = "demo-key"
+INDEX = "permits"
+SERVICES = 50
+SLOTS = 3
+CONNECTIONS = 30
+STRAGGLER_SHARE = 0.01
+READY_POLL_S = 0.05
+READY_TIMEOUT_S = 20.0
+ADAPT_SEARCHES = 5
+
+Print = Callable[[str], None]
+
+
+async def run_demo(show: Print) -> None:
+    """Search 100 leaves of 50 services through three instances."""
+    async with AsyncExitStack() as stack:
+        platform = PlatformStandin()
+        await _enter(stack, platform)
+        leaves = await _start_leaves(stack)
+        await _publish(platform.address, _build_section(leaves))
+        instances = await _start_instances(stack, platform.address)
+        await _wait_until_ready(instances)
+        show(f"{len(instances)} instances, {len(leaves)} leaves, 3 zones")
+        await _search(show, instances)
+
+
+async def _search(show: Print, instances: list[Instance]) -> None:
+    services = [_service(number) for number in range(SERVICES)]
+    for number, instance in enumerate(instances * 2):
+        client = CallerClient(instance.settings.address, KEY)
+        request = SearchRequest(
+            services, f"via milano {number}", "foreman", limit=3
+        )
+        answer = await client.search(request)
+        show(f"search {number + 1} at {answer.instance}")
+        show("  " + describe_answer(answer).replace("\n", "\n  "))
+
+
+async def _enter(stack: AsyncExitStack, part) -> None:
+    await part.start()
+    stack.push_async_callback(part.stop)
+
+
+async def _start_leaves(stack: AsyncExitStack) -> dict[str, LeafStandin]:
+    leaves = {}
+    for service in range(SERVICES):
+        for replica in range(2):
+            leaf_id = f"leaf-{service:02d}-{replica}"
+            profile = LeafProfile(
+                leaf=leaf_id,
+                zone=ZONES[(service + replica) % len(ZONES)],
+                slots=SLOTS,
+                connections=CONNECTIONS,
+                straggler_share=STRAGGLER_SHARE,
+                seed=service * 2 + replica,
+            )
+            leaves[leaf_id] = LeafStandin(profile)
+            await _enter(stack, leaves[leaf_id])
+    return leaves
+
+
+async def _start_instances(
+    stack: AsyncExitStack, platform: str
+) -> list[Instance]:
+    instances = []
+    for zone in ZONES:
+        settings = Settings.from_values(
+            name=f"entry-{zone}",
+            zone=zone,
+            listen=f"127.0.0.1:{find_free_port()}",
+            platform=platform,
+            drain_s=1.0,
+        )
+        instance = Instance.from_settings(settings)
+        await _enter(stack, instance)
+        instances.append(instance)
+    return instances
+
+
+async def _wait_until_ready(instances: list[Instance]) -> None:
+    async with asyncio.timeout(READY_TIMEOUT_S):
+        while not all(i.is_ready(len(instances)) for i in instances):
+            await asyncio.sleep(READY_POLL_S)
+
+
+async def _publish(address: str, section: SectionConfig) -> None:
+    platform = PlatformClient(address)
+    key = f"config/{TEAM}/first"
+    await platform.put(key, section, ABSENT_VERSION)
+    pointer = SectionPointer(1, key, "first", "demo")
+    head = ConfigHead(1, {TEAM: pointer})
+    await platform.put(HEAD_KEY, head, ABSENT_VERSION)
+    await platform.put(
+        SNAPSHOTS_PREFIX + INDEX, IndexSnapshots(1, [1]), ABSENT_VERSION
+    )
+
+
+def _build_section(leaves: dict[str, LeafStandin]) -> SectionConfig:
+    return SectionConfig(
+        team=TEAM,
+        services={
+            _service(number): ServiceConfig(
+                INDEX,
+                {
+                    "0": ShardConfig(
+                        [f"leaf-{number:02d}-0", f"leaf-{number:02d}-1"]
+                    )
+                },
+            )
+            for number in range(SERVICES)
+        },
+        leaves={
+            leaf_id: LeafConfig(
+                leaf.address,
+                leaf.profile.zone,
+                leaf.profile.slots,
+                leaf.profile.connections,
+            )
+            for leaf_id, leaf in leaves.items()
+        },
+        urgency={"foreman": UrgencyConfig(1, 1000, 0.95)},
+        key_hashes=[hash_key(KEY)],
+    )
+
+
+def _service(number: int) -> str:
+    return f"permits-{number:02d}"
+
+
+def find_free_port() -> int:
+    """Return a TCP port of the loopback interface that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
--- a/heatherdyke/instance.py
+++ b/heatherdyke/instance.py
@@ -15,6 +15,7 @@
 from heatherdyke.events import STOPPED
 from heatherdyke.events import STOPPING
 from heatherdyke.health import HealthState
+from heatherdyke.health import judge_readiness
 from heatherdyke.home import Home
 from heatherdyke.http_routes import new_application
 from heatherdyke.journal import Journal
@@ -130,6 +131,14 @@
         if not stopping.done():
             stopping.cancel()
 
+    def is_ready(self, members: int = 1) -> bool:
+        """Tell whether searches can be served, with so many members known."""
+        return (
+            judge_readiness(self._health()).ready
+            and len(self.members.members()) >= members
+            and self.snapshots.is_known
+        )
+
     async def _drain(self) -> None:
         self.gate.begin_leaving()
         drain_s = self.settings.drain_s
--- a/heatherdyke/snapshot_book.py
+++ b/heatherdyke/snapshot_book.py
@@ -27,6 +27,11 @@
         self._platform = platform
         self._current_by_index: dict[str, int] = {}
 
+    @property
+    def is_known(self) -> bool:
+        """Tell whether any index's snapshot is known."""
+        return bool(self._current_by_index)
+
     def current(self, index: str) -> int | None:
         """Return the newest known snapshot of the index, if any is."""
         return self._current_by_index.get(index)
--- /dev/null
+++ b/tests/test_leaf_limit.py
@@ -0,0 +1,131 @@
+"""The limit of a leaf follows what its backend server bears."""
+
+import pytest
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+from hypothesis.stateful import run_state_machine_as_test
+
+from heatherdyke.leaf_limit import SHED_PAUSE_S
+from heatherdyke.leaf_limit import SUCCESSES_PER_STEP
+from heatherdyke.leaf_limit import LeafLimit
+
+SLOTS = 4
+COLD_SLOTS = 1
+COLD_SEARCHES = 20
+USUAL_S = 0.002
+COLD_S = 0.010
+MACHINE = settings(
+    derandomize=True, max_examples=60, stateful_step_count=60, database=None
+)
+
+
+def warm(limit: LeafLimit, incarnation: str = "a") -> None:
+    while limit.level < limit.slots:
+        limit.succeed(incarnation, USUAL_S, USUAL_S)
+
+
+class TestLeafLimit:
+    def test_starts_at_what_a_cold_server_bears(self):
+        assert LeafLimit(SLOTS, COLD_SLOTS).allowed(0.0) == COLD_SLOTS
+
+    def test_grows_by_searches_done_well_and_not_by_time(self):
+        limit = LeafLimit(SLOTS, COLD_SLOTS)
+        assert limit.allowed(1e6) == COLD_SLOTS
+        for _ in range(SUCCESSES_PER_STEP):
+            limit.succeed("a", USUAL_S, USUAL_S)
+        assert limit.allowed(1e6) == COLD_SLOTS + 1
+
+    def test_slow_answers_do_not_raise_it(self):
+        limit = LeafLimit(SLOTS, COLD_SLOTS)
+        for _ in range(10 * SUCCESSES_PER_STEP):
+            limit.succeed("a", COLD_S, USUAL_S)
+        assert limit.allowed(0.0) == COLD_SLOTS
+
+    def test_another_incarnation_is_cold(self):
+        limit = LeafLimit(SLOTS, COLD_SLOTS)
+        warm(limit)
+        limit.succeed("b", USUAL_S, USUAL_S)
+        assert limit.allowed(0.0) == COLD_SLOTS
+
+    def test_turns_cold_when_all_answers_are_slow(self):
+        limit = LeafLimit(SLOTS, COLD_SLOTS)
+        warm(limit)
+        for _ in range(10):
+            limit.succeed("a", COLD_S, USUAL_S)
+        assert limit.allowed(0.0) == COLD_SLOTS
+
+    def test_a_shed_halves_and_pauses_longer_each_time(self):
+        limit = LeafLimit(SLOTS, COLD_SLOTS)
+        warm(limit)
+        limit.shed(0.0, "a", 0.0)
+        assert limit.allowed(0.0) == 0
+        assert limit.allowed(SHED_PAUSE_S) == SLOTS // 2
+        limit.shed(1.0, "a", 0.0)
+        assert limit.resumes_at(1.0) == pytest.approx(1 + 2 * SHED_PAUSE_S)
+
+
+class ColdServer(RuleBasedStateMachine):
+    """A home sends to a server that restarts and warms up by work."""
+
+    ramp = True
+
+    def __init__(self):
+        super().__init__()
+        self.limit = LeafLimit(SLOTS, COLD_SLOTS, self.ramp)
+        self.incarnation = 1
+        self.done = 0
+        self.running = 0
+        self.cold_excess = 0
+
+    def is_cold(self):
+        return self.done < COLD_SEARCHES
+
+    @precondition(lambda self: self.running < self.limit.allowed(1e9))
+    @rule()
+    def send(self):
+        self.running += 1
+        if self.is_cold() and self.running > COLD_SLOTS:
+            self.cold_excess += 1
+
+    @precondition(lambda self: self.running)
+    @rule()
+    def answer(self):
+        took_s = COLD_S if self.is_cold() else USUAL_S
+        self.running -= 1
+        self.done += 1
+        self.limit.succeed(str(self.incarnation), took_s, USUAL_S)
+
+    @rule()
+    def answer_many(self):
+        for _ in range(SUCCESSES_PER_STEP):
+            if self.running < self.limit.allowed(1e9):
+                self.send()
+            self.answer()
+
+    @precondition(lambda self: self.done > COLD_SEARCHES)
+    @rule()
+    def restart(self):
+        self.incarnation += 1
+        self.done = 0
+        self.running = 0
+        self.limit.turn_cold()
+
+    @invariant()
+    def sends_no_more_than_a_cold_server_bears(self):
+        assert self.cold_excess == 0
+
+
+class UnlimitedColdServer(ColdServer):
+    ramp = False
+
+
+class TestColdServer:
+    def test_gets_no_more_than_it_bears(self):
+        run_state_machine_as_test(ColdServer, settings=MACHINE)
+
+    def test_gets_more_without_the_ramp(self):
+        with pytest.raises(AssertionError):
+            run_state_machine_as_test(UnlimitedColdServer, settings=MACHINE)
--- /dev/null
+++ b/tests/test_search_decisions.py
@@ -0,0 +1,126 @@
+"""Coverage, merging, replica choice and hedging decide as documented."""
+
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from heatherdyke.coverage import CoverageCount
+from heatherdyke.hedging import ExtraLoadBudget
+from heatherdyke.hedging import LatencyQuantile
+from heatherdyke.merge import merge_items
+from heatherdyke.messages import Item
+from heatherdyke.messages import Part
+from heatherdyke.messages import PartState
+from heatherdyke.replica_choice import ReplicaViews
+from heatherdyke.replica_choice import choose_least_loaded
+
+SHARDS = ("a", "b", "c", "d")
+CHILDREN = ("a.0", "a.1")
+PARTS = st.lists(
+    st.builds(
+        Part,
+        st.sampled_from(SHARDS + CHILDREN),
+        st.sampled_from(("leaf-1", "leaf-2")),
+        st.sampled_from(list(PartState)),
+        st.integers(0, 9),
+        children=st.just(list(CHILDREN)),
+    ),
+    max_size=30,
+)
+
+
+class TestCoverage:
+    @settings(derandomize=True, database=None)
+    @given(PARTS)
+    def test_counts_each_shard_once_and_only_if_whole(self, parts):
+        count = CoverageCount(dict.fromkeys(SHARDS, 1.0))
+        for part in parts:
+            count.add(part)
+        whole = {p.shard for p in parts if p.state is PartState.WHOLE}
+        coverage = count.result()
+        assert 0.0 <= coverage.share <= 1.0
+        for shard in SHARDS[1:]:
+            if shard not in whole and shard not in CHILDREN:
+                split = any(
+                    p.shard == shard and p.state is PartState.SPLIT
+                    for p in parts
+                )
+                assert split or shard in coverage.missing
+        assert whole.isdisjoint(coverage.missing)
+
+    def test_a_truncated_part_is_not_whole(self):
+        count = CoverageCount({"a": 1.0})
+        count.add(Part("a", "leaf", PartState.TRUNCATED, 5))
+        assert count.result().share == 0.0
+        assert count.result().missing == ["a"]
+        assert count.total() == 5
+
+    def test_without_the_check_a_truncated_part_counts(self):
+        count = CoverageCount({"a": 1.0}, check=False)
+        count.add(Part("a", "leaf", PartState.TRUNCATED, 5))
+        assert count.result().share == 1.0
+
+    def test_a_split_shard_counts_by_its_children(self):
+        count = CoverageCount({"a": 2.0, "b": 2.0})
+        count.add(Part("a", "leaf", PartState.SPLIT, children=list(CHILDREN)))
+        count.add(Part("a.0", "leaf", PartState.WHOLE, 3))
+        assert count.result().covered_weight == pytest.approx(1.0)
+        count.add(Part("a.1", "leaf", PartState.WHOLE, 3))
+        assert count.result().covered_weight == pytest.approx(2.0)
+
+
+class TestMerge:
+    @settings(derandomize=True, database=None)
+    @given(st.lists(st.tuples(st.sampled_from("ab"), st.integers(0, 9))))
+    def test_hedged_duplicates_appear_once(self, hits):
+        items = [Item(str(n), float(n), shard=s) for s, n in hits]
+        merged = merge_items(items + items, 5)
+        identities = [(item.shard, item.id) for item in merged]
+        assert len(set(identities)) == len(identities)
+        assert [i.score for i in merged] == sorted(
+            (i.score for i in merged), reverse=True
+        )
+
+
+class TestReplicaChoice:
+    def test_avoids_a_leaf_that_refused(self):
+        views = ReplicaViews()
+        views.finish(Part("s", "leaf-1", PartState.REFUSED), now=0.0)
+        chosen = choose_least_loaded(
+            ["leaf-1", "leaf-2"], views, 0.1, Random(1)
+        )
+        assert chosen == "leaf-2"
+
+    def test_prefers_the_shorter_queue(self):
+        views = ReplicaViews()
+        views.start("leaf-1")
+        chosen = choose_least_loaded(
+            ["leaf-1", "leaf-2"], views, 0.0, Random(1)
+        )
+        assert chosen == "leaf-2"
+
+
+class TestExtraLoadBudget:
+    def test_spends_no_more_than_its_share(self):
+        budget = ExtraLoadBudget(0.05, tokens=0.0)
+        budget.earn(1000)
+        hedges = sum(budget.spend() for _ in range(1000))
+        assert hedges == 40
+
+    def test_sheds_stop_extra_load(self):
+        budget = ExtraLoadBudget(0.05, tokens=3.0)
+        for _ in range(3):
+            budget.punish_shed()
+        assert not budget.spend()
+
+
+class TestLatencyQuantile:
+    def test_settles_near_the_quantile(self):
+        random = Random(7)
+        quantile = LatencyQuantile(0.95)
+        for _ in range(5000):
+            quantile.add(random.uniform(0.0, 0.1))
+        assert 0.085 <= quantile.value_s <= 0.1
