--- /dev/null
+++ b/heatherdyke/home_lease.py
@@ -0,0 +1,302 @@
+"""Decides how many of a leaf's slots one instance may use now; pure.
+
+Every instance keeps one ``HomeLease`` for each zone.  The rules, of which
+docs/design/membership.md holds the argument:
+
+- The home of a leaf under a generation is the first member in rendezvous
+  order that is not known gone.
+- A home whose view was confirmed within the lease and that has no possible
+  other holder uses all slots; with the lease lapsed, all but the reserve.
+- With one possible other holder it uses the reserve alone, and that only
+  once the other's lease and its short work have surely ended.
+- With two or more it uses none.
+
+Work longer than ``short_work_s`` never takes the reserve, so that after a
+lapse the reserve is free within that time.
+"""
+
+from dataclasses import dataclass
+
+from heatherdyke.member_messages import GoneProof
+from heatherdyke.member_messages import Member
+from heatherdyke.member_messages import Roster
+from heatherdyke.rendezvous import rank
+
+NEVER = float("-inf")
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseTerms:
+    """The times that all instances of a deployment agree on, in seconds.
+
+    ``drift`` bounds by how much two monotonic clocks differ in rate, and
+    ``transit_s`` how long a request may be under way to a leaf.
+    """
+
+    lease_s: float = 2.0
+    short_work_s: float = 1.0
+    longest_work_s: float = 1.0
+    transit_s: float = 0.5
+    drift: float = 0.02
+
+    @property
+    def lapse_wait_s(self) -> float:
+        """Return how long a successor waits for a lease to have lapsed."""
+        wait_s = self.lease_s + self.short_work_s + self.transit_s
+        return wait_s * (1 + self.drift)
+
+    @property
+    def short_wait_s(self) -> float:
+        """Return when the short work of a process that ended is over."""
+        return (self.short_work_s + self.transit_s) * (1 + self.drift)
+
+    @property
+    def longest_wait_s(self) -> float:
+        """Return when all work of a process that ended is over."""
+        return (self.longest_work_s + self.transit_s) * (1 + self.drift)
+
+
+def reserve_of(slots: int) -> int:
+    """Return how many slots a lapsed home leaves to its successor."""
+    return 1 if slots > 1 else 0
+
+
+@dataclass(slots=True)
+class _Gone:
+    """Since when an incarnation is known gone."""
+
+    since: float
+    drained: bool
+
+
+@dataclass(frozen=True, slots=True)
+class _Standing:
+    """Who else may hold a leaf.
+
+    ``holders`` counts the others that may act at once; the reserve may be
+    used from ``reserve_at``; the value holds until ``valid_until``.
+    """
+
+    holders: int
+    reserve_at: float
+    valid_until: float
+
+
+class HomeLease:
+    """One instance's view of who may send to the leaves of one zone."""
+
+    def __init__(
+        self, me: Member, zone: str, terms: LeaseTerms, guard: bool = True
+    ) -> None:
+        self.me = me
+        self.terms = terms
+        self.guard = guard
+        self.version = 0
+        self.roster = Roster(zone)
+        self.confirmed_at = NEVER
+        self.superseded_at: dict[int, float] = {}
+        self.settled_by_incarnation: dict[str, int] = {}
+        self._gone: dict[str, _Gone] = {}
+        self._home_by_leaf: dict[str, Member | None] = {}
+        self._standing_by_leaf: dict[str, _Standing] = {}
+
+    # Commands
+
+    def adopt(self, version: int, roster: Roster, now: float) -> bool:
+        """Take over a newer roster; return whether it was newer.
+
+        An older one, however it came, changes nothing.
+        """
+        if version <= self.version:
+            return False
+        if roster.generation < self.roster.generation:
+            return False
+        if roster.generation > self.roster.generation:
+            self.confirmed_at = NEVER
+        self.version = version
+        self.roster = roster
+        for former in roster.history:
+            self.superseded_at.setdefault(former.number, now)
+        self._forget_unlisted()
+        self._clear()
+        return True
+
+    def confirm(self, generation: int, confirmed_at: float) -> None:
+        """Note that ``generation`` was the latest at ``confirmed_at``."""
+        if generation == self.roster.generation:
+            self.confirmed_at = max(self.confirmed_at, confirmed_at)
+
+    def note_settled(self, incarnation: str, generation: int) -> None:
+        """Note that a member does nothing under earlier generations."""
+        if generation > self.settled_by_incarnation.get(incarnation, 0):
+            self.settled_by_incarnation[incarnation] = generation
+            self._standing_by_leaf.clear()
+
+    def note_gone(self, proof: GoneProof, now: float) -> bool:
+        """Note that an incarnation has ended; return whether it is news."""
+        if proof.incarnation == self.me.incarnation:
+            return False
+        known = self._gone.get(proof.incarnation)
+        if known is not None and (known.drained or not proof.drained):
+            return False
+        since = now if known is None else known.since
+        self._gone[proof.incarnation] = _Gone(since, proof.drained)
+        self._clear()
+        return True
+
+    # Queries
+
+    @property
+    def gone(self) -> tuple[GoneProof, ...]:
+        """Return the proofs of members that the roster still names."""
+        return tuple(
+            GoneProof(incarnation, gone.drained)
+            for incarnation, gone in self._gone.items()
+        )
+
+    def is_gone(self, incarnation: str) -> bool:
+        """Tell whether the incarnation has been proven gone."""
+        return incarnation in self._gone
+
+    def has_ended(self, incarnation: str, generation: int, now: float) -> bool:
+        """Tell whether a member does nothing more under ``generation``."""
+        if self.settled_by_incarnation.get(incarnation, 0) > generation:
+            return True
+        gone = self._gone.get(incarnation)
+        if gone is None:
+            return False
+        return gone.drained or now >= gone.since + self.terms.longest_wait_s
+
+    def home_of(self, leaf_id: str) -> Member | None:
+        """Return the leaf's home in this view, or None without members."""
+        if leaf_id not in self._home_by_leaf:
+            alive = (
+                member
+                for member in rank(leaf_id, self.roster.members)
+                if member.incarnation not in self._gone
+            )
+            self._home_by_leaf[leaf_id] = next(alive, None)
+        return self._home_by_leaf[leaf_id]
+
+    def is_home(self, leaf_id: str) -> bool:
+        """Tell whether this instance is the leaf's home in its view."""
+        home = self.home_of(leaf_id)
+        return home is not None and home.incarnation == self.me.incarnation
+
+    def is_fresh(self, now: float) -> bool:
+        """Tell whether the view was confirmed within the lease."""
+        return now - self.confirmed_at <= self.terms.lease_s
+
+    def slots_allowed(
+        self, leaf_id: str, slots: int, now: float, work_s: float = 0.0
+    ) -> int:
+        """Return how many of the leaf's slots may be at work from here.
+
+        ``work_s`` is the longest that the work to send may last.
+        """
+        if not self.is_home(leaf_id):
+            return 0
+        if not self.guard:
+            return slots
+        reserve = reserve_of(slots)
+        standing = self._standing(leaf_id, now)
+        if standing.holders > 1:
+            return 0
+        if standing.holders == 1:
+            return reserve if now >= standing.reserve_at else 0
+        if self.is_fresh(now) and work_s <= self.terms.short_work_s:
+            return slots
+        return slots - reserve
+
+    def settled_generation(self, leaves_at_work: set[str]) -> int:
+        """Return the generation under which alone this instance acts.
+
+        It is 0 while work runs at a leaf that has moved away.
+        """
+        if all(self.is_home(leaf_id) for leaf_id in leaves_at_work):
+            return self.roster.generation
+        return 0
+
+    def _standing(self, leaf_id: str, now: float) -> _Standing:
+        standing = self._standing_by_leaf.get(leaf_id)
+        if standing is None or now >= standing.valid_until:
+            standing = self._compute_standing(leaf_id, now)
+            self._standing_by_leaf[leaf_id] = standing
+        return standing
+
+    def _compute_standing(self, leaf_id: str, now: float) -> _Standing:
+        holders: set[str] = set()
+        generations = 0
+        reserve_at = NEVER
+        for number, members in self._generations():
+            waiting = self._waiting(leaf_id, number, members, now)
+            generations += bool(waiting)
+            holders.update(waiting)
+            for incarnation in waiting:
+                ends_at = self._reserve_at(incarnation, number)
+                reserve_at = max(reserve_at, ends_at)
+        valid_until = min(
+            (
+                gone.since + self.terms.longest_wait_s
+                for incarnation, gone in self._gone.items()
+                if incarnation in holders
+            ),
+            default=float("inf"),
+        )
+        count = min(generations, len(holders))
+        return _Standing(count, reserve_at, valid_until)
+
+    def _generations(self) -> list[tuple[int, tuple[Member, ...]]]:
+        former = [(g.number, g.members) for g in self.roster.history]
+        return [*former, (self.roster.generation, self.roster.members)]
+
+    def _waiting(
+        self,
+        leaf_id: str,
+        number: int,
+        members: tuple[Member, ...],
+        now: float,
+    ) -> set[str]:
+        waiting = set()
+        for member in rank(leaf_id, members):
+            if member.incarnation == self.me.incarnation:
+                break
+            if not self.has_ended(member.incarnation, number, now):
+                waiting.add(member.incarnation)
+        return waiting
+
+    def _reserve_at(self, incarnation: str, number: int) -> float:
+        if number not in self.superseded_at:
+            return float("inf")
+        lapsed_at = self.superseded_at[number] + self.terms.lapse_wait_s
+        gone = self._gone.get(incarnation)
+        if gone is None:
+            return lapsed_at
+        return min(lapsed_at, gone.since + self.terms.short_wait_s)
+
+    def _forget_unlisted(self) -> None:
+        listed = {
+            member.incarnation
+            for _, members in self._generations()
+            for member in members
+        }
+        numbers = {number for number, _ in self._generations()}
+        self._gone = {
+            incarnation: gone
+            for incarnation, gone in self._gone.items()
+            if incarnation in listed
+        }
+        self.settled_by_incarnation = {
+            incarnation: generation
+            for incarnation, generation in self.settled_by_incarnation.items()
+            if incarnation in listed
+        }
+        self.superseded_at = {
+            number: at
+            for number, at in self.superseded_at.items()
+            if number in numbers
+        }
+
+    def _clear(self) -> None:
+        self._home_by_leaf.clear()
+        self._standing_by_leaf.clear()
--- /dev/null
+++ b/heatherdyke/membership.py
@@ -0,0 +1,226 @@
+"""Decides who is asked, suspected and put into one zone's roster; pure.
+
+A member is suspected after heartbeats to it went unanswered, counted in
+heartbeats sent and not in time, so that an instance that was paused itself
+suspects nobody when it wakes.
+"""
+
+from dataclasses import dataclass
+
+from heatherdyke.home_lease import HomeLease
+from heatherdyke.member_messages import Heartbeat
+from heatherdyke.member_messages import LifecycleState
+from heatherdyke.member_messages import Member
+from heatherdyke.member_messages import Roster
+from heatherdyke.roster import prune_history
+from heatherdyke.roster import replace_members
+
+UNANSWERED_TO_SUSPECT = 3
+FULL_MESH_MEMBERS = 9
+TREE_FANOUT = 8
+RING_SUCCESSORS = 2
+JOIN_INTERVALS = 4
+
+
+@dataclass(slots=True)
+class _Peer:
+    """What was heard of one incarnation."""
+
+    member: Member
+    state: LifecycleState
+    heard_at: float
+    unanswered: int = 0
+    probe_failed: bool = False
+    suspected_by_other: bool = False
+
+
+class Membership:
+    """One instance's knowledge of the peers that concern one zone."""
+
+    def __init__(
+        self, me: Member, zone: str, lease: HomeLease, interval_s: float
+    ) -> None:
+        self.me = me
+        self.zone = zone
+        self.lease = lease
+        self.interval_s = interval_s
+        self.leaving = False
+        self._peer_by_incarnation: dict[str, _Peer] = {}
+
+    # Commands
+
+    def hear(self, heartbeat: Heartbeat, now: float) -> None:
+        """Note a sign of life of the sender, and whom it suspects."""
+        sender = heartbeat.sender
+        peer = self._peer(sender, now)
+        peer.state = heartbeat.state
+        self.note_alive(sender.incarnation, now)
+        for incarnation in heartbeat.suspects:
+            suspect = self._peer_by_incarnation.get(incarnation)
+            if suspect is not None:
+                suspect.suspected_by_other = True
+
+    def note_asked(self, member: Member, now: float) -> None:
+        """Note that a heartbeat was sent that asks for an answer."""
+        self._peer(member, now).unanswered += 1
+
+    def note_alive(self, incarnation: str, now: float) -> None:
+        """Note that the incarnation answered, over UDP or a probe."""
+        peer = self._peer_by_incarnation.get(incarnation)
+        if peer is not None:
+            peer.heard_at = now
+            peer.unanswered = 0
+            peer.probe_failed = False
+            peer.suspected_by_other = False
+
+    def note_probe_failed(self, incarnation: str) -> None:
+        """Note that a probe of a suspect brought no answer and no proof."""
+        peer = self._peer_by_incarnation.get(incarnation)
+        if peer is not None:
+            peer.probe_failed = True
+
+    def forget_absent(self, now: float) -> None:
+        """Drop peers that are neither members nor were heard of late."""
+        listed = {member.incarnation for member in self.lease.roster.members}
+        self._peer_by_incarnation = {
+            incarnation: peer
+            for incarnation, peer in self._peer_by_incarnation.items()
+            if incarnation in listed or self._heard_lately(peer, now)
+        }
+
+    # Queries
+
+    @property
+    def is_member(self) -> bool:
+        """Tell whether this instance stands in the roster."""
+        return self.me in self.lease.roster.members
+
+    def targets(self) -> list[Member]:
+        """Return whom to send a heartbeat that asks for an answer."""
+        others = [
+            member
+            for member in self.lease.roster.members
+            if member.incarnation != self.me.incarnation
+            and not self.lease.is_gone(member.incarnation)
+        ]
+        if len(others) < FULL_MESH_MEMBERS or not self.is_member:
+            return others[:FULL_MESH_MEMBERS]
+        chosen = {member.incarnation for member in self._tree_and_ring()}
+        return [
+            member
+            for member in others
+            if member.incarnation in chosen
+            or self._suspected_by_other(member.incarnation)
+        ]
+
+    def suspects(self) -> list[Member]:
+        """Return the members that leave heartbeats unanswered."""
+        return [
+            member
+            for member in self.lease.roster.members
+            if self._is_suspect(member.incarnation)
+            and not self.lease.is_gone(member.incarnation)
+        ]
+
+    def is_reader(self) -> bool:
+        """Tell whether this instance reads and changes the roster.
+
+        It is the first member that is not gone nor suspected; without one,
+        each instance of the zone.
+        """
+        for member in self.lease.roster.members:
+            if member.incarnation == self.me.incarnation:
+                return True
+            if self.lease.is_gone(member.incarnation):
+                continue
+            if not self._is_suspect(member.incarnation):
+                return False
+        return True
+
+    def propose(self, now: float) -> Roster | None:
+        """Return the roster as it should be, or None if it is so."""
+        roster = replace_members(
+            self.lease.roster, self._joining(now), self._leaving()
+        )
+        roster = prune_history(
+            roster,
+            lambda incarnation, generation: self._has_ended(
+                incarnation, generation, now
+            ),
+        )
+        return None if roster == self.lease.roster else roster
+
+    # Private parts
+
+    def _has_ended(
+        self, incarnation: str, generation: int, now: float
+    ) -> bool:
+        if incarnation == self.me.incarnation:
+            own = self.lease.settled_by_incarnation.get(incarnation, 0)
+            return own > generation
+        return self.lease.has_ended(incarnation, generation, now)
+
+    def _tree_and_ring(self) -> list[Member]:
+        members = self.lease.roster.members
+        index = members.index(self.me)
+        chosen = [members[0]]
+        parent = (index - 1) // TREE_FANOUT
+        while parent > 0 and self._is_suspect(members[parent].incarnation):
+            parent = (parent - 1) // TREE_FANOUT
+        if index > 0:
+            chosen = [members[max(parent, 0)]]
+        for step in range(1, RING_SUCCESSORS + 1):
+            chosen.append(members[(index + step) % len(members)])
+        return chosen
+
+    def _joining(self, now: float) -> list[Member]:
+        joining = [
+            peer.member
+            for peer in self._peer_by_incarnation.values()
+            if peer.member.zone == self.zone
+            and peer.state is LifecycleState.SERVING
+            and self._heard_lately(peer, now)
+            and not self.lease.is_gone(peer.member.incarnation)
+        ]
+        if not self.leaving and self.me.zone == self.zone:
+            joining.append(self.me)
+        listed = set(self.lease.roster.members)
+        fresh = [member for member in joining if member not in listed]
+        return sorted(fresh, key=lambda member: member.name)
+
+    def _leaving(self) -> list[str]:
+        return [
+            member.incarnation
+            for member in self.lease.roster.members
+            if self._should_leave(member)
+        ]
+
+    def _should_leave(self, member: Member) -> bool:
+        if member.incarnation == self.me.incarnation:
+            return self.leaving
+        if self.lease.is_gone(member.incarnation):
+            return True
+        peer = self._peer_by_incarnation.get(member.incarnation)
+        if peer is None:
+            return False
+        if peer.state is LifecycleState.LEAVING:
+            return True
+        return peer.probe_failed and self._is_suspect(member.incarnation)
+
+    def _is_suspect(self, incarnation: str) -> bool:
+        peer = self._peer_by_incarnation.get(incarnation)
+        return peer is not None and peer.unanswered >= UNANSWERED_TO_SUSPECT
+
+    def _suspected_by_other(self, incarnation: str) -> bool:
+        peer = self._peer_by_incarnation.get(incarnation)
+        return peer is not None and peer.suspected_by_other
+
+    def _heard_lately(self, peer: _Peer, now: float) -> bool:
+        return now - peer.heard_at <= JOIN_INTERVALS * self.interval_s
+
+    def _peer(self, member: Member, now: float) -> _Peer:
+        peer = self._peer_by_incarnation.get(member.incarnation)
+        if peer is None:
+            peer = _Peer(member, LifecycleState.SERVING, now)
+            self._peer_by_incarnation[member.incarnation] = peer
+        return peer
--- /dev/null
+++ b/heatherdyke/rendezvous.py
@@ -0,0 +1,23 @@
+"""Rendezvous (highest random weight) hashing of leaves over members.
+
+Source: D. Thaler and C. Ravishankar, "Using name-based mappings to increase
+hit rates", IEEE/ACM Transactions on Networking, 1998.
+"""
+
+from collections.abc import Iterable
+
+from xxhash import xxh3_64_intdigest
+
+from heatherdyke.member_messages import Member
+
+
+def weigh(leaf_id: str, member: Member) -> tuple[int, str]:
+    """Return the weight of ``member`` for the leaf; names break ties."""
+    return xxh3_64_intdigest(f"{leaf_id}\n{member.name}"), member.name
+
+
+def rank(leaf_id: str, members: Iterable[Member]) -> list[Member]:
+    """Return the members by falling weight for the leaf."""
+    return sorted(
+        members, key=lambda member: weigh(leaf_id, member), reverse=True
+    )
