--- /dev/null
+++ b/heatherdyke/member_core.py
@@ -0,0 +1,269 @@
+"""The state of one instance's membership: events in, messages out; pure.
+
+It holds a ``HomeLease`` and a ``Membership`` for each zone it knows and
+turns heartbeats into knowledge and back.  ``member_task`` does the I/O.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from heatherdyke.home_lease import HomeLease
+from heatherdyke.home_lease import LeaseTerms
+from heatherdyke.member_messages import GoneProof
+from heatherdyke.member_messages import Heartbeat
+from heatherdyke.member_messages import LifecycleState
+from heatherdyke.member_messages import Member
+from heatherdyke.member_messages import Roster
+from heatherdyke.member_messages import VersionedRoster
+from heatherdyke.member_messages import ZoneView
+from heatherdyke.membership import Membership
+
+REMEMBERED_SEQUENCES = 64
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigVersions:
+    """The configuration versions that a heartbeat carries."""
+
+    config_version: int = 0
+    zones_version: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """What the task has to do after a heartbeat.
+
+    ``reply`` is the answer to send; ``newer_zones`` names the zones whose
+    roster the sender has newer; ``probe`` is a member to probe because
+    another incarnation spoke for its address.
+    """
+
+    reply: Heartbeat | None
+    newer_zones: tuple[str, ...] = ()
+    probe: Member | None = None
+
+
+class MemberCore:
+    """Everything an instance knows of members, rosters and homes."""
+
+    def __init__(
+        self,
+        me: Member,
+        interval_s: float,
+        terms: LeaseTerms,
+        guard: bool = True,
+    ) -> None:
+        self.me = me
+        self.state = LifecycleState.SERVING
+        self.released = False
+        self._interval_s = interval_s
+        self._terms = terms
+        self._guard = guard
+        self._sequence = 0
+        self._sent_at: deque[tuple[int, float]] = deque(
+            maxlen=REMEMBERED_SEQUENCES
+        )
+        self.membership_by_zone: dict[str, Membership] = {}
+        self.membership(me.zone)
+
+    # Commands
+
+    def adopt(self, versioned: VersionedRoster, now: float) -> bool:
+        """Take over a roster if it is newer; return whether it was."""
+        lease = self.lease(versioned.roster.zone)
+        return lease.adopt(versioned.version, versioned.roster, now)
+
+    def confirm(self, zone: str, generation: int, asked_at: float) -> None:
+        """Note the platform's answer to a question sent at ``asked_at``."""
+        self.lease(zone).confirm(generation, asked_at)
+
+    def note_gone(self, proof: GoneProof, now: float) -> bool:
+        """Note a proof in every zone; return whether it is news."""
+        news = False
+        for membership in self.membership_by_zone.values():
+            news |= membership.lease.note_gone(proof, now)
+        return news
+
+    def note_at_work(self, leaves_at_work: set[str]) -> None:
+        """Note at which leaves this instance has work, before a send."""
+        for membership in self._concerning():
+            lease = membership.lease
+            lease.note_settled(
+                self.me.incarnation, lease.settled_generation(leaves_at_work)
+            )
+
+    def begin_leaving(self) -> None:
+        """Ask to be taken out of every roster."""
+        self.state = LifecycleState.LEAVING
+        for membership in self.membership_by_zone.values():
+            membership.leaving = True
+
+    def release(self) -> GoneProof:
+        """Send nothing to leaves any more; return the proof for peers."""
+        self.released = True
+        return GoneProof(self.me.incarnation, drained=True)
+
+    def ask(self, now: float, config: ConfigVersions) -> Heartbeat:
+        """Return the next heartbeat that asks for an answer."""
+        self._sequence += 1
+        self._sent_at.append((self._sequence, now))
+        return self._heartbeat(now, config, self._sequence, echo=0)
+
+    def hear(
+        self, heartbeat: Heartbeat, now: float, config: ConfigVersions
+    ) -> Heard:
+        """Take in a heartbeat and return what follows from it."""
+        sender = heartbeat.sender
+        if sender.incarnation == self.me.incarnation:
+            return Heard(None)
+        for membership in self._concerning():
+            membership.hear(heartbeat, now)
+        for proof in heartbeat.gone:
+            self.note_gone(proof, now)
+        for view in heartbeat.views:
+            self._take_view(view, heartbeat.echo)
+        reply = None
+        if heartbeat.echo == 0:
+            reply = self._heartbeat(
+                now, config, self._sequence, heartbeat.sequence
+            )
+        return Heard(
+            reply, self._newer_zones(heartbeat), self._predecessor(sender)
+        )
+
+    # Queries
+
+    def membership(self, zone: str) -> Membership:
+        """Return what is known of the zone, at first nothing."""
+        if zone not in self.membership_by_zone:
+            lease = HomeLease(self.me, zone, self._terms, self._guard)
+            membership = Membership(self.me, zone, lease, self._interval_s)
+            membership.leaving = self.state is LifecycleState.LEAVING
+            self.membership_by_zone[zone] = membership
+        return self.membership_by_zone[zone]
+
+    def lease(self, zone: str) -> HomeLease:
+        """Return the view of who may send to the zone's leaves."""
+        return self.membership(zone).lease
+
+    def members(self) -> list[Member]:
+        """Return all zones' members that are not known gone."""
+        return [
+            member
+            for membership in self.membership_by_zone.values()
+            for member in membership.lease.roster.members
+            if not membership.lease.is_gone(member.incarnation)
+        ]
+
+    def home_of(self, leaf_id: str, zone: str) -> Member | None:
+        """Return the leaf's home, or None if its zone has no member."""
+        membership = self.membership_by_zone.get(zone)
+        return membership.lease.home_of(leaf_id) if membership else None
+
+    def slots_allowed(
+        self,
+        leaf_id: str,
+        zone: str,
+        slots: int,
+        now: float,
+        work_s: float = 0.0,
+    ) -> int:
+        """Return how many of the leaf's slots may be at work from here."""
+        membership = self.membership_by_zone.get(zone)
+        if self.released or membership is None:
+            return 0
+        return membership.lease.slots_allowed(leaf_id, slots, now, work_s)
+
+    def _heartbeat(
+        self, now: float, config: ConfigVersions, sequence: int, echo: int
+    ) -> Heartbeat:
+        gone: dict[str, GoneProof] = {}
+        for membership in self.membership_by_zone.values():
+            for proof in membership.lease.gone:
+                gone[proof.incarnation] = proof
+        if self.released:
+            own = GoneProof(self.me.incarnation, drained=True)
+            gone[own.incarnation] = own
+        suspects = self.membership(self.me.zone).suspects()
+        return Heartbeat(
+            sender=self.me,
+            state=self.state,
+            sequence=sequence,
+            echo=echo,
+            views=tuple(self._views(now)),
+            config_version=config.config_version,
+            zones_version=config.zones_version,
+            roster_version_by_zone={
+                zone: membership.lease.version
+                for zone, membership in self.membership_by_zone.items()
+            },
+            gone=tuple(gone.values()),
+            suspects=tuple(member.incarnation for member in suspects),
+        )
+
+    def _concerning(self) -> list[Membership]:
+        """Return the zones to whose leaves this instance may send."""
+        return [
+            membership
+            for zone, membership in self.membership_by_zone.items()
+            if zone == self.me.zone or membership.is_member
+        ]
+
+    def _views(self, now: float) -> Iterable[ZoneView]:
+        for membership in self._concerning():
+            lease = membership.lease
+            age_s = None
+            if lease.is_fresh(now):
+                age_s = max(0.0, now - lease.confirmed_at)
+            settled = {}
+            if lease.roster.history:
+                settled = dict(lease.settled_by_incarnation)
+            yield ZoneView(
+                membership.zone, lease.roster.generation, age_s, settled
+            )
+
+    def _take_view(self, view: ZoneView, echo: int) -> None:
+        membership = self.membership_by_zone.get(view.zone)
+        if membership is None:
+            return
+        lease = membership.lease
+        for incarnation, generation in view.settled_by_incarnation.items():
+            if incarnation != self.me.incarnation:
+                lease.note_settled(incarnation, generation)
+        asked_at = self._asked_at(echo)
+        if view.confirmed_age_s is not None and asked_at is not None:
+            confirmed_at = asked_at - max(0.0, view.confirmed_age_s)
+            lease.confirm(view.generation, confirmed_at)
+
+    def _asked_at(self, echo: int) -> float | None:
+        for sequence, sent_at in self._sent_at:
+            if sequence == echo:
+                return sent_at
+        return None
+
+    def _newer_zones(self, heartbeat: Heartbeat) -> tuple[str, ...]:
+        return tuple(
+            zone
+            for zone, version in heartbeat.roster_version_by_zone.items()
+            if version > self._version(zone)
+        )
+
+    def _version(self, zone: str) -> int:
+        membership = self.membership_by_zone.get(zone)
+        return membership.lease.version if membership else 0
+
+    def _predecessor(self, sender: Member) -> Member | None:
+        for member in self.lease(sender.zone).roster.members:
+            if (
+                member.address == sender.address
+                and member.incarnation != sender.incarnation
+                and not self.lease(sender.zone).is_gone(member.incarnation)
+            ):
+                return member
+        return None
+
+
+def empty_roster(zone: str) -> VersionedRoster:
+    """Return what an absent roster object stands for."""
+    return VersionedRoster(0, Roster(zone))
--- /dev/null
+++ b/heatherdyke/member_task.py
@@ -0,0 +1,366 @@
+"""The component that runs an instance's membership over UDP and HTTP.
+
+Heartbeats travel over UDP on the number of the TCP port.  The decisions are
+those of ``member_core``; this task owns the socket and the timing.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+from uuid import uuid4
+
+import msgspec
+from blacksheep import Application
+from blacksheep import Request
+from blacksheep import Response
+
+from heatherdyke.clock import Clock
+from heatherdyke.codec import decode
+from heatherdyke.codec import encode
+from heatherdyke.config_state import ConfigDigest
+from heatherdyke.events import INVALID_HEARTBEAT
+from heatherdyke.events import LEASE_CONFIRMED
+from heatherdyke.events import LEASE_LAPSED
+from heatherdyke.events import MEMBER_GONE
+from heatherdyke.events import MEMBER_SUSPECTED
+from heatherdyke.events import RELEASED
+from heatherdyke.home_lease import LeaseTerms
+from heatherdyke.http_routes import add_route
+from heatherdyke.http_support import json_response
+from heatherdyke.journal import Journal
+from heatherdyke.mechanisms import Mechanism
+from heatherdyke.member_core import ConfigVersions
+from heatherdyke.member_core import MemberCore
+from heatherdyke.member_messages import GoneProof
+from heatherdyke.member_messages import Heartbeat
+from heatherdyke.member_messages import Member
+from heatherdyke.member_messages import VersionedRoster
+from heatherdyke.member_probe import fetch_roster
+from heatherdyke.member_probe import probe
+from heatherdyke.membership import Membership
+from heatherdyke.platform_client import PlatformClient
+from heatherdyke.roster_task import RosterTask
+from heatherdyke.settings import Settings
+from heatherdyke.udp_endpoint import UdpEndpoint
+
+RELEASE_WAIT_LEASES = 2
+FAREWELLS = 3
+CROSS_ZONE_INTERVALS = 4
+
+
+class ConfigPeer(Protocol):
+    """What heartbeats carry for the configuration."""
+
+    def digest(self) -> ConfigDigest:
+        """Return the versions in force here."""
+
+    def observe(self, peer_address: str, digest: ConfigDigest) -> None:
+        """Note the versions that a peer has in force."""
+
+
+class MemberTask:
+    """Knows the members and how much of each leaf this instance may use.
+
+    ``leaves_at_work`` returns the ids of leaves at which this instance has
+    work; the instance sets it before the task runs.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        platform: PlatformClient,
+        journal: Journal,
+        clock: Clock,
+        terms: LeaseTerms,
+    ) -> None:
+        self.incarnation = uuid4().hex[:12]
+        self.leaves_at_work: Callable[[], set[str]] = set
+        self.config: ConfigPeer | None = None
+        self._settings = settings
+        self._journal = journal
+        self._clock = clock
+        self._me = Member(
+            settings.name, settings.zone, settings.address, self.incarnation
+        )
+        self.core = MemberCore(
+            self._me,
+            settings.heartbeat_interval_s,
+            terms,
+            guard=settings.uses(Mechanism.HOME_LEASE),
+        )
+        self._rosters = RosterTask(
+            self.core,
+            platform,
+            journal,
+            clock,
+            settings.heartbeat_interval_s,
+            settings.lease_s,
+        )
+        self.udp: UdpEndpoint | None = None
+        self._ticks = 0
+        self._was_fresh = False
+        self._busy: set[str] = set()
+        self._tasks: set[asyncio.Task] = set()
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: Settings,
+        platform: PlatformClient,
+        journal: Journal,
+        clock: Clock,
+    ) -> "MemberTask":
+        """Return a task that is not running yet."""
+        terms = LeaseTerms(lease_s=settings.lease_s)
+        return cls(settings, platform, journal, clock, terms)
+
+    # Queries
+
+    def members(self) -> list[Member]:
+        """Return the members of all zones that are not known gone."""
+        return self.core.members()
+
+    def home_of(self, leaf_id: str, zone: str) -> Member | None:
+        """Return the home of the zone's leaf; None if no member is known."""
+        return self.core.home_of(leaf_id, zone)
+
+    def is_home(self, leaf_id: str, zone: str = "") -> bool:
+        """Tell whether this instance is the home of the zone's leaf.
+
+        The instance's own zone is the default.
+        """
+        home = self.core.home_of(leaf_id, zone or self._me.zone)
+        return home is not None and home.incarnation == self.incarnation
+
+    def slots_allowed(
+        self, leaf_id: str, slots: int, zone: str = "", work_s: float = 0.0
+    ) -> int:
+        """Return how many of the leaf's slots may be at work from here.
+
+        Ask immediately before each send.  ``work_s`` is the longest that
+        the work to be sent may last.
+        """
+        return self.core.slots_allowed(
+            leaf_id, zone or self._me.zone, slots, self._clock.now(), work_s
+        )
+
+    # Commands
+
+    def note_refused(self, member: Member) -> None:
+        """Take a refused TCP connection as proof that a member has ended."""
+        self._note_gone(GoneProof(member.incarnation), "refused")
+
+    def add_routes(self, app: Application) -> None:
+        """Add the routes that peers ask for rosters and incarnations."""
+        add_route(app, "GET", "/peer/member", self._answer_member)
+        add_route(app, "GET", "/peer/roster", self._answer_roster)
+
+    async def run(self) -> None:
+        """Exchange heartbeats and keep the roster until cancelled."""
+        self.udp = await UdpEndpoint.open(self._settings.listen)
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._receive(self.udp))
+                group.create_task(self._tick_forever(self.udp))
+                group.create_task(self._rosters.run())
+        finally:
+            self.udp.close()
+
+    async def release(self) -> None:
+        """Ask for the homes to move and wait until they have.
+
+        Gives up after some leases; a platform outage may prevent it.
+        """
+        self.core.begin_leaving()
+        self._rosters.wake()
+        wait_s = RELEASE_WAIT_LEASES * self._settings.lease_s
+        until = self._clock.now() + wait_s
+        while self._stands_in_roster() and self._clock.now() < until:
+            await asyncio.sleep(self._settings.heartbeat_interval_s / 10)
+
+    async def stop(self) -> None:
+        """Tell peers that this instance ends, if no work is at leaves."""
+        drained = not self.leaves_at_work()
+        self._journal.record(RELEASED, drained=drained)
+        if not drained:
+            return
+        self.core.release()
+        if self.udp is None:
+            return
+        for _ in range(FAREWELLS):
+            self._send_heartbeats(self.udp)
+            await asyncio.sleep(0)
+
+    # Heartbeats
+
+    async def _tick_forever(self, udp: UdpEndpoint) -> None:
+        while True:
+            self._ticks += 1
+            self._send_heartbeats(udp)
+            self._probe_suspects()
+            self._report_lease()
+            for membership in self.core.membership_by_zone.values():
+                membership.forget_absent(self._clock.now())
+            await asyncio.sleep(self._settings.heartbeat_interval_s)
+
+    def _send_heartbeats(self, udp: UdpEndpoint) -> None:
+        self.core.note_at_work(self.leaves_at_work())
+        heartbeat = self.core.ask(self._clock.now(), self._versions())
+        payload = encode(heartbeat)
+        for membership in self._asked_zones():
+            for target in membership.targets():
+                membership.note_asked(target)
+                udp.send(target.address, payload)
+        for target in self._cross_zone_targets():
+            udp.send(target.address, payload)
+
+    def _asked_zones(self) -> list[Membership]:
+        return [
+            membership
+            for zone, membership in self.core.membership_by_zone.items()
+            if zone == self._me.zone or membership.is_member
+        ]
+
+    def _cross_zone_targets(self) -> list[Member]:
+        """Return one member of each other zone, another one each time."""
+        own = self.core.membership(self._me.zone)
+        if self._ticks % CROSS_ZONE_INTERVALS or not own.is_reader():
+            return []
+        turn = self._ticks // CROSS_ZONE_INTERVALS
+        targets = []
+        for zone, membership in self.core.membership_by_zone.items():
+            members = membership.lease.roster.members
+            if zone != self._me.zone and members:
+                targets.append(members[turn % len(members)])
+        return targets
+
+    async def _receive(self, udp: UdpEndpoint) -> None:
+        while True:
+            datagram = await udp.inbox.get()
+            try:
+                heartbeat = decode(datagram.payload, Heartbeat)
+            except msgspec.DecodeError as error:
+                self._journal.record(
+                    INVALID_HEARTBEAT,
+                    source=datagram.source,
+                    detail=str(error),
+                )
+                continue
+            self._hear(heartbeat, udp)
+
+    def _hear(self, heartbeat: Heartbeat, udp: UdpEndpoint) -> None:
+        now = self._clock.now()
+        known = {proof.incarnation for proof in self._proofs()}
+        self.core.note_at_work(self.leaves_at_work())
+        heard = self.core.hear(heartbeat, now, self._versions())
+        for proof in self._proofs():
+            if proof.incarnation not in known:
+                self._journal.record(
+                    MEMBER_GONE, incarnation=proof.incarnation, proof="peer"
+                )
+        address = heartbeat.sender.address
+        if heard.reply is not None:
+            udp.send(address, encode(heard.reply))
+        for zone in heard.newer_zones:
+            self._start(f"roster {zone}", self._fetch(address, zone))
+        if heard.probe is not None:
+            self._start_probe(heard.probe)
+        if self.config is not None:
+            self.config.observe(
+                address,
+                ConfigDigest(
+                    heartbeat.config_version, heartbeat.zones_version
+                ),
+            )
+
+    def _proofs(self) -> tuple[GoneProof, ...]:
+        return self.core.lease(self._me.zone).gone
+
+    def _versions(self) -> ConfigVersions:
+        if self.config is None:
+            return ConfigVersions()
+        digest = self.config.digest()
+        return ConfigVersions(digest.config_version, digest.zones_version)
+
+    # Probes and rosters
+
+    def _probe_suspects(self) -> None:
+        for membership in self._asked_zones():
+            for member in membership.suspects():
+                self._start_probe(member)
+
+    def _start_probe(self, member: Member) -> None:
+        self._start(f"probe {member.incarnation}", self._probe(member))
+
+    async def _probe(self, member: Member) -> None:
+        timeout_s = self._settings.heartbeat_interval_s
+        answer = await probe(member, timeout_s)
+        if answer.proof is not None:
+            self._note_gone(answer.proof, answer.detail)
+            return
+        for membership in self.core.membership_by_zone.values():
+            if answer.alive:
+                membership.note_alive(member.incarnation, self._clock.now())
+            else:
+                membership.note_probe_failed(member.incarnation)
+        if not answer.alive:
+            self._journal.record(
+                MEMBER_SUSPECTED, member=member.name, zone=member.zone
+            )
+
+    def _note_gone(self, proof: GoneProof, how: str) -> None:
+        if self.core.note_gone(proof, self._clock.now()):
+            self._journal.record(
+                MEMBER_GONE, incarnation=proof.incarnation, proof=how
+            )
+            self._rosters.wake()
+
+    async def _fetch(self, address: str, zone: str) -> None:
+        versioned = await fetch_roster(address, zone)
+        if versioned is not None and versioned.roster.zone == zone:
+            self.core.adopt(versioned, self._clock.now())
+
+    def _start(self, name: str, work) -> None:
+        """Run ``work`` unless work of that name runs already."""
+        if name in self._busy:
+            work.close()
+            return
+        self._busy.add(name)
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+
+        def finish(done: asyncio.Task) -> None:
+            self._busy.discard(name)
+            self._tasks.discard(done)
+
+        task.add_done_callback(finish)
+
+    def _stands_in_roster(self) -> bool:
+        return any(
+            membership.is_member
+            for membership in self.core.membership_by_zone.values()
+        )
+
+    def _report_lease(self) -> None:
+        lease = self.core.lease(self._me.zone)
+        fresh = lease.is_fresh(self._clock.now())
+        if fresh != self._was_fresh:
+            self._was_fresh = fresh
+            self._journal.record(
+                LEASE_CONFIRMED if fresh else LEASE_LAPSED,
+                zone=self._me.zone,
+                generation=lease.roster.generation,
+            )
+
+    # Routes
+
+    async def _answer_member(self, _: Request) -> Response:
+        return json_response(self._me)
+
+    async def _answer_roster(self, request: Request) -> Response:
+        zone = (request.query.get("zone") or [self._me.zone])[0]
+        membership = self.core.membership_by_zone.get(zone)
+        if membership is None:
+            return Response(404)
+        lease = membership.lease
+        return json_response(VersionedRoster(lease.version, lease.roster))
--- a/heatherdyke/membership.py
+++ b/heatherdyke/membership.py
@@ -28,7 +28,7 @@
 
     member: Member
     state: LifecycleState
-    heard_at: float
+    heard_at: float = float("-inf")
     unanswered: int = 0
     probe_failed: bool = False
     suspected_by_other: bool = False
@@ -52,7 +52,7 @@
     def hear(self, heartbeat: Heartbeat, now: float) -> None:
         """Note a sign of life of the sender, and whom it suspects."""
         sender = heartbeat.sender
-        peer = self._peer(sender, now)
+        peer = self._peer(sender)
         peer.state = heartbeat.state
         self.note_alive(sender.incarnation, now)
         for incarnation in heartbeat.suspects:
@@ -60,9 +60,9 @@
             if suspect is not None:
                 suspect.suspected_by_other = True
 
-    def note_asked(self, member: Member, now: float) -> None:
+    def note_asked(self, member: Member) -> None:
         """Note that a heartbeat was sent that asks for an answer."""
-        self._peer(member, now).unanswered += 1
+        self._peer(member).unanswered += 1
 
     def note_alive(self, incarnation: str, now: float) -> None:
         """Note that the incarnation answered, over UDP or a probe."""
@@ -184,10 +184,19 @@
         ]
         if not self.leaving and self.me.zone == self.zone:
             joining.append(self.me)
-        listed = set(self.lease.roster.members)
-        fresh = [member for member in joining if member not in listed]
+        fresh = [member for member in joining if self._has_place(member)]
         return sorted(fresh, key=lambda member: member.name)
 
+    def _has_place(self, joining: Member) -> bool:
+        """Tell whether no live member stands under the name."""
+        for member in self.lease.roster.members:
+            if member.name == joining.name:
+                return (
+                    member != joining
+                    and self._should_leave(member)
+                )
+        return True
+
     def _leaving(self) -> list[str]:
         return [
             member.incarnation
@@ -218,9 +227,9 @@
     def _heard_lately(self, peer: _Peer, now: float) -> bool:
         return now - peer.heard_at <= JOIN_INTERVALS * self.interval_s
 
-    def _peer(self, member: Member, now: float) -> _Peer:
+    def _peer(self, member: Member) -> _Peer:
         peer = self._peer_by_incarnation.get(member.incarnation)
         if peer is None:
-            peer = _Peer(member, LifecycleState.SERVING, now)
+            peer = _Peer(member, LifecycleState.SERVING)
             self._peer_by_incarnation[member.incarnation] = peer
         return peer
--- /dev/null
+++ b/heatherdyke/roster_task.py
@@ -0,0 +1,147 @@
+"""Reads and changes the rosters in the platform, at a bounded rate."""
+
+import asyncio
+
+import msgspec
+
+from heatherdyke.clock import Clock
+from heatherdyke.config_model import ROSTER_PREFIX
+from heatherdyke.errors import PlatformUnavailable
+from heatherdyke.errors import VersionConflict
+from heatherdyke.events import ROSTER_CHANGED
+from heatherdyke.journal import Journal
+from heatherdyke.member_core import MemberCore
+from heatherdyke.member_core import empty_roster
+from heatherdyke.member_messages import Roster
+from heatherdyke.member_messages import VersionedRoster
+from heatherdyke.platform_client import PlatformClient
+from heatherdyke.platform_client import convert_value
+
+CHANGE_INTERVAL_S = 0.5
+LIST_INTERVAL_S = 2.0
+
+
+class RosterTask:
+    """Confirms the own zone's roster and changes it when it has to.
+
+    The zone's reader confirms it each interval; another instance only when
+    its own confirmation is older than half the lease.
+    """
+
+    def __init__(
+        self,
+        core: MemberCore,
+        platform: PlatformClient,
+        journal: Journal,
+        clock: Clock,
+        interval_s: float,
+        lease_s: float,
+    ) -> None:
+        self._core = core
+        self._platform = platform
+        self._journal = journal
+        self._clock = clock
+        self._interval_s = interval_s
+        self._lease_s = lease_s
+        self._wake = asyncio.Event()
+        self._changed_at = float("-inf")
+        self._listed_at = float("-inf")
+
+    def wake(self) -> None:
+        """Look at the roster without waiting for the next interval."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Read and change rosters until cancelled."""
+        while True:
+            self._wake.clear()
+            try:
+                async with asyncio.timeout(self._lease_s):
+                    await self._work()
+            except (PlatformUnavailable, TimeoutError, msgspec.DecodeError):
+                pass
+            try:
+                async with asyncio.timeout(self._interval_s):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+
+    async def _work(self) -> None:
+        now = self._clock.now()
+        own = self._core.membership(self._core.me.zone)
+        if now - self._listed_at >= LIST_INTERVAL_S and (
+            own.is_reader() or not own.lease.version
+        ):
+            await self._list()
+        for zone in self._zones_to_read():
+            await self._read(zone)
+            await self._change(zone)
+
+    def _zones_to_read(self) -> list[str]:
+        now = self._clock.now()
+        zones = []
+        for zone, membership in self._core.membership_by_zone.items():
+            if zone != self._core.me.zone and not membership.is_member:
+                continue
+            age_s = now - membership.lease.confirmed_at
+            if membership.is_reader() or age_s > self._lease_s / 2:
+                zones.append(zone)
+        return zones
+
+    async def _list(self) -> None:
+        for stored in await self._platform.list(ROSTER_PREFIX):
+            try:
+                roster = convert_value(stored, Roster)
+            except msgspec.ValidationError:
+                continue
+            self._adopt(VersionedRoster(stored.version, roster))
+        self._listed_at = self._clock.now()
+
+    async def _read(self, zone: str) -> None:
+        asked_at = self._clock.now()
+        stored = await self._platform.get(ROSTER_PREFIX + zone)
+        versioned = empty_roster(zone)
+        if stored is not None:
+            roster = convert_value(stored, Roster)
+            versioned = VersionedRoster(stored.version, roster)
+        self._adopt(versioned)
+        if versioned.version == self._core.lease(zone).version:
+            self._core.confirm(zone, versioned.roster.generation, asked_at)
+
+    async def _change(self, zone: str) -> None:
+        now = self._clock.now()
+        membership = self._core.membership(zone)
+        if not membership.is_reader():
+            return
+        if now - self._changed_at < CHANGE_INTERVAL_S:
+            return
+        roster = membership.propose(now)
+        if roster is None:
+            return
+        version = membership.lease.version
+        self._changed_at = now
+        try:
+            version = await self._platform.put(
+                ROSTER_PREFIX + zone, roster, version
+            )
+        except VersionConflict:
+            self._wake.set()
+            return
+        self._adopt(VersionedRoster(version, roster))
+        self._core.confirm(zone, roster.generation, now)
+
+    def _adopt(self, versioned: VersionedRoster) -> None:
+        lease = self._core.lease(versioned.roster.zone)
+        before = lease.roster
+        if not self._core.adopt(versioned, self._clock.now()):
+            return
+        after = lease.roster
+        if before.members == after.members:
+            return
+        self._journal.record(
+            ROSTER_CHANGED,
+            zone=after.zone,
+            generation=after.generation,
+            joined=[m.name for m in after.members if m not in before.members],
+            left=[m.name for m in before.members if m not in after.members],
+        )
