--- a/heatherdyke/errors.py
+++ b/heatherdyke/errors.py
@@ -99,6 +99,25 @@
         self.current_version = current_version
 
 
+class UnreadableObject(PlatformError):
+    """A platform object has a form that this release does not know."""
+
+    kind = "unreadable_object"
+
+    def __init__(self, key: str, reason: str) -> None:
+        super().__init__(
+            f"object {key!r} cannot be read: {reason}",
+            "upgrade this release or correct the object",
+        )
+        self.key = key
+
+
+class NoInstanceReachable(HeatherdykeError):
+    """None of the instances that a command asked gave an answer."""
+
+    kind = "no_instance_reachable"
+
+
 class RequestError(HeatherdykeError):
     """A caller's request ends without an answer.
 
--- a/heatherdyke/instance.py
+++ b/heatherdyke/instance.py
@@ -16,6 +16,7 @@
 from heatherdyke.events import STOPPING
 from heatherdyke.health import HealthState
 from heatherdyke.home import Home
+from heatherdyke.http_routes import new_application
 from heatherdyke.journal import Journal
 from heatherdyke.leaf_listing import LeafListing
 from heatherdyke.mechanisms import Mechanism
@@ -144,7 +145,7 @@
             return
 
     def _build_app(self) -> Application:
-        app = Application()
+        app = new_application()
         CallerApi(self.entry, self.config, self.gate).add_routes(app)
         PeerApi(self.home).add_routes(app)
         for component in self.components:
