--- a/heatherdyke/events.py
+++ b/heatherdyke/events.py
@@ -173,6 +173,8 @@
         "A datagram is not a heartbeat and was ignored.",
         ("source", "detail"),
         "Look for another program that sends to this port.",
+    )
+)
 CONFIG_APPLIED = register(
     EventKind(
         2001,
--- a/heatherdyke/home.py
+++ b/heatherdyke/home.py
@@ -66,6 +66,10 @@
         """Return how many searches and runs are at leaves."""
         return sum(w.running for w in self._worker_by_leaf.values())
 
+    def leaves_at_work(self) -> set[str]:
+        """Return the ids of leaves at which this instance has work."""
+        return {leaf for leaf, w in self._worker_by_leaf.items() if w.running}
+
     @property
     def worker_by_leaf(self) -> dict[str, LeafWorker]:
         """Return the workers by leaf id."""
@@ -189,7 +193,7 @@
             return False
         if not uses(Mechanism.HOME_ROUTING):
             return True
-        return self._members.is_home(leaf_id)
+        return self._members.is_home(leaf_id, config.zone)
 
     def _start_worker(self, leaf_id: str, config: LeafConfig) -> LeafWorker:
         uses = self._settings.uses
@@ -197,7 +201,9 @@
             config.slots, config.cold_slots, uses(Mechanism.COLD_RAMP)
         )
         policy = WorkerPolicy(
-            slots_allowed=lambda: self._slots_allowed(leaf_id, config),
+            slots_allowed=lambda work_s: self._slots_allowed(
+                leaf_id, config, work_s
+            ),
             reference_s=lambda: self._median.value_s,
             observe_latency=self._median.add,
             silence_timeout=uses(Mechanism.SILENCE_TIMEOUT),
@@ -211,9 +217,13 @@
         task.add_done_callback(self._tasks.discard)
         return worker
 
-    def _slots_allowed(self, leaf_id: str, config: LeafConfig) -> int:
+    def _slots_allowed(
+        self, leaf_id: str, config: LeafConfig, work_s: float
+    ) -> int:
         if self._settings.uses(Mechanism.HOME_ROUTING):
-            return self._members.slots_allowed(leaf_id, config.slots)
+            return self._members.slots_allowed(
+                leaf_id, config.slots, config.zone, work_s
+            )
         return max(1, config.slots // max(1, len(self._members.members())))
 
     def _withdraw(self, works: set[LeafWork]) -> None:
--- a/heatherdyke/leaf_worker.py
+++ b/heatherdyke/leaf_worker.py
@@ -109,10 +109,11 @@
 class WorkerPolicy:
     """What the home tells its workers to use.
 
-    ``slots_allowed`` is asked immediately before each send.
+    ``slots_allowed`` is asked immediately before each send, with the
+    longest time in seconds that the work may last.
     """
 
-    slots_allowed: Callable[[], int]
+    slots_allowed: Callable[[float], int]
     reference_s: Callable[[], float]
     observe_latency: Callable[[float], None]
     silence_timeout: bool = True
@@ -308,14 +309,15 @@
     def _pump(self) -> None:
         now = self._clock.now()
         self._ensure_connections(now)
-        allowed = min(self.limit.allowed(now), self._policy.slots_allowed())
+        limit = self.limit.allowed(now)
         while self._queue:
             work = self._queue[0][2]
             if work.expires_at <= now:
                 heappop(self._queue)
                 self._refuse(work, "deadline")
                 continue
-            if len(self._running) >= allowed or not self._idle:
+            allowed = self._policy.slots_allowed(work.expires_at - now)
+            if len(self._running) >= min(limit, allowed) or not self._idle:
                 break
             heappop(self._queue)
             self._send(work, now)
