--- a/heatherdyke/demo.py
+++ b/heatherdyke/demo.py
@@ -5,9 +5,13 @@
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 
+import msgspec
+from loguru import logger
+
 from heatherdyke.caller_client import CallerClient
 from heatherdyke.caller_client import describe_answer
 from heatherdyke.caller_keys import hash_key
+from heatherdyke.codec import encode
 from heatherdyke.config_model import HEAD_KEY
 from heatherdyke.config_model import SNAPSHOTS_PREFIX
 from heatherdyke.config_model import ConfigHead
@@ -16,6 +20,7 @@
 from heatherdyke.config_model import SectionPointer
 from heatherdyke.config_model import ServiceConfig
 from heatherdyke.config_model import ShardConfig
+from heatherdyke.config_model import StoredSection
 from heatherdyke.config_model import UrgencyConfig
 from heatherdyke.instance import Instance
 from heatherdyke.messages import IndexSnapshots
@@ -44,6 +49,7 @@
 
 async def run_demo(show: Print) -> None:
     """Search 100 leaves of 50 services through three instances."""
+    logger.remove()
     async with AsyncExitStack() as stack:
         platform = PlatformStandin()
         await _enter(stack, platform)
@@ -117,7 +123,9 @@
 async def _publish(address: str, section: SectionConfig) -> None:
     platform = PlatformClient(address)
     key = f"config/{TEAM}/first"
-    await platform.put(key, section, ABSENT_VERSION)
+    raw = msgspec.Raw(encode(section))
+    stored = StoredSection(TEAM, "first", "demo", "", 0.0, raw)
+    await platform.put(key, stored, ABSENT_VERSION)
     pointer = SectionPointer(1, key, "first", "demo")
     head = ConfigHead(1, {TEAM: pointer})
     await platform.put(HEAD_KEY, head, ABSENT_VERSION)
--- a/heatherdyke/rendezvous.py
+++ b/heatherdyke/rendezvous.py
@@ -13,7 +13,7 @@
 
 def weigh(leaf_id: str, member: Member) -> tuple[int, str]:
     """Return the weight of ``member`` for the leaf; names break ties."""
-    return xxh3_64_intdigest(f"{leaf_id}\n{member.name}"), member.name
+    return xxh3_64_intdigest(f"{leaf_id}\n{member.name}".encode()), member.name
 
 
 def rank(leaf_id: str, members: Iterable[Member]) -> list[Member]:
