Wire membership into the instance

Home asks for slots with the leaf's zone, because an instance may stand in the rosters of several zones and the rendezvous order differs by roster.

--- a/heatherdyke/component.py
+++ b/heatherdyke/component.py
@@ -1,21 +1,11 @@
 """What an instance is made of, and what the parts ask of one another."""
 
-from dataclasses import dataclass
 from typing import Protocol
 
 from blacksheep import Application
 
 from heatherdyke.config_model import ConfigDocument
-
-
-@dataclass(frozen=True, slots=True)
-class Member:
-    """One run of an instance; a restart draws another incarnation."""
-
-    name: str
-    zone: str
-    address: str
-    incarnation: str
+from heatherdyke.member_messages import Member
 
 
 class Component(Protocol):
@@ -51,8 +41,8 @@
     def home_of(self, leaf_id: str, zone: str) -> Member | None:
         """Return the instance that is the leaf's home."""
 
-    def is_home(self, leaf_id: str) -> bool:
-        """Tell whether this instance is the leaf's home."""
+    def is_home(self, leaf_id: str, zone: str) -> bool:
+        """Tell whether this instance is the home of the zone's leaf."""
 
-    def slots_allowed(self, leaf_id: str, slots: int) -> int:
+    def slots_allowed(self, leaf_id: str, slots: int, zone: str) -> int:
         """Return how many of the leaf's slots may be used right now."""
--- a/heatherdyke/entry.py
+++ b/heatherdyke/entry.py
@@ -5,7 +5,6 @@
 
 from heatherdyke.clock import Clock
 from heatherdyke.component import ConfigView
-from heatherdyke.component import Member
 from heatherdyke.component import MemberView
 from heatherdyke.config_index import ConfigIndexCache
 from heatherdyke.errors import SnapshotUnavailable
@@ -13,6 +12,7 @@
 from heatherdyke.hedging import HedgePolicy
 from heatherdyke.home import Home
 from heatherdyke.mechanisms import Mechanism
+from heatherdyke.member_messages import Member
 from heatherdyke.messages import SearchAnswer
 from heatherdyke.messages import SearchRequest
 from heatherdyke.peer_client import PeerClient
--- a/heatherdyke/events.py
+++ b/heatherdyke/events.py
@@ -109,70 +109,6 @@
         "Report it as a fault of heatherdyke.",
     )
 )
-ROSTER_CHANGED = register(
-    EventKind(
-        3001,
-        "roster_changed",
-        Severity.INFO,
-        "A zone's roster has other members.",
-        ("zone", "generation", "joined", "left"),
-    )
-)
-MEMBER_SUSPECTED = register(
-    EventKind(
-        3002,
-        "member_suspected",
-        Severity.WARNING,
-        "A member leaves heartbeats unanswered and is probed.",
-        ("member", "zone"),
-        "If it lasts, look for a paused or cut-off instance.",
-    )
-)
-MEMBER_GONE = register(
-    EventKind(
-        3003,
-        "member_gone",
-        Severity.INFO,
-        "A member's process was proven to have ended.",
-        ("incarnation", "proof"),
-    )
-)
-LEASE_LAPSED = register(
-    EventKind(
-        3010,
-        "lease_lapsed",
-        Severity.WARNING,
-        "The roster was not confirmed in time; homes leave the reserve free.",
-        ("zone", "generation"),
-        "Look at the platform and the network between zones.",
-    )
-)
-LEASE_CONFIRMED = register(
-    EventKind(
-        3011,
-        "lease_confirmed",
-        Severity.INFO,
-        "The roster is confirmed again; homes may use all slots.",
-        ("zone", "generation"),
-    )
-)
-RELEASED = register(
-    EventKind(
-        3020,
-        "homes_released",
-        Severity.INFO,
-        "The instance has no work at leaves and gives up its homes.",
-        ("drained",),
-    )
-)
-INVALID_HEARTBEAT = register(
-    EventKind(
-        3030,
-        "invalid_heartbeat",
-        Severity.WARNING,
-        "A datagram is not a heartbeat and was ignored.",
-        ("source", "detail"),
-        "Look for another program that sends to this port.",
 CONFIG_APPLIED = register(
     EventKind(
         2001,
@@ -269,3 +205,69 @@
         ("stalled_s",),
     )
 )
+ROSTER_CHANGED = register(
+    EventKind(
+        3001,
+        "roster_changed",
+        Severity.INFO,
+        "A zone's roster has other members.",
+        ("zone", "generation", "joined", "left"),
+    )
+)
+MEMBER_SUSPECTED = register(
+    EventKind(
+        3002,
+        "member_suspected",
+        Severity.WARNING,
+        "A member leaves heartbeats unanswered and is probed.",
+        ("member", "zone"),
+        "If it lasts, look for a paused or cut-off instance.",
+    )
+)
+MEMBER_GONE = register(
+    EventKind(
+        3003,
+        "member_gone",
+        Severity.INFO,
+        "A member's process was proven to have ended.",
+        ("incarnation", "proof"),
+    )
+)
+LEASE_LAPSED = register(
+    EventKind(
+        3010,
+        "lease_lapsed",
+        Severity.WARNING,
+        "The roster was not confirmed in time; homes leave the reserve free.",
+        ("zone", "generation"),
+        "Look at the platform and the network between zones.",
+    )
+)
+LEASE_CONFIRMED = register(
+    EventKind(
+        3011,
+        "lease_confirmed",
+        Severity.INFO,
+        "The roster is confirmed again; homes may use all slots.",
+        ("zone", "generation"),
+    )
+)
+RELEASED = register(
+    EventKind(
+        3020,
+        "homes_released",
+        Severity.INFO,
+        "The instance has no work at leaves and gives up its homes.",
+        ("drained",),
+    )
+)
+INVALID_HEARTBEAT = register(
+    EventKind(
+        3030,
+        "invalid_heartbeat",
+        Severity.WARNING,
+        "A datagram is not a heartbeat and was ignored.",
+        ("source", "detail"),
+        "Look for another program that sends to this port.",
+    )
+)
--- a/heatherdyke/home.py
+++ b/heatherdyke/home.py
@@ -66,6 +66,14 @@
         """Return how many searches and runs are at leaves."""
         return sum(w.running for w in self._worker_by_leaf.values())
 
+    def leaves_at_work(self) -> set[str]:
+        """Return the ids of leaves at which work of this home runs."""
+        return {
+            leaf_id
+            for leaf_id, worker in self._worker_by_leaf.items()
+            if worker.running
+        }
+
     @property
     def worker_by_leaf(self) -> dict[str, LeafWorker]:
         """Return the workers by leaf id."""
@@ -189,7 +197,7 @@
             return False
         if not uses(Mechanism.HOME_ROUTING):
             return True
-        return self._members.is_home(leaf_id)
+        return self._members.is_home(leaf_id, config.zone)
 
     def _start_worker(self, leaf_id: str, config: LeafConfig) -> LeafWorker:
         uses = self._settings.uses
@@ -213,7 +221,9 @@
 
     def _slots_allowed(self, leaf_id: str, config: LeafConfig) -> int:
         if self._settings.uses(Mechanism.HOME_ROUTING):
-            return self._members.slots_allowed(leaf_id, config.slots)
+            return self._members.slots_allowed(
+                leaf_id, config.slots, config.zone
+            )
         return max(1, config.slots // max(1, len(self._members.members())))
 
     def _withdraw(self, works: set[LeafWork]) -> None:
--- a/heatherdyke/instance.py
+++ b/heatherdyke/instance.py
@@ -154,6 +154,8 @@
 
     def _connect(self) -> None:
         """Let the parts hear of each other."""
+        self.members.config = self.config
+        self.members.leaves_at_work = self.home.leaves_at_work
 
     def _health(self) -> HealthState:
         return HealthState(
--- a/heatherdyke/member_messages.py
+++ b/heatherdyke/member_messages.py
@@ -1,6 +1,7 @@
 """Typed messages of membership: members, rosters and heartbeats."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from dataclasses import field
 from enum import Enum
 
 
--- a/heatherdyke/membership.py
+++ b/heatherdyke/membership.py
@@ -191,10 +191,7 @@
         """Tell whether no live member stands under the name."""
         for member in self.lease.roster.members:
             if member.name == joining.name:
-                return (
-                    member != joining
-                    and self._should_leave(member)
-                )
+                return member != joining and self._should_leave(member)
         return True
 
     def _leaving(self) -> list[str]:
