--- a/Makefile
+++ b/Makefile
@@ -20,8 +20,11 @@
 lint: venv
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 heatherdyke tests
+	$(BIN)/flake8 heatherdyke scripts tests
 
 format: venv
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
+
+dist: venv
+	$(BIN)/python scripts/build_dist.py dist/heatherdyke
