--- a/heatherdyke/component.py
+++ b/heatherdyke/component.py
@@ -51,6 +51,3 @@
 
         ``work_s`` is the longest that the work to be sent may last.
         """
-
-    def slots_allowed(self, leaf_id: str, slots: int, zone: str) -> int:
-        """Return how many of the leaf's slots may be used right now."""
--- a/heatherdyke/home.py
+++ b/heatherdyke/home.py
@@ -69,12 +69,6 @@
     def leaves_at_work(self) -> set[str]:
         """Return the ids of leaves at which this instance has work."""
         return {leaf for leaf, w in self._worker_by_leaf.items() if w.running}
-        """Return the ids of leaves at which work of this home runs."""
-        return {
-            leaf_id
-            for leaf_id, worker in self._worker_by_leaf.items()
-            if worker.running
-        }
 
     @property
     def worker_by_leaf(self) -> dict[str, LeafWorker]:
@@ -229,7 +223,6 @@
         if self._settings.uses(Mechanism.HOME_ROUTING):
             return self._members.slots_allowed(
                 leaf_id, config.slots, config.zone, work_s
-                leaf_id, config.slots, config.zone
             )
         return max(1, config.slots // max(1, len(self._members.members())))
 
