--- a/heatherdyke/cli_observe.py
+++ b/heatherdyke/cli_observe.py
@@ -1,7 +1,8 @@
 """The commands ``timeline`` and ``stats``."""
 
 import asyncio
-from datetime import UTC, datetime
+from datetime import UTC
+from datetime import datetime
 from typing import Annotated
 
 import typer
@@ -11,13 +12,11 @@
 from heatherdyke.hybrid_clock import HybridTimestamp
 from heatherdyke.journal import Event
 from heatherdyke.observe_client import Unreachable
-from heatherdyke.observe_report import (
-    StatsReport,
-    describe_unreachable,
-    follow_timeline,
-    read_stats,
-    read_timeline,
-)
+from heatherdyke.observe_report import StatsReport
+from heatherdyke.observe_report import describe_unreachable
+from heatherdyke.observe_report import follow_timeline
+from heatherdyke.observe_report import read_stats
+from heatherdyke.observe_report import read_timeline
 from heatherdyke.settings import split_address
 from heatherdyke.timeline import EventFilter
 
--- a/heatherdyke/errors.py
+++ b/heatherdyke/errors.py
@@ -62,6 +62,15 @@
     kind = "connection_silent"
 
 
+class PartMismatch(TransportError):
+    """An answer names another request, shard or snapshot than was asked."""
+
+    kind = "part_mismatch"
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(detail, sent=True)
+
+
 class PlatformError(HeatherdykeError):
     """The platform's object API could not serve a call."""
 
@@ -90,6 +99,19 @@
         self.current_version = current_version
 
 
+class UnreadableObject(PlatformError):
+    """A platform object has a form that this release does not know."""
+
+    kind = "unreadable_object"
+
+    def __init__(self, key: str, reason: str) -> None:
+        super().__init__(
+            f"object {key!r} cannot be read: {reason}",
+            "upgrade this release or correct the object",
+        )
+        self.key = key
+
+
 class NoInstanceReachable(HeatherdykeError):
     """None of the instances that a command asked gave an answer."""
 
--- a/heatherdyke/events.py
+++ b/heatherdyke/events.py
@@ -109,3 +109,165 @@
         "Report it as a fault of heatherdyke.",
     )
 )
+ROSTER_CHANGED = register(
+    EventKind(
+        3001,
+        "roster_changed",
+        Severity.INFO,
+        "A zone's roster has other members.",
+        ("zone", "generation", "joined", "left"),
+    )
+)
+MEMBER_SUSPECTED = register(
+    EventKind(
+        3002,
+        "member_suspected",
+        Severity.WARNING,
+        "A member leaves heartbeats unanswered and is probed.",
+        ("member", "zone"),
+        "If it lasts, look for a paused or cut-off instance.",
+    )
+)
+MEMBER_GONE = register(
+    EventKind(
+        3003,
+        "member_gone",
+        Severity.INFO,
+        "A member's process was proven to have ended.",
+        ("incarnation", "proof"),
+    )
+)
+LEASE_LAPSED = register(
+    EventKind(
+        3010,
+        "lease_lapsed",
+        Severity.WARNING,
+        "The roster was not confirmed in time; homes leave the reserve free.",
+        ("zone", "generation"),
+        "Look at the platform and the network between zones.",
+    )
+)
+LEASE_CONFIRMED = register(
+    EventKind(
+        3011,
+        "lease_confirmed",
+        Severity.INFO,
+        "The roster is confirmed again; homes may use all slots.",
+        ("zone", "generation"),
+    )
+)
+RELEASED = register(
+    EventKind(
+        3020,
+        "homes_released",
+        Severity.INFO,
+        "The instance has no work at leaves and gives up its homes.",
+        ("drained",),
+    )
+)
+INVALID_HEARTBEAT = register(
+    EventKind(
+        3030,
+        "invalid_heartbeat",
+        Severity.WARNING,
+        "A datagram is not a heartbeat and was ignored.",
+        ("source", "detail"),
+        "Look for another program that sends to this port.",
+    )
+)
+CONFIG_APPLIED = register(
+    EventKind(
+        2001,
+        "config_applied",
+        Severity.INFO,
+        "A newer configuration is in force.",
+        (
+            "version",
+            "teams",
+            "source",
+        ),
+    )
+)
+SECTION_UNREADABLE = register(
+    EventKind(
+        2002,
+        "section_unreadable",
+        Severity.ERROR,
+        "A section cannot be read; its last good version stays.",
+        (
+            "team",
+            "version",
+            "reason",
+        ),
+        "Upgrade the instance or correct the section.",
+    )
+)
+OLDER_CONFIG_IGNORED = register(
+    EventKind(
+        2003,
+        "older_config_ignored",
+        Severity.DEBUG,
+        "A source offered an older configuration.",
+        (
+            "version",
+            "held",
+            "source",
+        ),
+    )
+)
+SECTION_MISSING = register(
+    EventKind(
+        2004,
+        "section_missing",
+        Severity.WARNING,
+        "The head names a section object that cannot be read.",
+        (
+            "team",
+            "object_key",
+        ),
+        "Apply the section again if the event goes on.",
+    )
+)
+ZONE_CHANGED = register(
+    EventKind(
+        2005,
+        "zone_changed",
+        Severity.WARNING,
+        "An operator took a zone out or back in.",
+        (
+            "zone",
+            "state",
+            "order",
+            "editor",
+            "source",
+        ),
+    )
+)
+CONFIG_SOURCE_LOST = register(
+    EventKind(
+        2006,
+        "config_source_lost",
+        Severity.WARNING,
+        "The platform gives no configuration; peers stand in.",
+        ("detail",),
+        "Nothing at once; see to the platform.",
+    )
+)
+CONFIG_SOURCE_BACK = register(
+    EventKind(
+        2007,
+        "config_source_back",
+        Severity.INFO,
+        "The platform gives the configuration again.",
+        ("detail",),
+    )
+)
+STALL_DETECTED = register(
+    EventKind(
+        2008,
+        "stall_detected",
+        Severity.WARNING,
+        "The process stood still; it asks for newer configuration first.",
+        ("stalled_s",),
+    )
+)
--- a/heatherdyke/follow.py
+++ b/heatherdyke/follow.py
@@ -2,7 +2,8 @@
 
 from heatherdyke.hybrid_clock import HybridTimestamp
 from heatherdyke.journal import Event
-from heatherdyke.timeline import EventFilter, merge_events
+from heatherdyke.timeline import EventFilter
+from heatherdyke.timeline import merge_events
 
 SETTLE_MS = 1500
 
--- a/heatherdyke/http_routes.py
+++ b/heatherdyke/http_routes.py
@@ -1,8 +1,12 @@
 """blacksheep applications that can share a process, and their routes."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
+from collections.abc import Callable
 
-from blacksheep import Application, Request, Response, Router
+from blacksheep import Application
+from blacksheep import Request
+from blacksheep import Response
+from blacksheep import Router
 
 Handler = Callable[[Request], Awaitable[Response]]
 
--- a/heatherdyke/observe_client.py
+++ b/heatherdyke/observe_client.py
@@ -2,17 +2,17 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from typing import Generic, TypeVar
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Generic
+from typing import TypeVar
 
 from msgspec import DecodeError
 
 from heatherdyke.codec import decode
-from heatherdyke.errors import (
-    HeatherdykeError,
-    NoInstanceReachable,
-    TransportError,
-)
+from heatherdyke.errors import HeatherdykeError
+from heatherdyke.errors import NoInstanceReachable
+from heatherdyke.errors import TransportError
 from heatherdyke.http_connection import HttpConnection
 from heatherdyke.messages import InstanceKind
 from heatherdyke.observe_component import KnownInstance
--- a/heatherdyke/observe_report.py
+++ b/heatherdyke/observe_report.py
@@ -2,27 +2,26 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from dataclasses import field
 
 from heatherdyke.clock import Clock
 from heatherdyke.errors import NoInstanceReachable
 from heatherdyke.follow import SettlingMerge
-from heatherdyke.journal import Event, EventPage
-from heatherdyke.metrics import (
-    CounterSeries,
-    LatencySummary,
-    StatsPage,
-    merge_stats,
-    summarise,
-)
-from heatherdyke.observe_client import (
-    Collected,
-    Unreachable,
-    collect,
-    discover,
-)
+from heatherdyke.journal import Event
+from heatherdyke.journal import EventPage
+from heatherdyke.metrics import CounterSeries
+from heatherdyke.metrics import LatencySummary
+from heatherdyke.metrics import StatsPage
+from heatherdyke.metrics import merge_stats
+from heatherdyke.metrics import summarise
+from heatherdyke.observe_client import Collected
+from heatherdyke.observe_client import Unreachable
+from heatherdyke.observe_client import collect
+from heatherdyke.observe_client import discover
 from heatherdyke.observe_component import KnownInstance
-from heatherdyke.timeline import EventFilter, merge_events
+from heatherdyke.timeline import EventFilter
+from heatherdyke.timeline import merge_events
 
 POLL_INTERVAL_S = 0.5
 
--- a/tests/test_cli_observe.py
+++ b/tests/test_cli_observe.py
@@ -6,23 +6,22 @@
 import pytest
 import uvicorn
 
-from heatherdyke.cli_observe import (
-    check_addresses,
-    render_event,
-    render_stats,
-)
-from heatherdyke.errors import NoInstanceReachable, SettingsError
-from heatherdyke.events import STARTED, STOPPING
+from heatherdyke.cli_observe import check_addresses
+from heatherdyke.cli_observe import render_event
+from heatherdyke.cli_observe import render_stats
+from heatherdyke.errors import NoInstanceReachable
+from heatherdyke.errors import SettingsError
+from heatherdyke.events import STARTED
+from heatherdyke.events import STOPPING
 from heatherdyke.health import HealthState
 from heatherdyke.http_routes import new_application
 from heatherdyke.journal import Journal
 from heatherdyke.metrics import Metrics
-from heatherdyke.observe_component import KnownInstance, ObserveComponent
-from heatherdyke.observe_report import (
-    follow_timeline,
-    read_stats,
-    read_timeline,
-)
+from heatherdyke.observe_component import KnownInstance
+from heatherdyke.observe_component import ObserveComponent
+from heatherdyke.observe_report import follow_timeline
+from heatherdyke.observe_report import read_stats
+from heatherdyke.observe_report import read_timeline
 from heatherdyke.timeline import EventFilter
 
 GONE = KnownInstance("gone", "verona", "127.0.0.1:1")
