Report the search path to operators

Searches, refusals, parts, cold, shedding and draining leaves and silent connections become numbered events and metrics, by one observer that the caller's adapter, the entry and the homes share.

--- a/heatherdyke/caller_api.py
+++ b/heatherdyke/caller_api.py
@@ -16,17 +16,23 @@
 from heatherdyke.http_support import read_message
 from heatherdyke.messages import SearchRequest
 from heatherdyke.request_gate import RequestGate
+from heatherdyke.search_observer import SearchObserver
 
 
 class CallerApi:
     """Serves ``POST /search`` to the teams' callers."""
 
     def __init__(
-        self, entry: Entry, config: ConfigView, gate: RequestGate
+        self,
+        entry: Entry,
+        config: ConfigView,
+        gate: RequestGate,
+        observer: SearchObserver,
     ) -> None:
         self._entry = entry
         self._config = config
         self._gate = gate
+        self._observer = observer
         self._keys = CallerKeys.from_document(config.document)
         self._keys_document = config.document
 
@@ -36,13 +42,16 @@
 
     async def _search(self, request: Request) -> Response:
         request_id = uuid4().hex
+        team = ""
         try:
             with self._gate.admit():
                 team = self._find_team(request)
                 message = await read_message(request, SearchRequest)
                 answer = await self._entry.search(team, message, request_id)
         except HeatherdykeError as error:
+            self._observer.refused(request_id, team, error)
             return problem_response(error, request_id)
+        self._observer.answered(team, message.urgency, answer)
         return json_response(answer)
 
     def _find_team(self, request: Request) -> str:
--- a/heatherdyke/cli.py
+++ b/heatherdyke/cli.py
@@ -7,6 +7,9 @@
 import typer
 
 from heatherdyke import __version__
+from heatherdyke.cli_observe import stats
+from heatherdyke.cli_observe import timeline
+from heatherdyke.cli_standin import app as standin
 from heatherdyke.errors import HeatherdykeError
 from heatherdyke.settings import Settings
 
@@ -55,6 +58,9 @@
         float,
         _option("--extra-load-share", "Hedges and retries, over needed."),
     ] = 0.05,
+    log_level: Annotated[
+        str, _option("--log-level", "DEBUG, INFO, WARNING or ERROR.")
+    ] = "INFO",
     disable: Annotated[
         str, _option("--disable", "Mechanisms to leave out, for proofs.")
     ] = "",
@@ -70,9 +76,13 @@
         heartbeat_interval_s=heartbeat_interval_s,
         lease_s=lease_s,
         drain_s=drain_s,
+        log_level=log_level,
         extra_load_share=extra_load_share,
     )
     from heatherdyke.instance import Instance
+    from heatherdyke.log_output import configure_logging
+
+    configure_logging(settings.log_level)
 
     asyncio.run(Instance.from_settings(settings).serve())
 
@@ -120,6 +130,11 @@
     asyncio.run(run_demo(typer.echo))
 
 
+app.command()(timeline)
+app.command()(stats)
+app.add_typer(standin)
+
+
 def main() -> None:
     """Run the command line; errors go to standard error with their remedy.
 
--- a/heatherdyke/entry.py
+++ b/heatherdyke/entry.py
@@ -18,6 +18,7 @@
 from heatherdyke.peer_client import PeerClient
 from heatherdyke.replica_choice import ReplicaViews
 from heatherdyke.replica_choice import replica_choices
+from heatherdyke.search_observer import SearchObserver
 from heatherdyke.search_plan import SearchPlan
 from heatherdyke.search_plan import plan_search
 from heatherdyke.search_plan import usable_leaves
@@ -40,6 +41,7 @@
         home: Home,
         peers: PeerClient,
         snapshots: SnapshotBook,
+        observer: SearchObserver,
         clock: Clock,
     ) -> None:
         uses = settings.uses
@@ -47,6 +49,7 @@
         self.home = home
         self.peers = peers
         self.snapshots = snapshots
+        self.observer = observer
         self.clock = clock
         self.index = ConfigIndexCache(config)
         self.views = ReplicaViews()
--- a/heatherdyke/events.py
+++ b/heatherdyke/events.py
@@ -271,3 +271,97 @@
         ("stalled_s",),
     )
 )
+SEARCH_ANSWERED = register(
+    EventKind(
+        4001,
+        "search_answered",
+        Severity.DEBUG,
+        "A search was answered with the coverage named.",
+        (
+            "request_id",
+            "team",
+            "urgency",
+            "snapshot",
+            "coverage",
+            "missing",
+            "cost",
+            "elapsed_ms",
+        ),
+    )
+)
+SEARCH_REFUSED = register(
+    EventKind(
+        4002,
+        "search_refused",
+        Severity.DEBUG,
+        "A search ended without an answer; the kind is the caller's.",
+        ("request_id", "team", "kind", "run_state", "detail"),
+    )
+)
+PARTS_SENT = register(
+    EventKind(
+        4003,
+        "parts_sent",
+        Severity.DEBUG,
+        "Parts of a search went to the home of their leaves.",
+        ("request_id", "home", "leaves", "repeated"),
+    )
+)
+PARTS_TAKEN = register(
+    EventKind(
+        4004,
+        "parts_taken",
+        Severity.DEBUG,
+        "This home took parts of a search that another instance sent.",
+        ("request_id", "origin", "leaves"),
+    )
+)
+SNAPSHOT_RESTARTED = register(
+    EventKind(
+        4005,
+        "snapshot_restarted",
+        Severity.INFO,
+        "A search began again at a newer snapshot: the pinned one is gone.",
+        ("request_id", "snapshot"),
+    )
+)
+LEAF_COLD = register(
+    EventKind(
+        4010,
+        "leaf_cold",
+        Severity.WARNING,
+        "A leaf is treated as cold: its limit starts again and grows with "
+        "the work that it completes well.",
+        ("leaf", "zone", "cause"),
+        "None if its backend server was restarted; else look at the server.",
+    )
+)
+LEAF_SHED = register(
+    EventKind(
+        4011,
+        "leaf_shed",
+        Severity.INFO,
+        "A leaf refused work because of its load; its limit is halved.",
+        ("leaf", "zone", "limit"),
+        "If it goes on, the leaf bears less than its section declares.",
+    )
+)
+LEAF_DRAINING = register(
+    EventKind(
+        4012,
+        "leaf_draining",
+        Severity.INFO,
+        "A leaf is leaving and gets no new work.",
+        ("leaf", "zone"),
+    )
+)
+CONNECTION_SILENT = register(
+    EventKind(
+        4013,
+        "connection_silent",
+        Severity.WARNING,
+        "A connection to a leaf made no progress and was replaced.",
+        ("leaf", "zone", "request_id"),
+        "If many leaves are named, look at the network between the hosts.",
+    )
+)
--- a/heatherdyke/home.py
+++ b/heatherdyke/home.py
@@ -31,6 +31,7 @@
 from heatherdyke.messages import PeerCancel
 from heatherdyke.messages import PeerParts
 from heatherdyke.messages import PeerSearch
+from heatherdyke.search_observer import SearchObserver
 from heatherdyke.settings import Settings
 
 MEDIAN = 0.5
@@ -49,12 +50,14 @@
         settings: Settings,
         config: ConfigView,
         members: MemberView,
+        observer: SearchObserver,
         clock: Clock,
     ) -> None:
         self._settings = settings
         self._config = config
         self._index = ConfigIndexCache(config)
         self._members = members
+        self._observer = observer
         self._clock = clock
         self._worker_by_leaf: dict[str, LeafWorker] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -81,6 +84,8 @@
         The first message comes when all parts are done or
         ``report_after_ms`` has passed, the others as parts follow.
         """
+        self._observer.hear(group.clock)
+        self._observer.parts_taken(group)
         collector = _Collector(self._clock)
         parts = [self._start(group, part, collector) for part in group.parts]
         refused = [part for part in parts if isinstance(part, Part)]
@@ -91,12 +96,12 @@
         try:
             done = await collector.collect(len(works), report_at)
             left = len(works) - len(done)
-            yield _report(group, refused, done, last=not left)
+            yield self._report(group, refused, done, last=not left)
             while left:
                 done = await collector.collect(1, deadline)
                 left -= len(done)
                 last = not left or not done
-                yield _report(group, [], done, last)
+                yield self._report(group, [], done, last)
                 if last:
                     break
         finally:
@@ -209,6 +214,7 @@
             silence_timeout=uses(Mechanism.SILENCE_TIMEOUT),
             match_parts=uses(Mechanism.PART_MATCH),
             heed_drain=uses(Mechanism.LEAF_DRAIN),
+            observer=self._observer,
         )
         worker = LeafWorker(leaf_id, config, limit, policy, self._clock)
         self._worker_by_leaf[leaf_id] = worker
@@ -233,6 +239,23 @@
                 if leaf is not None:
                     leaf.inbox.put_nowait(Withdraw(work))
 
+    def _report(
+        self,
+        group: PeerSearch,
+        refused: list[Part],
+        done: list[LeafWork],
+        last: bool,
+    ) -> PeerParts:
+        items: list[Item] = []
+        parts = list(refused)
+        for work in done:
+            parts.append(_to_part(work))
+            if isinstance(work.outcome, LeafAnswer):
+                items.extend(_with_shard(work.outcome))
+        merged = merge_items(items, group.limit)
+        stamp = self._observer.stamp()
+        return PeerParts(group.request_id, parts, merged, last, stamp)
+
 
 class _Collector:
     """Collects finished works of one group."""
@@ -260,19 +283,6 @@
         return done
 
 
-def _report(
-    group: PeerSearch, refused: list[Part], done: list[LeafWork], last: bool
-) -> PeerParts:
-    items: list[Item] = []
-    parts = list(refused)
-    for work in done:
-        parts.append(_to_part(work))
-        if isinstance(work.outcome, LeafAnswer):
-            items.extend(_with_shard(work.outcome))
-    merged = merge_items(items, group.limit)
-    return PeerParts(group.request_id, parts, merged, last)
-
-
 def _with_shard(answer: LeafAnswer) -> list[Item]:
     return [
         Item(item.id, item.score, item.text, answer.shard)
--- a/heatherdyke/instance.py
+++ b/heatherdyke/instance.py
@@ -29,6 +29,7 @@
 from heatherdyke.peer_client import PeerClient
 from heatherdyke.platform_client import PlatformClient
 from heatherdyke.request_gate import RequestGate
+from heatherdyke.search_observer import SearchObserver
 from heatherdyke.server import HttpServer
 from heatherdyke.settings import Settings
 from heatherdyke.snapshot_book import SnapshotBook
@@ -55,7 +56,10 @@
         )
         self.journal.incarnation = self.members.incarnation
         self.snapshots = SnapshotBook(self.platform)
-        self.home = Home(settings, self.config, self.members, clock)
+        self.observer = SearchObserver(self.journal, self.metrics)
+        self.home = Home(
+            settings, self.config, self.members, self.observer, clock
+        )
         self.entry = Entry(
             settings,
             self.config,
@@ -63,6 +67,7 @@
             self.home,
             self.peers,
             self.snapshots,
+            self.observer,
             clock,
         )
         self.components: list[Component] = [
@@ -155,7 +160,9 @@
 
     def _build_app(self) -> Application:
         app = new_application()
-        CallerApi(self.entry, self.config, self.gate).add_routes(app)
+        CallerApi(
+            self.entry, self.config, self.gate, self.observer
+        ).add_routes(app)
         PeerApi(self.home).add_routes(app)
         for component in self.components:
             component.add_routes(app)
--- a/heatherdyke/journal.py
+++ b/heatherdyke/journal.py
@@ -19,7 +19,6 @@
 from heatherdyke.hybrid_clock import receive
 from heatherdyke.hybrid_clock import tick
 
-CLOCK_HEADER = "X-Heatherdyke-Clock"
 RING_EVENTS = 8192
 
 
--- a/heatherdyke/leaf_worker.py
+++ b/heatherdyke/leaf_worker.py
@@ -22,6 +22,7 @@
 from heatherdyke.messages import LeafRun
 from heatherdyke.messages import LeafRunAnswer
 from heatherdyke.messages import LeafSearch
+from heatherdyke.search_observer import SearchObserver
 
 SPARE_CONNECTIONS = 1
 MAX_OPENING = 2
@@ -116,6 +117,7 @@
     slots_allowed: Callable[[float], int]
     reference_s: Callable[[], float]
     observe_latency: Callable[[float], None]
+    observer: SearchObserver
     silence_timeout: bool = True
     match_parts: bool = True
     heed_drain: bool = True
@@ -208,6 +210,7 @@
         "_draining",
         "_reopen_at",
         "_drained_incarnation",
+        "_cold_starts_reported",
     )
 
     def __init__(
@@ -233,6 +236,7 @@
         self._draining = False
         self._reopen_at = 0.0
         self._drained_incarnation = ""
+        self._cold_starts_reported = 0
 
     @property
     def load(self) -> float:
@@ -354,6 +358,8 @@
                 answer.incarnation, took_s, self._policy.reference_s()
             )
             self._policy.observe_latency(took_s)
+            self._policy.observer.leaf_answered(self.leaf_id, took_s)
+            self._report_cold("its answers are slow or of another run")
             self._note_draining(answer.draining, answer.incarnation)
 
     def _count_refusal(
@@ -363,16 +369,30 @@
             self.limit.shed(
                 now, refusal.incarnation, refusal.retry_after_ms / 1000
             )
+            self._policy.observer.leaf_shed(
+                self.leaf_id, self.config.zone, self.limit.level
+            )
         elif refusal.kind == "draining":
             self._note_draining(True, refusal.incarnation)
 
     def _count_failure(self, work: LeafWork, error: TransportError) -> None:
         """Keep the slot occupied while the leaf may still work."""
         if isinstance(error, ConnectionSilent):
+            self._policy.observer.connection_silent(
+                self.leaf_id, self.config.zone, work.question.request_id
+            )
             self._hold_slot(work)
             return
         self._running.discard(work)
         self.limit.turn_cold()
+        self._report_cold("a connection broke")
+
+    def _report_cold(self, cause: str) -> None:
+        if self.limit.cold_starts > self._cold_starts_reported:
+            self._cold_starts_reported = self.limit.cold_starts
+            self._policy.observer.leaf_cold(
+                self.leaf_id, self.config.zone, cause
+            )
 
     def _hold_slot(self, work: LeafWork) -> None:
         async def release() -> None:
@@ -395,6 +415,7 @@
         if draining and self._policy.heed_drain and not self._draining:
             self._draining = True
             self._drained_incarnation = incarnation
+            self._policy.observer.leaf_draining(self.leaf_id, self.config.zone)
             self._refuse_queued()
 
     def _refuse_queued(self) -> None:
@@ -422,6 +443,7 @@
         if refused:
             self._reopen_at = self._clock.now() + REOPEN_DELAY_S
             self.limit.turn_cold()
+            self._report_cold("it refused a connection")
 
     def _ensure_connections(self, now: float) -> None:
         if now < self._reopen_at:
--- a/heatherdyke/member_messages.py
+++ b/heatherdyke/member_messages.py
@@ -98,3 +98,4 @@
     roster_version_by_zone: dict[str, int] = field(default_factory=dict)
     gone: tuple[GoneProof, ...] = ()
     suspects: tuple[str, ...] = ()
+    clock: str = ""
--- a/heatherdyke/member_task.py
+++ b/heatherdyke/member_task.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Protocol
 from uuid import uuid4
 
@@ -206,7 +207,7 @@
     def _send_heartbeats(self, udp: UdpEndpoint) -> None:
         self.core.note_at_work(self.leaves_at_work())
         heartbeat = self.core.ask(self._clock.now(), self._versions())
-        payload = encode(heartbeat)
+        payload = self._stamped(heartbeat)
         for membership in self._asked_zones():
             for target in membership.targets():
                 membership.note_asked(target)
@@ -248,7 +249,11 @@
                 continue
             self._hear(heartbeat, udp)
 
+    def _stamped(self, heartbeat: Heartbeat) -> bytes:
+        return encode(replace(heartbeat, clock=self._journal.stamp()))
+
     def _hear(self, heartbeat: Heartbeat, udp: UdpEndpoint) -> None:
+        self._journal.observe(heartbeat.clock)
         now = self._clock.now()
         known = {proof.incarnation for proof in self._proofs()}
         self.core.note_at_work(self.leaves_at_work())
@@ -260,7 +265,7 @@
                 )
         address = heartbeat.sender.address
         if heard.reply is not None:
-            udp.send(address, encode(heard.reply))
+            udp.send(address, self._stamped(heard.reply))
         for zone in heard.newer_zones:
             self._start(f"roster {zone}", self._fetch(address, zone))
         if heard.probe is not None:
--- a/heatherdyke/messages.py
+++ b/heatherdyke/messages.py
@@ -95,6 +95,7 @@
 
     The home answers with lines of PeerParts: the first when all parts are
     done or ``report_after_ms`` has passed, then one for each later part.
+    ``clock`` is the sender's hybrid timestamp.
     """
 
     request_id: str
@@ -106,6 +107,7 @@
     report_after_ms: float
     limit: int
     parts: list[PartRequest]
+    clock: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,6 +141,7 @@
     parts: list[Part]
     items: list[Item]
     last: bool = False
+    clock: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherdyke/search_run.py
+++ b/heatherdyke/search_run.py
@@ -169,7 +169,10 @@
                 PartRequest(shard, leaf)
                 for shard, leaf in group.pending_leaf_by_shard.items()
             ],
+            self._entry.observer.stamp(),
         )
+        home = group.address or self._entry.settings.address
+        self._entry.observer.parts_sent(message, home, group.hedged)
         self._entry.spawn(self._ask(group, message))
 
     async def _ask(self, group: Group, message: PeerSearch) -> None:
@@ -180,6 +183,7 @@
             reports = self._entry.peers.search(group.address, message)
         try:
             async for parts in reports:
+                self._entry.observer.hear(parts.clock)
                 self._inbox.put_nowait(GroupReport(group, parts))
         except TransportError as error:
             self._inbox.put_nowait(GroupReport(group, None, error))
@@ -269,6 +273,7 @@
         self._cancel_rest()
         self._restarts += 1
         self.snapshot = self._newer_snapshot
+        self._entry.observer.restarted(self._request_id, self.snapshot)
         self._entry.snapshots.learn(self._plan.index, self.snapshot)
         if self._entry.settings.uses(Mechanism.SNAPSHOT_PIN):
             self._begin()
--- a/heatherdyke/settings.py
+++ b/heatherdyke/settings.py
@@ -5,8 +5,11 @@
 from ipaddress import ip_address
 
 from heatherdyke.errors import SettingsError
+from heatherdyke.events import Severity
 from heatherdyke.mechanisms import Mechanism
 
+LOG_LEVELS = tuple(severity.value for severity in Severity)
+
 
 @dataclass(frozen=True, slots=True)
 class Settings:
@@ -27,6 +30,7 @@
     lease_s: float = 2.0
     drain_s: float = 20.0
     extra_load_share: float = 0.05
+    log_level: str = "INFO"
     disabled: frozenset[Mechanism] = field(default_factory=frozenset)
 
     def uses(self, mechanism: Mechanism) -> bool:
@@ -64,6 +68,9 @@
                 faults.append(f"--{flag} must be more than 0")
         if not 0 <= values.get("extra_load_share", 0.0) <= 1:
             faults.append("--extra-load-share must lie from 0 to 1")
+        if values.get("log_level", "INFO") not in LOG_LEVELS:
+            known = ", ".join(LOG_LEVELS)
+            faults.append(f"--log-level is unknown: use one of {known}")
         mechanisms = _parse_mechanisms(disabled, faults)
         if faults:
             raise SettingsError(faults)
