--- a/heatherdyke/home.py
+++ b/heatherdyke/home.py
@@ -72,6 +72,12 @@
     def leaves_at_work(self) -> set[str]:
         """Return the ids of leaves at which this instance has work."""
         return {leaf for leaf, w in self._worker_by_leaf.items() if w.running}
+        """Return the ids of leaves at which work of this home runs."""
+        return {
+            leaf_id
+            for leaf_id, worker in self._worker_by_leaf.items()
+            if worker.running
+        }
 
     @property
     def worker_by_leaf(self) -> dict[str, LeafWorker]:
