--- a/heatherdyke/entry.py
+++ b/heatherdyke/entry.py
@@ -1,6 +1,7 @@
 """Takes a caller's search and answers it from the homes' parts."""
 
 import asyncio
+from dataclasses import dataclass
 from random import Random
 
 from heatherdyke.clock import Clock
@@ -12,7 +13,6 @@
 from heatherdyke.hedging import HedgePolicy
 from heatherdyke.home import Home
 from heatherdyke.mechanisms import Mechanism
-from heatherdyke.member_messages import Member
 from heatherdyke.messages import SearchAnswer
 from heatherdyke.messages import SearchRequest
 from heatherdyke.peer_client import PeerClient
@@ -30,6 +30,16 @@
 EARLY_FACTOR = 3.0
 
 
+@dataclass(frozen=True, slots=True)
+class Route:
+    """The way to a home; an address of None is this instance."""
+
+    address: str | None
+
+
+LOCAL_ROUTE = Route(None)
+
+
 class Entry:
     """Answers searches; one SearchRun works on each."""
 
@@ -98,15 +108,19 @@
         now = self.clock.now()
         return self._choose(leaves, self.views, now, self._random)
 
-    def home_of(self, leaf_id: str) -> Member | None:
-        """Return the leaf's home; None means this instance."""
+    def find_route(self, leaf_id: str) -> Route | None:
+        """Return the way to the leaf's home, or None if it has no home."""
         if not self.settings.uses(Mechanism.HOME_ROUTING):
+            return LOCAL_ROUTE
+        config = self.index.current().leaf_by_id.get(leaf_id)
+        if config is None:
             return None
-        zone = self.index.current().leaf_by_id[leaf_id].zone
-        home = self._members.home_of(leaf_id, zone)
-        if home is None or home.name == self.settings.name:
+        home = self._members.home_of(leaf_id, config.zone)
+        if home is None:
             return None
-        return home
+        if home.name == self.settings.name:
+            return LOCAL_ROUTE
+        return Route(home.address)
 
     def spawn(self, coroutine) -> asyncio.Task:
         """Run a coroutine as a task that this entry keeps alive."""
--- a/heatherdyke/instance.py
+++ b/heatherdyke/instance.py
@@ -19,7 +19,6 @@
 from heatherdyke.home import Home
 from heatherdyke.http_routes import new_application
 from heatherdyke.journal import Journal
-from heatherdyke.leaf_listing import LeafListing
 from heatherdyke.mechanisms import Mechanism
 from heatherdyke.member_task import MemberTask
 from heatherdyke.metrics import Metrics
@@ -28,6 +27,7 @@
 from heatherdyke.peer_api import PeerApi
 from heatherdyke.peer_client import PeerClient
 from heatherdyke.platform_client import PlatformClient
+from heatherdyke.platform_view import PlatformView
 from heatherdyke.request_gate import RequestGate
 from heatherdyke.search_observer import SearchObserver
 from heatherdyke.server import HttpServer
@@ -55,7 +55,7 @@
             settings, self.platform, self.journal, clock
         )
         self.journal.incarnation = self.members.incarnation
-        self.snapshots = SnapshotBook(self.platform)
+        self.snapshots = SnapshotBook()
         self.observer = SearchObserver(self.journal, self.metrics)
         self.home = Home(
             settings, self.config, self.members, self.observer, clock
@@ -73,8 +73,13 @@
         self.components: list[Component] = [
             self.config,
             self.members,
-            self.snapshots,
-            LeafListing(self.platform, self.home, settings, clock),
+            PlatformView(
+                self.platform,
+                self.snapshots,
+                self.home,
+                self.members.incarnation,
+                self._find_reader,
+            ),
             ObserveComponent(
                 self.journal, self.metrics, self._health, self._known, clock
             ),
@@ -173,6 +178,12 @@
         self.members.config = self.config
         self.members.leaves_at_work = self.home.leaves_at_work
 
+    def _find_reader(self) -> str | None:
+        reader = self.members.reader()
+        if reader is None or reader.name == self.settings.name:
+            return None
+        return reader.address
+
     def _health(self) -> HealthState:
         return HealthState(
             config_known=self.config.document.version > 0,
--- a/heatherdyke/member_task.py
+++ b/heatherdyke/member_task.py
@@ -125,6 +125,10 @@
         """Return the home of the zone's leaf; None if no member is known."""
         return self.core.home_of(leaf_id, zone)
 
+    def reader(self) -> Member | None:
+        """Return the member that reads the platform for this zone."""
+        return self.core.membership(self._me.zone).reader()
+
     def is_home(self, leaf_id: str, zone: str = "") -> bool:
         """Tell whether this instance is the home of the zone's leaf.
 
--- a/heatherdyke/membership.py
+++ b/heatherdyke/membership.py
@@ -125,17 +125,21 @@
     def is_reader(self) -> bool:
         """Tell whether this instance reads and changes the roster.
 
-        It is the first member that is not gone nor suspected; without one,
-        each instance of the zone.
+        Without a reader each instance of the zone does.
         """
+        reader = self.reader()
+        return reader is None or reader.incarnation == self.me.incarnation
+
+    def reader(self) -> Member | None:
+        """Return the first member that is not gone nor suspected."""
         for member in self.lease.roster.members:
             if member.incarnation == self.me.incarnation:
-                return True
+                return member
             if self.lease.is_gone(member.incarnation):
                 continue
             if not self._is_suspect(member.incarnation):
-                return False
-        return True
+                return member
+        return None
 
     def propose(self, now: float) -> Roster | None:
         """Return the roster as it should be, or None if it is so."""
--- a/heatherdyke/search_run.py
+++ b/heatherdyke/search_run.py
@@ -28,6 +28,7 @@
 RETURN_MARGIN_S = 0.004
 MAX_SNAPSHOT_RESTARTS = 2
 MAX_TRIES_PER_SHARD = 3
+MAX_MOVES_PER_SHARD = 2
 HOME_SILENCE_FACTOR = 2.0
 HOME_SILENCE_EXTRA_S = 0.01
 EARLY_DELAYS = 4.0
@@ -60,6 +61,7 @@
 
     tried: list[str] = field(default_factory=list)
     open: int = 0
+    moved: int = 0
 
 
 class SearchRun:
@@ -125,9 +127,10 @@
             leaf = self._choose(shard)
             if leaf is None:
                 continue
-            home = self._entry.home_of(leaf)
-            address = home.address if home is not None else None
-            group_by_address.setdefault(address, {})[shard] = leaf
+            route = self._entry.find_route(leaf)
+            if route is not None:
+                leaf_by_shard = group_by_address.setdefault(route.address, {})
+                leaf_by_shard[shard] = leaf
         hedge_at = now + self._silence_s()
         for address, leaf_by_shard in group_by_address.items():
             group = Group(address, leaf_by_shard, self._restarts, hedge_at)
@@ -136,13 +139,7 @@
 
     def _choose(self, shard: str) -> str | None:
         attempt = self._try_by_shard.setdefault(shard, _ShardTry())
-        leaves = [
-            leaf
-            for leaf in self._entry.leaves_in_use(
-                self._leaves_by_shard.get(shard, [])
-            )
-            if leaf not in attempt.tried
-        ]
+        leaves = self._untried_leaves(shard)
         if not leaves or len(attempt.tried) >= MAX_TRIES_PER_SHARD:
             return None
         leaf = self._entry.choose_leaf(leaves)
@@ -243,11 +240,18 @@
         if self._coverage.is_whole(part.shard):
             return
         if part.state is PartState.NOT_HOME:
-            self._try_by_shard[part.shard].tried.remove(part.leaf)
+            self._allow_again(part)
             self._send([part.shard], hedge=True)
         elif part.asked == 0 or budget.spend():
             self._send([part.shard], hedge=True)
 
+    def _allow_again(self, part: Part) -> None:
+        """Let the leaf be asked at its new home, a bounded number of times."""
+        attempt = self._try_by_shard[part.shard]
+        attempt.moved += 1
+        if attempt.moved <= MAX_MOVES_PER_SHARD:
+            attempt.tried.remove(part.leaf)
+
     def _ask_children(self, part: Part) -> None:
         service = part.shard.partition("/")[0]
         for child in part.children:
@@ -309,11 +313,16 @@
             self._send(chosen, hedge=True)
 
     def _has_other(self, shard: str) -> bool:
+        return bool(self._untried_leaves(shard))
+
+    def _untried_leaves(self, shard: str) -> list[str]:
         tried = self._try_by_shard[shard].tried
-        leaves = self._entry.leaves_in_use(
-            self._leaves_by_shard.get(shard, [])
-        )
-        return any(leaf not in tried for leaf in leaves)
+        leaves = self._leaves_by_shard.get(shard, [])
+        return [
+            leaf
+            for leaf in self._entry.leaves_in_use(leaves)
+            if leaf not in tried and self._entry.find_route(leaf) is not None
+        ]
 
     def _silence_s(self) -> float:
         delay_s = self._entry.hedges.delay_s()
