--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 lint: venv
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 heatherdyke tests
+	$(BIN)/flake8 heatherdyke heatherdyke_bench tests
 
 format: venv
 	$(BIN)/ruff format .
--- /dev/null
+++ b/heatherdyke_bench/__main__.py
@@ -0,0 +1,122 @@
+"""Commands of the experiment tool."""
+
+import asyncio
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import typer
+
+from heatherdyke.codec import encode
+from heatherdyke.errors import HeatherdykeError
+from heatherdyke_bench.deployments import deployments
+from heatherdyke_bench.experiment import Experiment
+from heatherdyke_bench.fleet import Policy
+from heatherdyke_bench.plot import plot_reports
+from heatherdyke_bench.scenario import load_scenario
+from heatherdyke_bench.scenario import scenario_names
+from heatherdyke_bench.table import format_tables
+
+BASELINE = Policy("baseline", "home-routing,replica-choice,hedging,cold-ramp")
+FULL = Policy("full")
+
+app = typer.Typer(no_args_is_help=True, add_completion=False)
+
+_Deployment = Annotated[str, typer.Option(help="A deployment's name.")]
+_Seeds = Annotated[str, typer.Option(help="Comma-separated seeds.")]
+_Rate = Annotated[float, typer.Option(help="Multiple of the full rate.")]
+_Json = Annotated[Path | None, typer.Option("--json", help="File to write.")]
+_Plot = Annotated[Path | None, typer.Option("--plot", help="PNG to write.")]
+
+
+@app.command("scenarios")
+def list_scenarios() -> None:
+    """Print the scenarios and what they do."""
+    for name in scenario_names():
+        typer.echo(f"{name}: {load_scenario(name).description}")
+
+
+@app.command()
+def run(
+    scenario: str,
+    deployment: _Deployment = "trincea-calda",
+    disable: str = "",
+    seeds: _Seeds = "1",
+    rate: _Rate = 1.0,
+    json: _Json = None,
+    plot: _Plot = None,
+) -> None:
+    """Run a scenario under one policy."""
+    policy = Policy("policy" if disable else "full", disable)
+    _run(scenario, deployment, [policy], seeds, rate, json, plot)
+
+
+@app.command()
+def compare(
+    scenario: str,
+    deployment: _Deployment = "trincea-calda",
+    disable: Annotated[
+        str, typer.Option(help="Mechanisms that the first policy lacks.")
+    ] = BASELINE.disable,
+    other_disable: Annotated[
+        str, typer.Option(help="Mechanisms that the second policy lacks.")
+    ] = "",
+    tree: Annotated[
+        str, typer.Option(help="Source tree of the first policy.")
+    ] = ".",
+    other_tree: Annotated[
+        str, typer.Option(help="Source tree of the second policy.")
+    ] = ".",
+    seeds: _Seeds = "1,2,3",
+    rate: _Rate = 1.0,
+    json: _Json = None,
+    plot: _Plot = None,
+) -> None:
+    """Run a scenario under two policies or revisions, interleaved."""
+    is_baseline = disable == BASELINE.disable
+    policies = [
+        Policy(BASELINE.name if is_baseline else "first", disable, tree),
+        Policy(
+            "second" if other_disable else FULL.name, other_disable, other_tree
+        ),
+    ]
+    _run(scenario, deployment, policies, seeds, rate, json, plot)
+
+
+def _run(
+    scenario: str,
+    deployment: str,
+    policies: list[Policy],
+    seeds: str,
+    rate: float,
+    json: Path | None,
+    plot: Path | None,
+) -> None:
+    experiment = Experiment(
+        load_scenario(scenario),
+        deployments.find(deployment),
+        policies,
+        [int(seed) for seed in seeds.split(",")],
+        rate,
+    )
+    reports = asyncio.run(
+        experiment.run(lambda line: typer.echo(line, err=True))
+    )
+    typer.echo(format_tables(reports))
+    if json is not None:
+        json.write_bytes(msgspec.json.format(encode(reports)))
+    if plot is not None:
+        plot_reports(reports, plot)
+
+
+def main() -> None:
+    """Run the command line; an error names its remedy."""
+    try:
+        app()
+    except HeatherdykeError as error:
+        typer.echo(f"Error: {error}", err=True)
+        raise SystemExit(error.exit_code) from None
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/heatherdyke_bench/actions.py
@@ -0,0 +1,129 @@
+"""The actions that scenarios name, filled by decorators."""
+
+import asyncio
+import signal
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from heatherdyke.config_model import ZONES_KEY
+from heatherdyke.platform_client import convert_value
+from heatherdyke.registry import Registry
+from heatherdyke.standin_leaf_model import LeafFaults
+from heatherdyke.standin_platform import PlatformFaults
+from heatherdyke.zone_state import ZoneEntry
+from heatherdyke.zone_state import ZoneService
+from heatherdyke.zone_state import ZonesObject
+from heatherdyke_bench.admin import set_faults
+from heatherdyke_bench.errors import ScenarioError
+from heatherdyke_bench.fleet import Fleet
+
+ActionFunction = Callable[[Fleet, dict[str, Any]], Awaitable[None]]
+actions: Registry[ActionFunction] = Registry("action")
+
+
+def fill_in_zones(values: dict[str, Any], zones: list[str]) -> dict[str, Any]:
+    """Replace ``$0``, ``$1`` ... in texts by the deployment's zones."""
+    filled = {}
+    for name, value in values.items():
+        if isinstance(value, str):
+            for number, zone in enumerate(zones):
+                value = value.replace(f"${number}", zone)
+        filled[name] = value
+    return filled
+
+
+@actions.register("leaf-faults")
+async def set_leaf_faults(fleet: Fleet, values: dict[str, Any]) -> None:
+    """Set ``faults`` at the leaves chosen by ``zone`` and ``leaves``."""
+    faults = _convert(values.get("faults", {}), LeafFaults)
+    chosen = _choose_leaves(fleet, values)
+    addresses = [fleet.leaf_by_name[leaf].address for leaf in chosen]
+    await asyncio.gather(*(set_faults(a, faults) for a in addresses))
+
+
+@actions.register("platform-faults")
+async def set_platform_faults(fleet: Fleet, values: dict[str, Any]) -> None:
+    """Replace the platform's faults."""
+    faults = _convert(values, PlatformFaults)
+    await set_faults(fleet.platform.address, faults)
+
+
+@actions.register("zone-out")
+async def take_zone_out(fleet: Fleet, values: dict[str, Any]) -> None:
+    """Take the zone out, as an operator does."""
+    await _change_zone(fleet, values["zone"], out=True)
+
+
+@actions.register("zone-in")
+async def bring_zone_in(fleet: Fleet, values: dict[str, Any]) -> None:
+    """Bring the zone back."""
+    await _change_zone(fleet, values["zone"], out=False)
+
+
+@actions.register("kill-instance")
+async def kill_instance(fleet: Fleet, values: dict[str, Any]) -> None:
+    """Kill an instance by SIGKILL."""
+    fleet.find_instance(values["name"]).send_signal(signal.SIGKILL)
+
+
+@actions.register("pause-instance")
+async def pause_instance(fleet: Fleet, values: dict[str, Any]) -> None:
+    """Stop an instance from running, by SIGSTOP."""
+    fleet.find_instance(values["name"]).send_signal(signal.SIGSTOP)
+
+
+@actions.register("resume-instance")
+async def resume_instance(fleet: Fleet, values: dict[str, Any]) -> None:
+    """Let a paused instance run on."""
+    fleet.find_instance(values["name"]).send_signal(signal.SIGCONT)
+
+
+@actions.register("stop-instance")
+async def stop_instance(fleet: Fleet, values: dict[str, Any]) -> None:
+    """Stop an instance gracefully, by SIGTERM."""
+    fleet.find_instance(values["name"]).send_signal(signal.SIGTERM)
+
+
+@actions.register("start-instance")
+async def start_instance(fleet: Fleet, values: dict[str, Any]) -> None:
+    """Start an instance again, at its former address."""
+    await fleet.start_instance(values["name"])
+
+
+def _choose_leaves(fleet: Fleet, values: dict[str, Any]) -> list[str]:
+    zone = values.get("zone")
+    named = values.get("leaves")
+    chosen = [
+        leaf
+        for leaf, profile in fleet.profile_by_leaf.items()
+        if (zone is None or profile.zone == zone)
+        and (named is None or leaf in named)
+    ]
+    if not chosen:
+        raise ScenarioError(f"no leaf fits {values}", "correct the scenario")
+    return chosen
+
+
+async def _change_zone(fleet: Fleet, zone: str, out: bool) -> None:
+    platform = fleet.platform_client()
+    stored = await platform.get(ZONES_KEY)
+    zones = ZonesObject()
+    if stored is not None:
+        zones = convert_value(stored, ZonesObject)
+    version = zones.version + 1
+    state = ZoneService.OUT if out else ZoneService.IN
+    entry = ZoneEntry(state, version, f"bench-{version}", "bench")
+    changed = ZonesObject(version, zones.zone_by_name | {zone: entry})
+    await platform.put(ZONES_KEY, changed, stored.version if stored else 0)
+
+
+def _convert(values: dict[str, Any], message_type: type) -> Any:
+    try:
+        return msgspec.convert(values, message_type)
+    except msgspec.ValidationError as error:
+        raise ScenarioError(
+            f"{message_type.__name__}: {error}", "correct the scenario"
+        ) from error
--- /dev/null
+++ b/heatherdyke_bench/deployments.py
@@ -0,0 +1,260 @@
+"""Both of today's deployments, at their sizes.
+
+A small service is one shard with two replicas in two zones; all small
+services of a deployment share an index, so that one search can name them
+all.  Run-once services have one leaf a shard.
+"""
+
+from dataclasses import dataclass
+from dataclasses import field
+from hashlib import sha256
+
+from heatherdyke.config_model import LeafConfig
+from heatherdyke.config_model import SectionConfig
+from heatherdyke.config_model import ServiceConfig
+from heatherdyke.config_model import ShardConfig
+from heatherdyke.config_model import UrgencyConfig
+from heatherdyke.registry import Registry
+from heatherdyke.standin_leaf_model import LeafProfile
+
+
+@dataclass(frozen=True, slots=True)
+class LeafKind:
+    """What leaves of one kind bear; set-up is for a new connection."""
+
+    slots: int
+    connections: int
+    setup_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class ServicePlan:
+    """A group of services alike: each shard has ``replicas`` leaves."""
+
+    team: str
+    names: list[str]
+    index: str
+    shards: int
+    replicas: int
+    kind: LeafKind
+    run_once: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class LoadClass:
+    """Searches of one urgency class at today's full rate.
+
+    ``wanted_coverage`` and ``deadline_ms`` stand in the team's section.
+    """
+
+    name: str
+    team: str
+    priority: int
+    rate_per_s: float
+    deadline_ms: int
+    wanted_coverage: float
+    services: int
+    limit: int
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """Zones, instances, services and the load on them."""
+
+    name: str
+    zones: list[str]
+    instances: int
+    plans: list[ServicePlan]
+    classes: list[LoadClass]
+    leaf_profiles: list[LeafProfile] = field(default_factory=list)
+
+    @property
+    def zone_by_instance(self) -> dict[str, str]:
+        """Return the zone of each instance, dealt out in turn."""
+        zones = [
+            self.zones[number % len(self.zones)]
+            for number in range(self.instances)
+        ]
+        return {
+            f"{zone}-{number + 1}": zone for number, zone in enumerate(zones)
+        }
+
+    @property
+    def indexes(self) -> list[str]:
+        """Return the indexes whose snapshots the platform must name."""
+        return sorted({plan.index for plan in self.plans})
+
+    @property
+    def small_services(self) -> list[str]:
+        """Return the services that searches name."""
+        return self.plans[0].names
+
+    def profiles(self) -> list[LeafProfile]:
+        """Return a profile for each leaf, without address or platform."""
+        return [
+            LeafProfile(
+                leaf=leaf,
+                zone=self._zone_of(leaf),
+                slots=plan.kind.slots,
+                connections=plan.kind.connections,
+                setup_ms=plan.kind.setup_ms,
+                seed=number,
+                shards=[shard],
+            )
+            for number, (plan, shard, leaf) in enumerate(self._leaves())
+        ]
+
+    def sections(
+        self, address_by_leaf: dict[str, str]
+    ) -> dict[str, SectionConfig]:
+        """Return each team's section, with the leaves where they listen."""
+        teams = {plan.team for plan in self.plans}
+        return {team: self._section(team, address_by_leaf) for team in teams}
+
+    def _section(
+        self, team: str, address_by_leaf: dict[str, str]
+    ) -> SectionConfig:
+        leaves: dict[str, LeafConfig] = {}
+        for plan, _, leaf in self._leaves():
+            if plan.team == team:
+                leaves[leaf] = LeafConfig(
+                    address_by_leaf[leaf],
+                    self._zone_of(leaf),
+                    plan.kind.slots,
+                    plan.kind.connections,
+                )
+        return SectionConfig(
+            team=team,
+            services=self._services(team),
+            leaves=leaves,
+            urgency={
+                c.name: UrgencyConfig(
+                    c.priority, c.deadline_ms, c.wanted_coverage
+                )
+                for c in self.classes
+                if c.team == team
+            },
+            key_hashes=[sha256(key_of(team).encode()).hexdigest()],
+        )
+
+    def _services(self, team: str) -> dict[str, ServiceConfig]:
+        services: dict[str, ServiceConfig] = {}
+        for plan in self.plans:
+            if plan.team != team:
+                continue
+            for name in plan.names:
+                shards = {
+                    _shard(plan, name, number): ShardConfig(
+                        _leaves_of(plan, name, number)
+                    )
+                    for number in range(plan.shards)
+                }
+                services[name] = ServiceConfig(
+                    plan.index, shards, plan.run_once
+                )
+        return services
+
+    def _leaves(self) -> list[tuple[ServicePlan, str, str]]:
+        return [
+            (plan, _shard(plan, name, number), leaf)
+            for plan in self.plans
+            for name in plan.names
+            for number in range(plan.shards)
+            for leaf in _leaves_of(plan, name, number)
+        ]
+
+    def _zone_of(self, leaf: str) -> str:
+        name, shard, replica = leaf.rsplit(".", 2)
+        plan = next(p for p in self.plans if name in p.names)
+        place = plan.names.index(name) + int(shard) + int(replica)
+        return self.zones[place % len(self.zones)]
+
+
+def key_of(team: str) -> str:
+    """Return the key that the bench's callers of a team send."""
+    return f"bench-key-of-{team}"
+
+
+def _shard(plan: ServicePlan, name: str, number: int) -> str:
+    return f"{name}.{number}"
+
+
+def _leaves_of(plan: ServicePlan, name: str, number: int) -> list[str]:
+    return [f"{name}.{number}.{replica}" for replica in range(plan.replicas)]
+
+
+def _numbered(prefix: str, count: int) -> list[str]:
+    return [f"{prefix}{number:02d}" for number in range(count)]
+
+
+deployments: Registry[Deployment] = Registry("deployment")
+
+deployments.register("trincea-calda")(
+    Deployment(
+        name="trincea-calda",
+        zones=["brescia", "bergamo", "verona"],
+        instances=7,
+        plans=[
+            ServicePlan(
+                "permits",
+                _numbered("permits", 30) + _numbered("bonds", 20),
+                "ledger",
+                1,
+                2,
+                LeafKind(3, 30, 6.0),
+            ),
+            ServicePlan(
+                "archive",
+                ["archive"],
+                "archive",
+                5,
+                1,
+                LeafKind(6, 100, 1.0),
+                run_once=True,
+            ),
+            ServicePlan(
+                "archive", ["filing"], "filing", 3, 1, LeafKind(6, 100, 1.0)
+            ),
+        ],
+        classes=[
+            LoadClass("foreman", "permits", 0, 16.0, 400, 0.6, 50, 10),
+            LoadClass("inspector", "permits", 0, 8.0, 800, 0.9, 25, 5),
+            LoadClass("planner", "permits", 1, 8.0, 2000, 0.95, 50, 50),
+        ],
+    )
+)
+
+deployments.register("bagmati")(
+    Deployment(
+        name="bagmati",
+        zones=["kathmandu", "lalitpur", "bhaktapur", "kirtipur"],
+        instances=7,
+        plans=[
+            ServicePlan(
+                "reminders",
+                _numbered("reminders", 40) + _numbered("parts", 10),
+                "households",
+                1,
+                2,
+                LeafKind(2, 25, 6.0),
+            ),
+            ServicePlan(
+                "billing",
+                ["billing"],
+                "billing",
+                5,
+                1,
+                LeafKind(4, 40, 1.0),
+                run_once=True,
+            ),
+            ServicePlan(
+                "billing", ["roster"], "roster", 4, 1, LeafKind(4, 40, 1.0)
+            ),
+        ],
+        classes=[
+            LoadClass("gas", "reminders", 0, 12.0, 400, 0.5, 40, 5),
+            LoadClass("dispatcher", "reminders", 1, 12.0, 1000, 0.9, 50, 10),
+            LoadClass("reminder", "reminders", 2, 4.0, 3000, 0.98, 50, 50),
+        ],
+    )
+)
--- /dev/null
+++ b/heatherdyke_bench/experiment.py
@@ -0,0 +1,168 @@
+"""Runs a scenario on a fleet and reports what it measured."""
+
+import asyncio
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from time import time
+
+from heatherdyke.codec import decode
+from heatherdyke.codec import encode
+from heatherdyke_bench.actions import actions
+from heatherdyke_bench.actions import fill_in_zones
+from heatherdyke_bench.deployments import Deployment
+from heatherdyke_bench.errors import FleetError
+from heatherdyke_bench.fleet import Fleet
+from heatherdyke_bench.fleet import Policy
+from heatherdyke_bench.load import LoadPlan
+from heatherdyke_bench.load import LoadResult
+from heatherdyke_bench.load import PhasePlan
+from heatherdyke_bench.report import LeafTotals
+from heatherdyke_bench.report import RunReport
+from heatherdyke_bench.report import arrived_requests
+from heatherdyke_bench.report import mixed_snapshots
+from heatherdyke_bench.report import report_phase
+from heatherdyke_bench.scenario import Phase
+from heatherdyke_bench.scenario import Scenario
+
+START_DELAY_S = 2.0
+
+Say = Callable[[str], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Experiment:
+    """One scenario on one deployment, with policies and seeds to compare."""
+
+    scenario: Scenario
+    deployment: Deployment
+    policies: list[Policy]
+    seeds: list[int]
+    rate: float = 1.0
+
+    async def run(self, say: Say) -> list[RunReport]:
+        """Run every seed under every policy, policies interleaved."""
+        reports = []
+        for seed in self.seeds:
+            for policy in self.policies:
+                say(f"{self.scenario.name}: {policy.name}, seed {seed}")
+                reports.append(await self._run_once(policy, seed))
+        return reports
+
+    async def _run_once(self, policy: Policy, seed: int) -> RunReport:
+        with TemporaryDirectory(prefix="heatherdyke-bench-") as directory:
+            profiles = [
+                self.scenario.profile(profile, seed)
+                for profile in self.deployment.profiles()
+            ]
+            path = Path(directory)
+            fleet = Fleet(self.deployment, profiles, policy, path)
+            try:
+                await fleet.start()
+                return await self._measure(fleet, seed, path)
+            except FleetError:
+                _show_logs(path)
+                raise
+            finally:
+                await fleet.stop()
+
+    async def _measure(
+        self, fleet: Fleet, seed: int, directory: Path
+    ) -> RunReport:
+        starts_at = time() + START_DELAY_S
+        plan = self._load_plan(fleet, seed, starts_at)
+        loading = asyncio.create_task(_run_load(plan, directory, seed))
+        totals = await self._run_phases(fleet, starts_at)
+        result = await loading
+        records = await fleet.leaf_records()
+        platform = await fleet.platform_record()
+        arrived = arrived_requests(records)
+        equal_leaves = [
+            leaf
+            for leaf in fleet.leaf_by_name
+            if leaf.rsplit(".", 2)[0] in self.deployment.small_services
+        ]
+        mixed = mixed_snapshots(records)
+        if mixed:
+            sys.stderr.write(f"{mixed} requests mixed snapshots\n")
+        return RunReport(
+            scenario=self.scenario.name,
+            deployment=self.deployment.name,
+            policy=fleet.policy.name,
+            seed=seed,
+            phase_by_name={
+                phase.name: report_phase(
+                    result.by_phase[phase.name],
+                    totals[number],
+                    totals[number + 1],
+                    equal_leaves,
+                    arrived,
+                )
+                for number, phase in enumerate(self.scenario.phases)
+                if phase.measured
+            },
+            platform_calls=platform.calls_by_kind,
+            watches_waiting_max=platform.watches_waiting_max,
+            cold_s_max=LeafTotals.from_records(records).cold_s_max,
+        )
+
+    def _load_plan(
+        self, fleet: Fleet, seed: int, starts_at: float
+    ) -> LoadPlan:
+        return LoadPlan(
+            addresses=[p.address for p in fleet.instance_by_name.values()],
+            classes=self.deployment.classes,
+            services=self.deployment.small_services,
+            phases=[
+                PhasePlan(p.name, p.seconds, p.rate * self.rate)
+                for p in self.scenario.phases
+            ],
+            seed=seed,
+            starts_at=starts_at,
+        )
+
+    async def _run_phases(
+        self, fleet: Fleet, starts_at: float
+    ) -> list[LeafTotals]:
+        """Do the actions; return the leaves' counts at each border."""
+        await asyncio.sleep(max(0.0, starts_at - time()))
+        totals = [LeafTotals.from_records(await fleet.leaf_records())]
+        for phase in self.scenario.phases:
+            await _run_actions(fleet, phase, starts_at)
+            starts_at += phase.seconds
+            await asyncio.sleep(max(0.0, starts_at - time()))
+            totals.append(LeafTotals.from_records(await fleet.leaf_records()))
+        return totals
+
+
+async def _run_actions(fleet: Fleet, phase: Phase, starts_at: float) -> None:
+    for action in sorted(phase.actions, key=lambda a: a.at_s):
+        await asyncio.sleep(max(0.0, starts_at + action.at_s - time()))
+        values = fill_in_zones(action.values, fleet.deployment.zones)
+        await actions.find(action.do)(fleet, values)
+
+
+async def _run_load(plan: LoadPlan, directory: Path, seed: int) -> LoadResult:
+    path = directory / f"load-{seed}.json"
+    path.write_bytes(encode(plan))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "heatherdyke_bench.load",
+        str(path),
+        stdout=asyncio.subprocess.PIPE,
+    )
+    output, _ = await process.communicate()
+    if process.returncode:
+        raise FleetError("the load generator failed", "read its traceback")
+    return decode(output, LoadResult)
+
+
+def _show_logs(directory: Path) -> None:
+    for log in sorted(directory.glob("*.log")):
+        text = log.read_text()
+        if text and "Traceback" in text:
+            sys.stderr.write(f"--- {log.name}\n{text[-2000:]}\n")
+            return
--- /dev/null
+++ b/heatherdyke_bench/fleet.py
@@ -0,0 +1,195 @@
+"""Starts and stops the platform, the leaves and the instances."""
+
+import asyncio
+import signal
+from dataclasses import dataclass
+from dataclasses import replace
+from pathlib import Path
+
+import msgspec
+
+from heatherdyke.codec import encode
+from heatherdyke.config_model import HEAD_KEY
+from heatherdyke.config_model import SECTION_PREFIX
+from heatherdyke.config_model import SNAPSHOTS_PREFIX
+from heatherdyke.config_model import ConfigHead
+from heatherdyke.config_model import SectionConfig
+from heatherdyke.config_model import SectionPointer
+from heatherdyke.config_model import StoredSection
+from heatherdyke.errors import TransportError
+from heatherdyke.messages import IndexSnapshots
+from heatherdyke.platform_client import PlatformClient
+from heatherdyke.standin_leaf_model import LeafProfile
+from heatherdyke.standin_leaf_model import LeafRecord
+from heatherdyke.standin_platform import PlatformRecord
+from heatherdyke_bench.admin import is_ready
+from heatherdyke_bench.admin import read_record
+from heatherdyke_bench.deployments import Deployment
+from heatherdyke_bench.errors import FleetError
+from heatherdyke_bench.process import FleetProcess
+from heatherdyke_bench.process import free_address
+
+READY_TIMEOUT_S = 40.0
+READY_CHECK_S = 0.1
+START_AT_ONCE = 12
+FIRST_SNAPSHOT = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """What a run puts to the test: mechanisms left out, a source tree."""
+
+    name: str
+    disable: str = ""
+    tree: str = "."
+
+
+class Fleet:
+    """All processes of one run of one deployment."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        profiles: list[LeafProfile],
+        policy: Policy,
+        directory: Path,
+    ) -> None:
+        self.deployment = deployment
+        self.policy = policy
+        self.profile_by_leaf = {p.leaf: p for p in profiles}
+        self.leaf_by_name: dict[str, FleetProcess] = {}
+        self.instance_by_name: dict[str, FleetProcess] = {}
+        self._directory = directory
+        self._tree = Path(policy.tree).resolve()
+        self._gate = asyncio.Semaphore(START_AT_ONCE)
+        self.platform = self._process(
+            "platform",
+            ["heatherdyke.cli_standin", "platform", "--listen=127.0.0.1:0"],
+        )
+
+    async def start(self) -> None:
+        """Start everything and wait until all instances are ready."""
+        await self._start_standin(self.platform)
+        await asyncio.gather(
+            *(self._start_leaf(p) for p in self.profile_by_leaf.values())
+        )
+        await self._write_configuration()
+        for name, zone in self.deployment.zone_by_instance.items():
+            self._add_instance(name, zone)
+        await asyncio.gather(
+            *(self.start_instance(n) for n in self.instance_by_name)
+        )
+
+    async def stop(self) -> None:
+        """End all processes that this fleet started."""
+        instances = list(self.instance_by_name.values())
+        others = [*self.leaf_by_name.values(), self.platform]
+        await asyncio.gather(*(p.stop(signal.SIGKILL) for p in instances))
+        await asyncio.gather(*(p.stop() for p in others))
+
+    async def start_instance(self, name: str) -> None:
+        """Start an instance and wait until it is ready."""
+        process = self.find_instance(name)
+        async with self._gate:
+            await process.start()
+        try:
+            async with asyncio.timeout(READY_TIMEOUT_S):
+                while not await _answers_ready(process.address):
+                    await asyncio.sleep(READY_CHECK_S)
+        except TimeoutError as error:
+            raise FleetError(
+                f"instance {name} is not ready", "read its log"
+            ) from error
+
+    def find_instance(self, name: str) -> FleetProcess:
+        """Return the instance's process; raises FleetError."""
+        if name not in self.instance_by_name:
+            known = ", ".join(self.instance_by_name)
+            raise FleetError(f"no instance {name!r}", f"use one of {known}")
+        return self.instance_by_name[name]
+
+    async def leaf_records(self) -> dict[str, LeafRecord]:
+        """Return each leaf's record by leaf."""
+        leaves = list(self.leaf_by_name)
+        records = await asyncio.gather(
+            *(
+                read_record(self.leaf_by_name[leaf].address, LeafRecord)
+                for leaf in leaves
+            )
+        )
+        return dict(zip(leaves, records, strict=True))
+
+    async def platform_record(self) -> PlatformRecord:
+        """Return the platform's counts."""
+        return await read_record(self.platform.address, PlatformRecord)
+
+    def platform_client(self) -> PlatformClient:
+        """Return a client of this fleet's platform."""
+        return PlatformClient(self.platform.address)
+
+    def _add_instance(self, name: str, zone: str) -> None:
+        address = free_address()
+        process = self._process(
+            name,
+            [
+                "heatherdyke",
+                "serve",
+                f"--name={name}",
+                f"--zone={zone}",
+                f"--listen={address}",
+                f"--platform={self.platform.address}",
+                f"--disable={self.policy.disable}",
+            ],
+        )
+        process.address = address
+        self.instance_by_name[name] = process
+
+    async def _start_leaf(self, profile: LeafProfile) -> None:
+        profile = replace(profile, platform=self.platform.address)
+        process = self._process(
+            profile.leaf,
+            ["heatherdyke.cli_standin", "leaf", encode(profile).decode()],
+        )
+        self.leaf_by_name[profile.leaf] = process
+        await self._start_standin(process)
+
+    async def _start_standin(self, process: FleetProcess) -> None:
+        async with self._gate:
+            await process.start()
+            await process.wait_until_listening()
+
+    async def _write_configuration(self) -> None:
+        address_by_leaf = {n: p.address for n, p in self.leaf_by_name.items()}
+        platform = self.platform_client()
+        for index in self.deployment.indexes:
+            held = IndexSnapshots(FIRST_SNAPSHOT, [FIRST_SNAPSHOT])
+            await platform.put(SNAPSHOTS_PREFIX + index, held, 0)
+        sections = self.deployment.sections(address_by_leaf)
+        pointer_by_team = {
+            team: await _store_section(platform, team, section)
+            for team, section in sections.items()
+        }
+        await platform.put(HEAD_KEY, ConfigHead(1, pointer_by_team), 0)
+
+    def _process(self, name: str, arguments: list[str]) -> FleetProcess:
+        log = self._directory / f"{name}.log"
+        return FleetProcess(name, arguments, log, self._tree)
+
+
+async def _store_section(
+    platform: PlatformClient, team: str, section: SectionConfig
+) -> SectionPointer:
+    edit = f"bench-{team}"
+    key = f"{SECTION_PREFIX}{team}/{edit}"
+    stored = StoredSection(
+        team, edit, "bench", "", 0.0, msgspec.Raw(encode(section))
+    )
+    await platform.put(key, stored, 0)
+    return SectionPointer(1, key, edit, "bench")
+
+
+async def _answers_ready(address: str) -> bool:
+    try:
+        return await is_ready(address)
+    except TransportError:
+        return False
--- /dev/null
+++ b/heatherdyke_bench/load.py
@@ -0,0 +1,328 @@
+"""Open-loop load: Poisson arrivals with fixed seeds, over HTTP.
+
+Latency counts from the time at which a search was meant to be sent, so that
+a slow system does not slow its own load down (coordinated omission).  The
+generator runs as a process: ``python -m heatherdyke_bench.load PLAN-FILE``.
+"""
+
+import asyncio
+import sys
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+from pathlib import Path
+from random import Random
+from time import time
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from heatherdyke.codec import decode
+from heatherdyke.codec import encode
+from heatherdyke.errors import RunState
+from heatherdyke.errors import TransportError
+from heatherdyke.http_connection import HttpConnection
+from heatherdyke.messages import SearchAnswer
+from heatherdyke.messages import SearchRequest
+from heatherdyke.standin_content import items_for
+from heatherdyke_bench.admin import is_ready
+from heatherdyke_bench.deployments import LoadClass
+from heatherdyke_bench.deployments import key_of
+
+HIGHEST_US = 120_000_000
+SIGNIFICANT_DIGITS = 3
+BALANCER_CHECK_S = 1.0
+BALANCER_TIMEOUT_S = 0.5
+ANSWER_GRACE_S = 3.0
+CHECK_EVERY = 10
+
+
+@dataclass(frozen=True, slots=True)
+class PhasePlan:
+    """A stretch of the load with a multiple of the full rate."""
+
+    name: str
+    seconds: float
+    rate: float
+
+
+@dataclass(frozen=True, slots=True)
+class LoadPlan:
+    """What one generator sends; ``starts_at`` is wall time in seconds."""
+
+    addresses: list[str]
+    classes: list[LoadClass]
+    services: list[str]
+    phases: list[PhasePlan]
+    seed: int
+    starts_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """A search that ended in a problem; ``at_s`` as in ``Second``."""
+
+    request_id: str
+    kind: str
+    run_state: RunState
+
+
+@dataclass(slots=True)
+class ClassResult:
+    """What one class of searches met in one phase.
+
+    ``useful`` answers came within the class's deadline and with its
+    wanted coverage.  ``mixed`` carry items of another snapshot than the
+    answer names, ``wrong`` other items than the shards hold.
+    ``histogram`` is hdrhistogram's own encoding of microseconds.
+    """
+
+    sent: int = 0
+    answered: int = 0
+    useful: int = 0
+    useful_by_second: Counter[int] = field(default_factory=Counter)
+    worst_ms_by_second: dict[int, float] = field(default_factory=dict)
+    coverage_sum: float = 0.0
+    coverage_min: float = 1.0
+    cost: int = 0
+    needed: int = 0
+    mixed: int = 0
+    wrong: int = 0
+    broken: int = 0
+    refused: list[Refused] = field(default_factory=list)
+    histogram: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class LoadResult:
+    """Results by phase and class; seconds count from the load's start."""
+
+    by_phase: dict[str, dict[str, ClassResult]]
+
+
+@dataclass(frozen=True, slots=True)
+class _Problem:
+    kind: str = "unknown"
+    run_state: RunState = RunState.MAY_HAVE_RUN
+    request_id: str = ""
+
+
+class Balancer:
+    """Deals requests to the instances that answered ready lately."""
+
+    __slots__ = ("_addresses", "_ready", "_turn", "_idle_by_address")
+
+    def __init__(self, addresses: list[str]) -> None:
+        self._addresses = addresses
+        self._ready = list(addresses)
+        self._turn = 0
+        self._idle_by_address: dict[str, list[HttpConnection]] = {
+            address: [] for address in addresses
+        }
+
+    async def watch_readiness(self) -> None:
+        """Ask each instance in turn whether it is ready, until cancelled."""
+        while True:
+            checks = [_check(address) for address in self._addresses]
+            answers = await asyncio.gather(*checks)
+            pairs = zip(self._addresses, answers, strict=True)
+            self._ready = [a for a, ready in pairs if ready]
+            await asyncio.sleep(BALANCER_CHECK_S)
+
+    async def take(self) -> HttpConnection:
+        """Return a connection to the next instance.
+
+        An instance that refuses the connection is passed over, which is
+        safe since nothing was sent.  Raises TransportError.
+        """
+        choices = self._ready or self._addresses
+        for _ in range(len(choices)):
+            self._turn += 1
+            address = choices[self._turn % len(choices)]
+            idle = self._idle_by_address[address]
+            while idle:
+                connection = idle.pop()
+                if connection.usable:
+                    return connection
+            try:
+                return await HttpConnection.open(address, 1.0)
+            except TransportError:
+                continue
+        raise TransportError("no instance takes connections", sent=False)
+
+    def give_back(self, connection: HttpConnection) -> None:
+        """Keep a connection for later requests."""
+        if connection.usable:
+            self._idle_by_address[connection.address].append(connection)
+
+
+class Generator:
+    """Sends the searches of a plan and measures what comes back."""
+
+    def __init__(self, plan: LoadPlan) -> None:
+        self._plan = plan
+        self._random = Random(plan.seed)
+        self._balancer = Balancer(plan.addresses)
+        self._tasks: set[asyncio.Task] = set()
+        self._result_by_key: dict[tuple[str, str], ClassResult] = {}
+        self._histogram_by_key: dict[tuple[str, str], HdrHistogram] = {}
+
+    async def run(self) -> LoadResult:
+        """Send everything and wait for the last answer."""
+        watching = asyncio.create_task(self._balancer.watch_readiness())
+        await asyncio.sleep(max(0.0, self._plan.starts_at - time()))
+        phase_start = self._plan.starts_at
+        for phase in self._plan.phases:
+            await self._run_phase(phase, phase_start)
+            phase_start += phase.seconds
+        await asyncio.gather(*self._tasks)
+        watching.cancel()
+        return self._collect()
+
+    async def _run_phase(self, phase: PhasePlan, starts_at: float) -> None:
+        for due_s, load_class in self._arrivals(phase):
+            due_at = starts_at + due_s
+            await asyncio.sleep(max(0.0, due_at - time()))
+            request = self._draw_request(load_class)
+            task = asyncio.create_task(
+                self._search(phase.name, load_class, request, due_at)
+            )
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        await asyncio.sleep(max(0.0, starts_at + phase.seconds - time()))
+
+    def _arrivals(self, phase: PhasePlan) -> list[tuple[float, LoadClass]]:
+        arrivals = []
+        for load_class in self._plan.classes:
+            rate_per_s = load_class.rate_per_s * phase.rate
+            self._key(phase.name, load_class.name)
+            at_s = self._random.expovariate(rate_per_s)
+            while at_s < phase.seconds:
+                arrivals.append((at_s, load_class))
+                at_s += self._random.expovariate(rate_per_s)
+        return sorted(arrivals, key=lambda arrival: arrival[0])
+
+    def _draw_request(self, load_class: LoadClass) -> SearchRequest:
+        services = self._plan.services
+        if load_class.services < len(services):
+            services = self._random.sample(services, load_class.services)
+        return SearchRequest(
+            services=services,
+            query=f"via milano {self._random.randrange(1000)}",
+            urgency=load_class.name,
+            limit=load_class.limit,
+        )
+
+    async def _search(
+        self,
+        phase: str,
+        load_class: LoadClass,
+        request: SearchRequest,
+        due_at: float,
+    ) -> None:
+        key = self._key(phase, load_class.name)
+        result = self._result_by_key[key]
+        result.sent += 1
+        timeout_s = load_class.deadline_ms / 1000 + ANSWER_GRACE_S
+        header = f"Authorization: Bearer {key_of(load_class.team)}\r\n"
+        try:
+            connection = await self._balancer.take()
+            response = await connection.request(
+                "POST", "/search", encode(request), timeout_s, header
+            )
+        except TransportError:
+            result.broken += 1
+            return
+        self._balancer.give_back(connection)
+        elapsed_ms = (time() - due_at) * 1000
+        if response.status != 200:
+            _count_refusal(result, response.body)
+            return
+        self._histogram_by_key[key].record_value(int(elapsed_ms * 1000))
+        answer = decode(response.body, SearchAnswer)
+        second = int(due_at - self._plan.starts_at)
+        _count_answer(result, load_class, answer, elapsed_ms, second)
+        if result.answered % CHECK_EVERY == 0:
+            result.wrong += not _is_right(request, answer)
+
+    def _key(self, phase: str, load_class: str) -> tuple[str, str]:
+        key = (phase, load_class)
+        if key not in self._result_by_key:
+            self._result_by_key[key] = ClassResult()
+            self._histogram_by_key[key] = HdrHistogram(
+                1, HIGHEST_US, SIGNIFICANT_DIGITS
+            )
+        return key
+
+    def _collect(self) -> LoadResult:
+        by_phase: dict[str, dict[str, ClassResult]] = {}
+        for (phase, name), result in self._result_by_key.items():
+            encoded = self._histogram_by_key[phase, name].encode()
+            result.histogram = encoded.decode("ascii")
+            by_phase.setdefault(phase, {})[name] = result
+        return LoadResult(by_phase)
+
+
+async def _check(address: str) -> bool:
+    try:
+        async with asyncio.timeout(BALANCER_TIMEOUT_S):
+            return await is_ready(address)
+    except (TransportError, TimeoutError):
+        return False
+
+
+def _count_refusal(result: ClassResult, body: bytes) -> None:
+    try:
+        problem = decode(body, _Problem)
+    except msgspec.DecodeError:
+        problem = _Problem()
+    result.refused.append(
+        Refused(problem.request_id, problem.kind, problem.run_state)
+    )
+
+
+def _count_answer(
+    result: ClassResult,
+    load_class: LoadClass,
+    answer: SearchAnswer,
+    elapsed_ms: float,
+    second: int,
+) -> None:
+    result.answered += 1
+    result.coverage_sum += answer.coverage_share
+    result.coverage_min = min(result.coverage_min, answer.coverage_share)
+    result.cost += answer.cost
+    result.needed += load_class.services
+    marker = f"/{answer.snapshot}/"
+    result.mixed += any(marker not in item.id for item in answer.items)
+    worst_ms = result.worst_ms_by_second.get(second, 0.0)
+    result.worst_ms_by_second[second] = max(worst_ms, elapsed_ms)
+    in_time = elapsed_ms <= load_class.deadline_ms
+    if in_time and answer.coverage_share >= load_class.wanted_coverage:
+        result.useful += 1
+        result.useful_by_second[second] += 1
+
+
+def _is_right(request: SearchRequest, answer: SearchAnswer) -> bool:
+    """Compute again what the covered shards hold, and compare."""
+    missing = set(answer.coverage.missing)
+    shards = {f"{service}.0" for service in request.services}
+    expected = [
+        item
+        for shard in sorted(shards - missing)
+        for item in items_for(shard, answer.snapshot, request.query)
+    ]
+    expected.sort(key=lambda item: (-item.score, item.id))
+    best = [item.score for item in expected[: request.limit]]
+    return best == [item.score for item in answer.items]
+
+
+def main() -> None:
+    """Run the plan in the file named and print the result as JSON."""
+    plan = decode(Path(sys.argv[1]).read_bytes(), LoadPlan)
+    result = asyncio.run(Generator(plan).run())
+    sys.stdout.buffer.write(encode(result))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/heatherdyke_bench/process.py
@@ -0,0 +1,92 @@
+"""One process of the fleet, its output and its signals."""
+
+import asyncio
+import signal
+import socket
+import sys
+from pathlib import Path
+
+from heatherdyke_bench.errors import FleetError
+
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 30.0
+LISTENING = "listening on "
+
+
+class FleetProcess:
+    """Runs ``python -m MODULE`` with a log file of its own."""
+
+    def __init__(
+        self, name: str, arguments: list[str], log: Path, tree: Path
+    ) -> None:
+        self.name = name
+        self.address = ""
+        self._arguments = arguments
+        self._log = log
+        self._tree = tree
+        self._process: asyncio.subprocess.Process | None = None
+
+    @property
+    def running(self) -> bool:
+        """Tell whether the process has been started and not ended."""
+        return self._process is not None and self._process.returncode is None
+
+    async def start(self) -> None:
+        """Start the process."""
+        with self._log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                *self._arguments,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=log,
+                cwd=self._tree,
+            )
+
+    async def wait_until_listening(self) -> None:
+        """Read the address that a stand-in prints; raises FleetError."""
+        try:
+            async with asyncio.timeout(START_TIMEOUT_S):
+                line = (await self._process.stdout.readline()).decode()
+        except TimeoutError:
+            line = ""
+        if not line.startswith(LISTENING):
+            raise FleetError(
+                f"{self.name} did not start: {line!r}",
+                f"read its log {self._log}",
+            )
+        self.address = line.removeprefix(LISTENING).strip()
+
+    def send_signal(self, number: int) -> None:
+        """Send a signal if the process still runs."""
+        if self.running:
+            self._process.send_signal(number)
+
+    async def stop(self, number: int = signal.SIGTERM) -> None:
+        """End the process and wait for it; kills it if it does not."""
+        if self._process is None:
+            return
+        self.send_signal(signal.SIGCONT)
+        self.send_signal(number)
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                await self._process.wait()
+        except TimeoutError:
+            self.send_signal(signal.SIGKILL)
+            await self._process.wait()
+
+
+def free_address(host: str = "127.0.0.1") -> str:
+    """Return an address whose TCP and UDP ports are free now."""
+    while True:
+        with (
+            socket.socket() as tcp,
+            socket.socket(type=socket.SOCK_DGRAM) as u,
+        ):
+            tcp.bind((host, 0))
+            port = tcp.getsockname()[1]
+            try:
+                u.bind((host, port))
+            except OSError:
+                continue
+            return f"{host}:{port}"
--- /dev/null
+++ b/heatherdyke_bench/report.py
@@ -0,0 +1,229 @@
+"""What a run measured, per phase and class (pure)."""
+
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import fields
+from statistics import median
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from heatherdyke.errors import RunState
+from heatherdyke.standin_leaf_model import LeafRecord
+from heatherdyke_bench.load import HIGHEST_US
+from heatherdyke_bench.load import SIGNIFICANT_DIGITS
+from heatherdyke_bench.load import ClassResult
+
+
+@dataclass(frozen=True, slots=True)
+class ClassReport:
+    """One class of searches in one phase; times in milliseconds.
+
+    ``untrue`` refusals said not_run although the request reached a leaf.
+    """
+
+    sent: int
+    answered: int
+    useful_share: float
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    coverage_mean: float
+    coverage_min: float
+    refused: int
+    broken: int
+    untrue: int
+    mixed: int
+    wrong: int
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """The work on leaves in one phase.
+
+    ``extra_share`` is leaf searches that arrived over those needed by the
+    answers, less one.  ``fairness`` is the most over the mean of searches
+    on equal leaves.
+    """
+
+    leaf_searches: int
+    extra_share: float
+    over_slots: int
+    cold_excess: int
+    cold_excess_known: int
+    sheds: int
+    draining_arrivals: int
+    connections_max: int
+    fairness: float
+
+
+@dataclass(frozen=True, slots=True)
+class PhaseReport:
+    """One phase of one run."""
+
+    class_by_name: dict[str, ClassReport]
+    load: LoadReport
+    refused_by_kind: dict[str, int]
+    useful_by_second: dict[int, int]
+    worst_ms_by_second: dict[int, float]
+
+
+@dataclass(frozen=True, slots=True)
+class RunReport:
+    """One run of a scenario under one policy and seed."""
+
+    scenario: str
+    deployment: str
+    policy: str
+    seed: int
+    phase_by_name: dict[str, PhaseReport]
+    platform_calls: dict[str, int]
+    watches_waiting_max: int
+    cold_s_max: float
+
+
+@dataclass(slots=True)
+class LeafTotals:
+    """The counts of all leaves at one moment."""
+
+    searches_by_leaf: dict[str, int]
+    counts: Counter[str]
+    connections_max: int
+    cold_s_max: float
+
+    @classmethod
+    def from_records(cls, records: dict[str, LeafRecord]) -> "LeafTotals":
+        """Add up what the leaves recorded over their incarnations."""
+        counts: Counter[str] = Counter()
+        searches_by_leaf = {}
+        for leaf, record in records.items():
+            incarnations = record.incarnations
+            searches_by_leaf[leaf] = sum(i.searches for i in incarnations)
+            for incarnation in incarnations:
+                counts["over_slots"] += incarnation.over_slots
+                counts["cold_excess"] += incarnation.cold_excess
+                counts["cold_excess_known"] += incarnation.cold_excess_known
+                counts["sheds"] += incarnation.refusals_by_kind["shed"]
+                counts["draining"] += incarnation.draining_arrivals
+        latest = [record.incarnations for record in records.values()]
+        return cls(
+            searches_by_leaf,
+            counts,
+            max(i.connections_max for many in latest for i in many),
+            max(i.cold_s for many in latest for i in many),
+        )
+
+
+def arrived_requests(records: dict[str, LeafRecord]) -> set[str]:
+    """Return the ids of all requests that reached any leaf."""
+    return {
+        request_id
+        for record in records.values()
+        for incarnation in record.incarnations
+        for request_id in incarnation.snapshots_by_request
+    }
+
+
+def mixed_snapshots(records: dict[str, LeafRecord]) -> int:
+    """Return how many requests asked leaves for more than one snapshot."""
+    seen: dict[str, set[int]] = {}
+    for record in records.values():
+        for incarnation in record.incarnations:
+            for request_id, asked in incarnation.snapshots_by_request.items():
+                seen.setdefault(request_id, set()).update(asked)
+    return sum(len(snapshots) > 1 for snapshots in seen.values())
+
+
+def report_phase(
+    results: dict[str, ClassResult],
+    before: LeafTotals,
+    after: LeafTotals,
+    equal_leaves: list[str],
+    arrived: set[str],
+) -> PhaseReport:
+    """Return the phase's report from the callers' and the leaves' side."""
+    needed = sum(result.needed for result in results.values())
+    kinds = Counter(
+        refused.kind
+        for result in results.values()
+        for refused in result.refused
+    )
+    seconds: Counter[int] = Counter()
+    worst_ms: dict[int, float] = {}
+    for result in results.values():
+        seconds.update(result.useful_by_second)
+        for second, value in result.worst_ms_by_second.items():
+            worst_ms[second] = max(value, worst_ms.get(second, 0.0))
+    return PhaseReport(
+        {n: _report_class(r, arrived) for n, r in results.items()},
+        _report_load(before, after, equal_leaves, needed),
+        dict(kinds),
+        dict(sorted(seconds.items())),
+        dict(sorted(worst_ms.items())),
+    )
+
+
+def median_of(reports: list[Any]) -> Any:
+    """Return the median of each figure over runs alike.
+
+    ``reports`` are ClassReports or LoadReports of the same kind.
+    """
+    kind = type(reports[0])
+    return kind(
+        *(
+            median(getattr(report, field.name) for report in reports)
+            for field in fields(kind)
+        )
+    )
+
+
+def _report_class(result: ClassResult, arrived: set[str]) -> ClassReport:
+    histogram = HdrHistogram(1, HIGHEST_US, SIGNIFICANT_DIGITS)
+    histogram.decode_and_add(result.histogram)
+    untrue = sum(
+        refused.run_state is RunState.NOT_RUN and refused.request_id in arrived
+        for refused in result.refused
+    )
+    answered = max(1, result.answered)
+    return ClassReport(
+        sent=result.sent,
+        answered=result.answered,
+        useful_share=result.useful / max(1, result.sent),
+        p50_ms=histogram.get_value_at_percentile(50) / 1000,
+        p99_ms=histogram.get_value_at_percentile(99) / 1000,
+        p999_ms=histogram.get_value_at_percentile(99.9) / 1000,
+        coverage_mean=result.coverage_sum / answered,
+        coverage_min=result.coverage_min,
+        refused=len(result.refused),
+        broken=result.broken,
+        untrue=untrue,
+        mixed=result.mixed,
+        wrong=result.wrong,
+    )
+
+
+def _report_load(
+    before: LeafTotals,
+    after: LeafTotals,
+    equal_leaves: list[str],
+    needed: int,
+) -> LoadReport:
+    by_leaf = {
+        leaf: total - before.searches_by_leaf.get(leaf, 0)
+        for leaf, total in after.searches_by_leaf.items()
+    }
+    counts = after.counts - before.counts
+    searches = sum(by_leaf.values())
+    equal = [by_leaf[leaf] for leaf in equal_leaves]
+    mean = sum(equal) / len(equal)
+    return LoadReport(
+        leaf_searches=searches,
+        extra_share=searches / needed - 1 if needed else 0.0,
+        over_slots=counts["over_slots"],
+        cold_excess=counts["cold_excess"],
+        cold_excess_known=counts["cold_excess_known"],
+        sheds=counts["sheds"],
+        draining_arrivals=counts["draining"],
+        connections_max=after.connections_max,
+        fairness=max(equal) / mean if mean else 0.0,
+    )
