--- a/heatherdyke/standin_leaf_model.py
+++ b/heatherdyke/standin_leaf_model.py
@@ -106,11 +106,11 @@
     connections_now: int = 0
     connections_max: int = 0
     connections_refused: int = 0
-    refusals_by_kind: Counter[str] = field(default_factory=Counter)
-    runs_by_key: Counter[str] = field(default_factory=Counter)
-    searches_by_instance: Counter[str] = field(default_factory=Counter)
-    searches_by_snapshot: Counter[int] = field(default_factory=Counter)
-    arrivals_by_second: Counter[int] = field(default_factory=Counter)
+    refusals_by_kind: dict[str, int] = field(default_factory=Counter)
+    runs_by_key: dict[str, int] = field(default_factory=Counter)
+    searches_by_instance: dict[str, int] = field(default_factory=Counter)
+    searches_by_snapshot: dict[int, int] = field(default_factory=Counter)
+    arrivals_by_second: dict[int, int] = field(default_factory=Counter)
     snapshots_by_request: dict[str, list[int]] = field(default_factory=dict)
 
 
--- a/heatherdyke_bench/load.py
+++ b/heatherdyke_bench/load.py
@@ -60,11 +60,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """A search that ended in a problem; ``at_s`` as in ``Second``."""
+    """A search that ended in a problem."""
 
     request_id: str
     kind: str
     run_state: RunState
+    detail: str = ""
 
 
 @dataclass(slots=True)
@@ -80,7 +81,7 @@
     sent: int = 0
     answered: int = 0
     useful: int = 0
-    useful_by_second: Counter[int] = field(default_factory=Counter)
+    useful_by_second: dict[int, int] = field(default_factory=Counter)
     worst_ms_by_second: dict[int, float] = field(default_factory=dict)
     coverage_sum: float = 0.0
     coverage_min: float = 1.0
@@ -105,6 +106,7 @@
     kind: str = "unknown"
     run_state: RunState = RunState.MAY_HAVE_RUN
     request_id: str = ""
+    detail: str = ""
 
 
 class Balancer:
@@ -275,9 +277,14 @@
     try:
         problem = decode(body, _Problem)
     except msgspec.DecodeError:
-        problem = _Problem()
+        problem = _Problem(detail=body[:200].decode(errors="replace"))
     result.refused.append(
-        Refused(problem.request_id, problem.kind, problem.run_state)
+        Refused(
+            problem.request_id,
+            problem.kind,
+            problem.run_state,
+            problem.detail,
+        )
     )
 
 
--- a/heatherdyke_bench/report.py
+++ b/heatherdyke_bench/report.py
@@ -64,6 +64,7 @@
     class_by_name: dict[str, ClassReport]
     load: LoadReport
     refused_by_kind: dict[str, int]
+    detail_by_kind: dict[str, str]
     useful_by_second: dict[int, int]
     worst_ms_by_second: dict[int, float]
 
@@ -103,7 +104,7 @@
                 counts["over_slots"] += incarnation.over_slots
                 counts["cold_excess"] += incarnation.cold_excess
                 counts["cold_excess_known"] += incarnation.cold_excess_known
-                counts["sheds"] += incarnation.refusals_by_kind["shed"]
+                counts["sheds"] += incarnation.refusals_by_kind.get("shed", 0)
                 counts["draining"] += incarnation.draining_arrivals
         latest = [record.incarnations for record in records.values()]
         return cls(
@@ -158,6 +159,11 @@
         {n: _report_class(r, arrived) for n, r in results.items()},
         _report_load(before, after, equal_leaves, needed),
         dict(kinds),
+        {
+            refused.kind: refused.detail
+            for result in results.values()
+            for refused in result.refused
+        },
         dict(sorted(seconds.items())),
         dict(sorted(worst_ms.items())),
     )
--- a/heatherdyke_bench/table.py
+++ b/heatherdyke_bench/table.py
@@ -87,11 +87,13 @@
         if kind != "POST /instances"
     )
     kinds: dict[str, int] = {}
+    details: dict[str, str] = {}
     for phase in report.phase_by_name.values():
         for kind, count in phase.refused_by_kind.items():
             kinds[kind] = kinds.get(kind, 0) + count
+            details[kind] = phase.detail_by_kind[kind]
     return (
         f"{group.policy}, seed {report.seed}: platform calls {calls}; "
         f"watches waiting at most {report.watches_waiting_max}; longest "
-        f"cold start {report.cold_s_max:.1f} s; refusals {kinds}"
+        f"cold start {report.cold_s_max:.1f} s; refusals {kinds}, one of each: {details}"
     )
