--- a/heatherdyke_bench/table.py
+++ b/heatherdyke_bench/table.py
@@ -95,5 +95,6 @@
     return (
         f"{group.policy}, seed {report.seed}: platform calls {calls}; "
         f"watches waiting at most {report.watches_waiting_max}; longest "
-        f"cold start {report.cold_s_max:.1f} s; refusals {kinds}, one of each: {details}"
+        f"cold start {report.cold_s_max:.1f} s; refusals {kinds}, "
+        f"one of each: {details}"
     )
