--- a/heatherdyke/coverage.py
+++ b/heatherdyke/coverage.py
@@ -38,6 +38,11 @@
         """Tell whether all of the shard has answered."""
         return self._share(shard) >= 1.0
 
+    @property
+    def has_answers(self) -> bool:
+        """Tell whether any shard answered, in whole or in part."""
+        return bool(self.total_by_shard)
+
     def total(self) -> int:
         """Return the number of hits that the answering shards reported."""
         return sum(self.total_by_shard.values())
--- a/heatherdyke/instance.py
+++ b/heatherdyke/instance.py
@@ -36,6 +36,7 @@
 
 BALANCER_LAG_S = 1.0
 RUNNING_CHECK_S = 0.02
+ZONE_WAIT_S = 5.0
 
 
 class Instance:
@@ -84,6 +85,8 @@
                 self.journal, self.metrics, self._health, self._known, clock
             ),
         ]
+        self._clock = clock
+        self._started_at = clock.now()
         self._server: HttpServer | None = None
         self._tasks: list[asyncio.Task] = []
         self._connect()
@@ -187,11 +190,25 @@
     def _health(self) -> HealthState:
         return HealthState(
             config_known=self.config.document.version > 0,
-            members_known=bool(self.members.members()),
+            members_known=self._members_known(),
             leaving=self.gate.leaving,
             zone_out=self.config.zone_is_out(self.settings.zone),
         )
 
+    def _members_known(self) -> bool:
+        """Tell whether each zone with leaves has a member, or long has not.
+
+        Before that a search could miss the shards of a zone whose members
+        merely have not been heard of yet.
+        """
+        zones = {member.zone for member in self.members.members()}
+        if not zones:
+            return False
+        leaf_by_id = self.entry.index.current().leaf_by_id
+        wanted = {leaf.zone for leaf in leaf_by_id.values()}
+        waited_s = self._clock.now() - self._started_at
+        return wanted <= zones or waited_s > ZONE_WAIT_S
+
     def _known(self) -> list[KnownInstance]:
         return [
             KnownInstance(member.name, member.zone, member.address)
--- a/heatherdyke/journal.py
+++ b/heatherdyke/journal.py
@@ -86,7 +86,7 @@
         self._ring: deque[Event] = deque(maxlen=capacity)
         self._sequence = 0
 
-    def record(self, kind: EventKind, **fields: Any) -> None:
+    def record(self, kind: EventKind, /, **fields: Any) -> None:
         """Keep and log one occurrence of ``kind`` with its fields.
 
         Fields that differ from the catalogue's are reported as an event of
--- a/heatherdyke/search_run.py
+++ b/heatherdyke/search_run.py
@@ -32,7 +32,12 @@
 HOME_SILENCE_FACTOR = 2.0
 HOME_SILENCE_EXTRA_S = 0.01
 EARLY_DELAYS = 4.0
-RETRYABLE = (PartState.REFUSED, PartState.LOST, PartState.NOT_HOME)
+RETRYABLE = (
+    PartState.REFUSED,
+    PartState.LOST,
+    PartState.NOT_HOME,
+    PartState.TRUNCATED,
+)
 
 
 @dataclass(slots=True, eq=False)
@@ -96,7 +101,7 @@
     async def work(self, deadline: float) -> CoverageCount:
         """Search until done or ``deadline`` and return what is covered.
 
-        Raises DeadlineExceeded if nothing at all was covered.
+        Raises DeadlineExceeded if no shard answered at all.
         """
         self._deadline = deadline - RETURN_MARGIN_S
         self._started_at = self._entry.clock.now()
@@ -233,7 +238,7 @@
             self._retry(part)
 
     def _retry(self, part: Part) -> None:
-        """Ask another replica if a refused or lost part may cost it."""
+        """Ask another replica for a part that is not whole."""
         budget = self._entry.hedges.budget
         if part.state is PartState.REFUSED and part.asked:
             budget.punish_shed()
@@ -360,9 +365,7 @@
         self._groups.clear()
 
     def _check_answer(self) -> None:
-        if self._coverage.covered_share() > 0.0:
-            return
-        if not self._plan.weight_by_shard:
+        if self._coverage.has_answers or not self._plan.weight_by_shard:
             return
         raise DeadlineExceeded(
             "no shard answered in time",
--- a/heatherdyke_bench/fleet.py
+++ b/heatherdyke_bench/fleet.py
@@ -127,6 +127,10 @@
         """Return a client of this fleet's platform."""
         return PlatformClient(self.platform.address)
 
+    async def leaf_addresses(self) -> dict[str, str]:
+        """Return the address by leaf under which instances reach it."""
+        return {n: p.address for n, p in self.leaf_by_name.items()}
+
     def _add_instance(self, name: str, zone: str) -> None:
         address = free_address()
         process = self._process(
@@ -159,7 +163,7 @@
             await process.wait_until_listening()
 
     async def _write_configuration(self) -> None:
-        address_by_leaf = {n: p.address for n, p in self.leaf_by_name.items()}
+        address_by_leaf = await self.leaf_addresses()
         platform = self.platform_client()
         for index in self.deployment.indexes:
             held = IndexSnapshots(FIRST_SNAPSHOT, [FIRST_SNAPSHOT])
