--- a/heatherdyke_bench/deployments.py
+++ b/heatherdyke_bench/deployments.py
@@ -99,7 +99,7 @@
                 connections=plan.kind.connections,
                 setup_ms=plan.kind.setup_ms,
                 seed=number,
-                shards=[shard],
+                shards=[qualify(shard)],
             )
             for number, (plan, shard, leaf) in enumerate(self._leaves())
         ]
@@ -175,6 +175,12 @@
     return f"bench-key-of-{team}"
 
 
+def qualify(shard: str) -> str:
+    """Return a shard's name as instances and leaves use it."""
+    service = shard.rpartition(".")[0]
+    return f"{service}/{shard}"
+
+
 def _shard(plan: ServicePlan, name: str, number: int) -> str:
     return f"{name}.{number}"
 
--- a/heatherdyke_bench/load.py
+++ b/heatherdyke_bench/load.py
@@ -28,6 +28,7 @@
 from heatherdyke_bench.admin import is_ready
 from heatherdyke_bench.deployments import LoadClass
 from heatherdyke_bench.deployments import key_of
+from heatherdyke_bench.deployments import qualify
 
 HIGHEST_US = 120_000_000
 SIGNIFICANT_DIGITS = 3
@@ -313,7 +314,7 @@
 def _is_right(request: SearchRequest, answer: SearchAnswer) -> bool:
     """Compute again what the covered shards hold, and compare."""
     missing = set(answer.coverage.missing)
-    shards = {f"{service}.0" for service in request.services}
+    shards = {qualify(f"{service}.0") for service in request.services}
     expected = [
         item
         for shard in sorted(shards - missing)
