--- a/heatherdyke/instance.py
+++ b/heatherdyke/instance.py
@@ -19,7 +19,6 @@
 from heatherdyke.home import Home
 from heatherdyke.http_routes import new_application
 from heatherdyke.journal import Journal
-from heatherdyke.leaf_listing import LeafListing
 from heatherdyke.mechanisms import Mechanism
 from heatherdyke.member_task import MemberTask
 from heatherdyke.metrics import Metrics
@@ -28,7 +27,9 @@
 from heatherdyke.peer_api import PeerApi
 from heatherdyke.peer_client import PeerClient
 from heatherdyke.platform_client import PlatformClient
+from heatherdyke.platform_view import PlatformView
 from heatherdyke.request_gate import RequestGate
+from heatherdyke.search_observer import SearchObserver
 from heatherdyke.server import HttpServer
 from heatherdyke.settings import Settings
 from heatherdyke.snapshot_book import SnapshotBook
@@ -54,8 +55,11 @@
             settings, self.platform, self.journal, clock
         )
         self.journal.incarnation = self.members.incarnation
-        self.snapshots = SnapshotBook(self.platform)
-        self.home = Home(settings, self.config, self.members, clock)
+        self.snapshots = SnapshotBook()
+        self.observer = SearchObserver(self.journal, self.metrics)
+        self.home = Home(
+            settings, self.config, self.members, self.observer, clock
+        )
         self.entry = Entry(
             settings,
             self.config,
@@ -63,13 +67,19 @@
             self.home,
             self.peers,
             self.snapshots,
+            self.observer,
             clock,
         )
         self.components: list[Component] = [
             self.config,
             self.members,
-            self.snapshots,
-            LeafListing(self.platform, self.home, settings, clock),
+            PlatformView(
+                self.platform,
+                self.snapshots,
+                self.home,
+                self.members.incarnation,
+                self._find_reader,
+            ),
             ObserveComponent(
                 self.journal, self.metrics, self._health, self._known, clock
             ),
@@ -155,7 +165,9 @@
 
     def _build_app(self) -> Application:
         app = new_application()
-        CallerApi(self.entry, self.config, self.gate).add_routes(app)
+        CallerApi(
+            self.entry, self.config, self.gate, self.observer
+        ).add_routes(app)
         PeerApi(self.home).add_routes(app)
         for component in self.components:
             component.add_routes(app)
@@ -166,6 +178,12 @@
         self.members.config = self.config
         self.members.leaves_at_work = self.home.leaves_at_work
 
+    def _find_reader(self) -> str | None:
+        reader = self.members.reader()
+        if reader is None or reader.name == self.settings.name:
+            return None
+        return reader.address
+
     def _health(self) -> HealthState:
         return HealthState(
             config_known=self.config.document.version > 0,
--- a/heatherdyke/member_task.py
+++ b/heatherdyke/member_task.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Protocol
 from uuid import uuid4
 
@@ -124,6 +125,10 @@
         """Return the home of the zone's leaf; None if no member is known."""
         return self.core.home_of(leaf_id, zone)
 
+    def reader(self) -> Member | None:
+        """Return the member that reads the platform for this zone."""
+        return self.core.membership(self._me.zone).reader()
+
     def is_home(self, leaf_id: str, zone: str = "") -> bool:
         """Tell whether this instance is the home of the zone's leaf.
 
@@ -206,7 +211,7 @@
     def _send_heartbeats(self, udp: UdpEndpoint) -> None:
         self.core.note_at_work(self.leaves_at_work())
         heartbeat = self.core.ask(self._clock.now(), self._versions())
-        payload = encode(heartbeat)
+        payload = self._stamped(heartbeat)
         for membership in self._asked_zones():
             for target in membership.targets():
                 membership.note_asked(target)
@@ -248,7 +253,11 @@
                 continue
             self._hear(heartbeat, udp)
 
+    def _stamped(self, heartbeat: Heartbeat) -> bytes:
+        return encode(replace(heartbeat, clock=self._journal.stamp()))
+
     def _hear(self, heartbeat: Heartbeat, udp: UdpEndpoint) -> None:
+        self._journal.observe(heartbeat.clock)
         now = self._clock.now()
         known = {proof.incarnation for proof in self._proofs()}
         self.core.note_at_work(self.leaves_at_work())
@@ -260,7 +269,7 @@
                 )
         address = heartbeat.sender.address
         if heard.reply is not None:
-            udp.send(address, encode(heard.reply))
+            udp.send(address, self._stamped(heard.reply))
         for zone in heard.newer_zones:
             self._start(f"roster {zone}", self._fetch(address, zone))
         if heard.probe is not None:
