Split the leaf worker; cancel tells silent connections from slow leaves

Cause: a fixed silence timeout of ten medians cut every search when all leaves slowed from 2 to 300 ms, so nothing ever completed. A healthy leaf answers by the deadline or returns the refusal of a cancelled search; a connection that brings neither is silent and is replaced together with its idle siblings. Unsent parts are given back to the entry when their leaf is busy, handing over or homed elsewhere. Cold limits last until the declared number of searches.

--- a/heatherdyke/config_model.py
+++ b/heatherdyke/config_model.py
@@ -16,7 +16,8 @@
 
     ``address`` is ``host:port`` with an IP number; ``slots`` bounds the
     searches at work at once, ``connections`` the open connections, and
-    ``cold_slots`` the searches at once after a cold start.
+    ``cold_slots`` the searches at once after a cold start, until
+    ``cold_searches`` have been done.
     """
 
     address: str
@@ -24,6 +25,7 @@
     slots: int
     connections: int
     cold_slots: int = 1
+    cold_searches: int = 50
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherdyke/hedging.py
+++ b/heatherdyke/hedging.py
@@ -54,10 +54,11 @@
 
     quantile: float = DELAY_QUANTILE
     value_s: float = FIRST_DELAY_S
+    step: float = QUANTILE_STEP
 
     def add(self, sample_s: float) -> None:
         """Move the estimate by one sample."""
-        step = QUANTILE_STEP * self.value_s
+        step = self.step * self.value_s
         if sample_s > self.value_s:
             self.value_s += step * self.quantile
         else:
--- a/heatherdyke/home.py
+++ b/heatherdyke/home.py
@@ -11,12 +11,13 @@
 from heatherdyke.errors import TransportError
 from heatherdyke.hedging import LatencyQuantile
 from heatherdyke.leaf_limit import LeafLimit
-from heatherdyke.leaf_worker import LeafWork
+from heatherdyke.leaf_work import GiveBack
+from heatherdyke.leaf_work import LeafWork
+from heatherdyke.leaf_work import ListedAs
+from heatherdyke.leaf_work import Submit
+from heatherdyke.leaf_work import Withdraw
+from heatherdyke.leaf_work import WorkerPolicy
 from heatherdyke.leaf_worker import LeafWorker
-from heatherdyke.leaf_worker import ListedAs
-from heatherdyke.leaf_worker import Submit
-from heatherdyke.leaf_worker import Withdraw
-from heatherdyke.leaf_worker import WorkerPolicy
 from heatherdyke.mechanisms import Mechanism
 from heatherdyke.merge import merge_items
 from heatherdyke.messages import Item
@@ -35,8 +36,10 @@
 from heatherdyke.settings import Settings
 
 MEDIAN = 0.5
+MEDIAN_STEP = 0.1
 STATE_BY_REFUSAL = {
     "deadline": PartState.LATE,
+    "not_home": PartState.NOT_HOME,
     "snapshot_gone": PartState.SNAPSHOT_GONE,
     "shard_split": PartState.SPLIT,
 }
@@ -61,7 +64,7 @@
         self._clock = clock
         self._worker_by_leaf: dict[str, LeafWorker] = {}
         self._tasks: set[asyncio.Task] = set()
-        self._median = LatencyQuantile(MEDIAN)
+        self._median = LatencyQuantile(MEDIAN, step=MEDIAN_STEP)
         self._works_by_request: dict[str, set[LeafWork]] = {}
 
     @property
@@ -95,6 +98,7 @@
         report_at = self._clock.now() + group.report_after_ms / 1000
         try:
             done = await collector.collect(len(works), report_at)
+            self._give_back_movable(group, works)
             left = len(works) - len(done)
             yield self._report(group, refused, done, last=not left)
             while left:
@@ -108,6 +112,17 @@
             self._works_by_request.pop(group.request_id, None)
             self._withdraw(works)
 
+    def _give_back_movable(
+        self, group: PeerSearch, works: set[LeafWork]
+    ) -> None:
+        """Offer unsent parts that have another replica back."""
+        movable = {part.shard for part in group.parts if part.movable}
+        for work in works:
+            waits = work.outcome is None and not work.sent
+            if waits and work.question.shard in movable:
+                worker = self._worker_by_leaf[work.leaf_id]
+                worker.inbox.put_nowait(GiveBack(work))
+
     async def run_once(
         self, leaf_id: str, question: LeafRun, priority: int
     ) -> LeafRunAnswer | LeafRefusal:
@@ -203,9 +218,13 @@
     def _start_worker(self, leaf_id: str, config: LeafConfig) -> LeafWorker:
         uses = self._settings.uses
         limit = LeafLimit(
-            config.slots, config.cold_slots, uses(Mechanism.COLD_RAMP)
+            config.slots,
+            config.cold_slots,
+            config.cold_searches,
+            uses(Mechanism.COLD_RAMP),
         )
         policy = WorkerPolicy(
+            is_home=lambda: self._may_serve(leaf_id, config),
             slots_allowed=lambda work_s: self._slots_allowed(
                 leaf_id, config, work_s
             ),
--- a/heatherdyke/instance.py
+++ b/heatherdyke/instance.py
@@ -113,7 +113,8 @@
         balancer lags; then the running ones finish.
         """
         self.journal.record(STOPPING)
-        if self.settings.uses(Mechanism.GRACEFUL_SHUTDOWN):
+        graceful = self.settings.uses(Mechanism.GRACEFUL_SHUTDOWN)
+        if graceful:
             await self._drain()
         for component in reversed(self.components):
             await component.stop()
@@ -122,7 +123,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.home.stop_workers()
         if self._server is not None:
-            await self._server.stop()
+            await self._server.stop(at_once=not graceful)
         self.peers.close()
         self.journal.record(STOPPED)
 
--- /dev/null
+++ b/heatherdyke/leaf_connection_task.py
@@ -0,0 +1,107 @@
+"""The task that owns one connection to a leaf."""
+
+import asyncio
+from dataclasses import dataclass
+
+from heatherdyke.clock import Clock
+from heatherdyke.errors import TransportError
+from heatherdyke.leaf_client import LeafConnection
+from heatherdyke.leaf_work import LeafWork
+from heatherdyke.leaf_work import Outcome
+from heatherdyke.leaf_work import WorkerPolicy
+from heatherdyke.messages import LeafRun
+
+ANSWER_GRACE_S = 0.05
+PATIENT_TIMEOUT_S = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class Finished:
+    """A connection reports the outcome of its work."""
+
+    connection: "ConnectionTask"
+    work: LeafWork
+
+
+@dataclass(frozen=True, slots=True)
+class Opened:
+    """A connection is up and idle."""
+
+    connection: "ConnectionTask"
+
+
+@dataclass(frozen=True, slots=True)
+class Closed:
+    """A connection ended, or could not be opened."""
+
+    connection: "ConnectionTask"
+    refused: bool
+
+
+class ConnectionTask:
+    """Owns one socket to the leaf and does one piece of work at a time."""
+
+    __slots__ = ("_address", "_policy", "_worker_inbox", "_inbox", "_clock")
+
+    def __init__(
+        self,
+        address: str,
+        policy: WorkerPolicy,
+        worker_inbox: asyncio.Queue,
+        clock: Clock,
+    ) -> None:
+        self._address = address
+        self._policy = policy
+        self._worker_inbox = worker_inbox
+        self._inbox: asyncio.Queue[LeafWork] = asyncio.Queue()
+        self._clock = clock
+
+    def give(self, work: LeafWork) -> None:
+        """Send the work as soon as the task runs."""
+        self._inbox.put_nowait(work)
+
+    async def run(self) -> None:
+        """Open the connection and serve until it breaks."""
+        refused = True
+        connection = None
+        try:
+            connection = await LeafConnection.open(
+                self._address, self._policy.match_parts
+            )
+            refused = False
+            self._worker_inbox.put_nowait(Opened(self))
+            while connection.usable:
+                work = await self._inbox.get()
+                await self._do(connection, work)
+        except TransportError:
+            pass
+        finally:
+            if connection is not None:
+                connection.close()
+            self._worker_inbox.put_nowait(Closed(self, refused))
+
+    async def _do(self, connection: LeafConnection, work: LeafWork) -> None:
+        remaining_s = work.expires_at - self._clock.now()
+        timeout_s = self._timeout_s(remaining_s)
+        try:
+            work.outcome = await self._ask(connection, work, timeout_s)
+        except TransportError as error:
+            work.outcome = error
+        self._worker_inbox.put_nowait(Finished(self, work))
+
+    async def _ask(
+        self, connection: LeafConnection, work: LeafWork, timeout_s: float
+    ) -> Outcome:
+        if isinstance(work.question, LeafRun):
+            return await connection.run(work.question, timeout_s)
+        return await connection.search(work.question, timeout_s)
+
+    def _timeout_s(self, remaining_s: float) -> float:
+        """Return how long a connection that passes bytes may take.
+
+        A leaf answers by the deadline at the latest, so that a connection
+        without an answer shortly after it is silent.
+        """
+        if not self._policy.silence_timeout:
+            return remaining_s + PATIENT_TIMEOUT_S
+        return max(remaining_s, 0.0) + ANSWER_GRACE_S
--- a/heatherdyke/leaf_limit.py
+++ b/heatherdyke/leaf_limit.py
@@ -19,16 +19,19 @@
 class LeafLimit:
     """The limit of one leaf; times are monotonic seconds.
 
-    ``slots`` is the most it ever allows and ``cold_slots`` the start.
-    Without ``ramp`` the limit is always ``slots``.
+    ``slots`` is the most it ever allows, and ``cold_slots`` the start, kept
+    until ``cold_searches`` have been answered.  Without ``ramp`` the limit
+    is always ``slots``.
     """
 
     slots: int
     cold_slots: int = 1
+    cold_searches: int = 0
     ramp: bool = True
     level: int = 0
     incarnation: str = ""
     cold_starts: int = 0
+    _answered: int = 0
     _successes: int = 0
     _slow_answers: int = 0
     _sheds_in_row: int = 0
@@ -59,10 +62,13 @@
             self.turn_cold()
         self.incarnation = incarnation or self.incarnation
         self._sheds_in_row = 0
+        self._answered += 1
         if reference_s > 0 and took_s > SLOW_FACTOR * reference_s:
             self._count_slow()
             return
         self._slow_answers = 0
+        if self._answered <= self.cold_searches:
+            return
         self._successes += 1
         if self._successes >= SUCCESSES_PER_STEP and self.level < self.slots:
             self._successes = 0
@@ -84,9 +90,10 @@
         """Start again from the cold limit, as after a reset."""
         if not self.ramp:
             return
-        if self.level > self.cold_slots or self._successes:
+        if self.level > self.cold_slots or self._answered:
             self.cold_starts += 1
         self.level = self.cold_slots
+        self._answered = 0
         self._successes = 0
         self._slow_answers = 0
 
--- a/heatherdyke/leaf_worker.py
+++ b/heatherdyke/leaf_worker.py
@@ -5,9 +5,9 @@
 """
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Coroutine
 from dataclasses import replace
+from heapq import heapify
 from heapq import heappop
 from heapq import heappush
 
@@ -16,179 +16,29 @@
 from heatherdyke.errors import ConnectionSilent
 from heatherdyke.errors import TransportError
 from heatherdyke.leaf_client import LeafConnection
+from heatherdyke.leaf_connection_task import ANSWER_GRACE_S
+from heatherdyke.leaf_connection_task import Closed
+from heatherdyke.leaf_connection_task import ConnectionTask
+from heatherdyke.leaf_connection_task import Finished
+from heatherdyke.leaf_connection_task import Opened
 from heatherdyke.leaf_limit import LeafLimit
+from heatherdyke.leaf_work import GiveBack
+from heatherdyke.leaf_work import LeafWork
+from heatherdyke.leaf_work import ListedAs
+from heatherdyke.leaf_work import Submit
+from heatherdyke.leaf_work import Wake
+from heatherdyke.leaf_work import Withdraw
+from heatherdyke.leaf_work import WorkerPolicy
 from heatherdyke.messages import LeafAnswer
 from heatherdyke.messages import LeafRefusal
 from heatherdyke.messages import LeafRun
 from heatherdyke.messages import LeafRunAnswer
 from heatherdyke.messages import LeafSearch
-from heatherdyke.search_observer import SearchObserver
 
 SPARE_CONNECTIONS = 1
 MAX_OPENING = 2
 REOPEN_DELAY_S = 0.2
-ANSWER_GRACE_S = 0.05
-SILENCE_FACTOR = 10.0
-MIN_SILENCE_S = 0.25
-
-Outcome = LeafAnswer | LeafRefusal | LeafRunAnswer | TransportError
-
-
-@dataclass(slots=True, eq=False)
-class LeafWork:
-    """One search or run for a leaf, and where its outcome goes.
-
-    ``deliver`` is called once with the work; ``sent`` tells whether it may
-    have reached the leaf.  Times are monotonic seconds.
-    """
-
-    leaf_id: str
-    question: LeafSearch | LeafRun
-    priority: int
-    submitted_at: float
-    expires_at: float
-    deliver: Callable[["LeafWork"], None]
-    outcome: Outcome | None = None
-    sent: bool = False
-    started_at: float = 0.0
-    took_s: float = 0.0
-    load: float = 0.0
-    draining: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Submit:
-    """Asks the worker to do a piece of work."""
-
-    work: LeafWork
-
-
-@dataclass(frozen=True, slots=True)
-class Withdraw:
-    """Asks the worker to drop a piece of work, running or not."""
-
-    work: LeafWork
-
-
-@dataclass(frozen=True, slots=True)
-class Finished:
-    """A connection reports the outcome of its work."""
-
-    connection: "ConnectionTask"
-    work: LeafWork
-
-
-@dataclass(frozen=True, slots=True)
-class Opened:
-    """A connection is up and idle."""
-
-    connection: "ConnectionTask"
-
-
-@dataclass(frozen=True, slots=True)
-class Closed:
-    """A connection ended, or could not be opened."""
-
-    connection: "ConnectionTask"
-    refused: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Wake:
-    """Makes the worker look at its queue again."""
-
-
-@dataclass(frozen=True, slots=True)
-class ListedAs:
-    """The platform's list says whether this run of the leaf is leaving."""
-
-    leaving: bool
-    incarnation: str
-
-
-@dataclass(slots=True)
-class WorkerPolicy:
-    """What the home tells its workers to use.
-
-    ``slots_allowed`` is asked immediately before each send, with the
-    longest time in seconds that the work may last.
-    """
-
-    slots_allowed: Callable[[float], int]
-    reference_s: Callable[[], float]
-    observe_latency: Callable[[float], None]
-    observer: SearchObserver
-    silence_timeout: bool = True
-    match_parts: bool = True
-    heed_drain: bool = True
-
-
-class ConnectionTask:
-    """Owns one socket to the leaf and does one piece of work at a time."""
-
-    __slots__ = ("_address", "_policy", "_worker_inbox", "_inbox", "_clock")
-
-    def __init__(
-        self,
-        address: str,
-        policy: WorkerPolicy,
-        worker_inbox: asyncio.Queue,
-        clock: Clock,
-    ) -> None:
-        self._address = address
-        self._policy = policy
-        self._worker_inbox = worker_inbox
-        self._inbox: asyncio.Queue[LeafWork] = asyncio.Queue()
-        self._clock = clock
-
-    def give(self, work: LeafWork) -> None:
-        """Send the work as soon as the task runs."""
-        self._inbox.put_nowait(work)
-
-    async def run(self) -> None:
-        """Open the connection and serve until it breaks."""
-        refused = True
-        connection = None
-        try:
-            connection = await LeafConnection.open(
-                self._address, self._policy.match_parts
-            )
-            refused = False
-            self._worker_inbox.put_nowait(Opened(self))
-            while connection.usable:
-                work = await self._inbox.get()
-                await self._do(connection, work)
-        except TransportError:
-            pass
-        finally:
-            if connection is not None:
-                connection.close()
-            self._worker_inbox.put_nowait(Closed(self, refused))
-
-    async def _do(self, connection: LeafConnection, work: LeafWork) -> None:
-        remaining_s = work.expires_at - self._clock.now()
-        timeout_s = self._timeout_s(work, remaining_s)
-        try:
-            work.outcome = await self._ask(connection, work, timeout_s)
-        except TransportError as error:
-            work.outcome = error
-        self._worker_inbox.put_nowait(Finished(self, work))
-
-    async def _ask(
-        self, connection: LeafConnection, work: LeafWork, timeout_s: float
-    ) -> Outcome:
-        if isinstance(work.question, LeafRun):
-            return await connection.run(work.question, timeout_s)
-        return await connection.search(work.question, timeout_s)
-
-    def _timeout_s(self, work: LeafWork, remaining_s: float) -> float:
-        to_deadline_s = max(remaining_s, 0.0) + ANSWER_GRACE_S
-        if not self._policy.silence_timeout:
-            return to_deadline_s + 60.0
-        if isinstance(work.question, LeafRun):
-            return to_deadline_s
-        usual_s = SILENCE_FACTOR * self._policy.reference_s()
-        return min(to_deadline_s, max(MIN_SILENCE_S, usual_s))
+MOVE_LOAD = 2.0
 
 
 class LeafWorker:
@@ -203,7 +53,8 @@
         "_clock",
         "_queue",
         "_sequence",
-        "_running",
+        "_connection_by_work",
+        "_cancels",
         "_idle",
         "_opening",
         "_tasks",
@@ -229,7 +80,8 @@
         self._clock = clock
         self._queue: list[tuple[int, int, LeafWork]] = []
         self._sequence = 0
-        self._running: set[LeafWork] = set()
+        self._connection_by_work: dict[LeafWork, ConnectionTask] = {}
+        self._cancels: set[asyncio.Task] = set()
         self._idle: list[ConnectionTask] = []
         self._opening: set[ConnectionTask] = set()
         self._tasks: dict[ConnectionTask, asyncio.Task] = {}
@@ -242,12 +94,12 @@
     def load(self) -> float:
         """Return the work here over what may be sent at once."""
         allowed = max(1, self.limit.level)
-        return (len(self._queue) + len(self._running)) / allowed
+        return (len(self._queue) + len(self._connection_by_work)) / allowed
 
     @property
     def running(self) -> int:
         """Return how many pieces of work are at the leaf."""
-        return len(self._running)
+        return len(self._connection_by_work)
 
     @property
     def connections(self) -> int:
@@ -272,6 +124,8 @@
                 self._enqueue(work)
             case Withdraw(work):
                 self._withdraw(work)
+            case GiveBack(work):
+                self._give_back(work)
             case Finished(connection, work):
                 self._finish(connection, work)
             case Opened(connection):
@@ -290,28 +144,68 @@
         heappush(self._queue, (work.priority, self._sequence, work))
 
     def _withdraw(self, work: LeafWork) -> None:
-        if work in self._running:
-            task = asyncio.create_task(self._cancel_at_leaf(work))
-            task.add_done_callback(lambda _: None)
+        if work in self._connection_by_work:
+            self._start(self._cancel(work))
             return
         work.expires_at = 0.0
 
-    async def _cancel_at_leaf(self, work: LeafWork) -> None:
+    async def _cancel(self, work: LeafWork) -> None:
+        """Cancel the work at the leaf and close a connection left silent.
+
+        A connection that passes bytes brings the leaf's refusal of the
+        cancelled work; one that does not is silent.
+        """
+        if not await self._cancel_at_leaf(work):
+            return
+        await asyncio.sleep(ANSWER_GRACE_S)
+        connection = self._connection_by_work.get(work)
+        if connection is not None and self._policy.silence_timeout:
+            self._tasks[connection].cancel()
+            self._free_slot(work)
+            self._distrust_idle()
+
+    def _give_back(self, work: LeafWork) -> None:
+        if work.sent or work.outcome is not None or self.load < MOVE_LOAD:
+            return
+        self._queue = [entry for entry in self._queue if entry[2] is not work]
+        heapify(self._queue)
+        self._refuse(work, "busy")
+
+    async def _cancel_at_leaf(self, work: LeafWork) -> bool:
+        """Tell whether the leaf confirmed that the work runs no more."""
         try:
             connection = await LeafConnection.open(self.config.address)
         except TransportError:
-            return
+            return False
         try:
             await connection.cancel(
                 work.question.request_id, work.question.shard
             )
         except TransportError:
-            pass
+            return False
         finally:
             connection.close()
+        return True
+
+    def _distrust_idle(self) -> None:
+        """Replace the idle connections, which may be silent as well."""
+        for connection in self._idle:
+            self._tasks[connection].cancel()
+        self._idle.clear()
+
+    def _free_slot(self, work: LeafWork) -> None:
+        self._connection_by_work.pop(work, None)
+        self.inbox.put_nowait(Wake())
+
+    def _start(self, coroutine: Coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
 
     def _pump(self) -> None:
         now = self._clock.now()
+        if self._queue and not self._policy.is_home():
+            self._refuse_queued("not_home")
         self._ensure_connections(now)
         limit = self.limit.allowed(now)
         while self._queue:
@@ -321,7 +215,13 @@
                 self._refuse(work, "deadline")
                 continue
             allowed = self._policy.slots_allowed(work.expires_at - now)
-            if len(self._running) >= min(limit, allowed) or not self._idle:
+            if not allowed and isinstance(work.question, LeafSearch):
+                self._refuse_queued("handing_over")
+                break
+            if (
+                len(self._connection_by_work) >= min(limit, allowed)
+                or not self._idle
+            ):
                 break
             heappop(self._queue)
             self._send(work, now)
@@ -332,15 +232,16 @@
         work.question = _with_remaining(work.question, remaining_ms)
         work.sent = True
         work.started_at = now
-        self._running.add(work)
-        self._idle.pop().give(work)
+        connection = self._idle.pop()
+        self._connection_by_work[work] = connection
+        connection.give(work)
 
     def _finish(self, connection: ConnectionTask, work: LeafWork) -> None:
         now = self._clock.now()
         outcome = work.outcome
         if not isinstance(outcome, TransportError):
             self._idle.append(connection)
-            self._running.discard(work)
+            self._connection_by_work.pop(work, None)
         else:
             self._count_failure(work, outcome)
         if isinstance(outcome, (LeafAnswer, LeafRunAnswer)):
@@ -381,9 +282,10 @@
             self._policy.observer.connection_silent(
                 self.leaf_id, self.config.zone, work.question.request_id
             )
-            self._hold_slot(work)
+            self._distrust_idle()
+            self._start(self._free_after_cancel(work))
             return
-        self._running.discard(work)
+        self._connection_by_work.pop(work, None)
         self.limit.turn_cold()
         self._report_cold("a connection broke")
 
@@ -394,14 +296,9 @@
                 self.leaf_id, self.config.zone, cause
             )
 
-    def _hold_slot(self, work: LeafWork) -> None:
-        async def release() -> None:
-            await self._cancel_at_leaf(work)
-            self._running.discard(work)
-            self.inbox.put_nowait(Wake())
-
-        task = asyncio.create_task(release())
-        task.add_done_callback(lambda _: None)
+    async def _free_after_cancel(self, work: LeafWork) -> None:
+        await self._cancel_at_leaf(work)
+        self._free_slot(work)
 
     def _hear_list(self, leaving: bool, incarnation: str) -> None:
         """Heed the list, which lags: it may not revive a drained run."""
@@ -416,12 +313,12 @@
             self._draining = True
             self._drained_incarnation = incarnation
             self._policy.observer.leaf_draining(self.leaf_id, self.config.zone)
-            self._refuse_queued()
+            self._refuse_queued("draining")
 
-    def _refuse_queued(self) -> None:
+    def _refuse_queued(self, kind: str) -> None:
         queued, self._queue = self._queue, []
         for _, _, work in queued:
-            self._refuse(work, "draining")
+            self._refuse(work, kind)
 
     def _refuse(self, work: LeafWork, kind: str) -> None:
         work.outcome = LeafRefusal(
@@ -448,7 +345,7 @@
     def _ensure_connections(self, now: float) -> None:
         if now < self._reopen_at:
             return
-        busy = len(self._running)
+        busy = len(self._connection_by_work)
         wanted = min(
             max(1, self.config.connections // 2),
             busy + len(self._queue) + SPARE_CONNECTIONS,
--- a/heatherdyke/messages.py
+++ b/heatherdyke/messages.py
@@ -83,10 +83,15 @@
 
 @dataclass(frozen=True, slots=True)
 class PartRequest:
-    """One shard to search on one leaf, for the instance that is its home."""
+    """One shard to search on one leaf, for the instance that is its home.
+
+    A ``movable`` part has another replica: the home gives it back unsent
+    when it cannot send it soon.
+    """
 
     shard: str
     leaf: str
+    movable: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherdyke/search_run.py
+++ b/heatherdyke/search_run.py
@@ -29,6 +29,7 @@
 MAX_SNAPSHOT_RESTARTS = 2
 MAX_TRIES_PER_SHARD = 3
 MAX_MOVES_PER_SHARD = 2
+RETRY_PAUSE_S = 0.025
 HOME_SILENCE_FACTOR = 2.0
 HOME_SILENCE_EXTRA_S = 0.01
 EARLY_DELAYS = 4.0
@@ -69,6 +70,14 @@
     moved: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class _RetryDue:
+    """A part that nobody worked on, to be asked again at ``at``."""
+
+    at: float
+    part: Part
+
+
 class SearchRun:
     """Works on one search until it is whole, good enough or late."""
 
@@ -106,12 +115,13 @@
         self._deadline = deadline - RETURN_MARGIN_S
         self._started_at = self._entry.clock.now()
         self._send(list(self._plan.weight_by_shard), hedge=False)
-        while self._groups and not self._is_enough():
+        while self._is_open() and not self._is_enough():
             report = await self._next_report()
             if report is not None:
                 self._take(report)
             elif self._entry.clock.now() >= self._deadline:
                 break
+            self._retry_due()
             self._hedge_stragglers()
         self._cancel_rest()
         self._check_answer()
@@ -122,6 +132,7 @@
         self._coverage = CoverageCount(self._plan.weight_by_shard, check)
         self._items: list[Item] = []
         self._try_by_shard: dict[str, _ShardTry] = {}
+        self._retries_due: list[_RetryDue] = []
         self._leaves_by_shard = dict(self._plan.leaves_by_shard)
 
     def _send(self, shards: list[str], hedge: bool) -> None:
@@ -168,7 +179,7 @@
             self._entry.hedges.delay_s() * 1000,
             self._request.limit,
             [
-                PartRequest(shard, leaf)
+                PartRequest(shard, leaf, self._has_other(shard))
                 for shard, leaf in group.pending_leaf_by_shard.items()
             ],
             self._entry.observer.stamp(),
@@ -195,6 +206,7 @@
             return self._inbox.get_nowait()
         now = self._entry.clock.now()
         times = [g.hedge_at for g in self._groups if not g.hedged]
+        times.extend(retry.at for retry in self._retries_due)
         early_at = self._early_at()
         if early_at > now:
             times.append(early_at)
@@ -247,9 +259,27 @@
         if part.state is PartState.NOT_HOME:
             self._allow_again(part)
             self._send([part.shard], hedge=True)
+        elif not self._has_other(part.shard):
+            self._try_again_later(part)
         elif part.asked == 0 or budget.spend():
             self._send([part.shard], hedge=True)
 
+    def _try_again_later(self, part: Part) -> None:
+        """Ask the only replica again after a pause, if it did no work."""
+        if part.asked or self._try_by_shard[part.shard].open:
+            return
+        self._retries_due.append(
+            _RetryDue(self._entry.clock.now() + RETRY_PAUSE_S, part)
+        )
+
+    def _retry_due(self) -> None:
+        now = self._entry.clock.now()
+        due = [retry for retry in self._retries_due if retry.at <= now]
+        self._retries_due = [r for r in self._retries_due if r.at > now]
+        for retry in due:
+            self._try_by_shard[retry.part.shard].tried.clear()
+            self._send([retry.part.shard], hedge=True)
+
     def _allow_again(self, part: Part) -> None:
         """Let the leaf be asked at its new home, a bounded number of times."""
         attempt = self._try_by_shard[part.shard]
@@ -333,6 +363,9 @@
         delay_s = self._entry.hedges.delay_s()
         return HOME_SILENCE_FACTOR * delay_s + HOME_SILENCE_EXTRA_S
 
+    def _is_open(self) -> bool:
+        return bool(self._groups or self._retries_due)
+
     def _early_at(self) -> float:
         """Return when an answer with the wanted coverage need not wait."""
         delay_s = self._entry.hedges.delay_s()
--- a/heatherdyke/server.py
+++ b/heatherdyke/server.py
@@ -54,9 +54,13 @@
                 raise RuntimeError("the server ended before it listened")
             await asyncio.sleep(0.005)
 
-    async def stop(self) -> None:
-        """Close the listener and the connections, and wait for the end."""
+    async def stop(self, at_once: bool = False) -> None:
+        """Close the listener and the connections, and wait for the end.
+
+        ``at_once`` cuts the requests that run.
+        """
         self._server.should_exit = True
+        self._server.force_exit = at_once
         if self._task is not None:
             await self._task
 
--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -19,6 +19,7 @@
 from heatherdyke.standin_content import items_for
 from heatherdyke.standin_leaf_model import LeafIncarnationRecord
 from heatherdyke.standin_leaf_model import LeafProfile
+from heatherdyke_bench.admin import is_ready
 from heatherdyke_bench.deployments import Deployment
 from heatherdyke_bench.deployments import LeafKind
 from heatherdyke_bench.deployments import LoadClass
@@ -26,6 +27,7 @@
 from heatherdyke_bench.deployments import key_of
 from heatherdyke_bench.fleet import Fleet
 from heatherdyke_bench.fleet import Policy
+from heatherdyke_bench.process import FleetProcess
 from heatherdyke_bench.process import free_address
 
 TEAM = "permits"
@@ -113,12 +115,19 @@
 
 
 class Callers:
-    """Callers that search all services of a fleet again and again."""
+    """Callers that search all services of a fleet again and again.
 
-    def __init__(self, fleet: Fleet, limit: int = 10) -> None:
+    With ``heed_readiness`` they send nothing to an instance that says that
+    it is not ready, as a balancer does.
+    """
+
+    def __init__(
+        self, fleet: Fleet, limit: int = 10, heed_readiness: bool = False
+    ) -> None:
         self.outcomes = Outcomes()
         self._fleet = fleet
         self._limit = limit
+        self._heed_readiness = heed_readiness
         self._tasks: list[asyncio.Task] = []
         self._number = 0
         self._wanted = True
@@ -150,6 +159,9 @@
     async def _search(self, name: str) -> None:
         process = self._fleet.find_instance(name)
         while self._wanted and process.running:
+            if self._heed_readiness and not await answers_ready(process):
+                await asyncio.sleep(CONDITION_CHECK_S)
+                continue
             self._number += 1
             request = SearchRequest(
                 self._fleet.deployment.small_services,
@@ -183,6 +195,14 @@
     return wanted == {(item.id, item.score) for item in answer.items}
 
 
+async def answers_ready(process: FleetProcess) -> bool:
+    """Tell whether the instance can be reached and says it is ready."""
+    try:
+        return await is_ready(process.address)
+    except HeatherdykeError:
+        return False
+
+
 async def latest_records(fleet: Fleet) -> dict[str, LeafIncarnationRecord]:
     """Return the record of each leaf's newest incarnation, by leaf."""
     records = await fleet.leaf_records()
--- a/tests/test_leaf_limit.py
+++ b/tests/test_leaf_limit.py
@@ -74,7 +74,7 @@
 
     def __init__(self):
         super().__init__()
-        self.limit = LeafLimit(SLOTS, COLD_SLOTS, self.ramp)
+        self.limit = LeafLimit(SLOTS, COLD_SLOTS, COLD_SEARCHES, self.ramp)
         self.incarnation = 1
         self.done = 0
         self.running = 0
--- /dev/null
+++ b/tests/test_proof_servers.py
@@ -0,0 +1,125 @@
+"""Proofs of the promises to backend servers and about stopping.
+
+The leaves' own records judge.  Each proof is seen to fail with its
+mechanism off, then to pass with it on.
+"""
+
+import asyncio
+import signal
+from contextlib import suppress
+
+from heatherdyke.errors import ConnectionRefused
+from heatherdyke.errors import TransportError
+from heatherdyke.standin_leaf_model import LeafFaults
+from heatherdyke_bench.admin import set_faults
+from tests.small_fleet import Callers
+from tests.small_fleet import latest_records
+from tests.small_fleet import start_fleet
+from tests.small_fleet import wait_until
+
+COLD_SEARCHES = 40
+DRAIN_LIMIT_S = 3.0
+DRAIN_WATCH_S = 4.0
+SLOW_MS = 300.0
+
+
+class TestColdServer:
+    async def restart_leaves(self, directory, disable):
+        async with start_fleet(
+            directory, disable, cold_searches=COLD_SEARCHES
+        ) as fleet:
+            async with Callers(fleet) as callers:
+                callers.start(12)
+                await callers.wait_for_answers(200)
+                for _ in range(2):
+                    for process in fleet.leaf_by_name.values():
+                        with suppress(TransportError):
+                            await set_faults(
+                                process.address, LeafFaults(restart=True)
+                            )
+                        await callers.wait_for_answers(100)
+                await callers.wait_for_answers(500)
+                outcomes = await callers.stop()
+            return outcomes, await fleet.leaf_records()
+
+    def excess(self, records):
+        return sum(
+            incarnation.cold_excess
+            for record in records.values()
+            for incarnation in record.incarnations
+        )
+
+    def test_gets_more_than_it_bears_without_the_ramp(self, tmp_path):
+        _, records = asyncio.run(self.restart_leaves(tmp_path, "cold-ramp"))
+        assert self.excess(records) > 0
+
+    def test_gets_no_more_than_it_bears(self, tmp_path):
+        outcomes, records = asyncio.run(self.restart_leaves(tmp_path, ""))
+        cold = sum(
+            incarnation.cold_arrivals
+            for record in records.values()
+            for incarnation in record.incarnations
+        )
+        assert cold > 0
+        assert self.excess(records) == 0
+        assert not outcomes.wrong_answers()
+
+
+class TestLeavingServer:
+    async def drain_leaf(self, directory, disable):
+        async with start_fleet(directory, disable) as fleet:
+            async with Callers(fleet) as callers:
+                callers.start(6)
+                await callers.wait_for_answers(100)
+                leaf = next(iter(fleet.leaf_by_name))
+                await set_faults(
+                    fleet.leaf_by_name[leaf].address,
+                    LeafFaults(drain=True, drain_answer_s=60.0),
+                )
+                loop = asyncio.get_running_loop()
+                until = loop.time() + DRAIN_WATCH_S
+                await wait_until(lambda: loop.time() >= until)
+                outcomes = await callers.stop()
+            return outcomes, (await latest_records(fleet))[leaf]
+
+    def test_gets_new_work_for_long_without_heed(self, tmp_path):
+        _, record = asyncio.run(self.drain_leaf(tmp_path, "leaf-drain"))
+        assert record.draining_last_s > DRAIN_LIMIT_S
+
+    def test_gets_no_new_work_after_some_seconds(self, tmp_path):
+        outcomes, record = asyncio.run(self.drain_leaf(tmp_path, ""))
+        assert record.draining_last_s < DRAIN_LIMIT_S
+        last = [a.coverage_share for _, a in outcomes.answers[-100:]]
+        assert min(last) == 1.0
+
+
+class TestGracefulShutdown:
+    async def terminate(self, directory, disable):
+        async with start_fleet(directory, disable) as fleet:
+            for process in fleet.leaf_by_name.values():
+                await set_faults(
+                    process.address, LeafFaults(service_ms=SLOW_MS)
+                )
+            name = next(iter(fleet.instance_by_name))
+            async with Callers(fleet, heed_readiness=True) as callers:
+                callers.start(2, [name])
+                callers.start(1)
+                await callers.wait_for_answers(5)
+                process = fleet.find_instance(name)
+                process.send_signal(signal.SIGTERM)
+                await wait_until(lambda: not process.running)
+                return await callers.stop()
+
+    def is_cut(self, error):
+        return not isinstance(error, ConnectionRefused)
+
+    def test_cuts_requests_without_it(self, tmp_path):
+        outcomes = asyncio.run(self.terminate(tmp_path, "graceful-shutdown"))
+        assert any(map(self.is_cut, outcomes.broken))
+
+    def test_cuts_no_request(self, tmp_path):
+        outcomes = asyncio.run(self.terminate(tmp_path, ""))
+        assert not list(filter(self.is_cut, outcomes.broken))
+        kinds = {error.problem.kind for error in outcomes.refused}
+        assert kinds <= {"shutting_down"}
+        assert not outcomes.wrong_answers()
