Warm leaves by work, find new homes at once

Now only warm leaves move the usual time, slow answers count as answered, the choice probes idle slower leaves, cold leaves finish their work, and not_home makes the entry fetch the roster before it asks again.

--- a/heatherdyke/component.py
+++ b/heatherdyke/component.py
@@ -51,3 +51,6 @@
 
         ``work_s`` is the longest that the work to be sent may last.
         """
+
+    def refresh(self, zone: str, address: str) -> None:
+        """Ask the member at ``address`` for the zone's newest roster."""
--- a/heatherdyke/entry.py
+++ b/heatherdyke/entry.py
@@ -122,6 +122,12 @@
             return LOCAL_ROUTE
         return Route(home.address)
 
+    def refresh_route(self, leaf_id: str, address: str | None) -> None:
+        """Learn of the leaf's new home from the former one."""
+        config = self.index.current().leaf_by_id.get(leaf_id)
+        if config is not None and address is not None:
+            self._members.refresh(config.zone, address)
+
     def spawn(self, coroutine) -> asyncio.Task:
         """Run a coroutine as a task that this entry keeps alive."""
         task = asyncio.create_task(coroutine)
--- a/heatherdyke/home.py
+++ b/heatherdyke/home.py
@@ -65,6 +65,7 @@
         self._worker_by_leaf: dict[str, LeafWorker] = {}
         self._tasks: set[asyncio.Task] = set()
         self._median = LatencyQuantile(MEDIAN, step=MEDIAN_STEP)
+        self._seen_usual = False
         self._works_by_request: dict[str, set[LeafWork]] = {}
 
     @property
@@ -229,7 +230,7 @@
                 leaf_id, config, work_s
             ),
             reference_s=lambda: self._median.value_s,
-            observe_latency=self._median.add,
+            observe_latency=self._observe_latency,
             silence_timeout=uses(Mechanism.SILENCE_TIMEOUT),
             match_parts=uses(Mechanism.PART_MATCH),
             heed_drain=uses(Mechanism.LEAF_DRAIN),
@@ -242,6 +243,12 @@
         task.add_done_callback(self._tasks.discard)
         return worker
 
+    def _observe_latency(self, took_s: float, usual: bool) -> None:
+        """Move the usual time by warm leaves, or by all until one is."""
+        self._seen_usual = self._seen_usual or usual
+        if usual or not self._seen_usual:
+            self._median.add(took_s)
+
     def _slots_allowed(
         self, leaf_id: str, config: LeafConfig, work_s: float
     ) -> int:
--- a/heatherdyke/leaf_limit.py
+++ b/heatherdyke/leaf_limit.py
@@ -11,6 +11,7 @@
 SUCCESSES_PER_STEP = 10
 SLOW_FACTOR = 3.0
 SLOW_ANSWERS_MEAN_COLD = 6
+SLOW_PATIENCE = 100
 SHED_PAUSE_S = 0.05
 SHED_PAUSE_MAX_S = 2.0
 
@@ -47,32 +48,41 @@
             return 0
         return self.level
 
+    @property
+    def is_warm(self) -> bool:
+        """Tell whether all slots are in use."""
+        return self.level >= self.slots
+
     def resumes_at(self, now: float) -> float | None:
         """Return when a pause ends, or None if there is none."""
         return self._paused_until if now < self._paused_until else None
 
     def succeed(
         self, incarnation: str, took_s: float, reference_s: float
-    ) -> None:
+    ) -> bool:
         """Count an answer; ``reference_s`` is the usual time of one.
 
-        Another incarnation than before makes the leaf cold again.
+        Another incarnation than before makes the leaf cold again.  Returns
+        whether the time taken may count as usual: that of a warm leaf, or
+        of one that stays slow long after it should be warm.
         """
         if self._is_new(incarnation):
             self.turn_cold()
         self.incarnation = incarnation or self.incarnation
         self._sheds_in_row = 0
         self._answered += 1
-        if reference_s > 0 and took_s > SLOW_FACTOR * reference_s:
+        patient = self._answered <= self.cold_searches + SLOW_PATIENCE
+        if patient and took_s > SLOW_FACTOR * reference_s:
             self._count_slow()
-            return
+            return False
         self._slow_answers = 0
         if self._answered <= self.cold_searches:
-            return
+            return False
         self._successes += 1
         if self._successes >= SUCCESSES_PER_STEP and self.level < self.slots:
             self._successes = 0
             self.level += 1
+        return self.is_warm or not patient
 
     def shed(self, now: float, incarnation: str, retry_after_s: float) -> None:
         """Halve the limit and pause, longer with each shed in a row."""
@@ -103,5 +113,6 @@
 
     def _count_slow(self) -> None:
         self._slow_answers += 1
-        if self._slow_answers >= SLOW_ANSWERS_MEAN_COLD:
+        raised = self.level > self.cold_slots
+        if raised and self._slow_answers >= SLOW_ANSWERS_MEAN_COLD:
             self.turn_cold()
--- a/heatherdyke/leaf_work.py
+++ b/heatherdyke/leaf_work.py
@@ -81,7 +81,7 @@
     is_home: Callable[[], bool]
     slots_allowed: Callable[[float], int]
     reference_s: Callable[[], float]
-    observe_latency: Callable[[float], None]
+    observe_latency: Callable[[float, bool], None]
     observer: SearchObserver
     silence_timeout: bool = True
     match_parts: bool = True
--- a/heatherdyke/leaf_worker.py
+++ b/heatherdyke/leaf_worker.py
@@ -144,8 +144,10 @@
         heappush(self._queue, (work.priority, self._sequence, work))
 
     def _withdraw(self, work: LeafWork) -> None:
+        """Drop the work, but let a cold leaf do it: that warms it."""
         if work in self._connection_by_work:
-            self._start(self._cancel(work))
+            if self.limit.is_warm:
+                self._start(self._cancel(work))
             return
         work.expires_at = 0.0
 
@@ -255,10 +257,10 @@
     ) -> None:
         took_s = now - work.started_at
         if isinstance(answer, LeafAnswer):
-            self.limit.succeed(
+            usual = self.limit.succeed(
                 answer.incarnation, took_s, self._policy.reference_s()
             )
-            self._policy.observe_latency(took_s)
+            self._policy.observe_latency(took_s, usual)
             self._policy.observer.leaf_answered(self.leaf_id, took_s)
             self._report_cold("its answers are slow or of another run")
             self._note_draining(answer.draining, answer.incarnation)
--- a/heatherdyke/member_task.py
+++ b/heatherdyke/member_task.py
@@ -155,6 +155,10 @@
         """Take a refused TCP connection as proof that a member has ended."""
         self._note_gone(GoneProof(member.incarnation), "refused")
 
+    def refresh(self, zone: str, address: str) -> None:
+        """Fetch the zone's roster from a member that is home no more."""
+        self._start(f"refresh {zone}", self._fetch(address, zone))
+
     def add_routes(self, app: Application) -> None:
         """Add the routes that peers ask for rosters and incarnations."""
         add_route(app, "GET", "/peer/member", self._answer_member)
--- a/heatherdyke/replica_choice.py
+++ b/heatherdyke/replica_choice.py
@@ -12,6 +12,8 @@
 AVOID_S = 1.0
 DRAIN_AVOID_S = 5.0
 FIRST_LATENCY_MS = 5.0
+CLEARLY_BETTER = 0.7
+PROBE_SHARE = 0.1
 
 
 @dataclass(slots=True)
@@ -70,15 +72,29 @@
 def choose_least_loaded(
     leaves: list[str], views: ReplicaViews, now: float, random: Random
 ) -> str:
-    """Return the leaf with the least expected wait of two drawn ones.
+    """Return one of two leaves drawn, the other only if clearly better.
 
-    The method is the power of two choices (Mitzenmacher 2001); leaves that
-    refused lately come last.
+    The method is the power of two choices (Mitzenmacher 2001).  Small
+    differences do not count: an instance that followed them would keep to
+    one replica, whose estimate alone is renewed.  A share of the searches
+    goes to an idle leaf though it is slower, because a leaf that is cold
+    gets warm by work alone.
     """
-    drawn = random.sample(leaves, min(2, len(leaves)))
-    return min(drawn, key=lambda leaf: _expected_wait(views.of(leaf), now))
+    if len(leaves) < 2:
+        return leaves[0]
+    first, second = random.sample(leaves, 2)
+    one, other = views.of(first), views.of(second)
+    if _is_avoided(one, now) != _is_avoided(other, now):
+        return second if _is_avoided(one, now) else first
+    if _expected_wait(other) >= CLEARLY_BETTER * _expected_wait(one):
+        return first
+    is_idle = one.outstanding == 0 and one.load == 0.0
+    return first if is_idle and random.random() < PROBE_SHARE else second
 
 
-def _expected_wait(view: ReplicaView, now: float) -> tuple[bool, float]:
-    waiting = 1.0 + view.outstanding + view.load
-    return (view.avoided_until > now, waiting * view.latency_ms)
+def _is_avoided(view: ReplicaView, now: float) -> bool:
+    return view.avoided_until > now
+
+
+def _expected_wait(view: ReplicaView) -> float:
+    return (1.0 + view.outstanding + view.load) * view.latency_ms
--- a/heatherdyke/search_run.py
+++ b/heatherdyke/search_run.py
@@ -28,8 +28,9 @@
 RETURN_MARGIN_S = 0.004
 MAX_SNAPSHOT_RESTARTS = 2
 MAX_TRIES_PER_SHARD = 3
-MAX_MOVES_PER_SHARD = 2
+MAX_MOVES_PER_SHARD = 4
 RETRY_PAUSE_S = 0.025
+MOVE_PAUSE_S = 0.005
 HOME_SILENCE_FACTOR = 2.0
 HOME_SILENCE_EXTRA_S = 0.01
 EARLY_DELAYS = 4.0
@@ -247,9 +248,9 @@
         elif part.state is PartState.SNAPSHOT_GONE:
             self._note_gone(part)
         elif part.state in RETRYABLE:
-            self._retry(part)
+            self._retry(group, part)
 
-    def _retry(self, part: Part) -> None:
+    def _retry(self, group: Group, part: Part) -> None:
         """Ask another replica for a part that is not whole."""
         budget = self._entry.hedges.budget
         if part.state is PartState.REFUSED and part.asked:
@@ -257,8 +258,8 @@
         if self._coverage.is_whole(part.shard):
             return
         if part.state is PartState.NOT_HOME:
+            self._entry.refresh_route(part.leaf, group.address)
             self._allow_again(part)
-            self._send([part.shard], hedge=True)
         elif not self._has_other(part.shard):
             self._try_again_later(part)
         elif part.asked == 0 or budget.spend():
@@ -266,8 +267,10 @@
 
     def _try_again_later(self, part: Part) -> None:
         """Ask the only replica again after a pause, if it did no work."""
-        if part.asked or self._try_by_shard[part.shard].open:
+        attempt = self._try_by_shard[part.shard]
+        if part.asked or attempt.open:
             return
+        attempt.tried.clear()
         self._retries_due.append(
             _RetryDue(self._entry.clock.now() + RETRY_PAUSE_S, part)
         )
@@ -276,9 +279,7 @@
         now = self._entry.clock.now()
         due = [retry for retry in self._retries_due if retry.at <= now]
         self._retries_due = [r for r in self._retries_due if r.at > now]
-        for retry in due:
-            self._try_by_shard[retry.part.shard].tried.clear()
-            self._send([retry.part.shard], hedge=True)
+        self._send([retry.part.shard for retry in due], hedge=True)
 
     def _allow_again(self, part: Part) -> None:
         """Let the leaf be asked at its new home, a bounded number of times."""
@@ -286,6 +287,9 @@
         attempt.moved += 1
         if attempt.moved <= MAX_MOVES_PER_SHARD:
             attempt.tried.remove(part.leaf)
+        self._retries_due.append(
+            _RetryDue(self._entry.clock.now() + MOVE_PAUSE_S, part)
+        )
 
     def _ask_children(self, part: Part) -> None:
         service = part.shard.partition("/")[0]
