Cut zones in experiments: source hosts, faults per source, zone-cut

An instance's connections can come from a host of its zone (--source), so that the proxy knows on which side of a cut a client is; the proxy's faults can be kept to some sources. The fault proxy is split into modules.

--- a/heatherdyke/cli.py
+++ b/heatherdyke/cli.py
@@ -45,6 +45,9 @@
     advertise: Annotated[
         str, _option("--advertise", "Address that others use, if not LISTEN.")
     ] = "",
+    source: Annotated[
+        str, _option("--source", "IP number that connections come from.")
+    ] = "",
     heartbeat_interval_s: Annotated[
         float, _option("--heartbeat-interval-s", "Seconds between heartbeats.")
     ] = 0.5,
@@ -73,16 +76,19 @@
         listen=listen,
         platform=platform,
         advertise=advertise,
+        source=source,
         heartbeat_interval_s=heartbeat_interval_s,
         lease_s=lease_s,
         drain_s=drain_s,
         log_level=log_level,
         extra_load_share=extra_load_share,
     )
+    from heatherdyke.http_connection import set_source_host
     from heatherdyke.instance import Instance
     from heatherdyke.log_output import configure_logging
 
     configure_logging(settings.log_level)
+    set_source_host(settings.source)
 
     asyncio.run(Instance.from_settings(settings).serve())
 
--- a/heatherdyke/cli_standin.py
+++ b/heatherdyke/cli_standin.py
@@ -11,7 +11,7 @@
 from heatherdyke.codec import decode
 from heatherdyke.errors import SettingsError
 from heatherdyke.fault_proxy import FaultProxy
-from heatherdyke.fault_proxy import ProxyConfig
+from heatherdyke.fault_proxy_model import ProxyConfig
 from heatherdyke.standin_leaf import LeafStandin
 from heatherdyke.standin_leaf_model import LeafProfile
 from heatherdyke.standin_platform import PlatformStandin
--- /dev/null
+++ b/heatherdyke/fault_proxy_udp.py
@@ -0,0 +1,87 @@
+"""Forwards datagrams of one route, with faults."""
+
+import asyncio
+
+from heatherdyke.fault_proxy_model import Direction
+from heatherdyke.fault_proxy_model import RouteConfig
+from heatherdyke.fault_proxy_model import RouteFaults
+from heatherdyke.fault_proxy_model import RouteRecord
+from heatherdyke.settings import split_address
+
+
+class UdpRoute(asyncio.DatagramProtocol):
+    """Forwards datagrams; each sender gets a socket of its own."""
+
+    def __init__(self, config: RouteConfig) -> None:
+        self.config = config
+        self.faults = RouteFaults()
+        self.record = RouteRecord()
+        self.address = config.listen
+        self._transport: asyncio.DatagramTransport | None = None
+        self._upstream_by_sender: dict[
+            tuple[str, int], asyncio.DatagramTransport
+        ] = {}
+
+    async def start(self) -> None:
+        """Listen."""
+        host, _, port = self.config.listen.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(host, int(port))
+        )
+        number = self._transport.get_extra_info("sockname")[1]
+        self.address = f"{host}:{number}"
+
+    async def stop(self) -> None:
+        """Close every socket."""
+        self._transport.close()
+        for upstream in self._upstream_by_sender.values():
+            upstream.close()
+
+    def set_faults(self, faults: RouteFaults) -> None:
+        """Replace the faults; ``silent`` and ``cut`` both drop all."""
+        self.faults = faults
+
+    def datagram_received(self, data: bytes, sender: tuple) -> None:
+        """Take a datagram from a sender."""
+        if not self._drops(sender, Direction.TO_TARGET):
+            asyncio.ensure_future(self._send_on(data, sender))
+
+    def return_to(self, sender: tuple[str, int], data: bytes) -> None:
+        """Pass the target's datagram back to a sender."""
+        if self._drops(sender, Direction.FROM_TARGET):
+            return
+        delay_s = self.faults.delay_ms / 1000
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, self._transport.sendto, data, sender)
+
+    def _drops(self, sender: tuple[str, int], direction: Direction) -> bool:
+        faults = self.faults
+        dead = faults.cut or faults.silent
+        if dead and faults.touch(sender[0]):
+            return True
+        return faults.lose_bytes(sender[0], direction)
+
+    async def _send_on(self, data: bytes, sender: tuple[str, int]) -> None:
+        await asyncio.sleep(self.faults.delay_ms / 1000)
+        upstream = self._upstream_by_sender.get(sender)
+        if upstream is None:
+            loop = asyncio.get_running_loop()
+            upstream, _ = await loop.create_datagram_endpoint(
+                lambda: _UdpReturn(self, sender),
+                remote_addr=split_address(self.config.target),
+            )
+            self._upstream_by_sender[sender] = upstream
+        upstream.sendto(data)
+        self.record.datagrams += 1
+
+
+class _UdpReturn(asyncio.DatagramProtocol):
+    """The socket towards the target on behalf of one sender."""
+
+    def __init__(self, route: UdpRoute, sender: tuple[str, int]) -> None:
+        self._route = route
+        self._sender = sender
+
+    def datagram_received(self, data: bytes, address: tuple) -> None:
+        self._route.return_to(self._sender, data)
--- a/heatherdyke/http_connection.py
+++ b/heatherdyke/http_connection.py
@@ -18,6 +18,14 @@
 READ_BYTES = 65536
 CONNECT_TIMEOUT_S = 2.0
 
+_source_host: str | None = None
+
+
+def set_source_host(host: str) -> None:
+    """Let all further connections of this process come from ``host``."""
+    global _source_host
+    _source_host = host or None
+
 
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
@@ -78,9 +86,12 @@
         TransportError if the connection is not up within ``timeout_s``.
         """
         host, port = split_address(address)
+        source = (_source_host, 0) if _source_host else None
         try:
             async with asyncio.timeout(timeout_s):
-                reader, writer = await asyncio.open_connection(host, port)
+                reader, writer = await asyncio.open_connection(
+                    host, port, local_addr=source
+                )
         except ConnectionRefusedError as error:
             raise ConnectionRefused(
                 f"{address} refused the connection", sent=False
--- a/heatherdyke/settings.py
+++ b/heatherdyke/settings.py
@@ -16,7 +16,9 @@
     """What one instance is told at its start.
 
     Addresses are ``host:port`` with IP numbers.  ``name`` is the same over
-    restarts; the incarnation is drawn anew at each start.  ``peers`` are
+    restarts; the incarnation is drawn anew at each start.  ``source`` is
+    the IP number that outgoing connections come from, if not the system's
+    choice.  ``peers`` are
     other instances to ask when the platform is down at the start.
     """
 
@@ -25,6 +27,7 @@
     listen: str
     platform: str
     advertise: str = ""
+    source: str = ""
     peers: tuple[str, ...] = ()
     heartbeat_interval_s: float = 0.5
     lease_s: float = 2.0
@@ -59,6 +62,7 @@
             _check_address(name, values.get(name, ""), faults)
         if values.get("advertise"):
             _check_address("advertise", values["advertise"], faults)
+        _check_host("source", values.get("source", ""), faults)
         peer_addresses = tuple(filter(None, peers.split(",")))
         for address in peer_addresses:
             _check_address("peers", address, faults)
@@ -97,6 +101,15 @@
         )
 
 
+def _check_host(name: str, host: str, faults: list[str]) -> None:
+    try:
+        ip_address(host or "127.0.0.1")
+    except ValueError:
+        faults.append(
+            f"--{name} {host!r} is not an IP number: write it as 127.0.0.1"
+        )
+
+
 def _parse_mechanisms(text: str, faults: list[str]) -> frozenset[Mechanism]:
     mechanisms = set()
     for name in filter(None, text.split(",")):
--- a/heatherdyke_bench/actions.py
+++ b/heatherdyke_bench/actions.py
@@ -63,6 +63,18 @@
     await _change_zone(fleet, values["zone"], out=False)
 
 
+@actions.register("cut-zone")
+async def cut_zone(fleet: Fleet, values: dict[str, Any]) -> None:
+    """Cut the zone off from other zones and from the platform."""
+    await fleet.cut_zone(values["zone"])
+
+
+@actions.register("heal-network")
+async def heal_network(fleet: Fleet, values: dict[str, Any]) -> None:
+    """End all cuts."""
+    await fleet.heal_network()
+
+
 @actions.register("kill-instance")
 async def kill_instance(fleet: Fleet, values: dict[str, Any]) -> None:
     """Kill an instance by SIGKILL."""
--- a/heatherdyke_bench/experiment.py
+++ b/heatherdyke_bench/experiment.py
@@ -58,7 +58,9 @@
                 for profile in self.deployment.profiles()
             ]
             path = Path(directory)
-            fleet = Fleet(self.deployment, profiles, policy, path)
+            fleet = Fleet(
+                self.deployment, profiles, policy, path, self.scenario.proxied
+            )
             try:
                 await fleet.start()
                 return await self._measure(fleet, seed, path)
--- a/heatherdyke_bench/fleet.py
+++ b/heatherdyke_bench/fleet.py
@@ -24,8 +24,10 @@
 from heatherdyke.standin_platform import PlatformRecord
 from heatherdyke_bench.admin import is_ready
 from heatherdyke_bench.admin import read_record
+from heatherdyke_bench.admin import set_faults
 from heatherdyke_bench.deployments import Deployment
 from heatherdyke_bench.errors import FleetError
+from heatherdyke_bench.network import ZoneNetwork
 from heatherdyke_bench.process import FleetProcess
 from heatherdyke_bench.process import free_address
 
@@ -53,7 +55,9 @@
         profiles: list[LeafProfile],
         policy: Policy,
         directory: Path,
+        proxied: bool = False,
     ) -> None:
+        self.network = ZoneNetwork(deployment, proxied)
         self.deployment = deployment
         self.policy = policy
         self.profile_by_leaf = {p.leaf: p for p in profiles}
@@ -62,6 +66,7 @@
         self._directory = directory
         self._tree = Path(policy.tree).resolve()
         self._gate = asyncio.Semaphore(START_AT_ONCE)
+        self.network_process: FleetProcess | None = None
         self.platform = self._process(
             "platform",
             ["heatherdyke.cli_standin", "platform", "--listen=127.0.0.1:0"],
@@ -73,9 +78,10 @@
         await asyncio.gather(
             *(self._start_leaf(p) for p in self.profile_by_leaf.values())
         )
-        await self._write_configuration()
         for name, zone in self.deployment.zone_by_instance.items():
             self._add_instance(name, zone)
+        await self._start_network()
+        await self._write_configuration()
         await asyncio.gather(
             *(self.start_instance(n) for n in self.instance_by_name)
         )
@@ -84,9 +90,21 @@
         """End all processes that this fleet started."""
         instances = list(self.instance_by_name.values())
         others = [*self.leaf_by_name.values(), self.platform]
+        if self.network_process is not None:
+            others.append(self.network_process)
         await asyncio.gather(*(p.stop(signal.SIGKILL) for p in instances))
         await asyncio.gather(*(p.stop() for p in others))
 
+    async def cut_zone(self, zone: str) -> None:
+        """Cut a zone off from the others and from the platform."""
+        faults = self.network.cut_zone(zone)
+        await set_faults(self.network_process.address, faults)
+
+    async def heal_network(self) -> None:
+        """End all cuts."""
+        faults = self.network.heal()
+        await set_faults(self.network_process.address, faults)
+
     async def start_instance(self, name: str) -> None:
         """Start an instance and wait until it is ready."""
         process = self.find_instance(name)
@@ -128,7 +146,9 @@
         return PlatformClient(self.platform.address)
 
     def _add_instance(self, name: str, zone: str) -> None:
-        address = free_address()
+        host = self.network.host_of_zone(zone)
+        address = free_address(host)
+        platform = self.platform.address
         process = self._process(
             name,
             [
@@ -137,13 +157,28 @@
                 f"--name={name}",
                 f"--zone={zone}",
                 f"--listen={address}",
-                f"--platform={self.platform.address}",
+                f"--advertise={self.network.route_instance(name, address)}",
+                f"--source={host}",
+                f"--platform={self.network.route_platform(platform)}",
                 f"--disable={self.policy.disable}",
             ],
         )
         process.address = address
         self.instance_by_name[name] = process
 
+    async def _start_network(self) -> None:
+        for leaf, process in self.leaf_by_name.items():
+            self.network.route_leaf(leaf, process.address)
+        if not self.network.proxied:
+            return
+        config = encode(self.network.config()).decode()
+        path = self._directory / "network.json"
+        path.write_text(config)
+        self.network_process = self._process(
+            "network", ["heatherdyke.cli_standin", "proxy", f"@{path}"]
+        )
+        await self._start_standin(self.network_process)
+
     async def _start_leaf(self, profile: LeafProfile) -> None:
         profile = replace(profile, platform=self.platform.address)
         process = self._process(
@@ -159,7 +194,10 @@
             await process.wait_until_listening()
 
     async def _write_configuration(self) -> None:
-        address_by_leaf = {n: p.address for n, p in self.leaf_by_name.items()}
+        address_by_leaf = {
+            leaf: self.network.address_of_leaf(leaf, process.address)
+            for leaf, process in self.leaf_by_name.items()
+        }
         platform = self.platform_client()
         for index in self.deployment.indexes:
             held = IndexSnapshots(FIRST_SNAPSHOT, [FIRST_SNAPSHOT])
--- /dev/null
+++ b/heatherdyke_bench/network.py
@@ -0,0 +1,89 @@
+"""The routes of the fault proxy between zones, and cuts of a zone.
+
+Instances of a zone listen on, and connect from, a loopback host of their
+zone, so that the proxy can tell on which side of a cut a client is.
+"""
+
+from heatherdyke.fault_proxy_model import Direction
+from heatherdyke.fault_proxy_model import ProxyConfig
+from heatherdyke.fault_proxy_model import ProxyFaults
+from heatherdyke.fault_proxy_model import RouteConfig
+from heatherdyke.fault_proxy_model import RouteFaults
+from heatherdyke_bench.deployments import Deployment
+from heatherdyke_bench.process import free_address
+
+OUTSIDE = ""
+
+
+class ZoneNetwork:
+    """Names a route for each instance, each leaf and the platform."""
+
+    def __init__(self, deployment: Deployment, proxied: bool) -> None:
+        self.proxied = proxied
+        self._deployment = deployment
+        self._zone_by_leaf = {p.leaf: p.zone for p in deployment.profiles()}
+        self._route_by_name: dict[str, RouteConfig] = {}
+        self._zone_by_route: dict[str, str] = {}
+
+    def host_of_zone(self, zone: str) -> str:
+        """Return the loopback host of a zone's instances."""
+        return f"127.0.{self._deployment.zones.index(zone) + 1}.1"
+
+    def route_instance(self, name: str, address: str) -> str:
+        """Return the address under which others reach an instance."""
+        zone = self._deployment.zone_by_instance[name]
+        listen = self._add(name, zone, address)
+        if self.proxied:
+            udp = RouteConfig(f"{name}/udp", listen, address, udp=True)
+            self._route_by_name[udp.name] = udp
+            self._zone_by_route[udp.name] = zone
+        return listen
+
+    def route_leaf(self, leaf: str, address: str) -> None:
+        """Add a route to a leaf."""
+        self._add(leaf, self._zone_by_leaf[leaf], address)
+
+    def route_platform(self, address: str) -> str:
+        """Return the address under which instances reach the platform."""
+        return self._add("platform", OUTSIDE, address)
+
+    def address_of_leaf(self, leaf: str, address: str) -> str:
+        """Return the address for the configuration."""
+        return self._route_by_name[leaf].listen if self.proxied else address
+
+    def config(self) -> ProxyConfig:
+        """Return what the proxy is to be started with."""
+        return ProxyConfig(list(self._route_by_name.values()))
+
+    def cut_zone(self, zone: str) -> ProxyFaults:
+        """Return the faults that let no byte into or out of the zone."""
+        inside = [self.host_of_zone(zone)]
+        outside = [
+            self.host_of_zone(other)
+            for other in self._deployment.zones
+            if other != zone
+        ]
+        return ProxyFaults(
+            {
+                name: RouteFaults(
+                    lose=Direction.BOTH,
+                    sources=outside if place == zone else inside,
+                )
+                for name, place in self._zone_by_route.items()
+            }
+        )
+
+    def heal(self) -> ProxyFaults:
+        """Return the faults that end all cuts."""
+        return ProxyFaults(
+            {name: RouteFaults() for name in self._route_by_name}
+        )
+
+    def _add(self, name: str, zone: str, address: str) -> str:
+        if not self.proxied:
+            return address
+        if name not in self._route_by_name:
+            route = RouteConfig(name, free_address(), address)
+            self._route_by_name[name] = route
+            self._zone_by_route[name] = zone
+        return self._route_by_name[name].listen
--- a/heatherdyke_bench/report.py
+++ b/heatherdyke_bench/report.py
@@ -110,8 +110,8 @@
         return cls(
             searches_by_leaf,
             counts,
-            max(i.connections_max for many in latest for i in many),
-            max(i.cold_s for many in latest for i in many),
+            max((i.connections_max for m in latest for i in m), default=0),
+            max((i.cold_s for m in latest for i in m), default=0.0),
         )
 
 
--- a/heatherdyke_bench/scenario.py
+++ b/heatherdyke_bench/scenario.py
@@ -40,12 +40,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Scenario:
-    """What happens in one run; ``leaf`` changes every leaf's profile."""
+    """What happens in one run; ``leaf`` changes every leaf's profile.
+
+    ``proxied`` puts the fault proxy between all processes, so that zones
+    can be cut off.
+    """
 
     name: str
     description: str
     phases: list[Phase]
     leaf: dict[str, Any] = field(default_factory=dict)
+    proxied: bool = False
 
     def profile(self, profile: LeafProfile, seed: int) -> LeafProfile:
         """Return a leaf's profile with the scenario's changes."""
--- a/tests/test_fault_proxy.py
+++ b/tests/test_fault_proxy.py
@@ -7,13 +7,14 @@
 from heatherdyke.codec import encode
 from heatherdyke.errors import ConnectionSilent
 from heatherdyke.errors import TransportError
-from heatherdyke.fault_proxy import Direction
 from heatherdyke.fault_proxy import FaultProxy
-from heatherdyke.fault_proxy import ProxyConfig
-from heatherdyke.fault_proxy import ProxyFaults
-from heatherdyke.fault_proxy import RouteConfig
-from heatherdyke.fault_proxy import RouteFaults
+from heatherdyke.fault_proxy_model import Direction
+from heatherdyke.fault_proxy_model import ProxyConfig
+from heatherdyke.fault_proxy_model import ProxyFaults
+from heatherdyke.fault_proxy_model import RouteConfig
+from heatherdyke.fault_proxy_model import RouteFaults
 from heatherdyke.http_connection import HttpConnection
+from heatherdyke.http_connection import set_source_host
 from heatherdyke.standin_http import HttpReply
 from heatherdyke.standin_http import HttpServer
 
@@ -106,6 +107,23 @@
 
         _with_proxy(test)
 
+    def test_faults_touch_only_the_sources_named(self):
+        async def test(proxy, address):
+            _set(proxy, cut=True, sources=["127.0.2."])
+            set_source_host("127.0.1.1")
+            connection = await HttpConnection.open(address)
+            assert await _ask(connection, b"x") == b"x"
+            set_source_host("127.0.2.1")
+            other = await HttpConnection.open(address)
+            with pytest.raises(TransportError):
+                await _ask(other, b"x")
+            connection.close()
+
+        try:
+            _with_proxy(test)
+        finally:
+            set_source_host("")
+
     def test_faults_are_set_over_http_and_checked(self):
         async def test(proxy, address):
             admin = await HttpConnection.open(proxy.address)
