--- a/heatherdyke_bench/fleet.py
+++ b/heatherdyke_bench/fleet.py
@@ -145,6 +145,13 @@
         """Return a client of this fleet's platform."""
         return PlatformClient(self.platform.address)
 
+    async def leaf_addresses(self) -> dict[str, str]:
+        """Return the address by leaf under which instances reach it."""
+        return {
+            leaf: self.network.address_of_leaf(leaf, process.address)
+            for leaf, process in self.leaf_by_name.items()
+        }
+
     def _add_instance(self, name: str, zone: str) -> None:
         host = self.network.host_of_zone(zone)
         address = free_address(host)
@@ -194,10 +201,7 @@
             await process.wait_until_listening()
 
     async def _write_configuration(self) -> None:
-        address_by_leaf = {
-            leaf: self.network.address_of_leaf(leaf, process.address)
-            for leaf, process in self.leaf_by_name.items()
-        }
+        address_by_leaf = await self.leaf_addresses()
         platform = self.platform_client()
         for index in self.deployment.indexes:
             held = IndexSnapshots(FIRST_SNAPSHOT, [FIRST_SNAPSHOT])
