--- a/heatherdyke/standin_http.py
+++ b/heatherdyke/standin_http.py
@@ -205,21 +205,24 @@
             return
         self._server.close()
         self._server = None
-        self.close_connections()
+        for connection in list(self.connections):
+            connection.abort()
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def close_connections(self) -> None:
-        """Close every open connection at once."""
+        """Close the open connections of the service at once."""
         for connection in list(self.connections):
-            connection.abort()
+            if not connection.is_admin:
+                connection.abort()
 
     def silence_connections(self) -> None:
         """Make the open connections go silent; new ones work."""
         for connection in self.connections:
-            connection.go_silent()
+            if not connection.is_admin:
+                connection.go_silent()
 
     def admit(self, connection: ServerConnection) -> bool:
         """Take a new connection, or refuse it beyond the cap."""
--- a/heatherdyke/standin_leaf.py
+++ b/heatherdyke/standin_leaf.py
@@ -6,19 +6,15 @@
 """
 
 import asyncio
-from collections import Counter
 from collections.abc import Awaitable
 from collections.abc import Callable
-from dataclasses import replace
 from time import monotonic
 from time import time
-from typing import Any
 from uuid import uuid4
 
 import msgspec
 
 from heatherdyke.codec import decode
-from heatherdyke.codec import encode
 from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.messages import InstanceKind
 from heatherdyke.messages import InstanceState
@@ -41,6 +37,7 @@
 from heatherdyke.standin_leaf_model import LeafIncarnationRecord
 from heatherdyke.standin_leaf_model import LeafProfile
 from heatherdyke.standin_leaf_model import LeafRecord
+from heatherdyke.standin_leaf_state import LeafState
 from heatherdyke.standin_slots import LeafSlots
 from heatherdyke.standin_slots import Shed
 
@@ -70,14 +67,8 @@
             profile.listen, self._handle, profile.connections
         )
         self._records: list[LeafIncarnationRecord] = []
-        self._snapshots = list(profile.snapshots)
-        self._children_by_shard: dict[str, list[str]] = {}
-        self._health = "ok"
-        self._drain_since: float | None = None
-        self._drain_answer_s = 0.0
+        self._state = LeafState(profile)
         self._cancelled_by_part: dict[tuple[str, str], asyncio.Future] = {}
-        self._last_answer: LeafAnswer | None = None
-        self._left_by_fault: Counter[str] = Counter()
         self._announcer: asyncio.Task | None = None
         self._begin_incarnation(profile.starts_cold)
 
@@ -110,10 +101,8 @@
 
     def set_faults(self, faults: LeafFaults) -> None:
         """Change the behaviour as ``faults`` says."""
-        self._change_profile(faults)
-        self._change_state(faults)
-        for name in ("cross_answers", "truncate_answers", "cut_answers"):
-            self._left_by_fault[name] += getattr(faults, name)
+        self._state.apply(faults)
+        self._slots.profile = self._state.profile
         if faults.shed_s:
             self._slots.shed_until = monotonic() + faults.shed_s
         if faults.slow_s:
@@ -126,32 +115,10 @@
         if faults.silent:
             self._server.silence_connections()
 
-    def _change_profile(self, faults: LeafFaults) -> None:
-        names = ("service_ms", "straggler_share", "straggler_factor")
-        changes = {
-            name: getattr(faults, name)
-            for name in names
-            if getattr(faults, name) is not None
-        }
-        self.profile = replace(self.profile, **changes)
-        self._slots.profile = self.profile
-
-    def _change_state(self, faults: LeafFaults) -> None:
-        if faults.snapshots is not None:
-            self._snapshots = faults.snapshots
-        if faults.children_by_shard is not None:
-            self._children_by_shard = faults.children_by_shard
-        if faults.health is not None:
-            self._health = faults.health
-        if faults.drain_answer_s is not None:
-            self._drain_answer_s = faults.drain_answer_s
-        if faults.drain is not None:
-            self._drain_since = monotonic() if faults.drain else None
-
     def _begin_incarnation(self, cold: bool) -> None:
         self._record = LeafIncarnationRecord(self.profile.leaf, uuid4().hex)
         self._records.append(self._record)
-        self._slots = LeafSlots(self.profile, self._record)
+        self._slots = LeafSlots(self._state.profile, self._record)
         self._started_at = monotonic()
         if cold:
             self._slots.go_cold()
@@ -161,7 +128,7 @@
         self._server.close_connections()
         self._server.connections_max = 0
         self._server.connections_refused = 0
-        self._drain_since = None
+        self._state.drain_since = None
         self._begin_incarnation(cold=True)
 
     def _copy_connection_counts(self) -> None:
@@ -189,9 +156,10 @@
     async def _search(self, request: HttpRequest) -> HttpReply | None:
         search = decode(request.body, LeafSearch)
         self._count_search(search)
-        refusal = self._find_refusal(search)
-        if refusal is not None:
-            return self._refuse(refusal)
+        kind = self._state.find_refusal(search)
+        if kind is not None:
+            return self._refuse(self._refusal(search, kind))
+        self._slots.count_arrival()
         part = (search.request_id, search.shard)
         cancelled = asyncio.get_running_loop().create_future()
         self._cancelled_by_part[part] = cancelled
@@ -209,7 +177,7 @@
     async def _run(self, request: HttpRequest) -> HttpReply | None:
         run = decode(request.body, LeafRun)
         self._count_arrival()
-        if self._drain_refuses():
+        if self._state.refuses_all:
             return self._refuse(self._refusal(run, "draining"))
         slots = self._slots
         slots.count_arrival()
@@ -238,7 +206,7 @@
 
     @_operations.register("GET /health")
     async def _show_health(self, request: HttpRequest) -> HttpReply:
-        health = LeafHealth(self._health, self._slots.load)
+        health = LeafHealth(self._state.health, self._slots.load)
         return HttpReply.from_message(health)
 
     @_operations.register("POST /admin/faults")
@@ -284,36 +252,15 @@
     def _count_arrival(self) -> None:
         record = self._record
         record.arrivals_by_second[int(time())] += 1
-        if self._drain_since is not None:
+        if self._state.is_draining:
             record.draining_arrivals += 1
-            record.draining_last_s = monotonic() - self._drain_since
-
-    def _find_refusal(self, search: LeafSearch) -> LeafRefusal | None:
-        if self._drain_refuses():
-            return self._refusal(search, "draining")
-        if search.remaining_ms <= 0:
-            return self._refusal(search, "deadline")
-        if search.shard in self._children_by_shard:
-            return self._refusal(search, "shard_split")
-        shards = self.profile.shards
-        children = sum(self._children_by_shard.values(), [])
-        if shards and search.shard not in shards + children:
-            return self._refusal(search, "unknown_shard")
-        if search.snapshot not in self._snapshots:
-            return self._refusal(search, "snapshot_gone")
-        self._slots.count_arrival()
-        return None
-
-    def _drain_refuses(self) -> bool:
-        if self._drain_since is None:
-            return False
-        return monotonic() - self._drain_since >= self._drain_answer_s
+            record.draining_last_s = self._state.drain_s
 
     def _is_late(self, search: LeafSearch, arrived_at: float) -> bool:
         return (monotonic() - arrived_at) * 1000 >= search.remaining_ms
 
     def _refusal(self, request: LeafSearch | LeafRun, kind: str):
-        children = self._children_by_shard.get(request.shard, [])
+        children = self._state.children_by_shard.get(request.shard, [])
         shed_s = max(0.0, self._slots.shed_until - monotonic())
         return LeafRefusal(
             request_id=request.request_id,
@@ -321,7 +268,7 @@
             kind=kind,
             incarnation=self.incarnation,
             retry_after_ms=1000 * shed_s if kind == "shed" else 0.0,
-            snapshots=self._snapshots if kind == "snapshot_gone" else [],
+            snapshots=self._state.snapshots if kind == "snapshot_gone" else [],
             children=children if kind == "shard_split" else [],
         )
 
@@ -340,7 +287,7 @@
             incarnation=self.incarnation,
             items=items[: search.limit],
             total=len(items),
-            draining=self._drain_since is not None,
+            draining=self._state.is_draining,
             uptime_ms=(monotonic() - self._started_at) * 1000,
         )
 
@@ -359,27 +306,13 @@
     ) -> HttpReply | None:
         if isinstance(answer, LeafRefusal):
             return self._refuse(answer)
-        sent, self._last_answer = self._spoil(answer), answer
-        if self._take_fault("cut_answers"):
+        sent = self._state.spoil(answer)
+        if self._state.take_fault("cut_answers"):
             whole = HttpReply.from_message(sent).to_bytes()
             request.connection.write(whole[: len(whole) // 2])
             return None
         return HttpReply.from_message(sent)
 
-    def _spoil(self, answer: LeafAnswer) -> LeafAnswer:
-        if self._last_answer is not None and self._take_fault("cross_answers"):
-            return self._last_answer
-        if self._take_fault("truncate_answers"):
-            half = answer.items[: len(answer.items) // 2]
-            return replace(answer, items=half, truncated=True)
-        return answer
-
-    def _take_fault(self, name: str) -> bool:
-        if self._left_by_fault[name] <= 0:
-            return False
-        self._left_by_fault[name] -= 1
-        return True
-
     async def _announce(self) -> None:
         client = PlatformClient(self.profile.platform)
         while True:
@@ -390,7 +323,7 @@
             await asyncio.sleep(ANNOUNCE_INTERVAL_S)
 
     def _row(self) -> ListedInstance:
-        leaving = self._drain_since is not None
+        leaving = self._state.is_draining
         return ListedInstance(
             name=self.profile.leaf,
             kind=InstanceKind.BACKEND,
@@ -399,18 +332,3 @@
             incarnation=self.incarnation,
             state=InstanceState.LEAVING if leaving else InstanceState.LIVE,
         )
-
-
-def parse_profile(text: str) -> LeafProfile:
-    """Return the profile that JSON text holds; raises msgspec errors."""
-    return decode(text.encode(), LeafProfile)
-
-
-def format_profile(profile: LeafProfile) -> str:
-    """Return the profile as JSON text for a command line."""
-    return encode(profile).decode()
-
-
-def describe(message: Any) -> str:
-    """Return a message as indented JSON, for people."""
-    return msgspec.json.format(encode(message)).decode()
--- a/tests/test_standin_leaf.py
+++ b/tests/test_standin_leaf.py
@@ -141,7 +141,10 @@
     def test_restart_shows_as_another_incarnation(self):
         async def test(leaf):
             before = leaf.incarnation
-            leaf.set_faults(LeafFaults(restart=True))
+            connection = await HttpConnection.open(leaf.address)
+            restart = encode(LeafFaults(restart=True))
+            await connection.request("POST", "/admin/faults", restart)
+            connection.close()
             _, answer = await _post(leaf.address, "/search", SEARCH)
             assert answer.incarnation != before
             assert len(leaf.record().incarnations) == 2
