--- a/heatherdyke_bench/__main__.py
+++ b/heatherdyke_bench/__main__.py
@@ -7,12 +7,14 @@
 import msgspec
 import typer
 
+from heatherdyke.codec import decode
 from heatherdyke.codec import encode
 from heatherdyke.errors import HeatherdykeError
 from heatherdyke_bench.deployments import deployments
 from heatherdyke_bench.experiment import Experiment
 from heatherdyke_bench.fleet import Policy
 from heatherdyke_bench.plot import plot_reports
+from heatherdyke_bench.report import RunReport
 from heatherdyke_bench.scenario import load_scenario
 from heatherdyke_bench.scenario import scenario_names
 from heatherdyke_bench.table import format_tables
@@ -83,6 +85,13 @@
     _run(scenario, deployment, policies, seeds, rate, json, plot)
 
 
+@app.command()
+def show(file: Path) -> None:
+    """Print the tables of a run that ``--json`` has written."""
+    reports = decode(file.read_bytes(), list[RunReport])
+    typer.echo(format_tables(reports))
+
+
 def _run(
     scenario: str,
     deployment: str,
--- a/heatherdyke_bench/experiment.py
+++ b/heatherdyke_bench/experiment.py
@@ -4,6 +4,7 @@
 import sys
 from collections.abc import Callable
 from dataclasses import dataclass
+from os import getloadavg
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from time import time
@@ -86,9 +87,6 @@
             for leaf in fleet.leaf_by_name
             if leaf.rsplit(".", 2)[0] in self.deployment.small_services
         ]
-        mixed = mixed_snapshots(records)
-        if mixed:
-            sys.stderr.write(f"{mixed} requests mixed snapshots\n")
         return RunReport(
             scenario=self.scenario.name,
             deployment=self.deployment.name,
@@ -108,6 +106,8 @@
             platform_calls=platform.calls_by_kind,
             watches_waiting_max=platform.watches_waiting_max,
             cold_s_max=LeafTotals.from_records(records).cold_s_max,
+            mixed_requests=mixed_snapshots(records),
+            load_average=getloadavg()[0],
         )
 
     def _load_plan(
--- a/heatherdyke_bench/report.py
+++ b/heatherdyke_bench/report.py
@@ -71,7 +71,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RunReport:
-    """One run of a scenario under one policy and seed."""
+    """One run of a scenario under one policy and seed.
+
+    ``mixed_requests`` asked leaves for more than one snapshot.
+    ``load_average`` is the machine's at the end, to judge the noise.
+    """
 
     scenario: str
     deployment: str
@@ -81,6 +85,8 @@
     platform_calls: dict[str, int]
     watches_waiting_max: int
     cold_s_max: float
+    mixed_requests: int = 0
+    load_average: float = 0.0
 
 
 @dataclass(slots=True)
--- a/heatherdyke_bench/table.py
+++ b/heatherdyke_bench/table.py
@@ -81,6 +81,7 @@
 
 def _platform_line(group: _Group) -> str:
     report = group.reports[-1]
+    loads = [f"{r.load_average:.1f}" for r in group.reports]
     calls = ", ".join(
         f"{count} {kind}"
         for kind, count in sorted(report.platform_calls.items())
@@ -94,6 +95,8 @@
             details[kind] = phase.detail_by_kind[kind]
     return (
         f"{group.policy}, seed {report.seed}: platform calls {calls}; "
+        f"load average {', '.join(loads)}; "
+        f"requests of mixed snapshots {report.mixed_requests}; "
         f"watches waiting at most {report.watches_waiting_max}; longest "
         f"cold start {report.cold_s_max:.1f} s; refusals {kinds}, "
         f"one of each: {details}"
