--- a/heatherdyke_bench/experiment.py
+++ b/heatherdyke_bench/experiment.py
@@ -82,11 +82,11 @@
         records = await fleet.leaf_records()
         platform = await fleet.platform_record()
         arrived = arrived_requests(records)
-        equal_leaves = [
-            leaf
-            for leaf in fleet.leaf_by_name
+        zone_by_equal_leaf = {
+            leaf: profile.zone
+            for leaf, profile in fleet.profile_by_leaf.items()
             if leaf.rsplit(".", 2)[0] in self.deployment.small_services
-        ]
+        }
         return RunReport(
             scenario=self.scenario.name,
             deployment=self.deployment.name,
@@ -97,7 +97,7 @@
                     result.by_phase[phase.name],
                     totals[number],
                     totals[number + 1],
-                    equal_leaves,
+                    zone_by_equal_leaf,
                     arrived,
                 )
                 for number, phase in enumerate(self.scenario.phases)
--- a/heatherdyke_bench/report.py
+++ b/heatherdyke_bench/report.py
@@ -43,7 +43,8 @@
 
     ``extra_share`` is leaf searches that arrived over those needed by the
     answers, less one.  ``fairness`` is the most over the mean of searches
-    on equal leaves.
+    on equal leaves.  ``least_zone`` counts the searches in the zone that
+    got the fewest.
     """
 
     leaf_searches: int
@@ -55,6 +56,7 @@
     draining_arrivals: int
     connections_max: int
     fairness: float
+    least_zone: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,7 +147,7 @@
     results: dict[str, ClassResult],
     before: LeafTotals,
     after: LeafTotals,
-    equal_leaves: list[str],
+    zone_by_equal_leaf: dict[str, str],
     arrived: set[str],
 ) -> PhaseReport:
     """Return the phase's report from the callers' and the leaves' side."""
@@ -163,7 +165,7 @@
             worst_ms[second] = max(value, worst_ms.get(second, 0.0))
     return PhaseReport(
         {n: _report_class(r, arrived) for n, r in results.items()},
-        _report_load(before, after, equal_leaves, needed),
+        _report_load(before, after, zone_by_equal_leaf, needed),
         dict(kinds),
         {
             refused.kind: refused.detail
@@ -217,7 +219,7 @@
 def _report_load(
     before: LeafTotals,
     after: LeafTotals,
-    equal_leaves: list[str],
+    zone_by_equal_leaf: dict[str, str],
     needed: int,
 ) -> LoadReport:
     by_leaf = {
@@ -226,7 +228,10 @@
     }
     counts = after.counts - before.counts
     searches = sum(by_leaf.values())
-    equal = [by_leaf[leaf] for leaf in equal_leaves]
+    equal = [by_leaf[leaf] for leaf in zone_by_equal_leaf]
+    by_zone: Counter[str] = Counter()
+    for leaf, zone in zone_by_equal_leaf.items():
+        by_zone[zone] += by_leaf[leaf]
     mean = sum(equal) / len(equal)
     return LoadReport(
         leaf_searches=searches,
@@ -238,4 +243,5 @@
         draining_arrivals=counts["draining"],
         connections_max=after.connections_max,
         fairness=max(equal) / mean if mean else 0.0,
+        least_zone=min(by_zone.values()),
     )
--- a/heatherdyke_bench/table.py
+++ b/heatherdyke_bench/table.py
@@ -14,7 +14,7 @@
 LOAD_HEADER = (
     "| phase | policy | leaf searches | extra load | over slots "
     "| cold excess | of these known | sheds | at draining "
-    "| connections max | max/mean |"
+    "| connections max | max/mean | least zone |"
 )
 
 
@@ -75,7 +75,8 @@
         f"| {row.extra_share:+.1%} | {row.over_slots:.0f} "
         f"| {row.cold_excess:.0f} | {row.cold_excess_known:.0f} "
         f"| {row.sheds:.0f} | {row.draining_arrivals:.0f} "
-        f"| {row.connections_max:.0f} | {row.fairness:.2f} |"
+        f"| {row.connections_max:.0f} | {row.fairness:.2f} "
+        f"| {row.least_zone:.0f} |"
     )
 
 
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -106,11 +106,13 @@
         before = LeafTotals.from_records({})
         after = LeafTotals.from_records(records)
         arrived = arrived_requests(records)
-        phase = report_phase({"c": result}, before, after, ["a", "b"], arrived)
+        zones = {"a": "x", "b": "y"}
+        phase = report_phase({"c": result}, before, after, zones, arrived)
         report = phase.class_by_name["c"]
         assert report.untrue == 1
         assert report.p99_ms == pytest.approx(5.0, rel=0.01)
         assert phase.load.extra_share == pytest.approx(40 / 32 - 1)
         assert phase.load.fairness == pytest.approx(1.5)
+        assert phase.load.least_zone == 10
         assert mixed_snapshots(records) == 1
         assert median_of([report, report, report]) == report
