--- a/heatherdyke_bench/deployments.py
+++ b/heatherdyke_bench/deployments.py
@@ -105,24 +105,31 @@
         ]
 
     def sections(
-        self, address_by_leaf: dict[str, str]
+        self, profiles: list[LeafProfile], address_by_leaf: dict[str, str]
     ) -> dict[str, SectionConfig]:
         """Return each team's section, with the leaves where they listen."""
+        leaf_by_id = {
+            profile.leaf: LeafConfig(
+                address_by_leaf[profile.leaf],
+                profile.zone,
+                profile.slots,
+                profile.connections,
+                profile.cold_slots,
+                profile.cold_searches,
+            )
+            for profile in profiles
+        }
         teams = {plan.team for plan in self.plans}
-        return {team: self._section(team, address_by_leaf) for team in teams}
+        return {team: self._section(team, leaf_by_id) for team in teams}
 
     def _section(
-        self, team: str, address_by_leaf: dict[str, str]
+        self, team: str, leaf_by_id: dict[str, LeafConfig]
     ) -> SectionConfig:
-        leaves: dict[str, LeafConfig] = {}
-        for plan, _, leaf in self._leaves():
-            if plan.team == team:
-                leaves[leaf] = LeafConfig(
-                    address_by_leaf[leaf],
-                    self._zone_of(leaf),
-                    plan.kind.slots,
-                    plan.kind.connections,
-                )
+        leaves = {
+            leaf: leaf_by_id[leaf]
+            for plan, _, leaf in self._leaves()
+            if plan.team == team
+        }
         return SectionConfig(
             team=team,
             services=self._services(team),
--- a/heatherdyke_bench/fleet.py
+++ b/heatherdyke_bench/fleet.py
@@ -206,7 +206,9 @@
         for index in self.deployment.indexes:
             held = IndexSnapshots(FIRST_SNAPSHOT, [FIRST_SNAPSHOT])
             await platform.put(SNAPSHOTS_PREFIX + index, held, 0)
-        sections = self.deployment.sections(address_by_leaf)
+        sections = self.deployment.sections(
+            list(self.profile_by_leaf.values()), address_by_leaf
+        )
         pointer_by_team = {
             team: await _store_section(platform, team, section)
             for team, section in sections.items()
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -34,7 +34,9 @@
         assert {p.zone for p in profiles} == set(deployment.zones)
         assert len(deployment.zones) == zones
         assert len(deployment.zone_by_instance) == 7
-        sections = deployment.sections({p.leaf: "x" for p in profiles})
+        sections = deployment.sections(
+            profiles, {p.leaf: "x" for p in profiles}
+        )
         for section in sections.values():
             for service in section.services.values():
                 for shard in service.shards.values():
