--- a/heatherdyke_bench/process.py
+++ b/heatherdyke_bench/process.py
@@ -5,12 +5,16 @@
 import socket
 import sys
 from pathlib import Path
+from secrets import randbelow
+from socket import SOCK_DGRAM
 
 from heatherdyke_bench.errors import FleetError
 
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 30.0
 LISTENING = "listening on "
+FIRST_PORT = 12000
+LAST_PORT = 32000
 
 
 class FleetProcess:
@@ -77,16 +81,17 @@
 
 
 def free_address(host: str = "127.0.0.1") -> str:
-    """Return an address whose TCP and UDP ports are free now."""
+    """Return an address whose TCP and UDP ports are free now.
+
+    The port lies below those that the system gives to outgoing
+    connections, any of which could take it before it is listened on.
+    """
     while True:
-        with (
-            socket.socket() as tcp,
-            socket.socket(type=socket.SOCK_DGRAM) as u,
-        ):
-            tcp.bind((host, 0))
-            port = tcp.getsockname()[1]
+        port = FIRST_PORT + randbelow(LAST_PORT - FIRST_PORT)
+        with socket.socket() as tcp, socket.socket(type=SOCK_DGRAM) as udp:
             try:
-                u.bind((host, port))
+                tcp.bind((host, port))
+                udp.bind((host, port))
             except OSError:
                 continue
             return f"{host}:{port}"
