--- a/heatherdyke/home_lease.py
+++ b/heatherdyke/home_lease.py
@@ -15,51 +15,17 @@
 lapse the reserve is free within that time.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
+from heatherdyke.lease_terms import NEVER
+from heatherdyke.lease_terms import LeaseTerms
+from heatherdyke.lease_terms import reserve_of
 from heatherdyke.member_messages import GoneProof
 from heatherdyke.member_messages import Member
 from heatherdyke.member_messages import Roster
 from heatherdyke.rendezvous import rank
 
-NEVER = float("-inf")
-
-
-@dataclass(frozen=True, slots=True)
-class LeaseTerms:
-    """The times that all instances of a deployment agree on, in seconds.
-
-    ``drift`` bounds by how much two monotonic clocks differ in rate, and
-    ``transit_s`` how long a request may be under way to a leaf.
-    """
-
-    lease_s: float = 2.0
-    short_work_s: float = 1.0
-    longest_work_s: float = 1.0
-    transit_s: float = 0.5
-    drift: float = 0.02
-
-    @property
-    def lapse_wait_s(self) -> float:
-        """Return how long a successor waits for a lease to have lapsed."""
-        wait_s = self.lease_s + self.short_work_s + self.transit_s
-        return wait_s * (1 + self.drift)
-
-    @property
-    def short_wait_s(self) -> float:
-        """Return when the short work of a process that ended is over."""
-        return (self.short_work_s + self.transit_s) * (1 + self.drift)
-
-    @property
-    def longest_wait_s(self) -> float:
-        """Return when all work of a process that ended is over."""
-        return (self.longest_work_s + self.transit_s) * (1 + self.drift)
-
-
-def reserve_of(slots: int) -> int:
-    """Return how many slots a lapsed home leaves to its successor."""
-    return 1 if slots > 1 else 0
-
 
 @dataclass(slots=True)
 class _Gone:
@@ -91,6 +57,7 @@
         self.me = me
         self.terms = terms
         self.guard = guard
+        self.longest_work_s: Callable[[str], float] = self._longest_work
         self.version = 0
         self.roster = Roster(zone)
         self.confirmed_at = NEVER
@@ -158,14 +125,15 @@
         """Tell whether the incarnation has been proven gone."""
         return incarnation in self._gone
 
+    def gone_since(self, incarnation: str) -> float:
+        """Return when a member became known gone; raises KeyError."""
+        return self._gone[incarnation].since
+
     def has_ended(self, incarnation: str, generation: int, now: float) -> bool:
         """Tell whether a member does nothing more under ``generation``."""
-        if self.settled_by_incarnation.get(incarnation, 0) > generation:
-            return True
-        gone = self._gone.get(incarnation)
-        if gone is None:
-            return False
-        return gone.drained or now >= gone.since + self.terms.longest_wait_s
+        return self._has_ended(
+            incarnation, generation, now, self.terms.longest_work_s
+        )
 
     def home_of(self, leaf_id: str) -> Member | None:
         """Return the leaf's home in this view, or None without members."""
@@ -217,6 +185,19 @@
             return self.roster.generation
         return 0
 
+    def _longest_work(self, _: str) -> float:
+        return self.terms.longest_work_s
+
+    def _has_ended(
+        self, incarnation: str, generation: int, now: float, work_s: float
+    ) -> bool:
+        if self.settled_by_incarnation.get(incarnation, 0) > generation:
+            return True
+        gone = self._gone.get(incarnation)
+        if gone is None:
+            return False
+        return gone.drained or now >= gone.since + self.terms.wait_s(work_s)
+
     def _standing(self, leaf_id: str, now: float) -> _Standing:
         standing = self._standing_by_leaf.get(leaf_id)
         if standing is None or now >= standing.valid_until:
@@ -225,11 +206,12 @@
         return standing
 
     def _compute_standing(self, leaf_id: str, now: float) -> _Standing:
+        work_s = self.longest_work_s(leaf_id)
         holders: set[str] = set()
         generations = 0
         reserve_at = NEVER
         for number, members in self._generations():
-            waiting = self._waiting(leaf_id, number, members, now)
+            waiting = self._waiting(leaf_id, number, members, now, work_s)
             generations += bool(waiting)
             holders.update(waiting)
             for incarnation in waiting:
@@ -237,7 +219,7 @@
                 reserve_at = max(reserve_at, ends_at)
         valid_until = min(
             (
-                gone.since + self.terms.longest_wait_s
+                gone.since + self.terms.wait_s(work_s)
                 for incarnation, gone in self._gone.items()
                 if incarnation in holders
             ),
@@ -256,12 +238,13 @@
         number: int,
         members: tuple[Member, ...],
         now: float,
+        work_s: float,
     ) -> set[str]:
         waiting = set()
         for member in rank(leaf_id, members):
             if member.incarnation == self.me.incarnation:
                 break
-            if not self.has_ended(member.incarnation, number, now):
+            if not self._has_ended(member.incarnation, number, now, work_s):
                 waiting.add(member.incarnation)
         return waiting
 
--- /dev/null
+++ b/heatherdyke/lease_snapshot.py
@@ -0,0 +1,78 @@
+"""A HomeLease as a value with ages in place of times, for model checking."""
+
+from dataclasses import dataclass
+
+from heatherdyke.home_lease import HomeLease
+from heatherdyke.lease_terms import LeaseTerms
+from heatherdyke.member_messages import GoneProof
+from heatherdyke.member_messages import Member
+from heatherdyke.member_messages import Roster
+
+
+@dataclass(frozen=True, slots=True)
+class GoneAge:
+    """How long ago an incarnation became known gone."""
+
+    incarnation: str
+    age_s: float
+    drained: bool
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseSnapshot:
+    """What a HomeLease knows; equal snapshots behave alike.
+
+    Ages beyond those that matter under ``terms`` are cut to one value, so
+    that the number of snapshots stays finite.
+    """
+
+    version: int
+    roster: Roster
+    confirmed_age_s: float | None = None
+    superseded_age_s: tuple[tuple[int, float], ...] = ()
+    settled: tuple[tuple[str, int], ...] = ()
+    gone: tuple[GoneAge, ...] = ()
+
+    @classmethod
+    def of(cls, lease: HomeLease, now: float) -> "LeaseSnapshot":
+        """Return the snapshot of ``lease`` at ``now``."""
+        terms = lease.terms
+        age_s = None
+        if lease.is_fresh(now):
+            age_s = now - lease.confirmed_at
+        longest_s = terms.wait_s(terms.longest_work_s)
+        return cls(
+            version=lease.version,
+            roster=lease.roster,
+            confirmed_age_s=age_s,
+            superseded_age_s=tuple(
+                (number, min(now - at, terms.lapse_wait_s))
+                for number, at in sorted(lease.superseded_at.items())
+            ),
+            settled=tuple(sorted(lease.settled_by_incarnation.items())),
+            gone=tuple(
+                GoneAge(
+                    proof.incarnation,
+                    min(now - lease.gone_since(proof.incarnation), longest_s),
+                    proof.drained,
+                )
+                for proof in sorted(lease.gone, key=lambda p: p.incarnation)
+            ),
+        )
+
+    def restore(
+        self, me: Member, terms: LeaseTerms, guard: bool, now: float
+    ) -> HomeLease:
+        """Return a HomeLease that is as it was at the snapshot."""
+        lease = HomeLease(me, self.roster.zone, terms, guard)
+        lease.adopt(self.version, self.roster, now)
+        if self.confirmed_age_s is not None:
+            lease.confirm(self.roster.generation, now - self.confirmed_age_s)
+        for number, age_s in self.superseded_age_s:
+            lease.superseded_at[number] = now - age_s
+        for incarnation, generation in self.settled:
+            lease.note_settled(incarnation, generation)
+        for gone in self.gone:
+            proof = GoneProof(gone.incarnation, gone.drained)
+            lease.note_gone(proof, now - gone.age_s)
+        return lease
--- a/heatherdyke/rendezvous.py
+++ b/heatherdyke/rendezvous.py
@@ -13,7 +13,8 @@
 
 def weigh(leaf_id: str, member: Member) -> tuple[int, str]:
     """Return the weight of ``member`` for the leaf; names break ties."""
-    return xxh3_64_intdigest(f"{leaf_id}\n{member.name}"), member.name
+    key = f"{leaf_id}\n{member.name}".encode()
+    return xxh3_64_intdigest(key), member.name
 
 
 def rank(leaf_id: str, members: Iterable[Member]) -> list[Member]:
--- /dev/null
+++ b/heatherdyke_models/__init__.py
@@ -0,0 +1,1 @@
+"""Small specifications of the core protocols, for model checking."""
