--- a/heatherdyke/component.py
+++ b/heatherdyke/component.py
@@ -44,5 +44,10 @@
     def is_home(self, leaf_id: str, zone: str) -> bool:
         """Tell whether this instance is the home of the zone's leaf."""
 
-    def slots_allowed(self, leaf_id: str, slots: int, zone: str) -> int:
-        """Return how many of the leaf's slots may be used right now."""
+    def slots_allowed(
+        self, leaf_id: str, slots: int, zone: str, work_s: float
+    ) -> int:
+        """Return how many of the leaf's slots may be at work from here.
+
+        ``work_s`` is the longest that the work to be sent may last.
+        """
--- a/heatherdyke/instance.py
+++ b/heatherdyke/instance.py
@@ -15,10 +15,10 @@
 from heatherdyke.events import STOPPED
 from heatherdyke.events import STOPPING
 from heatherdyke.health import HealthState
+from heatherdyke.health import judge_readiness
 from heatherdyke.home import Home
 from heatherdyke.http_routes import new_application
 from heatherdyke.journal import Journal
-from heatherdyke.leaf_listing import LeafListing
 from heatherdyke.mechanisms import Mechanism
 from heatherdyke.member_task import MemberTask
 from heatherdyke.metrics import Metrics
@@ -27,13 +27,16 @@
 from heatherdyke.peer_api import PeerApi
 from heatherdyke.peer_client import PeerClient
 from heatherdyke.platform_client import PlatformClient
+from heatherdyke.platform_view import PlatformView
 from heatherdyke.request_gate import RequestGate
+from heatherdyke.search_observer import SearchObserver
 from heatherdyke.server import HttpServer
 from heatherdyke.settings import Settings
 from heatherdyke.snapshot_book import SnapshotBook
 
 BALANCER_LAG_S = 1.0
 RUNNING_CHECK_S = 0.02
+ZONE_WAIT_S = 5.0
 
 
 class Instance:
@@ -53,8 +56,11 @@
             settings, self.platform, self.journal, clock
         )
         self.journal.incarnation = self.members.incarnation
-        self.snapshots = SnapshotBook(self.platform)
-        self.home = Home(settings, self.config, self.members, clock)
+        self.snapshots = SnapshotBook()
+        self.observer = SearchObserver(self.journal, self.metrics)
+        self.home = Home(
+            settings, self.config, self.members, self.observer, clock
+        )
         self.entry = Entry(
             settings,
             self.config,
@@ -62,17 +68,25 @@
             self.home,
             self.peers,
             self.snapshots,
+            self.observer,
             clock,
         )
         self.components: list[Component] = [
             self.config,
             self.members,
-            self.snapshots,
-            LeafListing(self.platform, self.home, settings, clock),
+            PlatformView(
+                self.platform,
+                self.snapshots,
+                self.home,
+                self.members.incarnation,
+                self._find_reader,
+            ),
             ObserveComponent(
                 self.journal, self.metrics, self._health, self._known, clock
             ),
         ]
+        self._clock = clock
+        self._started_at = clock.now()
         self._server: HttpServer | None = None
         self._tasks: list[asyncio.Task] = []
         self._connect()
@@ -130,6 +144,14 @@
         if not stopping.done():
             stopping.cancel()
 
+    def is_ready(self, members: int = 1) -> bool:
+        """Tell whether searches can be served, with so many members known."""
+        return (
+            judge_readiness(self._health()).ready
+            and len(self.members.members()) >= members
+            and self.snapshots.is_known
+        )
+
     async def _drain(self) -> None:
         self.gate.begin_leaving()
         drain_s = self.settings.drain_s
@@ -146,7 +168,9 @@
 
     def _build_app(self) -> Application:
         app = new_application()
-        CallerApi(self.entry, self.config, self.gate).add_routes(app)
+        CallerApi(
+            self.entry, self.config, self.gate, self.observer
+        ).add_routes(app)
         PeerApi(self.home).add_routes(app)
         for component in self.components:
             component.add_routes(app)
@@ -157,14 +181,34 @@
         self.members.config = self.config
         self.members.leaves_at_work = self.home.leaves_at_work
 
+    def _find_reader(self) -> str | None:
+        reader = self.members.reader()
+        if reader is None or reader.name == self.settings.name:
+            return None
+        return reader.address
+
     def _health(self) -> HealthState:
         return HealthState(
             config_known=self.config.document.version > 0,
-            members_known=bool(self.members.members()),
+            members_known=self._members_known(),
             leaving=self.gate.leaving,
             zone_out=self.config.zone_is_out(self.settings.zone),
         )
 
+    def _members_known(self) -> bool:
+        """Tell whether each zone with leaves has a member, or long has not.
+
+        Before that a search could miss the shards of a zone whose members
+        merely have not been heard of yet.
+        """
+        zones = {member.zone for member in self.members.members()}
+        if not zones:
+            return False
+        leaf_by_id = self.entry.index.current().leaf_by_id
+        wanted = {leaf.zone for leaf in leaf_by_id.values()}
+        waited_s = self._clock.now() - self._started_at
+        return wanted <= zones or waited_s > ZONE_WAIT_S
+
     def _known(self) -> list[KnownInstance]:
         return [
             KnownInstance(member.name, member.zone, member.address)
