--- a/heatherdyke/config_index.py
+++ b/heatherdyke/config_index.py
@@ -16,6 +16,7 @@
     document: ConfigDocument
     leaf_by_id: dict[str, LeafConfig] = field(default_factory=dict)
     section_by_service: dict[str, SectionConfig] = field(default_factory=dict)
+    run_s_by_leaf: dict[str, float] = field(default_factory=dict)
 
     @classmethod
     def from_document(cls, document: ConfigDocument) -> "ConfigIndex":
@@ -25,7 +26,12 @@
             for section in document.section_by_team.values()
             for service in section.services
         }
-        return cls(document, document.leaf_by_id, section_by_service)
+        return cls(
+            document,
+            document.leaf_by_id,
+            section_by_service,
+            _run_s_by_leaf(document),
+        )
 
 
 class ConfigIndexCache:
@@ -43,3 +49,18 @@
         if document is not self._index.document:
             self._index = ConfigIndex.from_document(document)
         return self._index
+
+
+def _run_s_by_leaf(document: ConfigDocument) -> dict[str, float]:
+    """Return how long runs may last, for leaves of services that run once."""
+    run_s_by_leaf: dict[str, float] = {}
+    for section in document.section_by_team.values():
+        for service in section.services.values():
+            if not service.run_once:
+                continue
+            run_s = service.run_deadline_ms / 1000
+            for shard in service.shards.values():
+                for leaf_id in shard.leaves:
+                    known_s = run_s_by_leaf.get(leaf_id, 0.0)
+                    run_s_by_leaf[leaf_id] = max(known_s, run_s)
+    return run_s_by_leaf
--- a/heatherdyke/home.py
+++ b/heatherdyke/home.py
@@ -17,6 +17,7 @@
 from heatherdyke.leaf_worker import Submit
 from heatherdyke.leaf_worker import Withdraw
 from heatherdyke.leaf_worker import WorkerPolicy
+from heatherdyke.lease_terms import SHORT_WORK_S
 from heatherdyke.mechanisms import Mechanism
 from heatherdyke.merge import merge_items
 from heatherdyke.messages import Item
@@ -69,6 +70,11 @@
         """Return how many searches and runs are at leaves."""
         return sum(w.running for w in self._worker_by_leaf.values())
 
+    def longest_work_s(self, leaf_id: str) -> float:
+        """Return how long work may last at the leaf, under the config."""
+        run_s = self._index.current().run_s_by_leaf.get(leaf_id, 0.0)
+        return max(SHORT_WORK_S, run_s)
+
     def leaves_at_work(self) -> set[str]:
         """Return the ids of leaves at which this instance has work."""
         return {leaf for leaf, w in self._worker_by_leaf.items() if w.running}
--- a/heatherdyke/http_connection.py
+++ b/heatherdyke/http_connection.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
@@ -91,6 +92,19 @@
             ) from error
         return cls(address, reader, writer)
 
+    def limit_transit(self, transit_s: float) -> None:
+        """Have the kernel drop what is unacknowledged for ``transit_s``.
+
+        It does so also while the process is paused, so that a request held
+        up in the network is not delivered much later.
+        """
+        sock = self._writer.get_extra_info("socket")
+        sock.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            int(transit_s * 1000),
+        )
+
     @property
     def usable(self) -> bool:
         """Tell whether another request can be sent on the connection."""
--- a/heatherdyke/instance.py
+++ b/heatherdyke/instance.py
@@ -180,6 +180,7 @@
         """Let the parts hear of each other."""
         self.members.config = self.config
         self.members.leaves_at_work = self.home.leaves_at_work
+        self.members.core.longest_work_s = self.home.longest_work_s
 
     def _find_reader(self) -> str | None:
         reader = self.members.reader()
--- a/heatherdyke/leaf_client.py
+++ b/heatherdyke/leaf_client.py
@@ -8,6 +8,7 @@
 from heatherdyke.errors import TransportError
 from heatherdyke.http_connection import HttpConnection
 from heatherdyke.http_connection import HttpResponse
+from heatherdyke.lease_terms import TRANSIT_S
 from heatherdyke.messages import LeafAnswer
 from heatherdyke.messages import LeafRefusal
 from heatherdyke.messages import LeafRun
@@ -39,7 +40,9 @@
         cls, address: str, match_parts: bool = True
     ) -> "LeafConnection":
         """Connect to a leaf; raises as ``HttpConnection.open`` does."""
-        return cls(await HttpConnection.open(address), match_parts)
+        connection = await HttpConnection.open(address)
+        connection.limit_transit(TRANSIT_S)
+        return cls(connection, match_parts)
 
     @property
     def usable(self) -> bool:
--- a/heatherdyke/leaf_worker.py
+++ b/heatherdyke/leaf_worker.py
@@ -17,6 +17,7 @@
 from heatherdyke.errors import TransportError
 from heatherdyke.leaf_client import LeafConnection
 from heatherdyke.leaf_limit import LeafLimit
+from heatherdyke.lease_terms import SHORT_WORK_S
 from heatherdyke.messages import LeafAnswer
 from heatherdyke.messages import LeafRefusal
 from heatherdyke.messages import LeafRun
@@ -26,6 +27,7 @@
 
 SPARE_CONNECTIONS = 1
 MAX_OPENING = 2
+MAX_SEND_DELAY_S = 0.1
 REOPEN_DELAY_S = 0.2
 ANSWER_GRACE_S = 0.05
 SILENCE_FACTOR = 10.0
@@ -166,8 +168,15 @@
             self._worker_inbox.put_nowait(Closed(self, refused))
 
     async def _do(self, connection: LeafConnection, work: LeafWork) -> None:
-        remaining_s = work.expires_at - self._clock.now()
-        timeout_s = self._timeout_s(work, remaining_s)
+        now = self._clock.now()
+        timeout_s = self._timeout_s(work, work.expires_at - now)
+        if now - work.started_at > MAX_SEND_DELAY_S:
+            # The process stood still between the decision and the send, so
+            # that the lease behind the decision may have lapsed.
+            work.sent = False
+            work.outcome = _refusal(work, "not_sent")
+            self._worker_inbox.put_nowait(Finished(self, work))
+            return
         try:
             work.outcome = await self._ask(connection, work, timeout_s)
         except TransportError as error:
@@ -320,7 +329,7 @@
                 heappop(self._queue)
                 self._refuse(work, "deadline")
                 continue
-            allowed = self._policy.slots_allowed(work.expires_at - now)
+            allowed = self._policy.slots_allowed(_work_s(work, now))
             if len(self._running) >= min(limit, allowed) or not self._idle:
                 break
             heappop(self._queue)
@@ -328,7 +337,7 @@
         self._wake_later(now)
 
     def _send(self, work: LeafWork, now: float) -> None:
-        remaining_ms = (work.expires_at - now) * 1000
+        remaining_ms = _work_s(work, now) * 1000
         work.question = _with_remaining(work.question, remaining_ms)
         work.sent = True
         work.started_at = now
@@ -424,9 +433,7 @@
             self._refuse(work, "draining")
 
     def _refuse(self, work: LeafWork, kind: str) -> None:
-        work.outcome = LeafRefusal(
-            work.question.request_id, work.question.shard, kind
-        )
+        work.outcome = _refusal(work, kind)
         self._deliver(work)
 
     def _deliver(self, work: LeafWork) -> None:
@@ -474,6 +481,22 @@
         )
 
 
+def _work_s(work: LeafWork, now: float) -> float:
+    """Return how long the work may last at the leaf if sent now.
+
+    A search gets no more than short work may last, whatever its deadline,
+    so that it need not be waited for when the leaf's home moves.
+    """
+    remaining_s = work.expires_at - now
+    if isinstance(work.question, LeafSearch):
+        return min(remaining_s, SHORT_WORK_S)
+    return remaining_s
+
+
+def _refusal(work: LeafWork, kind: str) -> LeafRefusal:
+    return LeafRefusal(work.question.request_id, work.question.shard, kind)
+
+
 def _with_remaining(
     question: LeafSearch | LeafRun, remaining_ms: float
 ) -> LeafSearch | LeafRun:
--- a/heatherdyke/lease_terms.py
+++ b/heatherdyke/lease_terms.py
@@ -3,6 +3,10 @@
 from dataclasses import dataclass
 
 NEVER = float("-inf")
+SHORT_WORK_S = 1.0
+LONGEST_WORK_S = 30.0
+TRANSIT_S = 1.0
+CLOCK_DRIFT = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,10 +19,10 @@
     """
 
     lease_s: float = 2.0
-    short_work_s: float = 1.0
-    longest_work_s: float = 30.0
-    transit_s: float = 1.0
-    drift: float = 0.02
+    short_work_s: float = SHORT_WORK_S
+    longest_work_s: float = LONGEST_WORK_S
+    transit_s: float = TRANSIT_S
+    drift: float = CLOCK_DRIFT
 
     @property
     def lapse_wait_s(self) -> float:
--- a/heatherdyke/member_core.py
+++ b/heatherdyke/member_core.py
@@ -5,6 +5,7 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -57,6 +58,9 @@
         self.me = me
         self.state = LifecycleState.SERVING
         self.released = False
+        self.longest_work_s: Callable[[str], float] = lambda _: (
+            terms.longest_work_s
+        )
         self._interval_s = interval_s
         self._terms = terms
         self._guard = guard
@@ -138,6 +142,7 @@
         """Return what is known of the zone, at first nothing."""
         if zone not in self.membership_by_zone:
             lease = HomeLease(self.me, zone, self._terms, self._guard)
+            lease.longest_work_s = self._ask_longest_work
             membership = Membership(self.me, zone, lease, self._interval_s)
             membership.leaving = self.state is LifecycleState.LEAVING
             self.membership_by_zone[zone] = membership
@@ -202,6 +207,9 @@
             suspects=tuple(member.incarnation for member in suspects),
         )
 
+    def _ask_longest_work(self, leaf_id: str) -> float:
+        return self.longest_work_s(leaf_id)
+
     def _concerning(self) -> list[Membership]:
         """Return the zones to whose leaves this instance may send."""
         return [
--- a/heatherdyke/messages.py
+++ b/heatherdyke/messages.py
@@ -186,7 +186,7 @@
     """Why a leaf did not do the work.
 
     ``kind`` is one of shed, draining, deadline, snapshot_gone, shard_split,
-    unknown_shard, cancelled.
+    unknown_shard, cancelled; the leaf's home adds not_sent and not_home.
     """
 
     request_id: str
