Prove with real processes that a moving home overloads no leaf

Each scenario runs twice at once, without the home lease and with it, with a wrong live list throughout; the leaves' records judge.

Ruled out: a killed home does not overload a leaf here even without the lease, because the stand-in drops the work of a broken connection, so that case is only seen to pass. A proxy between instances hides a refused connection, so the kill runs without one.

A suspected member is reported once, not at each probe.

--- a/heatherdyke/member_task.py
+++ b/heatherdyke/member_task.py
@@ -101,6 +101,7 @@
         self._ticks = 0
         self._was_fresh = False
         self._busy: set[str] = set()
+        self._suspected: set[str] = set()
         self._tasks: set[asyncio.Task] = set()
 
     @classmethod
@@ -312,7 +313,10 @@
                 membership.note_alive(member.incarnation, self._clock.now())
             else:
                 membership.note_probe_failed(member.incarnation)
-        if not answer.alive:
+        if answer.alive:
+            self._suspected.discard(member.incarnation)
+        elif member.incarnation not in self._suspected:
+            self._suspected.add(member.incarnation)
             self._journal.record(
                 MEMBER_SUSPECTED, member=member.name, zone=member.zone
             )
--- /dev/null
+++ b/tests/test_proof_homes.py
@@ -0,0 +1,252 @@
+"""Proofs that no leaf gets more than it bears while its home moves.
+
+Real instances of one zone search slow leaves under more load than they
+bear.  The leaves' records judge: a search that arrives while all slots are
+taken is one too many.  Each proof is seen to fail without the home lease.
+"""
+
+import asyncio
+import signal
+from collections.abc import Awaitable
+from collections.abc import Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from dataclasses import replace
+
+import pytest
+
+from heatherdyke.fault_proxy import FaultProxy
+from heatherdyke.fault_proxy import ProxyConfig
+from heatherdyke.fault_proxy import ProxyFaults
+from heatherdyke.fault_proxy import RouteConfig
+from heatherdyke.fault_proxy import RouteFaults
+from heatherdyke.member_messages import Roster
+from heatherdyke.messages import InstanceKind
+from heatherdyke.messages import ListedInstance
+from heatherdyke.platform_client import convert_value
+from heatherdyke.standin_platform import PlatformFaults
+from heatherdyke_bench.admin import set_faults
+from heatherdyke_bench.deployments import Deployment
+from heatherdyke_bench.deployments import LeafKind
+from heatherdyke_bench.deployments import ServicePlan
+from heatherdyke_bench.fleet import Fleet
+from heatherdyke_bench.fleet import Policy
+from heatherdyke_bench.process import free_address
+from tests.small_fleet import TEAM
+from tests.small_fleet import URGENCY
+from tests.small_fleet import Callers
+from tests.small_fleet import latest_records
+from tests.small_fleet import wait_until
+
+ZONE = "brescia"
+SLOTS = 2
+CONNECTIONS = 25
+CALLERS = 9
+LEFT_OUT = "cold-ramp,hedging,silence-timeout"
+CUT = RouteFaults(cut=True)
+CLEAR = RouteFaults()
+
+
+class ZoneFleet(Fleet):
+    """Instances of one zone that reach each other through a proxy."""
+
+    proxy: FaultProxy
+    heartbeat_interval_s = 0.5
+    proxied = True
+
+    async def start(self) -> None:
+        names = self.deployment.zone_by_instance
+        self._front = {name: free_address() for name in names}
+        self._behind = {name: free_address() for name in names}
+        self._store = {name: free_address() for name in names}
+        await super().start()
+
+    async def stop(self) -> None:
+        await super().stop()
+        await self.proxy.stop()
+
+    async def leaf_addresses(self) -> dict[str, str]:
+        routes = []
+        for name, front in self._front.items():
+            behind = self._behind[name]
+            routes.append(RouteConfig(f"{name} tcp", front, behind))
+            routes.append(RouteConfig(f"{name} udp", front, behind, udp=True))
+            store = self._store[name]
+            route = RouteConfig(f"{name} store", store, self.platform.address)
+            routes.append(route)
+        self.proxy = FaultProxy(ProxyConfig(routes))
+        await self.proxy.start()
+        return await super().leaf_addresses()
+
+    def cut(self, routes: list[str], faults: RouteFaults = CUT) -> None:
+        """Put faults on the routes."""
+        self.proxy.set_faults(ProxyFaults(dict.fromkeys(routes, faults)))
+
+    async def roster(self) -> Roster:
+        """Return the zone's roster as the platform holds it."""
+        stored = await self.platform_client().get(f"roster/{ZONE}")
+        return convert_value(stored, Roster)
+
+    async def wait_for_members(self, names: set[str]) -> None:
+        """Wait until the roster names just these instances."""
+
+        async def is_so() -> bool:
+            roster = await self.roster()
+            return {member.name for member in roster.members} == names
+
+        await wait_until(is_so)
+
+    async def over_slots(self) -> int:
+        """Return how many searches came to a leaf that was full."""
+        records = await latest_records(self)
+        assert all(
+            record.connections_max <= CONNECTIONS
+            for record in records.values()
+        )
+        return sum(record.over_slots for record in records.values())
+
+    def _address(self, name: str) -> str:
+        return self._front[name] if self.proxied else self._behind[name]
+
+    def _add_instance(self, name: str, zone: str) -> None:
+        process = self._process(
+            name,
+            [
+                "heatherdyke",
+                "serve",
+                f"--name={name}",
+                f"--zone={zone}",
+                f"--listen={self._behind[name]}",
+                f"--advertise={self._address(name)}",
+                f"--platform={self._store[name]}",
+                f"--heartbeat-interval-s={self.heartbeat_interval_s}",
+                f"--disable={self.policy.disable}",
+            ],
+        )
+        process.address = self._behind[name]
+        self.instance_by_name[name] = process
+
+
+@asynccontextmanager
+async def run_zone(directory, disable, scenario):
+    """Run a zone whose leaves are kept full by callers of all instances."""
+    kind = LeafKind(SLOTS, CONNECTIONS, 1.0)
+    names = [f"permits{number:02d}" for number in range(3)]
+    plan = ServicePlan(TEAM, names, TEAM, 1, 2, kind)
+    urgency = replace(URGENCY, wanted_coverage=0.0, deadline_ms=4000)
+    deployment = Deployment(
+        "zone", [ZONE], scenario.instances, [plan], [urgency]
+    )
+    profiles = [
+        replace(profile, service_ms=scenario.service_ms, spread=0.1)
+        for profile in deployment.profiles()
+    ]
+    policy = Policy("proof", f"{LEFT_OUT},{disable}".strip(","))
+    fleet = ZoneFleet(deployment, profiles, policy, directory)
+    fleet.heartbeat_interval_s = scenario.heartbeat_interval_s
+    fleet.proxied = scenario.proxied
+    try:
+        await fleet.start()
+        await fleet.wait_for_members(set(fleet.instance_by_name))
+        async with Callers(fleet) as callers:
+            callers.start(CALLERS)
+            await callers.wait_for_answers(CALLERS)
+            yield fleet, callers
+    finally:
+        await fleet.stop()
+
+
+def wrong_list(fleet: Fleet) -> PlatformFaults:
+    """Show a list without the live instances and with one that is not."""
+    ghost = ListedInstance(
+        "ghost", InstanceKind.ENTRY, ZONE, "127.0.0.1:9", "none"
+    )
+    return PlatformFaults(
+        extra_rows=[ghost], hidden_names=list(fleet.instance_by_name)
+    )
+
+
+async def pause_and_wake(fleet, callers):
+    """Pause an instance until it is out, and wake it under load."""
+    first, *rest = fleet.instance_by_name
+    process = fleet.find_instance(first)
+    process.send_signal(signal.SIGSTOP)
+    await fleet.wait_for_members(set(rest))
+    await callers.wait_for_answers(3 * CALLERS)
+    process.send_signal(signal.SIGCONT)
+    await fleet.wait_for_members({first, *rest})
+    await callers.wait_for_answers(2 * CALLERS)
+
+
+async def kill_in_outage(fleet, callers):
+    """Kill an instance while the platform is down, then bring it back."""
+    first, *rest = fleet.instance_by_name
+    await set_faults(fleet.platform.address, PlatformFaults(outage=True))
+    await callers.wait_for_answers(CALLERS)
+    await fleet.find_instance(first).stop(signal.SIGKILL)
+    await callers.wait_for_answers(2 * CALLERS)
+    await set_faults(fleet.platform.address, wrong_list(fleet))
+    await fleet.wait_for_members(set(rest))
+
+
+async def cut_off(fleet, callers):
+    """Cut one of two instances off the other and off the platform."""
+    first, second = fleet.instance_by_name
+    between = [
+        f"{n} {kind}" for n in (first, second) for kind in ("tcp", "udp")
+    ]
+    fleet.cut([*between, f"{first} store"])
+    await fleet.wait_for_members({second})
+    await callers.wait_for_answers(4 * CALLERS)
+    fleet.cut([*between, f"{first} store"], CLEAR)
+    await fleet.wait_for_members({first, second})
+    await callers.wait_for_answers(CALLERS)
+
+
+async def count_over_slots(directory, disable, scenario):
+    directory.mkdir()
+    async with run_zone(directory, disable, scenario) as (fleet, callers):
+        await set_faults(fleet.platform.address, wrong_list(fleet))
+        assert await fleet.over_slots() == 0
+        await scenario.fault(fleet, callers)
+        return await fleet.over_slots()
+
+
+async def compare(directory, scenario):
+    """Return the searches too many without the lease and with it."""
+    return await asyncio.gather(
+        count_over_slots(directory / "off", "home-lease", scenario),
+        count_over_slots(directory / "on", "", scenario),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """A fault, and the fleet on which it shows."""
+
+    fault: Callable[[ZoneFleet, Callers], Awaitable[None]]
+    instances: int = 3
+    service_ms: float = 250.0
+    heartbeat_interval_s: float = 0.5
+    proxied: bool = True
+
+
+# A proxy in between would hide that a dead instance refuses connections.
+KILL = Scenario(kill_in_outage, heartbeat_interval_s=0.1, proxied=False)
+
+
+class TestNoLeafBearsTwoHomes:
+    @pytest.mark.parametrize(
+        "scenario",
+        [Scenario(pause_and_wake), Scenario(cut_off, instances=2)],
+        ids=lambda s: s.fault.__name__,
+    )
+    def test_needs_the_lease_to_keep_within_slots(self, tmp_path, scenario):
+        without, guarded = asyncio.run(compare(tmp_path, scenario))
+        assert without > 0
+        assert guarded == 0
+
+    def test_keeps_within_slots_when_a_home_is_killed(self, tmp_path):
+        """The leaf drops a dead home's work, so the lease is not needed."""
+        directory = tmp_path / "on"
+        assert asyncio.run(count_over_slots(directory, "", KILL)) == 0
