Start a new home of a leaf at the level of the former one

Parts now carry the home's level and the leaf's incarnation; an instance that becomes home starts there if it heard so within 10 s, and one that has just started asks its zone's members.

--- a/heatherdyke/entry.py
+++ b/heatherdyke/entry.py
@@ -12,6 +12,7 @@
 from heatherdyke.hedging import ExtraLoadBudget
 from heatherdyke.hedging import HedgePolicy
 from heatherdyke.home import Home
+from heatherdyke.level_book import LevelBook
 from heatherdyke.mechanisms import Mechanism
 from heatherdyke.messages import SearchAnswer
 from heatherdyke.messages import SearchRequest
@@ -52,6 +53,7 @@
         peers: PeerClient,
         snapshots: SnapshotBook,
         observer: SearchObserver,
+        levels: LevelBook,
         clock: Clock,
     ) -> None:
         uses = settings.uses
@@ -60,6 +62,7 @@
         self.peers = peers
         self.snapshots = snapshots
         self.observer = observer
+        self.levels = levels
         self.clock = clock
         self.index = ConfigIndexCache(config)
         self.views = ReplicaViews()
--- a/heatherdyke/home.py
+++ b/heatherdyke/home.py
@@ -18,11 +18,9 @@
 from heatherdyke.leaf_work import Withdraw
 from heatherdyke.leaf_work import WorkerPolicy
 from heatherdyke.leaf_worker import LeafWorker
-from heatherdyke.leaf_worker import ListedAs
-from heatherdyke.leaf_worker import Submit
-from heatherdyke.leaf_worker import Withdraw
-from heatherdyke.leaf_worker import WorkerPolicy
 from heatherdyke.lease_terms import SHORT_WORK_S
+from heatherdyke.level_book import LeafLevel
+from heatherdyke.level_book import LevelBook
 from heatherdyke.mechanisms import Mechanism
 from heatherdyke.merge import merge_items
 from heatherdyke.messages import Item
@@ -59,6 +57,7 @@
         config: ConfigView,
         members: MemberView,
         observer: SearchObserver,
+        levels: LevelBook,
         clock: Clock,
     ) -> None:
         self._settings = settings
@@ -66,6 +65,7 @@
         self._index = ConfigIndexCache(config)
         self._members = members
         self._observer = observer
+        self._levels = levels
         self._clock = clock
         self._worker_by_leaf: dict[str, LeafWorker] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -83,6 +83,14 @@
         run_s = self._index.current().run_s_by_leaf.get(leaf_id, 0.0)
         return max(SHORT_WORK_S, run_s)
 
+    def levels(self) -> list[LeafLevel]:
+        """Return how warm the leaves are whose home this instance is."""
+        return [
+            LeafLevel(leaf, w.limit.level, w.limit.incarnation)
+            for leaf, w in self._worker_by_leaf.items()
+            if self._may_serve(leaf, w.config)
+        ]
+
     def leaves_at_work(self) -> set[str]:
         """Return the ids of leaves at which this instance has work."""
         return {leaf for leaf, w in self._worker_by_leaf.items() if w.running}
@@ -234,6 +242,9 @@
             config.cold_searches,
             uses(Mechanism.COLD_RAMP),
         )
+        heard = self._levels.find(leaf_id, self._clock.now())
+        if heard is not None:
+            limit.resume(heard.level, heard.incarnation)
         policy = WorkerPolicy(
             is_home=lambda: self._may_serve(leaf_id, config),
             slots_allowed=lambda work_s: self._slots_allowed(
@@ -352,4 +363,6 @@
         asked=int(work.sent),
         draining=work.draining,
         load=work.load,
+        level=work.level,
+        incarnation=work.incarnation,
     )
--- a/heatherdyke/instance.py
+++ b/heatherdyke/instance.py
@@ -19,6 +19,8 @@
 from heatherdyke.home import Home
 from heatherdyke.http_routes import new_application
 from heatherdyke.journal import Journal
+from heatherdyke.level_book import LevelBook
+from heatherdyke.level_sync import LevelSync
 from heatherdyke.mechanisms import Mechanism
 from heatherdyke.member_task import MemberTask
 from heatherdyke.metrics import Metrics
@@ -58,8 +60,14 @@
         self.journal.incarnation = self.members.incarnation
         self.snapshots = SnapshotBook()
         self.observer = SearchObserver(self.journal, self.metrics)
+        self.levels = LevelBook()
         self.home = Home(
-            settings, self.config, self.members, self.observer, clock
+            settings,
+            self.config,
+            self.members,
+            self.observer,
+            self.levels,
+            clock,
         )
         self.entry = Entry(
             settings,
@@ -69,6 +77,7 @@
             self.peers,
             self.snapshots,
             self.observer,
+            self.levels,
             clock,
         )
         self.components: list[Component] = [
@@ -81,6 +90,7 @@
                 self.members.incarnation,
                 self._find_reader,
             ),
+            LevelSync(self.home, self.levels, self._find_peers, clock),
             ObserveComponent(
                 self.journal, self.metrics, self._health, self._known, clock
             ),
@@ -183,6 +193,15 @@
         self.members.leaves_at_work = self.home.leaves_at_work
         self.members.core.longest_work_s = self.home.longest_work_s
 
+    def _find_peers(self) -> list[str]:
+        """Return the addresses of the zone's other members."""
+        return [
+            member.address
+            for member in self.members.members()
+            if member.zone == self.settings.zone
+            and member.name != self.settings.name
+        ]
+
     def _find_reader(self) -> str | None:
         reader = self.members.reader()
         if reader is None or reader.name == self.settings.name:
--- a/heatherdyke/leaf_connection_task.py
+++ b/heatherdyke/leaf_connection_task.py
@@ -9,9 +9,11 @@
 from heatherdyke.leaf_work import LeafWork
 from heatherdyke.leaf_work import Outcome
 from heatherdyke.leaf_work import WorkerPolicy
+from heatherdyke.leaf_work import refuse
 from heatherdyke.messages import LeafRun
 
 ANSWER_GRACE_S = 0.05
+MAX_SEND_DELAY_S = 0.1
 PATIENT_TIMEOUT_S = 60.0
 
 
@@ -81,8 +83,15 @@
             self._worker_inbox.put_nowait(Closed(self, refused))
 
     async def _do(self, connection: LeafConnection, work: LeafWork) -> None:
-        remaining_s = work.expires_at - self._clock.now()
-        timeout_s = self._timeout_s(remaining_s)
+        now = self._clock.now()
+        if now - work.started_at > MAX_SEND_DELAY_S:
+            # The process stood still between the decision and the send, so
+            # that the lease behind the decision may have lapsed.
+            work.sent = False
+            work.outcome = refuse(work, "not_sent")
+            self._worker_inbox.put_nowait(Finished(self, work))
+            return
+        timeout_s = self._timeout_s(work.question.remaining_ms / 1000)
         try:
             work.outcome = await self._ask(connection, work, timeout_s)
         except TransportError as error:
--- a/heatherdyke/leaf_limit.py
+++ b/heatherdyke/leaf_limit.py
@@ -48,6 +48,15 @@
             return 0
         return self.level
 
+    def resume(self, level: int, incarnation: str) -> None:
+        """Start where another home was with the leaf's incarnation."""
+        if not self.ramp:
+            return
+        self.level = max(self.cold_slots, min(level, self.slots))
+        self.incarnation = incarnation
+        if self.level > self.cold_slots:
+            self._answered = self.cold_searches
+
     @property
     def is_warm(self) -> bool:
         """Tell whether all slots are in use."""
--- a/heatherdyke/leaf_work.py
+++ b/heatherdyke/leaf_work.py
@@ -33,6 +33,8 @@
     started_at: float = 0.0
     took_s: float = 0.0
     load: float = 0.0
+    level: int = 0
+    incarnation: str = ""
     draining: bool = False
 
 
@@ -86,3 +88,9 @@
     silence_timeout: bool = True
     match_parts: bool = True
     heed_drain: bool = True
+
+
+def refuse(work: LeafWork, kind: str) -> LeafRefusal:
+    """Return a refusal of the work that its home decided on."""
+    question = work.question
+    return LeafRefusal(question.request_id, question.shard, kind)
--- a/heatherdyke/leaf_worker.py
+++ b/heatherdyke/leaf_worker.py
@@ -29,6 +29,7 @@
 from heatherdyke.leaf_work import Wake
 from heatherdyke.leaf_work import Withdraw
 from heatherdyke.leaf_work import WorkerPolicy
+from heatherdyke.leaf_work import refuse
 from heatherdyke.lease_terms import SHORT_WORK_S
 from heatherdyke.messages import LeafAnswer
 from heatherdyke.messages import LeafRefusal
@@ -38,178 +39,8 @@
 
 SPARE_CONNECTIONS = 1
 MAX_OPENING = 2
-MAX_SEND_DELAY_S = 0.1
 REOPEN_DELAY_S = 0.2
 MOVE_LOAD = 2.0
-ANSWER_GRACE_S = 0.05
-SILENCE_FACTOR = 10.0
-MIN_SILENCE_S = 0.25
-
-Outcome = LeafAnswer | LeafRefusal | LeafRunAnswer | TransportError
-
-
-@dataclass(slots=True, eq=False)
-class LeafWork:
-    """One search or run for a leaf, and where its outcome goes.
-
-    ``deliver`` is called once with the work; ``sent`` tells whether it may
-    have reached the leaf.  Times are monotonic seconds.
-    """
-
-    leaf_id: str
-    question: LeafSearch | LeafRun
-    priority: int
-    submitted_at: float
-    expires_at: float
-    deliver: Callable[["LeafWork"], None]
-    outcome: Outcome | None = None
-    sent: bool = False
-    started_at: float = 0.0
-    took_s: float = 0.0
-    load: float = 0.0
-    draining: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Submit:
-    """Asks the worker to do a piece of work."""
-
-    work: LeafWork
-
-
-@dataclass(frozen=True, slots=True)
-class Withdraw:
-    """Asks the worker to drop a piece of work, running or not."""
-
-    work: LeafWork
-
-
-@dataclass(frozen=True, slots=True)
-class Finished:
-    """A connection reports the outcome of its work."""
-
-    connection: "ConnectionTask"
-    work: LeafWork
-
-
-@dataclass(frozen=True, slots=True)
-class Opened:
-    """A connection is up and idle."""
-
-    connection: "ConnectionTask"
-
-
-@dataclass(frozen=True, slots=True)
-class Closed:
-    """A connection ended, or could not be opened."""
-
-    connection: "ConnectionTask"
-    refused: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Wake:
-    """Makes the worker look at its queue again."""
-
-
-@dataclass(frozen=True, slots=True)
-class ListedAs:
-    """The platform's list says whether this run of the leaf is leaving."""
-
-    leaving: bool
-    incarnation: str
-
-
-@dataclass(slots=True)
-class WorkerPolicy:
-    """What the home tells its workers to use.
-
-    ``slots_allowed`` is asked immediately before each send, with the
-    longest time in seconds that the work may last.
-    """
-
-    slots_allowed: Callable[[float], int]
-    reference_s: Callable[[], float]
-    observe_latency: Callable[[float], None]
-    observer: SearchObserver
-    silence_timeout: bool = True
-    match_parts: bool = True
-    heed_drain: bool = True
-
-
-class ConnectionTask:
-    """Owns one socket to the leaf and does one piece of work at a time."""
-
-    __slots__ = ("_address", "_policy", "_worker_inbox", "_inbox", "_clock")
-
-    def __init__(
-        self,
-        address: str,
-        policy: WorkerPolicy,
-        worker_inbox: asyncio.Queue,
-        clock: Clock,
-    ) -> None:
-        self._address = address
-        self._policy = policy
-        self._worker_inbox = worker_inbox
-        self._inbox: asyncio.Queue[LeafWork] = asyncio.Queue()
-        self._clock = clock
-
-    def give(self, work: LeafWork) -> None:
-        """Send the work as soon as the task runs."""
-        self._inbox.put_nowait(work)
-
-    async def run(self) -> None:
-        """Open the connection and serve until it breaks."""
-        refused = True
-        connection = None
-        try:
-            connection = await LeafConnection.open(
-                self._address, self._policy.match_parts
-            )
-            refused = False
-            self._worker_inbox.put_nowait(Opened(self))
-            while connection.usable:
-                work = await self._inbox.get()
-                await self._do(connection, work)
-        except TransportError:
-            pass
-        finally:
-            if connection is not None:
-                connection.close()
-            self._worker_inbox.put_nowait(Closed(self, refused))
-
-    async def _do(self, connection: LeafConnection, work: LeafWork) -> None:
-        now = self._clock.now()
-        timeout_s = self._timeout_s(work, work.expires_at - now)
-        if now - work.started_at > MAX_SEND_DELAY_S:
-            # The process stood still between the decision and the send, so
-            # that the lease behind the decision may have lapsed.
-            work.sent = False
-            work.outcome = _refusal(work, "not_sent")
-            self._worker_inbox.put_nowait(Finished(self, work))
-            return
-        try:
-            work.outcome = await self._ask(connection, work, timeout_s)
-        except TransportError as error:
-            work.outcome = error
-        self._worker_inbox.put_nowait(Finished(self, work))
-
-    async def _ask(
-        self, connection: LeafConnection, work: LeafWork, timeout_s: float
-    ) -> Outcome:
-        if isinstance(work.question, LeafRun):
-            return await connection.run(work.question, timeout_s)
-        return await connection.search(work.question, timeout_s)
-
-    def _timeout_s(self, work: LeafWork, remaining_s: float) -> float:
-        to_deadline_s = max(remaining_s, 0.0) + ANSWER_GRACE_S
-        if not self._policy.silence_timeout:
-            return to_deadline_s + 60.0
-        if isinstance(work.question, LeafRun):
-            return to_deadline_s
-        usual_s = SILENCE_FACTOR * self._policy.reference_s()
-        return min(to_deadline_s, max(MIN_SILENCE_S, usual_s))
 
 
 class LeafWorker:
@@ -387,7 +218,7 @@
                 heappop(self._queue)
                 self._refuse(work, "deadline")
                 continue
-            allowed = self._policy.slots_allowed(work.expires_at - now)
+            allowed = self._policy.slots_allowed(_work_s(work, now))
             if not allowed and isinstance(work.question, LeafSearch):
                 self._refuse_queued("handing_over")
                 break
@@ -395,8 +226,6 @@
                 len(self._connection_by_work) >= min(limit, allowed)
                 or not self._idle
             ):
-            allowed = self._policy.slots_allowed(_work_s(work, now))
-            if len(self._running) >= min(limit, allowed) or not self._idle:
                 break
             heappop(self._queue)
             self._send(work, now)
@@ -496,12 +325,14 @@
             self._refuse(work, kind)
 
     def _refuse(self, work: LeafWork, kind: str) -> None:
-        work.outcome = _refusal(work, kind)
+        work.outcome = refuse(work, kind)
         self._deliver(work)
 
     def _deliver(self, work: LeafWork) -> None:
         work.took_s = self._clock.now() - work.submitted_at
         work.load = self.load
+        work.level = self.limit.level
+        work.incarnation = self.limit.incarnation
         work.draining = self._draining
         work.deliver(work)
 
@@ -556,10 +387,6 @@
     return remaining_s
 
 
-def _refusal(work: LeafWork, kind: str) -> LeafRefusal:
-    return LeafRefusal(work.question.request_id, work.question.shard, kind)
-
-
 def _with_remaining(
     question: LeafSearch | LeafRun, remaining_ms: float
 ) -> LeafSearch | LeafRun:
--- /dev/null
+++ b/heatherdyke/level_book.py
@@ -0,0 +1,45 @@
+"""How far other homes have warmed each leaf (pure).
+
+An instance that becomes a leaf's home starts where the former home was, if
+it heard so lately and the leaf still runs under the same incarnation.
+"""
+
+from dataclasses import dataclass
+
+MAX_AGE_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class LeafLevel:
+    """How many searches at once a home allows a leaf's incarnation."""
+
+    leaf: str
+    level: int
+    incarnation: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Heard:
+    level: LeafLevel
+    at: float
+
+
+class LevelBook:
+    """Keeps the newest level heard of each leaf; times are monotonic."""
+
+    __slots__ = ("_heard_by_leaf",)
+
+    def __init__(self) -> None:
+        self._heard_by_leaf: dict[str, _Heard] = {}
+
+    def learn(self, level: LeafLevel, now: float) -> None:
+        """Take in what a home says of a leaf."""
+        if level.level and level.incarnation:
+            self._heard_by_leaf[level.leaf] = _Heard(level, now)
+
+    def find(self, leaf: str, now: float) -> LeafLevel | None:
+        """Return what was heard of the leaf within MAX_AGE_S, or None."""
+        heard = self._heard_by_leaf.get(leaf)
+        if heard is None or now - heard.at > MAX_AGE_S:
+            return None
+        return heard.level
--- a/heatherdyke/messages.py
+++ b/heatherdyke/messages.py
@@ -123,7 +123,8 @@
     ``children`` names the shards that a split made of this one, ``asked``
     counts the searches sent to the leaf, ``leaf_ms`` is the time from
     submission to the answer, and ``load`` the work at the leaf's home
-    over what the home may send at once.
+    over what the home may send at once, which is ``level`` for the leaf's
+    ``incarnation``.
     """
 
     shard: str
@@ -136,6 +137,8 @@
     asked: int = 0
     draining: bool = False
     load: float = 0.0
+    level: int = 0
+    incarnation: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherdyke/search_run.py
+++ b/heatherdyke/search_run.py
@@ -9,6 +9,7 @@
 from heatherdyke.errors import DeadlineExceeded
 from heatherdyke.errors import RunState
 from heatherdyke.errors import TransportError
+from heatherdyke.level_book import LeafLevel
 from heatherdyke.mechanisms import Mechanism
 from heatherdyke.merge import merge_items
 from heatherdyke.messages import Item
@@ -238,6 +239,8 @@
         group.pending_leaf_by_shard.pop(part.shard, None)
         now = self._entry.clock.now()
         self._entry.views.finish(part, now)
+        level = LeafLevel(part.leaf, part.level, part.incarnation)
+        self._entry.levels.learn(level, now)
         self.cost += part.asked
         self._try_by_shard[part.shard].open -= 1
         self._coverage.add(part)
