Let equal replicas share the work: what was heard long ago fades

Cause: an instance kept a replica's last reported load and latency until it asked it again, which it did not do because of them. Ruled out: the draw itself; with latency and load left out it is even. Conclusion: load counts for 0.1 s, latency halves in 2 s, one straggler moves the estimate by at most the threefold.

--- a/heatherdyke/replica_choice.py
+++ b/heatherdyke/replica_choice.py
@@ -14,6 +14,9 @@
 FIRST_LATENCY_MS = 5.0
 CLEARLY_BETTER = 0.7
 PROBE_SHARE = 0.1
+LOAD_FRESH_S = 0.1
+LATENCY_HALF_LIFE_S = 2.0
+MAX_SAMPLE_RATIO = 3.0
 
 
 @dataclass(slots=True)
@@ -24,6 +27,27 @@
     load: float = 0.0
     outstanding: int = 0
     avoided_until: float = 0.0
+    heard_at: float = 0.0
+
+    def hear_latency(self, sample_ms: float) -> None:
+        """Move the estimate; one straggler counts for little."""
+        highest_ms = MAX_SAMPLE_RATIO * self.latency_ms
+        sample_ms = min(sample_ms, highest_ms)
+        self.latency_ms += SMOOTHING * (sample_ms - self.latency_ms)
+
+    def expected_wait_ms(self, now: float) -> float:
+        """Return the wait to expect; what was heard long ago fades.
+
+        Otherwise a leaf that was slow or loaded once would not be asked,
+        and so not be heard of, for long.
+        """
+        age_s = max(0.0, now - self.heard_at)
+        latency_ms = self.latency_ms * 0.5 ** (age_s / LATENCY_HALF_LIFE_S)
+        return (1.0 + self.outstanding + self.fresh_load(now)) * latency_ms
+
+    def fresh_load(self, now: float) -> float:
+        """Return the load that the home reported lately, or 0."""
+        return self.load if now - self.heard_at < LOAD_FRESH_S else 0.0
 
 
 @dataclass(slots=True)
@@ -49,8 +73,9 @@
         view = self.of(part.leaf)
         view.outstanding = max(0, view.outstanding - 1)
         view.load = part.load
+        view.heard_at = now
         if part.state in (PartState.WHOLE, PartState.TRUNCATED):
-            view.latency_ms += SMOOTHING * (part.leaf_ms - view.latency_ms)
+            view.hear_latency(part.leaf_ms)
         elif part.state in (PartState.REFUSED, PartState.LOST):
             view.avoided_until = now + AVOID_S
         if part.draining:
@@ -86,15 +111,12 @@
     one, other = views.of(first), views.of(second)
     if _is_avoided(one, now) != _is_avoided(other, now):
         return second if _is_avoided(one, now) else first
-    if _expected_wait(other) >= CLEARLY_BETTER * _expected_wait(one):
+    wait_ms = other.expected_wait_ms(now)
+    if wait_ms >= CLEARLY_BETTER * one.expected_wait_ms(now):
         return first
-    is_idle = one.outstanding == 0 and one.load == 0.0
+    is_idle = one.outstanding == 0 and one.fresh_load(now) == 0.0
     return first if is_idle and random.random() < PROBE_SHARE else second
 
 
 def _is_avoided(view: ReplicaView, now: float) -> bool:
     return view.avoided_until > now
-
-
-def _expected_wait(view: ReplicaView) -> float:
-    return (1.0 + view.outstanding + view.load) * view.latency_ms
--- a/tests/test_search_decisions.py
+++ b/tests/test_search_decisions.py
@@ -102,6 +102,29 @@
         )
         assert chosen == "leaf-2"
 
+    def test_equal_leaves_share_the_work_in_spite_of_stragglers(self):
+        random = Random(1)
+        counts = [_count_choices(random, searches=400) for _ in range(50)]
+        assert max(max(count) for count in counts) / 200 < 1.2
+
+
+def _count_choices(random: Random, searches: int) -> list[int]:
+    """Let 7 instances choose between two leaves alike."""
+    count = [0, 0]
+    all_views = [ReplicaViews() for _ in range(7)]
+    for number in range(searches):
+        now = number / 28
+        views = random.choice(all_views)
+        leaf = choose_least_loaded(["0", "1"], views, now, random)
+        count[int(leaf)] += 1
+        views.start(leaf)
+        ms = random.lognormvariate(3.4, 0.3)
+        ms *= 15 if random.random() < 0.01 else 1
+        load = random.choice([0.0, 0.0, 0.33, 0.66, 1.0])
+        part = Part("s", leaf, PartState.WHOLE, leaf_ms=ms, load=load)
+        views.finish(part, now + ms / 1000)
+    return count
+
 
 class TestExtraLoadBudget:
     def test_spends_no_more_than_its_share(self):
