--- a/heatherdyke_bench/admin.py
+++ b/heatherdyke_bench/admin.py
@@ -1,21 +1,25 @@
 """Calls to the stand-ins' controls."""
 
+import asyncio
 from typing import Any
 from typing import TypeVar
 
 from heatherdyke.codec import decode
 from heatherdyke.codec import encode
+from heatherdyke.errors import TransportError
 from heatherdyke.http_connection import HttpConnection
 from heatherdyke_bench.errors import FleetError
 
 T = TypeVar("T")
 
 ADMIN_TIMEOUT_S = 20.0
+MAX_RETRIES = 60
+RETRY_S = 0.05
 
 
 async def set_faults(address: str, faults: Any) -> None:
     """Set a stand-in's faults; raises FleetError if it refuses them."""
-    status, body = await _call(address, "POST", "/admin/faults", faults)
+    status, body = await _insist(address, "POST", "/admin/faults", faults)
     if status != 200:
         raise FleetError(
             f"{address} refused the faults: {body!r}", "correct the scenario"
@@ -24,7 +28,7 @@
 
 async def read_record(address: str, record_type: type[T]) -> T:
     """Return what a stand-in has recorded."""
-    _, body = await _call(address, "GET", "/admin/record", None)
+    _, body = await _insist(address, "GET", "/admin/record", None)
     return decode(body, record_type)
 
 
@@ -34,6 +38,18 @@
     return status == 200
 
 
+async def _insist(
+    address: str, method: str, path: str, message: Any
+) -> tuple[int, bytes]:
+    """Call again while the stand-in is at its cap of connections."""
+    for _ in range(MAX_RETRIES):
+        try:
+            return await _call(address, method, path, message)
+        except TransportError:
+            await asyncio.sleep(RETRY_S)
+    return await _call(address, method, path, message)
+
+
 async def _call(
     address: str, method: str, path: str, message: Any
 ) -> tuple[int, bytes]:
