--- /dev/null
+++ b/heatherdyke_bench/capacity_page.py
@@ -0,0 +1,5 @@
+"""x"""
+
+
+def render_page(s):
+    return ""
--- a/heatherdyke_bench/process.py
+++ b/heatherdyke_bench/process.py
@@ -31,6 +31,13 @@
         """Tell whether the process has been started and not ended."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def pid(self) -> int:
+        """Return the process id; raises FleetError if it never started."""
+        if self._process is None:
+            raise FleetError(f"{self.name} was not started", "start it")
+        return self._process.pid
+
     async def start(self) -> None:
         """Start the process."""
         with self._log.open("ab") as log:
