--- a/heatherdyke/instance.py
+++ b/heatherdyke/instance.py
@@ -179,6 +179,7 @@
     def _connect(self) -> None:
         """Let the parts hear of each other."""
         self.members.config = self.config
+        self.config.set_reader(lambda: self._find_reader() is None)
         self.members.leaves_at_work = self.home.leaves_at_work
 
     def _find_reader(self) -> str | None:
