--- a/heatherdyke/config_model.py
+++ b/heatherdyke/config_model.py
@@ -5,6 +5,20 @@
 """
 
 from dataclasses import dataclass, field
+from enum import Enum
+
+
+class RunOnceMode(Enum):
+    """How a service takes requests that run at most once.
+
+    RECORDED keeps a record and the result in the platform, so that both
+    outlive the instance; TICKET binds the request to one incarnation of
+    one instance and needs no platform call.
+    """
+
+    NONE = "none"
+    RECORDED = "recorded"
+    TICKET = "ticket"
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,7 +51,7 @@
 
     index: str
     shards: dict[str, ShardConfig]
-    run_once: bool = False
+    run_once: RunOnceMode = RunOnceMode.NONE
     run_deadline_ms: int = 30000
 
 
