Run requests at most once, by record or by ticket

Cause: archive pulls and billing lookups may not be repeated, while the balancer retries into other instances. A recorded key is created in the platform by a conditional write before the send; a ticket binds the key to one incarnation and needs no platform.

Ruled out: a rendezvous owner of the key without a record (two owners while views differ); 'not run' whenever the platform is down (an earlier delivery may have run elsewhere, so the state told is 'may have run' and the remedy is to ask again with the same key).

--- a/heatherdyke/errors.py
+++ b/heatherdyke/errors.py
@@ -208,3 +208,38 @@
 
     kind = "snapshot_unavailable"
     status = 503
+
+
+class UnknownRun(RequestError):
+    """No run under the key is known; one may still be under way."""
+
+    kind = "unknown_run"
+    status = 404
+
+
+class RunKeyReused(RequestError):
+    """The key stands for another request."""
+
+    kind = "run_key_reused"
+    status = 422
+
+
+class RunRefused(RequestError):
+    """The run did not start, and never will under its key."""
+
+    kind = "run_refused"
+    status = 503
+
+
+class RunAmbiguous(RequestError):
+    """The run was sent and its outcome is lost."""
+
+    kind = "run_ambiguous"
+    status = 504
+
+
+class RunRecordUnavailable(RequestError):
+    """The record of the key could not be reached."""
+
+    kind = "run_record_unavailable"
+    status = 503
--- a/heatherdyke/events.py
+++ b/heatherdyke/events.py
@@ -365,3 +365,40 @@
         "If many leaves are named, look at the network between the hosts.",
     )
 )
+RUN_SENT = register(
+    EventKind(
+        5001,
+        "run_sent",
+        Severity.INFO,
+        "A request that runs at most once goes to a leaf.",
+        ("team", "key", "attempt", "leaf"),
+    )
+)
+RUN_ENDED = register(
+    EventKind(
+        5002,
+        "run_ended",
+        Severity.INFO,
+        "An attempt to run a key at most once reached an outcome here.",
+        ("team", "key", "attempt", "phase", "detail"),
+    )
+)
+RUN_RESULT_PARKED = register(
+    EventKind(
+        5003,
+        "run_result_parked",
+        Severity.WARNING,
+        "A result could not be stored and is kept in memory for now.",
+        ("team", "key", "attempt"),
+        "Do not stop the instance before the platform is back.",
+    )
+)
+RUN_RECORDS_REMOVED = register(
+    EventKind(
+        5004,
+        "run_records_removed",
+        Severity.INFO,
+        "Records of runs older than their retention were removed.",
+        ("count",),
+    )
+)
--- a/heatherdyke/instance.py
+++ b/heatherdyke/instance.py
@@ -29,6 +29,13 @@
 from heatherdyke.platform_client import PlatformClient
 from heatherdyke.platform_view import PlatformView
 from heatherdyke.request_gate import RequestGate
+from heatherdyke.run_book import RunBook
+from heatherdyke.run_driver import Identity
+from heatherdyke.run_driver import RunDriver
+from heatherdyke.run_once_task import RunOnceTask
+from heatherdyke.run_peers import RunPeers
+from heatherdyke.run_store import RunStore
+from heatherdyke.run_tickets import TicketBook
 from heatherdyke.search_observer import SearchObserver
 from heatherdyke.server import HttpServer
 from heatherdyke.settings import Settings
@@ -85,6 +92,8 @@
                 self.journal, self.metrics, self._health, self._known, clock
             ),
         ]
+        self.runs = self._build_runs(clock)
+        self.components.append(self.runs)
         self._clock = clock
         self._started_at = clock.now()
         self._server: HttpServer | None = None
@@ -152,6 +161,35 @@
             and self.snapshots.is_known
         )
 
+    def _build_runs(self, clock: Clock) -> RunOnceTask:
+        settings = self.settings
+        peers = RunPeers(
+            self.entry, self.config, self.members, self.journal, clock
+        )
+        driver = RunDriver(
+            Identity(settings.name, settings.address),
+            RunStore(self.platform),
+            peers.send,
+            peers.ask,
+            peers.choose_leaves,
+            clock,
+        )
+        book = RunBook(
+            TicketBook(settings.name, self.members.incarnation),
+            driver,
+            self.journal,
+            clock,
+            settings.uses(Mechanism.RUN_ONCE),
+        )
+        return RunOnceTask(
+            book,
+            self.config,
+            self.gate,
+            clock,
+            settings.drain_s,
+            settings.uses(Mechanism.TRUTHFUL_REFUSAL),
+        )
+
     async def _drain(self) -> None:
         self.gate.begin_leaving()
         drain_s = self.settings.drain_s
--- a/heatherdyke/messages.py
+++ b/heatherdyke/messages.py
@@ -289,3 +289,75 @@
 
     current: int
     held: list[int] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class RunRequest:
+    """A caller's request that runs at most once, under a key.
+
+    Without ``shard`` the argument's hash chooses one of the service's.
+    """
+
+    service: str
+    operation: str
+    argument: str
+    shard: str | None = None
+    deadline_ms: int | None = None
+    urgency: str = "default"
+
+
+class RunOutcomeState(Enum):
+    """What is known of a run; all but ``running`` are final."""
+
+    RUNNING = "running"
+    DONE = "done"
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+
+
+@dataclass(frozen=True, slots=True)
+class RunOutcome:
+    """The outcome under a key, with the result if it is done."""
+
+    key: str
+    state: RunOutcomeState
+    result: str | None = None
+    detail: str = ""
+    instance: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class RunTickets:
+    """Unused tickets of one incarnation of an instance, as keys."""
+
+    tickets: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class PeerRunOnce:
+    """A question to the holder of a key.
+
+    ``attempt`` names the holder's attempt, for a recorded key; ``intent``
+    is one of run, look, withdraw.
+    """
+
+    team: str
+    key: str
+    attempt: str
+    intent: str
+    priority: int
+    remaining_ms: float
+    fingerprint: str = ""
+    request: RunRequest | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class PeerRunOnceOutcome:
+    """The holder's answer; ``phase`` is a run_once.RunPhase's value.
+
+    An empty ``phase`` means that the asked instance is not the holder.
+    """
+
+    phase: str = ""
+    result: str | None = None
+    detail: str = ""
--- /dev/null
+++ b/heatherdyke/run_book.py
@@ -0,0 +1,200 @@
+"""The runs that one instance has in memory, and the tasks that drive them."""
+
+import asyncio
+from collections.abc import Iterator
+
+from heatherdyke.clock import Clock
+from heatherdyke.config_model import RunOnceMode
+from heatherdyke.events import RUN_ENDED
+from heatherdyke.events import RUN_RESULT_PARKED
+from heatherdyke.journal import Journal
+from heatherdyke.messages import RunRequest
+from heatherdyke.run_driver import HeldRun
+from heatherdyke.run_driver import RunDriver
+from heatherdyke.run_once import RunIntent
+from heatherdyke.run_once import RunPhase
+from heatherdyke.run_once import RunProgress
+from heatherdyke.run_once import resume
+from heatherdyke.run_tickets import Ticket
+from heatherdyke.run_tickets import TicketBook
+
+MAX_TICKET_RUNS = 20_000
+MAX_RECORDED_RUNS = 20_000
+
+
+class RunBook:
+    """Finds or begins the held run of a key and drives it in a task.
+
+    Without ``guarded`` nothing is kept, and every request is sent.
+    """
+
+    def __init__(
+        self,
+        tickets: TicketBook,
+        driver: RunDriver,
+        journal: Journal,
+        clock: Clock,
+        guarded: bool,
+    ) -> None:
+        self.tickets = tickets
+        self._driver = driver
+        self._journal = journal
+        self._clock = clock
+        self._guarded = guarded
+        self._held_by_name: dict[str, HeldRun] = {}
+        self._tasks: set[asyncio.Task] = set()
+        self._attempts = 0
+
+    @property
+    def running(self) -> int:
+        """Return how many runs are being driven."""
+        return len(self._tasks)
+
+    def find(self, team: str, key: str) -> HeldRun | None:
+        """Return the held run of a key."""
+        return self._held_by_name.get(f"{team}/{key}")
+
+    def parked(self) -> list[HeldRun]:
+        """Return the runs whose outcome the platform has yet to take."""
+        return [
+            held for held in self._held_by_name.values() if not held.stored
+        ]
+
+    def begin(
+        self,
+        team: str,
+        key: str,
+        intent: RunIntent,
+        expires_at: float,
+        fingerprint: str = "",
+    ) -> HeldRun:
+        """Return the held run of a key, made anew if there is none.
+
+        The caller drives it with ``start`` once it has set the request.
+        """
+        held = self.find(team, key)
+        if held is None or not self._guarded:
+            held = self._make(team, key, intent, expires_at)
+            held.fingerprint = fingerprint
+            return held
+        if held.task is None:
+            held.progress = resume(held.progress, intent)
+            held.expires_at = expires_at
+        return held
+
+    def start(
+        self,
+        held: HeldRun,
+        request: RunRequest | None = None,
+        priority: int = 0,
+    ) -> None:
+        """Drive the held run unless it rests or is driven already."""
+        self._keep(held)
+        if held.task is not None or held.progress.resting:
+            return
+        if request is not None:
+            held.request = request
+            held.priority = priority
+        held.task = asyncio.create_task(self._drive(held))
+        self._tasks.add(held.task)
+        held.task.add_done_callback(self._tasks.discard)
+
+    async def wait(self, held: HeldRun, until: float) -> None:
+        """Wait until the held run rests, at most until monotonic ``until``."""
+        if held.task is not None:
+            timeout_s = max(0.0, until - self._clock.now())
+            await asyncio.wait({held.task}, timeout=timeout_s)
+
+    async def store_parked(self) -> None:
+        """Offer the platform the outcomes that it has not taken yet."""
+        for held in self.parked():
+            await self._driver.store_again(held)
+            self._forget_if_safe(held)
+
+    async def wait_until_stored(self, until: float) -> None:
+        """Wait for driven runs and parked outcomes, at most ``until``."""
+        while self._tasks or self.parked():
+            if self._clock.now() >= until:
+                return
+            await self.store_parked()
+            await asyncio.sleep(0.05)
+
+    def _keep(self, held: HeldRun) -> None:
+        """Keep what is driven or must not be forgotten; a look need not."""
+        if held.progress.intent is RunIntent.LOOK:
+            return
+        if held.progress.must_be_kept or not held.progress.resting:
+            self._held_by_name[held.name] = held
+
+    def _make(
+        self, team: str, key: str, intent: RunIntent, expires_at: float
+    ) -> HeldRun:
+        self._attempts += 1
+        tickets = self.tickets
+        attempt = f"{tickets.instance}:{tickets.incarnation}:{self._attempts}"
+        progress = self._first_progress(key, intent)
+        return HeldRun(team, key, attempt, progress, expires_at)
+
+    def _first_progress(self, key: str, intent: RunIntent) -> RunProgress:
+        ticket = Ticket.from_key(key)
+        if ticket is None:
+            return RunProgress.begin(
+                intent, RunOnceMode.RECORDED, guarded=self._guarded
+            )
+        owns = self.tickets.is_own(ticket)
+        if owns and not self.tickets.is_unused(ticket):
+            return RunProgress(
+                intent, RunPhase.MAY_HAVE_RUN, RunOnceMode.TICKET
+            )
+        return RunProgress.begin(
+            intent, RunOnceMode.TICKET, owns, self._guarded
+        )
+
+    async def _drive(self, held: HeldRun) -> None:
+        try:
+            await self._driver.drive(held)
+        finally:
+            held.task = None
+        self._journal.record(
+            RUN_ENDED,
+            team=held.team,
+            key=held.key,
+            attempt=held.attempt,
+            phase=held.progress.phase.value,
+            detail=held.detail,
+        )
+        if not held.stored:
+            self._journal.record(
+                RUN_RESULT_PARKED,
+                team=held.team,
+                key=held.key,
+                attempt=held.attempt,
+            )
+        self._forget_if_safe(held)
+        self._forget_oldest()
+
+    def _forget_if_safe(self, held: HeldRun) -> None:
+        """Drop what the platform, or another instance, knows as well."""
+        is_ticket = Ticket.from_key(held.key) is not None
+        known_elsewhere = held.stored and held.progress.resting
+        if held.progress.phase is RunPhase.UNKNOWN:
+            known_elsewhere = not held.progress.must_be_kept
+        elif is_ticket:
+            known_elsewhere = not held.progress.holds
+        if known_elsewhere or not self._guarded:
+            if self._held_by_name.get(held.name) is held:
+                del self._held_by_name[held.name]
+
+    def _forget_oldest(self) -> None:
+        if len(self._held_by_name) <= MAX_TICKET_RUNS + MAX_RECORDED_RUNS:
+            return
+        for held in list(self._old_runs())[: MAX_TICKET_RUNS // 10]:
+            ticket = Ticket.from_key(held.key)
+            if ticket is not None:
+                self.tickets.forget(ticket)
+            del self._held_by_name[held.name]
+
+    def _old_runs(self) -> Iterator[HeldRun]:
+        for held in self._held_by_name.values():
+            if held.progress.resting and held.stored:
+                yield held
--- a/heatherdyke/run_once.py
+++ b/heatherdyke/run_once.py
@@ -167,6 +167,7 @@
     (RunPhase.ASK, RunEvent.HOLDER_DONE): RunPhase.DONE,
     (RunPhase.ASK, RunEvent.HOLDER_NOT_RUN): RunPhase.NOT_RUN,
     (RunPhase.ASK, RunEvent.HOLDER_UNSURE): RunPhase.MAY_HAVE_RUN,
+    (RunPhase.ASK, RunEvent.FOUND_REUSED): RunPhase.REUSED,
     (RunPhase.ASK, RunEvent.OUT_OF_TIME): RunPhase.UNKNOWN,
     (RunPhase.FETCH, RunEvent.FETCHED): RunPhase.DONE,
     (RunPhase.FETCH, RunEvent.LOST): RunPhase.FETCH,
--- /dev/null
+++ b/heatherdyke/run_once_task.py
@@ -0,0 +1,288 @@
+"""Serves requests that run at most once, to callers and to instances."""
+
+import asyncio
+import re
+from collections.abc import Callable
+from dataclasses import replace
+from hashlib import sha256
+
+from blacksheep import Application
+from blacksheep import Request
+from blacksheep import Response
+from xxhash import xxh3_64_intdigest
+
+from heatherdyke.caller_keys import CallerKeys
+from heatherdyke.clock import Clock
+from heatherdyke.codec import encode
+from heatherdyke.component import ConfigView
+from heatherdyke.config_model import RunOnceMode
+from heatherdyke.config_model import SectionConfig
+from heatherdyke.config_model import ServiceConfig
+from heatherdyke.errors import HeatherdykeError
+from heatherdyke.errors import InvalidRequest
+from heatherdyke.errors import RequestError
+from heatherdyke.errors import RunRefused
+from heatherdyke.errors import RunState
+from heatherdyke.http_routes import add_route
+from heatherdyke.http_support import json_response
+from heatherdyke.http_support import problem_response
+from heatherdyke.http_support import read_message
+from heatherdyke.messages import PeerRunOnce
+from heatherdyke.messages import PeerRunOnceOutcome
+from heatherdyke.messages import RunOutcome
+from heatherdyke.messages import RunOutcomeState
+from heatherdyke.messages import RunRequest
+from heatherdyke.messages import RunTickets
+from heatherdyke.request_gate import RequestGate
+from heatherdyke.run_book import RunBook
+from heatherdyke.run_once import RunIntent
+from heatherdyke.run_once import RunPhase
+from heatherdyke.run_outcome import raise_unless_known
+from heatherdyke.run_outcome import reused
+from heatherdyke.run_outcome import to_outcome
+from heatherdyke.run_tickets import MAX_TICKETS_PER_CALL
+from heatherdyke.run_tickets import Ticket
+
+KEY_PATTERN = re.compile(r"[A-Za-z0-9._~:-]{1,200}")
+LOOK_TIMEOUT_S = 5.0
+PARKED_RETRY_S = 1.0
+RUNNING_STATUS = 202
+MAX_DEADLINE_MS = 600_000
+DEFAULT_PRIORITY = 5
+
+
+class RunOnceTask:
+    """Routes ``/runs`` for callers and ``/peer/run-once`` for instances."""
+
+    def __init__(
+        self,
+        book: RunBook,
+        config: ConfigView,
+        gate: RequestGate,
+        clock: Clock,
+        stop_s: float,
+        truthful: bool = True,
+    ) -> None:
+        self._book = book
+        self._config = config
+        self._gate = gate
+        self._clock = clock
+        self._stop_s = stop_s
+        self._truthful = truthful
+        self._keys = CallerKeys.from_document(config.document)
+        self._keys_document = config.document
+
+    def add_routes(self, app: Application) -> None:
+        """Add the routes for callers and peers."""
+        add_route(app, "POST", "/runs/tickets", self._guard(self._issue))
+        add_route(app, "POST", "/runs", self._guard(self._post))
+        add_route(app, "GET", "/runs/{key}", self._guard(self._get))
+        add_route(app, "DELETE", "/runs/{key}", self._guard(self._withdraw))
+        add_route(app, "POST", "/peer/run-once", self._answer_peer)
+
+    async def run(self) -> None:
+        """Offer parked outcomes to the platform until cancelled."""
+        while True:
+            await asyncio.sleep(PARKED_RETRY_S)
+            await self._book.store_parked()
+
+    async def stop(self) -> None:
+        """Wait until runs have ended and their results are stored."""
+        await self._book.wait_until_stored(self._clock.now() + self._stop_s)
+
+    def _guard(self, handle: Callable) -> Callable:
+        """Answer errors as problems that tell the truth of the run.
+
+        Before the record is known, an earlier delivery of the same key may
+        have run; only a request that is wrong in itself never has.
+        """
+
+        async def guarded(request: Request) -> Response:
+            try:
+                with self._gate.admit():
+                    return await handle(request)
+            except RequestError as error:
+                self._set_run_state(error)
+                return problem_response(error)
+            except HeatherdykeError as error:
+                return problem_response(error)
+
+        return guarded
+
+    async def _issue(self, request: Request) -> Response:
+        self._find_team(request)
+        count = _read_count(request)
+        tickets = self._book.tickets.issue(count)
+        return json_response(RunTickets([t.key for t in tickets]))
+
+    async def _post(self, request: Request) -> Response:
+        key = _check_key(request.headers.get_first(b"Idempotency-Key"))
+        message = await read_message(request, RunRequest)
+        _check_deadline(message)
+        team = self._find_team(request)
+        section = self._keys.check_access(team, message.service)
+        service = section.services[message.service]
+        _check_mode(service, key)
+        chosen = replace(message, shard=_choose_shard(service, message))
+        deadline_ms = message.deadline_ms or service.run_deadline_ms
+        expires_at = self._clock.now() + deadline_ms / 1000
+        fingerprint = _fingerprint(message)
+        held = self._book.begin(
+            team, key, RunIntent.RUN, expires_at, fingerprint
+        )
+        held.fingerprint = held.fingerprint or fingerprint
+        if held.fingerprint != fingerprint:
+            raise reused(key)
+        priority = _find_priority(self._section_of(team), message.urgency)
+        self._book.start(held, chosen, priority)
+        await self._book.wait(held, expires_at)
+        raise_unless_known(held)
+        outcome = to_outcome(held)
+        running = outcome.state is RunOutcomeState.RUNNING
+        return json_response(outcome, RUNNING_STATUS if running else 200)
+
+    async def _get(self, request: Request) -> Response:
+        return json_response(await self._look(request, RunIntent.LOOK))
+
+    async def _withdraw(self, request: Request) -> Response:
+        return json_response(await self._look(request, RunIntent.WITHDRAW))
+
+    async def _look(self, request: Request, intent: RunIntent) -> RunOutcome:
+        team = self._find_team(request)
+        key = _check_key(request.route_values["key"].encode())
+        until = self._clock.now() + LOOK_TIMEOUT_S
+        held = self._book.begin(team, key, intent, until)
+        self._book.start(held)
+        if held.progress.intent is not RunIntent.RUN:
+            await self._book.wait(held, until)
+        raise_unless_known(held, looked=True)
+        return to_outcome(held)
+
+    async def _answer_peer(self, request: Request) -> Response:
+        try:
+            question = await read_message(request, PeerRunOnce)
+        except InvalidRequest as error:
+            return problem_response(error)
+        return json_response(await self._answer_as_holder(question))
+
+    async def _answer_as_holder(
+        self, question: PeerRunOnce
+    ) -> PeerRunOnceOutcome:
+        until = self._clock.now() + question.remaining_ms / 1000
+        intent = RunIntent(question.intent)
+        held = self._book.find(question.team, question.key)
+        if held is None and not self._owns_ticket(question.key):
+            return PeerRunOnceOutcome()
+        if held is not None and question.attempt not in ("", held.attempt):
+            return PeerRunOnceOutcome()
+        held = self._book.begin(question.team, question.key, intent, until)
+        held.fingerprint = held.fingerprint or question.fingerprint
+        if question.fingerprint not in ("", held.fingerprint):
+            return PeerRunOnceOutcome(RunPhase.REUSED.value)
+        self._book.start(held, question.request, question.priority)
+        if intent is RunIntent.RUN:
+            await self._book.wait(held, until)
+        return PeerRunOnceOutcome(
+            held.progress.phase.value, held.result, held.detail
+        )
+
+    def _set_run_state(self, error: RequestError) -> None:
+        if not self._truthful:
+            error.run_state = RunState.NOT_RUN
+        elif not isinstance(error, (InvalidRequest, RunRefused)):
+            error.run_state = RunState.MAY_HAVE_RUN
+
+    def _owns_ticket(self, key: str) -> bool:
+        ticket = Ticket.from_key(key)
+        return ticket is not None and self._book.tickets.is_own(ticket)
+
+    def _find_team(self, request: Request) -> str:
+        document = self._config.document
+        if document is not self._keys_document:
+            self._keys = CallerKeys.from_document(document)
+            self._keys_document = document
+        header = request.headers.get_first(b"Authorization")
+        return self._keys.find_team(header.decode() if header else None)
+
+    def _section_of(self, team: str) -> SectionConfig:
+        return self._config.document.section_by_team[team]
+
+
+def _check_key(header: bytes | None) -> str:
+    key = (header or b"").decode("latin-1").strip('"')
+    if not KEY_PATTERN.fullmatch(key):
+        raise InvalidRequest(
+            "the Idempotency-Key is missing or not 1 to 200 of the "
+            "characters A-Z a-z 0-9 . _ ~ : -",
+            "send one new key with each request",
+        )
+    return key
+
+
+def _check_deadline(message: RunRequest) -> None:
+    deadline_ms = message.deadline_ms
+    if deadline_ms is not None and not 0 < deadline_ms <= MAX_DEADLINE_MS:
+        raise InvalidRequest(
+            f"deadline_ms {deadline_ms} is out of range",
+            f"give 1 to {MAX_DEADLINE_MS}",
+        )
+
+
+def _check_mode(service: ServiceConfig, key: str) -> None:
+    """Check that the service takes such a key; raises InvalidRequest."""
+    is_ticket = Ticket.from_key(key) is not None
+    if service.run_once is RunOnceMode.NONE:
+        raise InvalidRequest(
+            "the service takes no requests that run at most once",
+            "set run_once in its section, or search",
+            RunState.MAY_HAVE_RUN,
+        )
+    if service.run_once is RunOnceMode.TICKET and not is_ticket:
+        raise InvalidRequest(
+            "the service takes tickets as keys only",
+            "get one by POST /runs/tickets and send it as Idempotency-Key",
+            RunState.MAY_HAVE_RUN,
+        )
+    if service.run_once is RunOnceMode.RECORDED and is_ticket:
+        raise InvalidRequest(
+            "the service takes keys of the caller's own only",
+            "send a key that is not a ticket",
+            RunState.MAY_HAVE_RUN,
+        )
+
+
+def _choose_shard(service: ServiceConfig, message: RunRequest) -> str:
+    shards = sorted(service.shards)
+    if message.shard is None and shards:
+        place = xxh3_64_intdigest(message.argument.encode()) % len(shards)
+        return shards[place]
+    if message.shard not in service.shards:
+        raise InvalidRequest(
+            f"the service has no shard {message.shard!r}",
+            "name one of its shards, or none to let the argument choose",
+            RunState.MAY_HAVE_RUN,
+        )
+    return message.shard
+
+
+def _fingerprint(message: RunRequest) -> str:
+    """Return the digest of what must be the same under one key."""
+    same = replace(message, deadline_ms=None, urgency="")
+    return sha256(encode(same)).hexdigest()
+
+
+def _find_priority(section: SectionConfig, urgency: str) -> int:
+    known = section.urgency.get(urgency)
+    return known.priority if known is not None else DEFAULT_PRIORITY
+
+
+def _read_count(request: Request) -> int:
+    values = request.query.get("count") or ["1"]
+    if not values[0].isascii() or not values[0].isdigit():
+        raise InvalidRequest("count is not a number", "give 1 to 1000")
+    count = int(values[0])
+    if not 0 < count <= MAX_TICKETS_PER_CALL:
+        raise InvalidRequest(
+            f"count {count} is out of range", "give 1 to 1000"
+        )
+    return count
--- /dev/null
+++ b/heatherdyke/run_peers.py
@@ -0,0 +1,106 @@
+"""Brings runs to leaves through their homes, and questions to holders."""
+
+import msgspec
+
+from heatherdyke.clock import Clock
+from heatherdyke.codec import decode
+from heatherdyke.codec import encode
+from heatherdyke.component import ConfigView
+from heatherdyke.component import MemberView
+from heatherdyke.config_index import ConfigIndexCache
+from heatherdyke.entry import Entry
+from heatherdyke.errors import TransportError
+from heatherdyke.events import RUN_SENT
+from heatherdyke.http_connection import HttpConnection
+from heatherdyke.journal import Journal
+from heatherdyke.messages import LeafRefusal
+from heatherdyke.messages import LeafRun
+from heatherdyke.messages import LeafRunAnswer
+from heatherdyke.messages import PeerRun
+from heatherdyke.messages import PeerRunOnceOutcome
+from heatherdyke.run_driver import HeldRun
+from heatherdyke.run_driver import to_question
+from heatherdyke.run_tickets import Ticket
+
+CONNECT_TIMEOUT_S = 0.5
+REPLY_GRACE_S = 0.2
+STATUS_OK = 200
+
+
+class RunPeers:
+    """The ways from a run's driver to homes and holders."""
+
+    def __init__(
+        self,
+        entry: Entry,
+        config: ConfigView,
+        members: MemberView,
+        journal: Journal,
+        clock: Clock,
+    ) -> None:
+        self._entry = entry
+        self._index = ConfigIndexCache(config)
+        self._members = members
+        self._journal = journal
+        self._clock = clock
+
+    def choose_leaves(self, service: str, shard: str) -> list[str]:
+        """Return the shard's leaves that may get new work."""
+        section = self._index.current().section_by_service.get(service)
+        if section is None or shard not in section.services[service].shards:
+            return []
+        leaves = section.services[service].shards[shard].leaves
+        return self._entry.leaves_in_use(leaves)
+
+    async def send(
+        self, leaf_id: str, run: LeafRun, priority: int
+    ) -> LeafRunAnswer | LeafRefusal:
+        """Send a run to its leaf's home; raises TransportError."""
+        route = self._entry.find_route(leaf_id)
+        if route is None:
+            return LeafRefusal(run.request_id, run.shard, "not_home")
+        team, _, key = run.key.partition("/")
+        self._journal.record(
+            RUN_SENT,
+            team=team,
+            key=key,
+            attempt=run.request_id,
+            leaf=leaf_id,
+        )
+        if route.address is None:
+            return await self._entry.home.run_once(leaf_id, run, priority)
+        return await self._entry.peers.run_once(
+            route.address, PeerRun(leaf_id, priority, run)
+        )
+
+    async def ask(self, held: HeldRun) -> PeerRunOnceOutcome:
+        """Ask the holder of a key; raises TransportError."""
+        address = self._find_holder(held)
+        question = to_question(held, self._clock.now())
+        timeout_s = question.remaining_ms / 1000 + REPLY_GRACE_S
+        connection = await HttpConnection.open(address, CONNECT_TIMEOUT_S)
+        try:
+            response = await connection.request(
+                "POST", "/peer/run-once", encode(question), timeout_s
+            )
+        finally:
+            connection.close()
+        if response.status != STATUS_OK:
+            raise TransportError(
+                f"{address} answered {response.status}", sent=True
+            )
+        try:
+            return decode(response.body, PeerRunOnceOutcome)
+        except msgspec.DecodeError as error:
+            raise TransportError(
+                f"the holder's answer is not readable: {error}", sent=True
+            ) from error
+
+    def _find_holder(self, held: HeldRun) -> str:
+        if held.record is not None:
+            return held.record.record.address
+        ticket = Ticket.from_key(held.key)
+        for member in self._members.members():
+            if ticket is not None and member.name == ticket.instance:
+                return member.address
+        raise TransportError("the ticket's instance is not known", sent=False)
--- /dev/null
+++ b/heatherdyke/run_store.py
@@ -0,0 +1,153 @@
+"""The record and the result of a run in the platform."""
+
+from dataclasses import dataclass
+from dataclasses import replace
+from enum import Enum
+
+from heatherdyke.config_model import RESULT_PREFIX
+from heatherdyke.config_model import TICKET_PREFIX
+from heatherdyke.errors import PlatformUnavailable
+from heatherdyke.errors import VersionConflict
+from heatherdyke.platform_client import ABSENT_VERSION
+from heatherdyke.platform_client import PlatformClient
+from heatherdyke.platform_client import convert_value
+from heatherdyke.run_once import RunEvent
+
+CHUNK_CHARACTERS = 170_000
+"""A character takes at most 6 bytes of JSON; a value holds 1 MiB."""
+
+
+class RecordState(Enum):
+    """How far the holder's attempt has come, as the platform knows it."""
+
+    SENDING = "sending"
+    DONE = "done"
+    NOT_RUN = "not_run"
+
+
+@dataclass(frozen=True, slots=True)
+class RunRecord:
+    """The platform's object of one key.
+
+    ``fingerprint`` is the SHA-256 of the request, by which a reused key is
+    found out; ``attempt`` is unique over all instances and restarts;
+    ``created_at_s`` is wall time; the result lies in ``chunks`` objects.
+    """
+
+    state: RecordState
+    fingerprint: str
+    attempt: str
+    instance: str
+    address: str
+    created_at_s: float
+    leaf: str = ""
+    chunks: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class StoredRecord:
+    """A record with the version of its platform object."""
+
+    record: RunRecord
+    version: int
+
+
+class RunStore:
+    """Reads and writes records; a lost reply comes back as RunEvent.LOST."""
+
+    __slots__ = ("_platform",)
+
+    def __init__(self, platform: PlatformClient) -> None:
+        self._platform = platform
+
+    async def create(
+        self, name: str, record: RunRecord
+    ) -> tuple[RunEvent, int]:
+        """Make the record of ``team/key`` if there is none."""
+        try:
+            version = await self._platform.put(
+                TICKET_PREFIX + name, record, ABSENT_VERSION
+            )
+        except VersionConflict:
+            return RunEvent.EXISTS, ABSENT_VERSION
+        except PlatformUnavailable:
+            return RunEvent.LOST, ABSENT_VERSION
+        return RunEvent.CREATED, version
+
+    async def read(self, name: str) -> StoredRecord | None:
+        """Return the record or None; raises PlatformUnavailable."""
+        stored = await self._platform.get(TICKET_PREFIX + name)
+        if stored is None:
+            return None
+        return StoredRecord(convert_value(stored, RunRecord), stored.version)
+
+    async def close(self, name: str, stored: StoredRecord) -> RunEvent:
+        """Record that the attempt did not run and never will."""
+        closed = replace(stored.record, state=RecordState.NOT_RUN)
+        return await self._change(name, closed, stored.version)
+
+    async def finish(
+        self, name: str, stored: StoredRecord, leaf: str, result: str
+    ) -> RunEvent:
+        """Store the result, then record that the run is done."""
+        chunks = _split(result)
+        try:
+            for number, chunk in enumerate(chunks):
+                await self._put_chunk(f"{name}/{number}", chunk)
+        except PlatformUnavailable:
+            return RunEvent.LOST
+        done = replace(
+            stored.record,
+            state=RecordState.DONE,
+            leaf=leaf,
+            chunks=len(chunks),
+        )
+        return await self._change(name, done, stored.version)
+
+    async def fetch(self, name: str, chunks: int) -> str:
+        """Return a stored result; raises PlatformUnavailable."""
+        parts = []
+        for number in range(chunks):
+            stored = await self._platform.get(
+                f"{RESULT_PREFIX}{name}/{number}"
+            )
+            if stored is None:
+                raise PlatformUnavailable(
+                    f"a part of the result of {name} is gone",
+                    "results are kept for the documented time only",
+                )
+            parts.append(stored.value)
+        return "".join(parts)
+
+    async def _put_chunk(self, name: str, chunk: str) -> None:
+        """Store a part of a result; only the holder does, so once is enough.
+
+        Raises PlatformUnavailable.
+        """
+        try:
+            await self._platform.put(
+                RESULT_PREFIX + name, chunk, ABSENT_VERSION
+            )
+        except VersionConflict:
+            return
+
+    async def _change(
+        self, name: str, record: RunRecord, version: int
+    ) -> RunEvent:
+        """Change the record; only its holder ever changes it.
+
+        A conflict therefore means that an earlier write, whose reply was
+        lost, took effect.
+        """
+        try:
+            await self._platform.put(TICKET_PREFIX + name, record, version)
+        except VersionConflict:
+            return RunEvent.STORED
+        except PlatformUnavailable:
+            return RunEvent.LOST
+        return RunEvent.STORED
+
+
+def _split(result: str) -> list[str]:
+    starts = range(0, len(result), CHUNK_CHARACTERS)
+    return [result[i : i + CHUNK_CHARACTERS] for i in starts]
--- a/heatherdyke_bench/deployments.py
+++ b/heatherdyke_bench/deployments.py
@@ -10,6 +10,7 @@
 from hashlib import sha256
 
 from heatherdyke.config_model import LeafConfig
+from heatherdyke.config_model import RunOnceMode
 from heatherdyke.config_model import SectionConfig
 from heatherdyke.config_model import ServiceConfig
 from heatherdyke.config_model import ShardConfig
@@ -37,7 +38,7 @@
     shards: int
     replicas: int
     kind: LeafKind
-    run_once: bool = False
+    run_once: RunOnceMode = RunOnceMode.NONE
 
 
 @dataclass(frozen=True, slots=True)
@@ -216,7 +217,7 @@
                 5,
                 1,
                 LeafKind(6, 100, 1.0),
-                run_once=True,
+                run_once=RunOnceMode.RECORDED,
             ),
             ServicePlan(
                 "archive", ["filing"], "filing", 3, 1, LeafKind(6, 100, 1.0)
@@ -251,7 +252,7 @@
                 5,
                 1,
                 LeafKind(4, 40, 1.0),
-                run_once=True,
+                run_once=RunOnceMode.TICKET,
             ),
             ServicePlan(
                 "billing", ["roster"], "roster", 4, 1, LeafKind(4, 40, 1.0)
