--- a/heatherdyke/run_once_task.py
+++ b/heatherdyke/run_once_task.py
@@ -90,6 +90,28 @@
         """Wait until runs have ended and their results are stored."""
         await self._book.wait_until_stored(self._clock.now() + self._stop_s)
 
+    async def answer_as_holder(
+        self, question: PeerRunOnce
+    ) -> PeerRunOnceOutcome:
+        """Return the outcome of a key that this incarnation holds."""
+        until = self._clock.now() + question.remaining_ms / 1000
+        intent = RunIntent(question.intent)
+        held = self._book.find(question.team, question.key)
+        if held is None and not self._owns_ticket(question.key):
+            return PeerRunOnceOutcome()
+        if held is not None and question.attempt not in ("", held.attempt):
+            return PeerRunOnceOutcome()
+        held = self._book.begin(question.team, question.key, intent, until)
+        held.fingerprint = held.fingerprint or question.fingerprint
+        if question.fingerprint not in ("", held.fingerprint):
+            return PeerRunOnceOutcome(RunPhase.REUSED.value)
+        self._book.start(held, question.request, question.priority)
+        if intent is RunIntent.RUN:
+            await self._book.wait(held, until)
+        return PeerRunOnceOutcome(
+            held.progress.phase.value, held.result, held.detail
+        )
+
     def _guard(self, handle: Callable) -> Callable:
         """Answer errors as problems that tell the truth of the run.
 
@@ -163,28 +185,7 @@
             question = await read_message(request, PeerRunOnce)
         except InvalidRequest as error:
             return problem_response(error)
-        return json_response(await self._answer_as_holder(question))
-
-    async def _answer_as_holder(
-        self, question: PeerRunOnce
-    ) -> PeerRunOnceOutcome:
-        until = self._clock.now() + question.remaining_ms / 1000
-        intent = RunIntent(question.intent)
-        held = self._book.find(question.team, question.key)
-        if held is None and not self._owns_ticket(question.key):
-            return PeerRunOnceOutcome()
-        if held is not None and question.attempt not in ("", held.attempt):
-            return PeerRunOnceOutcome()
-        held = self._book.begin(question.team, question.key, intent, until)
-        held.fingerprint = held.fingerprint or question.fingerprint
-        if question.fingerprint not in ("", held.fingerprint):
-            return PeerRunOnceOutcome(RunPhase.REUSED.value)
-        self._book.start(held, question.request, question.priority)
-        if intent is RunIntent.RUN:
-            await self._book.wait(held, until)
-        return PeerRunOnceOutcome(
-            held.progress.phase.value, held.result, held.detail
-        )
+        return json_response(await self.answer_as_holder(question))
 
     def _set_run_state(self, error: RequestError) -> None:
         if not self._truthful:
