Admit by load, urgency and spending, and count usage

Admission expects a search to take (work ahead of its class + its own) over the highest completion rate of the last windows, and refuses at once with the time by which it would be late. Usage pages hold absolute counters with one writer. The homes' queues let a step of priority count for one second of waiting, so that no class is starved.

Ruled out: limits rebalanced by told demand (stale reports would break the bound), a fixed limit on concurrency, and a gradient on latency, which a straggler moves.

--- a/heatherdyke/cli.py
+++ b/heatherdyke/cli.py
@@ -10,6 +10,7 @@
 from heatherdyke.cli_observe import stats
 from heatherdyke.cli_observe import timeline
 from heatherdyke.cli_standin import app as standin
+from heatherdyke.cli_usage import usage
 from heatherdyke.errors import HeatherdykeError
 from heatherdyke.settings import Settings
 
@@ -132,6 +133,7 @@
 
 app.command()(timeline)
 app.command()(stats)
+app.command()(usage)
 app.add_typer(standin)
 
 
--- /dev/null
+++ b/heatherdyke/cli_usage.py
@@ -0,0 +1,29 @@
+"""The command ``usage``."""
+
+import asyncio
+from typing import Annotated
+
+import typer
+
+from heatherdyke.cli_observe import InstanceOption
+from heatherdyke.cli_observe import JsonOption
+from heatherdyke.cli_observe import PlatformOption
+from heatherdyke.cli_observe import check_addresses
+from heatherdyke.codec import encode
+from heatherdyke.usage_report import describe_usage
+from heatherdyke.usage_report import read_usage
+
+
+def usage(
+    instance: InstanceOption = "",
+    platform: PlatformOption = "",
+    team: Annotated[str, typer.Option(help="Only this team.")] = "",
+    as_json: JsonOption = False,
+) -> None:
+    """Print what each team has used, and what could not be read."""
+    check_addresses(instance, platform)
+    report = asyncio.run(read_usage(instance, platform))
+    if as_json:
+        typer.echo(encode(report).decode())
+    else:
+        typer.echo(describe_usage(report, team))
--- a/heatherdyke/entry.py
+++ b/heatherdyke/entry.py
@@ -18,6 +18,7 @@
 from heatherdyke.peer_client import PeerClient
 from heatherdyke.replica_choice import ReplicaViews
 from heatherdyke.replica_choice import replica_choices
+from heatherdyke.search_admission import SearchAdmission
 from heatherdyke.search_observer import SearchObserver
 from heatherdyke.search_plan import SearchPlan
 from heatherdyke.search_plan import plan_search
@@ -52,6 +53,7 @@
         peers: PeerClient,
         snapshots: SnapshotBook,
         observer: SearchObserver,
+        admission: SearchAdmission,
         clock: Clock,
     ) -> None:
         uses = settings.uses
@@ -69,6 +71,7 @@
         self.hedges = HedgePolicy(budget, uses(Mechanism.HEDGING))
         self._config = config
         self._members = members
+        self._admission = admission
         self._random = Random(settings.name)  # noqa: S311
         self._choose = replica_choices.find(
             "least-loaded" if uses(Mechanism.REPLICA_CHOICE) else "random"
@@ -82,9 +85,22 @@
         started_at = self.clock.now()
         plan = plan_search(self.index.current(), team, request)
         snapshot = self._pin_snapshot(plan)
-        run = SearchRun(self, plan, request, request_id, snapshot)
-        coverage = await run.work(started_at + plan.deadline_s)
-        result = coverage.result()
+        section = self._config.document.section_by_team[team]
+        needed = len(plan.weight_by_shard)
+        with self._admission.admit(
+            team,
+            section.spending,
+            plan.urgency.priority,
+            needed,
+            plan.deadline_s,
+        ) as admitted:
+            run = SearchRun(self, plan, request, request_id, snapshot)
+            try:
+                coverage = await run.work(started_at + plan.deadline_s)
+                result = coverage.result()
+                admitted.completed = needed - len(result.missing)
+            finally:
+                admitted.asked = run.cost
         return SearchAnswer(
             request_id=request_id,
             snapshot=run.snapshot,
--- a/heatherdyke/events.py
+++ b/heatherdyke/events.py
@@ -393,12 +393,15 @@
         "Do not stop the instance before the platform is back.",
     )
 )
-RUN_RECORDS_REMOVED = register(
+USAGE_NOT_STORED = register(
     EventKind(
-        5004,
-        "run_records_removed",
-        Severity.INFO,
-        "Records of runs older than their retention were removed.",
-        ("count",),
+        5010,
+        "usage_not_stored",
+        Severity.WARNING,
+        "The usage page could not be stored; its counters are kept and "
+        "stored later.",
+        ("detail",),
+        "None if the platform comes back; what is not stored when the "
+        "instance ends is not charged.",
     )
 )
--- a/heatherdyke/home.py
+++ b/heatherdyke/home.py
@@ -134,6 +134,11 @@
             raise TransportError("the leaf gave no answer", sent=work.sent)
         if isinstance(work.outcome, TransportError):
             raise work.outcome
+        if isinstance(work.outcome, LeafRefusal) and not work.sent:
+            raise TransportError(
+                f"leaf {leaf_id} was not asked: {work.outcome.kind}",
+                sent=False,
+            )
         return work.outcome
 
     def cancel(self, message: PeerCancel) -> None:
@@ -172,10 +177,11 @@
         )
         now = self._clock.now()
         expires_at = now + group.remaining_ms / 1000
+        uses_urgency = self._settings.uses(Mechanism.URGENCY)
         work = LeafWork(
             part.leaf,
             question,
-            group.priority,
+            group.priority if uses_urgency else 0,
             now,
             expires_at,
             collector.take,
--- a/heatherdyke/instance.py
+++ b/heatherdyke/instance.py
@@ -6,6 +6,7 @@
 
 from blacksheep import Application
 
+from heatherdyke.admission import Admission
 from heatherdyke.caller_api import CallerApi
 from heatherdyke.clock import Clock
 from heatherdyke.component import Component
@@ -36,10 +37,14 @@
 from heatherdyke.run_peers import RunPeers
 from heatherdyke.run_store import RunStore
 from heatherdyke.run_tickets import TicketBook
+from heatherdyke.search_admission import SearchAdmission
 from heatherdyke.search_observer import SearchObserver
 from heatherdyke.server import HttpServer
 from heatherdyke.settings import Settings
 from heatherdyke.snapshot_book import SnapshotBook
+from heatherdyke.spending import Spending
+from heatherdyke.usage import UsageCounters
+from heatherdyke.usage_task import UsageTask
 
 BALANCER_LAG_S = 1.0
 RUNNING_CHECK_S = 0.02
@@ -64,6 +69,7 @@
         )
         self.journal.incarnation = self.members.incarnation
         self.snapshots = SnapshotBook()
+        self.usage = UsageCounters(settings.name, self.members.incarnation)
         self.observer = SearchObserver(self.journal, self.metrics)
         self.home = Home(
             settings, self.config, self.members, self.observer, clock
@@ -76,6 +82,7 @@
             self.peers,
             self.snapshots,
             self.observer,
+            self._build_admission(clock),
             clock,
         )
         self.components: list[Component] = [
@@ -94,6 +101,9 @@
         ]
         self.runs = self._build_runs(clock)
         self.components.append(self.runs)
+        self.components.append(
+            UsageTask(self.usage, self.platform, self.journal)
+        )
         self._clock = clock
         self._started_at = clock.now()
         self._server: HttpServer | None = None
@@ -161,10 +171,25 @@
             and self.snapshots.is_known
         )
 
+    def _build_admission(self, clock: Clock) -> SearchAdmission:
+        uses = self.settings.uses
+        return SearchAdmission(
+            Admission(uses(Mechanism.URGENCY), uses(Mechanism.ADMISSION)),
+            Spending(uses(Mechanism.SPENDING)),
+            self.usage,
+            lambda: len(self.members.members()),
+            clock,
+        )
+
     def _build_runs(self, clock: Clock) -> RunOnceTask:
         settings = self.settings
         peers = RunPeers(
-            self.entry, self.config, self.members, self.journal, clock
+            self.entry,
+            self.config,
+            self.members,
+            self.journal,
+            self.usage,
+            clock,
         )
         driver = RunDriver(
             Identity(settings.name, settings.address),
--- a/heatherdyke/leaf_worker.py
+++ b/heatherdyke/leaf_worker.py
@@ -30,6 +30,7 @@
 ANSWER_GRACE_S = 0.05
 SILENCE_FACTOR = 10.0
 MIN_SILENCE_S = 0.25
+AGEING_S = 1.0
 
 Outcome = LeafAnswer | LeafRefusal | LeafRunAnswer | TransportError
 
@@ -192,7 +193,11 @@
 
 
 class LeafWorker:
-    """Sends work to one leaf within its limit, most urgent first."""
+    """Sends work to one leaf within its limit, most urgent first.
+
+    A step of priority is worth AGEING_S of waiting, so that less urgent
+    work is overtaken for a bounded time only.
+    """
 
     __slots__ = (
         "leaf_id",
@@ -227,7 +232,7 @@
         self.inbox: asyncio.Queue = asyncio.Queue()
         self._policy = policy
         self._clock = clock
-        self._queue: list[tuple[int, int, LeafWork]] = []
+        self._queue: list[tuple[float, int, LeafWork]] = []
         self._sequence = 0
         self._running: set[LeafWork] = set()
         self._idle: list[ConnectionTask] = []
@@ -287,7 +292,8 @@
             self._refuse(work, "draining")
             return
         self._sequence += 1
-        heappush(self._queue, (work.priority, self._sequence, work))
+        place = work.submitted_at + work.priority * AGEING_S
+        heappush(self._queue, (place, self._sequence, work))
 
     def _withdraw(self, work: LeafWork) -> None:
         if work in self._running:
--- a/heatherdyke/mechanisms.py
+++ b/heatherdyke/mechanisms.py
@@ -25,5 +25,6 @@
     GRACEFUL_SHUTDOWN = "graceful-shutdown"
     CONFIG_MONOTONE = "config-monotone"
     URGENCY = "urgency"
+    ADMISSION = "admission"
     SPENDING = "spending"
     SILENCE_TIMEOUT = "silence-timeout"
--- a/heatherdyke/run_peers.py
+++ b/heatherdyke/run_peers.py
@@ -9,6 +9,7 @@
 from heatherdyke.component import MemberView
 from heatherdyke.config_index import ConfigIndexCache
 from heatherdyke.entry import Entry
+from heatherdyke.entry import Route
 from heatherdyke.errors import TransportError
 from heatherdyke.events import RUN_SENT
 from heatherdyke.http_connection import HttpConnection
@@ -21,6 +22,7 @@
 from heatherdyke.run_driver import HeldRun
 from heatherdyke.run_driver import to_question
 from heatherdyke.run_tickets import Ticket
+from heatherdyke.usage import UsageCounters
 
 CONNECT_TIMEOUT_S = 0.5
 REPLY_GRACE_S = 0.2
@@ -36,12 +38,14 @@
         config: ConfigView,
         members: MemberView,
         journal: Journal,
+        usage: UsageCounters,
         clock: Clock,
     ) -> None:
         self._entry = entry
         self._index = ConfigIndexCache(config)
         self._members = members
         self._journal = journal
+        self._usage = usage
         self._clock = clock
 
     def choose_leaves(self, service: str, shard: str) -> list[str]:
@@ -67,6 +71,17 @@
             attempt=run.request_id,
             leaf=leaf_id,
         )
+        try:
+            outcome = await self._send_to(route, leaf_id, run, priority)
+        except TransportError as error:
+            self._usage.count(team, runs=int(error.sent))
+            raise
+        self._usage.count(team, runs=int(isinstance(outcome, LeafRunAnswer)))
+        return outcome
+
+    async def _send_to(
+        self, route: Route, leaf_id: str, run: LeafRun, priority: int
+    ) -> LeafRunAnswer | LeafRefusal:
         if route.address is None:
             return await self._entry.home.run_once(leaf_id, run, priority)
         return await self._entry.peers.run_once(
--- /dev/null
+++ b/heatherdyke/usage.py
@@ -0,0 +1,91 @@
+"""What teams have used, as counters that only grow (pure)."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import fields
+
+
+@dataclass(frozen=True, slots=True)
+class TeamUsage:
+    """Counters of one team; ``leaf_searches`` and ``runs`` are charged.
+
+    ``hedges`` are leaf searches beyond those needed, which the system
+    bears; ``refused`` searches cost nothing.
+    """
+
+    searches: int = 0
+    leaf_searches: int = 0
+    hedges: int = 0
+    runs: int = 0
+    refused: int = 0
+
+    def plus(self, other: "TeamUsage") -> "TeamUsage":
+        """Return the sums of both."""
+        return TeamUsage(
+            *(
+                getattr(self, f.name) + getattr(other, f.name)
+                for f in fields(self)
+            )
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class UsagePage:
+    """All that one incarnation has counted since it started."""
+
+    instance: str
+    incarnation: str
+    usage_by_team: dict[str, TeamUsage] = field(default_factory=dict)
+
+
+class UsageCounters:
+    """The counters of this incarnation.
+
+    They are absolute, so that a page stored twice counts once.
+    """
+
+    __slots__ = ("instance", "incarnation", "_usage_by_team")
+
+    def __init__(self, instance: str, incarnation: str) -> None:
+        self.instance = instance
+        self.incarnation = incarnation
+        self._usage_by_team: dict[str, TeamUsage] = {}
+
+    def count(self, team: str, **amounts: int) -> None:
+        """Add amounts, named as the fields of TeamUsage."""
+        former = self._usage_by_team.get(team, TeamUsage())
+        self._usage_by_team[team] = former.plus(TeamUsage(**amounts))
+
+    def page(self) -> UsagePage:
+        """Return what was counted so far."""
+        return UsagePage(
+            self.instance, self.incarnation, dict(self._usage_by_team)
+        )
+
+
+def total_by_team(pages: Iterable[UsagePage]) -> dict[str, TeamUsage]:
+    """Return each team's usage; of an incarnation the largest page counts.
+
+    The same incarnation may be told twice, by its instance and by the
+    platform's older copy.
+    """
+    latest: dict[tuple[str, str], UsagePage] = {}
+    for page in pages:
+        identity = (page.instance, page.incarnation)
+        known = latest.get(identity)
+        if known is None or _size(page) > _size(known):
+            latest[identity] = page
+    total: dict[str, TeamUsage] = {}
+    for page in latest.values():
+        for team, usage in page.usage_by_team.items():
+            total[team] = total.get(team, TeamUsage()).plus(usage)
+    return total
+
+
+def _size(page: UsagePage) -> int:
+    return sum(
+        getattr(usage, f.name)
+        for usage in page.usage_by_team.values()
+        for f in fields(usage)
+    )
--- /dev/null
+++ b/heatherdyke/usage_report.py
@@ -0,0 +1,86 @@
+"""Collects what teams have used, over instances and the platform."""
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from heatherdyke.config_model import USAGE_PREFIX
+from heatherdyke.errors import HeatherdykeError
+from heatherdyke.errors import PlatformUnavailable
+from heatherdyke.observe_client import collect
+from heatherdyke.observe_client import discover
+from heatherdyke.platform_client import PlatformClient
+from heatherdyke.platform_client import convert_value
+from heatherdyke.usage import TeamUsage
+from heatherdyke.usage import UsagePage
+from heatherdyke.usage import total_by_team
+
+
+@dataclass(frozen=True, slots=True)
+class UsageReport:
+    """Usage by team; ``not_read`` says what is missing from it."""
+
+    usage_by_team: dict[str, TeamUsage] = field(default_factory=dict)
+    not_read: list[str] = field(default_factory=list)
+
+
+async def read_usage(instance: str, platform: str) -> UsageReport:
+    """Add up live instances' pages and the platform's pages.
+
+    Either address may be empty; raises NoInstanceReachable or
+    PlatformUnavailable if nothing at all could be read.
+    """
+    not_read: list[str] = []
+    pages = await _read_instances(instance, platform, not_read)
+    if platform:
+        pages += await _read_platform(platform, not_read, bool(pages))
+    else:
+        not_read.append("ended incarnations: no platform address was given")
+    return UsageReport(total_by_team(pages), not_read)
+
+
+def describe_usage(report: UsageReport, team: str = "") -> str:
+    """Return the report as a table for a person."""
+    lines = [
+        f"{'team':<20} {'searches':>10} {'leaf searches':>14} "
+        f"{'runs':>8} {'hedges':>8} {'refused':>8}"
+    ]
+    for name, usage in sorted(report.usage_by_team.items()):
+        if team in ("", name):
+            lines.append(
+                f"{name:<20} {usage.searches:>10} {usage.leaf_searches:>14} "
+                f"{usage.runs:>8} {usage.hedges:>8} {usage.refused:>8}"
+            )
+    lines += [f"not read: {reason}" for reason in report.not_read]
+    return "\n".join(lines)
+
+
+async def _read_instances(
+    instance: str, platform: str, not_read: list[str]
+) -> list[UsagePage]:
+    try:
+        known = await discover(instance, platform)
+    except HeatherdykeError as error:
+        if not platform:
+            raise
+        not_read.append(f"live instances: {error.detail}")
+        return []
+    collected = await collect(known, lambda _: "/usage", UsagePage)
+    for lost in collected.unreachable:
+        not_read.append(
+            f"instance {lost.instance.name}, later than its stored page: "
+            f"{lost.reason}"
+        )
+    return list(collected.page_by_address.values())
+
+
+async def _read_platform(
+    platform: str, not_read: list[str], has_pages: bool
+) -> list[UsagePage]:
+    try:
+        stored = await PlatformClient(platform).list(USAGE_PREFIX)
+    except PlatformUnavailable as error:
+        if not has_pages:
+            raise
+        not_read.append(f"ended incarnations: {error.detail}")
+        return []
+    return [convert_value(row, UsagePage) for row in stored]
