--- a/heatherdyke/events.py
+++ b/heatherdyke/events.py
@@ -365,3 +365,43 @@
         "If many leaves are named, look at the network between the hosts.",
     )
 )
+RUN_SENT = register(
+    EventKind(
+        5001,
+        "run_sent",
+        Severity.INFO,
+        "A request that runs at most once goes to a leaf.",
+        ("team", "key", "attempt", "leaf"),
+    )
+)
+RUN_ENDED = register(
+    EventKind(
+        5002,
+        "run_ended",
+        Severity.INFO,
+        "An attempt to run a key at most once reached an outcome here.",
+        ("team", "key", "attempt", "phase", "detail"),
+    )
+)
+RUN_RESULT_PARKED = register(
+    EventKind(
+        5003,
+        "run_result_parked",
+        Severity.WARNING,
+        "A result could not be stored and is kept in memory for now.",
+        ("team", "key", "attempt"),
+        "Do not stop the instance before the platform is back.",
+    )
+)
+USAGE_NOT_STORED = register(
+    EventKind(
+        5010,
+        "usage_not_stored",
+        Severity.WARNING,
+        "The usage page could not be stored; its counters are kept and "
+        "stored later.",
+        ("detail",),
+        "None if the platform comes back; what is not stored when the "
+        "instance ends is not charged.",
+    )
+)
--- a/heatherdyke/instance.py
+++ b/heatherdyke/instance.py
@@ -6,6 +6,7 @@
 
 from blacksheep import Application
 
+from heatherdyke.admission import Admission
 from heatherdyke.caller_api import CallerApi
 from heatherdyke.clock import Clock
 from heatherdyke.component import Component
@@ -31,10 +32,21 @@
 from heatherdyke.platform_client import PlatformClient
 from heatherdyke.platform_view import PlatformView
 from heatherdyke.request_gate import RequestGate
+from heatherdyke.run_book import RunBook
+from heatherdyke.run_driver import Identity
+from heatherdyke.run_driver import RunDriver
+from heatherdyke.run_once_task import RunOnceTask
+from heatherdyke.run_peers import RunPeers
+from heatherdyke.run_store import RunStore
+from heatherdyke.run_tickets import TicketBook
+from heatherdyke.search_admission import SearchAdmission
 from heatherdyke.search_observer import SearchObserver
 from heatherdyke.server import HttpServer
 from heatherdyke.settings import Settings
 from heatherdyke.snapshot_book import SnapshotBook
+from heatherdyke.spending import Spending
+from heatherdyke.usage import UsageCounters
+from heatherdyke.usage_task import UsageTask
 
 BALANCER_LAG_S = 1.0
 RUNNING_CHECK_S = 0.02
@@ -59,6 +71,7 @@
         )
         self.journal.incarnation = self.members.incarnation
         self.snapshots = SnapshotBook()
+        self.usage = UsageCounters(settings.name, self.members.incarnation)
         self.observer = SearchObserver(self.journal, self.metrics)
         self.levels = LevelBook()
         self.home = Home(
@@ -78,6 +91,7 @@
             self.snapshots,
             self.observer,
             self.levels,
+            self._build_admission(clock),
             clock,
         )
         self.components: list[Component] = [
@@ -95,6 +109,11 @@
                 self.journal, self.metrics, self._health, self._known, clock
             ),
         ]
+        self.runs = self._build_runs(clock)
+        self.components.append(self.runs)
+        self.components.append(
+            UsageTask(self.usage, self.platform, self.journal)
+        )
         self._clock = clock
         self._started_at = clock.now()
         self._server: HttpServer | None = None
@@ -163,6 +182,50 @@
             and self.snapshots.is_known
         )
 
+    def _build_admission(self, clock: Clock) -> SearchAdmission:
+        uses = self.settings.uses
+        return SearchAdmission(
+            Admission(uses(Mechanism.URGENCY), uses(Mechanism.ADMISSION)),
+            Spending(uses(Mechanism.SPENDING)),
+            self.usage,
+            lambda: len(self.members.members()),
+            clock,
+        )
+
+    def _build_runs(self, clock: Clock) -> RunOnceTask:
+        settings = self.settings
+        peers = RunPeers(
+            self.entry,
+            self.config,
+            self.members,
+            self.journal,
+            self.usage,
+            clock,
+        )
+        driver = RunDriver(
+            Identity(settings.name, settings.address),
+            RunStore(self.platform),
+            peers.send,
+            peers.ask,
+            peers.choose_leaves,
+            clock,
+        )
+        book = RunBook(
+            TicketBook(settings.name, self.members.incarnation),
+            driver,
+            self.journal,
+            clock,
+            settings.uses(Mechanism.RUN_ONCE),
+        )
+        return RunOnceTask(
+            book,
+            self.config,
+            self.gate,
+            clock,
+            settings.drain_s,
+            settings.uses(Mechanism.TRUTHFUL_REFUSAL),
+        )
+
     async def _drain(self) -> None:
         self.gate.begin_leaving()
         drain_s = self.settings.drain_s
