--- a/heatherdyke/demo.py
+++ b/heatherdyke/demo.py
@@ -4,6 +4,7 @@
 import socket
 from collections.abc import Callable
 from contextlib import AsyncExitStack
+from uuid import uuid4
 
 import msgspec
 from loguru import logger
@@ -16,6 +17,7 @@
 from heatherdyke.config_model import SNAPSHOTS_PREFIX
 from heatherdyke.config_model import ConfigHead
 from heatherdyke.config_model import LeafConfig
+from heatherdyke.config_model import RunOnceMode
 from heatherdyke.config_model import SectionConfig
 from heatherdyke.config_model import SectionPointer
 from heatherdyke.config_model import ServiceConfig
@@ -24,9 +26,11 @@
 from heatherdyke.config_model import UrgencyConfig
 from heatherdyke.instance import Instance
 from heatherdyke.messages import IndexSnapshots
+from heatherdyke.messages import RunRequest
 from heatherdyke.messages import SearchRequest
 from heatherdyke.platform_client import ABSENT_VERSION
 from heatherdyke.platform_client import PlatformClient
+from heatherdyke.run_client import RunClient
 from heatherdyke.settings import Settings
 from heatherdyke.standin_leaf import LeafStandin
 from heatherdyke.standin_leaf_model import LeafProfile
@@ -35,6 +39,9 @@
 ZONES = ("brescia", "bergamo", "verona")
 TEAM = "demo"
 KEY = "demo-key"
+ARCHIVE = "archive"
+ARCHIVE_INDEX = "dossiers"
+ARCHIVE_SHARDS = 5
 INDEX = "permits"
 SERVICES = 50
 SLOTS = 3
@@ -59,6 +66,20 @@
         await _wait_until_ready(instances)
         show(f"{len(instances)} instances, {len(leaves)} leaves, 3 zones")
         await _search(show, instances)
+        await _pull(show, instances)
+
+
+async def _pull(show: Print, instances: list[Instance]) -> None:
+    """Pull one dossier, and ask for the same pull again elsewhere."""
+    key = f"pull-{uuid4().hex}"
+    request = RunRequest(ARCHIVE, "pull", "dossier 17")
+    for instance in instances[:2]:
+        client = RunClient(instance.settings.address, KEY)
+        outcome = await client.run(key, request)
+        show(
+            f"archive pull at {instance.settings.name}: "
+            f"{outcome.state.value}, {outcome.result}"
+        )
 
 
 async def _search(show: Print, instances: list[Instance]) -> None:
@@ -92,7 +113,12 @@
                 seed=service * 2 + replica,
             )
             leaves[leaf_id] = LeafStandin(profile)
-            await _enter(stack, leaves[leaf_id])
+    for shard in range(ARCHIVE_SHARDS):
+        leaf_id = _archive_leaf(shard)
+        zone = ZONES[shard % len(ZONES)]
+        leaves[leaf_id] = LeafStandin(LeafProfile(leaf=leaf_id, zone=zone))
+    for leaf in leaves.values():
+        await _enter(stack, leaf)
     return leaves
 
 
@@ -135,19 +161,28 @@
 
 
 def _build_section(leaves: dict[str, LeafStandin]) -> SectionConfig:
+    services = {
+        _service(number): ServiceConfig(
+            INDEX,
+            {
+                "0": ShardConfig(
+                    [f"leaf-{number:02d}-0", f"leaf-{number:02d}-1"]
+                )
+            },
+        )
+        for number in range(SERVICES)
+    }
+    services[ARCHIVE] = ServiceConfig(
+        ARCHIVE_INDEX,
+        {
+            str(shard): ShardConfig([_archive_leaf(shard)])
+            for shard in range(ARCHIVE_SHARDS)
+        },
+        RunOnceMode.RECORDED,
+    )
     return SectionConfig(
         team=TEAM,
-        services={
-            _service(number): ServiceConfig(
-                INDEX,
-                {
-                    "0": ShardConfig(
-                        [f"leaf-{number:02d}-0", f"leaf-{number:02d}-1"]
-                    )
-                },
-            )
-            for number in range(SERVICES)
-        },
+        services=services,
         leaves={
             leaf_id: LeafConfig(
                 leaf.address,
@@ -166,6 +201,10 @@
     return f"permits-{number:02d}"
 
 
+def _archive_leaf(shard: int) -> str:
+    return f"{ARCHIVE}-{shard}"
+
+
 def find_free_port() -> int:
     """Return a TCP port of the loopback interface that is free now."""
     with socket.socket() as probe:
