--- a/heatherdyke_bench/fleet.py
+++ b/heatherdyke_bench/fleet.py
@@ -16,8 +16,11 @@
 from heatherdyke.config_model import SectionConfig
 from heatherdyke.config_model import SectionPointer
 from heatherdyke.config_model import StoredSection
+from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.errors import TransportError
 from heatherdyke.messages import IndexSnapshots
+from heatherdyke.messages import InstanceKind
+from heatherdyke.messages import ListedInstance
 from heatherdyke.platform_client import PlatformClient
 from heatherdyke.standin_leaf_model import LeafProfile
 from heatherdyke.standin_leaf_model import LeafRecord
@@ -34,6 +37,7 @@
 READY_TIMEOUT_S = 40.0
 READY_CHECK_S = 0.1
 START_AT_ONCE = 12
+ANNOUNCE_INTERVAL_S = 1.0
 FIRST_SNAPSHOT = 1
 
 
@@ -67,6 +71,7 @@
         self._tree = Path(policy.tree).resolve()
         self._gate = asyncio.Semaphore(START_AT_ONCE)
         self.network_process: FleetProcess | None = None
+        self._announcer: asyncio.Task | None = None
         self.platform = self._process(
             "platform",
             ["heatherdyke.cli_standin", "platform", "--listen=127.0.0.1:0"],
@@ -82,12 +87,15 @@
             self._add_instance(name, zone)
         await self._start_network()
         await self._write_configuration()
+        self._announcer = asyncio.create_task(self._announce_instances())
         await asyncio.gather(
             *(self.start_instance(n) for n in self.instance_by_name)
         )
 
     async def stop(self) -> None:
         """End all processes that this fleet started."""
+        if self._announcer is not None:
+            self._announcer.cancel()
         instances = list(self.instance_by_name.values())
         others = [*self.leaf_by_name.values(), self.platform]
         if self.network_process is not None:
@@ -152,6 +160,25 @@
             for leaf, process in self.leaf_by_name.items()
         }
 
+    async def _announce_instances(self) -> None:
+        """List the running instances, as the platform itself would."""
+        platform = self.platform_client()
+        while True:
+            for name, zone in self.deployment.zone_by_instance.items():
+                if self.instance_by_name[name].running:
+                    await _announce(platform, self._row(name, zone))
+            await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+
+    def _row(self, name: str, zone: str) -> ListedInstance:
+        address = self.instance_by_name[name].address
+        return ListedInstance(
+            name,
+            InstanceKind.ENTRY,
+            zone,
+            self.network.route_instance(name, address),
+            "",
+        )
+
     def _add_instance(self, name: str, zone: str) -> None:
         host = self.network.host_of_zone(zone)
         address = free_address(host)
@@ -232,6 +259,13 @@
     return SectionPointer(1, key, edit, "bench")
 
 
+async def _announce(platform: PlatformClient, row: ListedInstance) -> None:
+    try:
+        await platform.announce(row)
+    except PlatformUnavailable:
+        return  # in an outage the list stands still
+
+
 async def _answers_ready(address: str) -> bool:
     try:
         return await is_ready(address)
