--- a/heatherdyke_bench/__main__.py
+++ b/heatherdyke_bench/__main__.py
@@ -101,9 +101,10 @@
     json: Path | None,
     plot: Path | None,
 ) -> None:
+    loaded = load_scenario(scenario)
     experiment = Experiment(
-        load_scenario(scenario),
-        deployments.find(deployment),
+        loaded,
+        loaded.deployment(deployments.find(deployment)),
         policies,
         [int(seed) for seed in seeds.split(",")],
         rate,
--- a/heatherdyke_bench/scenario.py
+++ b/heatherdyke_bench/scenario.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from importlib.resources import files
 from typing import Any
 
@@ -9,6 +10,7 @@
 import yaml
 
 from heatherdyke.standin_leaf_model import LeafProfile
+from heatherdyke_bench.deployments import Deployment
 from heatherdyke_bench.errors import ScenarioError
 
 SCENARIOS = "heatherdyke_bench.scenarios"
@@ -42,7 +44,8 @@
 class Scenario:
     """What happens in one run; ``leaf`` changes every leaf's profile.
 
-    ``proxied`` puts the fault proxy between all processes, so that zones
+    ``deadline_factor`` lengthens the classes' deadlines, for leaves slower
+    than usual.  ``proxied`` puts the fault proxy between all processes, so that zones
     can be cut off.
     """
 
@@ -51,6 +54,15 @@
     phases: list[Phase]
     leaf: dict[str, Any] = field(default_factory=dict)
     proxied: bool = False
+    deadline_factor: float = 1.0
+
+    def deployment(self, deployment: Deployment) -> Deployment:
+        """Return the deployment with the scenario's deadlines."""
+        classes = [
+            replace(c, deadline_ms=int(c.deadline_ms * self.deadline_factor))
+            for c in deployment.classes
+        ]
+        return replace(deployment, classes=classes)
 
     def profile(self, profile: LeafProfile, seed: int) -> LeafProfile:
         """Return a leaf's profile with the scenario's changes."""
