--- a/heatherdyke_bench/scenario.py
+++ b/heatherdyke_bench/scenario.py
@@ -45,8 +45,8 @@
     """What happens in one run; ``leaf`` changes every leaf's profile.
 
     ``deadline_factor`` lengthens the classes' deadlines, for leaves slower
-    than usual.  ``proxied`` puts the fault proxy between all processes, so that zones
-    can be cut off.
+    than usual.  ``proxied`` puts the fault proxy between all processes, so
+    that zones can be cut off.
     """
 
     name: str
