--- a/heatherdyke/standin_leaf.py
+++ b/heatherdyke/standin_leaf.py
@@ -15,7 +15,6 @@
 import msgspec
 
 from heatherdyke.codec import decode
-from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.messages import InstanceKind
 from heatherdyke.messages import InstanceState
 from heatherdyke.messages import LeafAnswer
@@ -25,8 +24,8 @@
 from heatherdyke.messages import LeafSearch
 from heatherdyke.messages import ListedInstance
 from heatherdyke.messages import PeerCancel
-from heatherdyke.platform_client import PlatformClient
 from heatherdyke.registry import Registry
+from heatherdyke.standin_announcer import announce_forever
 from heatherdyke.standin_content import items_for
 from heatherdyke.standin_content import result_for
 from heatherdyke.standin_http import HttpReply
@@ -41,7 +40,6 @@
 from heatherdyke.standin_slots import LeafSlots
 from heatherdyke.standin_slots import Shed
 
-ANNOUNCE_INTERVAL_S = 1.0
 STATUS_BY_REFUSAL = {
     "shed": 429,
     "draining": 503,
@@ -86,7 +84,9 @@
         """Serve until ``stop``, and stand in the platform's list."""
         await self._server.start()
         if self.profile.platform:
-            self._announcer = asyncio.create_task(self._announce())
+            self._announcer = asyncio.create_task(
+                announce_forever(self.profile.platform, self._row)
+            )
 
     async def stop(self) -> None:
         """Close everything."""
@@ -313,15 +313,6 @@
             return None
         return HttpReply.from_message(sent)
 
-    async def _announce(self) -> None:
-        client = PlatformClient(self.profile.platform)
-        while True:
-            try:
-                await client.announce(self._row())
-            except PlatformUnavailable:
-                pass  # the list is a hint; the next round renews the row
-            await asyncio.sleep(ANNOUNCE_INTERVAL_S)
-
     def _row(self) -> ListedInstance:
         leaving = self._state.is_draining
         return ListedInstance(
--- a/heatherdyke_bench/fleet.py
+++ b/heatherdyke_bench/fleet.py
@@ -16,12 +16,13 @@
 from heatherdyke.config_model import SectionConfig
 from heatherdyke.config_model import SectionPointer
 from heatherdyke.config_model import StoredSection
-from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.errors import TransportError
 from heatherdyke.messages import IndexSnapshots
 from heatherdyke.messages import InstanceKind
 from heatherdyke.messages import ListedInstance
 from heatherdyke.platform_client import PlatformClient
+from heatherdyke.standin_announcer import ANNOUNCE_INTERVAL_S
+from heatherdyke.standin_announcer import announce_once
 from heatherdyke.standin_leaf_model import LeafProfile
 from heatherdyke.standin_leaf_model import LeafRecord
 from heatherdyke.standin_platform import PlatformRecord
@@ -37,7 +38,6 @@
 READY_TIMEOUT_S = 40.0
 READY_CHECK_S = 0.1
 START_AT_ONCE = 12
-ANNOUNCE_INTERVAL_S = 1.0
 FIRST_SNAPSHOT = 1
 
 
@@ -166,7 +166,7 @@
         while True:
             for name, zone in self.deployment.zone_by_instance.items():
                 if self.instance_by_name[name].running:
-                    await _announce(platform, self._row(name, zone))
+                    await announce_once(platform, self._row(name, zone))
             await asyncio.sleep(ANNOUNCE_INTERVAL_S)
 
     def _row(self, name: str, zone: str) -> ListedInstance:
@@ -259,13 +259,6 @@
     return SectionPointer(1, key, edit, "bench")
 
 
-async def _announce(platform: PlatformClient, row: ListedInstance) -> None:
-    try:
-        await platform.announce(row)
-    except PlatformUnavailable:
-        return  # in an outage the list stands still
-
-
 async def _answers_ready(address: str) -> bool:
     try:
         return await is_ready(address)
