--- a/heatherdyke/observe_client.py
+++ b/heatherdyke/observe_client.py
@@ -10,13 +10,16 @@
 from msgspec import DecodeError
 
 from heatherdyke.codec import decode
+from heatherdyke.config_model import ROSTER_PREFIX
 from heatherdyke.errors import HeatherdykeError
 from heatherdyke.errors import NoInstanceReachable
 from heatherdyke.errors import TransportError
 from heatherdyke.http_connection import HttpConnection
+from heatherdyke.member_messages import Roster
 from heatherdyke.messages import InstanceKind
 from heatherdyke.observe_component import KnownInstance
 from heatherdyke.platform_client import PlatformClient
+from heatherdyke.platform_client import convert_value
 
 T = TypeVar("T")
 
@@ -57,8 +60,9 @@
         for known in found:
             known_by_address.setdefault(known.address, known)
     if not known_by_address:
+        reasons = "; ".join(failures) or "the platform lists none"
         raise NoInstanceReachable(
-            "no instance could be found: " + "; ".join(failures),
+            f"no instance could be found: {reasons}",
             "name a running one with --instance or the platform's address "
             "with --platform",
         )
@@ -112,9 +116,17 @@
 
 
 async def _ask_platform(address: str) -> list[KnownInstance]:
-    rows = await PlatformClient(address, TIMEOUT_S).instances()
-    return [
+    """Return the instances of the list, which lags, and of the rosters."""
+    platform = PlatformClient(address, TIMEOUT_S)
+    known = [
         KnownInstance(row.name, row.zone, row.address)
-        for row in rows
+        for row in await platform.instances()
         if row.kind is InstanceKind.ENTRY
     ]
+    for stored in await platform.list(ROSTER_PREFIX):
+        roster = convert_value(stored, Roster)
+        known.extend(
+            KnownInstance(member.name, member.zone, member.address)
+            for member in roster.members
+        )
+    return known
--- a/tests/test_cli_observe.py
+++ b/tests/test_cli_observe.py
@@ -9,6 +9,7 @@
 from heatherdyke.cli_observe import check_addresses
 from heatherdyke.cli_observe import render_event
 from heatherdyke.cli_observe import render_stats
+from heatherdyke.config_model import ROSTER_PREFIX
 from heatherdyke.errors import NoInstanceReachable
 from heatherdyke.errors import SettingsError
 from heatherdyke.events import STARTED
@@ -16,12 +17,17 @@
 from heatherdyke.health import HealthState
 from heatherdyke.http_routes import new_application
 from heatherdyke.journal import Journal
+from heatherdyke.member_messages import Member
+from heatherdyke.member_messages import Roster
 from heatherdyke.metrics import Metrics
+from heatherdyke.observe_client import discover
 from heatherdyke.observe_component import KnownInstance
 from heatherdyke.observe_component import ObserveComponent
 from heatherdyke.observe_report import follow_timeline
 from heatherdyke.observe_report import read_stats
 from heatherdyke.observe_report import read_timeline
+from heatherdyke.platform_client import PlatformClient
+from heatherdyke.standin_platform import PlatformStandin
 from heatherdyke.timeline import EventFilter
 
 GONE = KnownInstance("gone", "verona", "127.0.0.1:1")
@@ -110,6 +116,22 @@
         asyncio.run(check())
 
 
+class TestDiscovery:
+    def test_rosters_name_instances_that_the_list_lacks(self):
+        async def check():
+            platform = PlatformStandin()
+            await platform.start()
+            client = PlatformClient(platform.address)
+            member = Member("a", "verona", "127.0.0.1:1", "i1")
+            roster = Roster("verona", 1, (member,))
+            await client.put(ROSTER_PREFIX + "verona", roster, 0)
+            found = await discover("", platform.address)
+            await platform.stop()
+            assert found == [KnownInstance("a", "verona", "127.0.0.1:1")]
+
+        asyncio.run(check())
+
+
 class TestStatsReport:
     def test_sums_over_instances(self):
         async def check():
