--- /dev/null
+++ b/heatherdyke/cli_config.py
@@ -0,0 +1,213 @@
+"""The ``config`` commands.
+
+Exit codes: 0 done, 1 failed, 2 bad flags or faults in a section, 3 accepted
+but not in force everywhere in time, 4 platform not available, 5 conflict
+with another edit.
+"""
+
+import asyncio
+from pathlib import Path
+from time import time
+from typing import Annotated
+
+import typer
+
+from heatherdyke import config_commands as commands
+from heatherdyke.cli_options import (
+    EditOption,
+    EditorOption,
+    JsonOption,
+    PlatformOption,
+    WaitOption,
+    WaitSecondsOption,
+    editor_name,
+    open_platform,
+    print_json,
+    print_progress,
+)
+from heatherdyke.config_apply import Acceptance
+from heatherdyke.config_collect import collect_sections
+from heatherdyke.config_file import load_valid_section
+from heatherdyke.config_wait import judge_section, require_in_force
+from heatherdyke.errors import ConfigInvalid
+from heatherdyke.platform_client import PlatformClient
+
+config_app = typer.Typer(
+    name="config",
+    help="Check, show, compare and apply sections of the configuration.",
+    no_args_is_help=True,
+)
+
+FileArgument = Annotated[Path, typer.Argument(help="YAML file of a section.")]
+TeamOption = Annotated[str, typer.Option("--team", help="Your team.")]
+IfVersionOption = Annotated[
+    int | None,
+    typer.Option(
+        "--if-version", help="Only if the section is at it (0: absent)."
+    ),
+]
+
+
+@config_app.command("check")
+def check(
+    files: Annotated[
+        list[Path], typer.Argument(help="YAML files, a section each.")
+    ],
+    as_json: JsonOption = False,
+) -> None:
+    """Check sections offline and tell every fault."""
+    faults = commands.check_files(files)
+    if as_json:
+        print_json(faults)
+    elif faults:
+        for fault in faults:
+            typer.echo(str(fault))
+    else:
+        typer.echo(f"{len(files)} sections without faults")
+    if faults:
+        raise typer.Exit(ConfigInvalid.exit_code)
+
+
+@config_app.command("schema")
+def schema() -> None:
+    """Print the JSON Schema of a section."""
+    typer.echo(commands.section_schema(), nl=False)
+
+
+@config_app.command("show")
+def show(
+    platform: PlatformOption = "",
+    team: Annotated[str, typer.Option("--team", help="Only this one.")] = "",
+    as_json: JsonOption = False,
+) -> None:
+    """Show the accepted document; with --team, its section as YAML."""
+    client = open_platform(platform)
+    shown = asyncio.run(commands.show_document(client, team))
+    if as_json:
+        print_json(shown)
+    elif team:
+        typer.echo(commands.section_text(shown.sections[0].section), nl=False)
+    else:
+        typer.echo(f"document version {shown.version}")
+        for row in shown.sections:
+            typer.echo(
+                f"  {row.team}: version {row.version}, "
+                f"edit {row.edit} by {row.editor}"
+            )
+
+
+@config_app.command("diff")
+def diff(
+    file: FileArgument,
+    platform: PlatformOption = "",
+    as_json: JsonOption = False,
+) -> None:
+    """Show what applying the file would change."""
+    client = open_platform(platform)
+    changes = asyncio.run(commands.diff_file(client, file))
+    if as_json:
+        print_json(changes)
+        return
+    for change in changes:
+        typer.echo(str(change))
+    if not changes:
+        typer.echo("no change")
+
+
+@config_app.command("apply")
+def apply(
+    file: FileArgument,
+    team: TeamOption,
+    platform: PlatformOption = "",
+    editor: EditorOption = "",
+    edit: EditOption = "",
+    if_version: IfVersionOption = None,
+    wait: WaitOption = False,
+    wait_s: WaitSecondsOption = 15.0,
+    as_json: JsonOption = False,
+) -> None:
+    """Apply your team's section."""
+    section = load_valid_section(file)
+    commands.require_team(section, team)
+    client = open_platform(platform)
+
+    async def run() -> None:
+        acceptance = await commands.apply_section(
+            client, team, section, editor_name(editor), edit, if_version
+        )
+        await _report(client, acceptance, wait_s if wait else None, as_json)
+
+    asyncio.run(run())
+
+
+@config_app.command("remove")
+def remove(
+    team: TeamOption,
+    platform: PlatformOption = "",
+    editor: EditorOption = "",
+    edit: EditOption = "",
+    if_version: IfVersionOption = None,
+    wait: WaitOption = False,
+    wait_s: WaitSecondsOption = 15.0,
+    as_json: JsonOption = False,
+) -> None:
+    """Remove your team's section."""
+    client = open_platform(platform)
+
+    async def run() -> None:
+        acceptance = await commands.apply_section(
+            client, team, None, editor_name(editor), edit, if_version
+        )
+        await _report(client, acceptance, wait_s if wait else None, as_json)
+
+    asyncio.run(run())
+
+
+@config_app.command("collect")
+def collect(
+    platform: PlatformOption = "",
+    older_than_s: Annotated[
+        float, typer.Option("--older-than-s", help="Least age in seconds.")
+    ] = 86400.0,
+    as_json: JsonOption = False,
+) -> None:
+    """Remove section objects that later edits have replaced."""
+    client = open_platform(platform)
+    outcome = asyncio.run(collect_sections(client, older_than_s, time()))
+    if as_json:
+        print_json(outcome)
+    else:
+        typer.echo(f"removed {len(outcome.removed)}, kept {outcome.kept}")
+
+
+async def _report(
+    client: PlatformClient,
+    acceptance: Acceptance,
+    wait_s: float | None,
+    as_json: bool,
+) -> None:
+    """Print the acceptance at once, then who has it in force."""
+    if not as_json:
+        typer.echo(_describe(acceptance))
+    instances = None
+    if wait_s is not None:
+        judge = judge_section(acceptance.team, acceptance.version)
+        instances = await commands.wait_everywhere(client, judge, wait_s)
+    if as_json:
+        print_json(commands.ApplyReport(acceptance, instances))
+    elif instances is not None:
+        print_progress(instances)
+    if instances is not None:
+        require_in_force(instances)
+
+
+def _describe(acceptance: Acceptance) -> str:
+    place = f"section {acceptance.team} at version {acceptance.version}"
+    if acceptance.superseded_by:
+        return (
+            f"edit {acceptance.edit} was accepted and then superseded by "
+            f"{acceptance.superseded_by}; {place}"
+        )
+    if acceptance.unchanged:
+        return f"no change: {place} by edit {acceptance.edit}"
+    return f"accepted: {place} by edit {acceptance.edit}"
--- /dev/null
+++ b/heatherdyke/cli_options.py
@@ -0,0 +1,76 @@
+"""Options and output that the operators' commands share."""
+
+import getpass
+from typing import Annotated, Any
+
+import typer
+
+from heatherdyke.codec import encode
+from heatherdyke.config_wait import InstanceProgress
+from heatherdyke.errors import SettingsError
+from heatherdyke.platform_client import PlatformClient
+from heatherdyke.settings import split_address
+
+PlatformOption = Annotated[
+    str,
+    typer.Option(
+        "--platform",
+        envvar="HEATHERDYKE_PLATFORM",
+        help="IP number and port of the object API.",
+    ),
+]
+EditorOption = Annotated[
+    str,
+    typer.Option(
+        "--editor",
+        envvar="HEATHERDYKE_EDITOR",
+        help="Who makes the edit, for others to see; else your login.",
+    ),
+]
+EditOption = Annotated[
+    str,
+    typer.Option("--edit", help="Repeat an edit by the nonce it printed."),
+]
+JsonOption = Annotated[
+    bool, typer.Option("--json", help="Print JSON instead of text.")
+]
+WaitOption = Annotated[
+    bool,
+    typer.Option("--wait", help="Wait until each instance has it in force."),
+]
+WaitSecondsOption = Annotated[
+    float, typer.Option("--wait-s", help="Longest wait in seconds.")
+]
+
+
+def open_platform(address: str) -> PlatformClient:
+    """Return a client; raises SettingsError if ``address`` is malformed."""
+    try:
+        split_address(address)
+    except ValueError as error:
+        raise SettingsError(
+            [
+                f"--platform {address!r} is not an IP number and port: "
+                "write it as 127.0.0.1:8080"
+            ]
+        ) from error
+    return PlatformClient(address)
+
+
+def editor_name(editor: str) -> str:
+    """Return the editor given, or the login name."""
+    return editor or getpass.getuser()
+
+
+def print_json(message: Any) -> None:
+    """Print the message as one line of JSON."""
+    typer.echo(encode(message).decode("utf-8"))
+
+
+def print_progress(instances: list[InstanceProgress]) -> None:
+    """Print a line for each instance."""
+    for row in instances:
+        typer.echo(
+            f"  {row.instance} ({row.zone}, {row.address}): "
+            f"{row.progress.value}, version {row.version}"
+        )
--- /dev/null
+++ b/heatherdyke/cli_zone.py
@@ -0,0 +1,126 @@
+"""The ``zone`` commands; exit codes as of the ``config`` commands."""
+
+import asyncio
+from typing import Annotated
+
+import typer
+
+from heatherdyke import config_commands as commands
+from heatherdyke.cli_options import (
+    EditOption,
+    EditorOption,
+    JsonOption,
+    PlatformOption,
+    WaitOption,
+    WaitSecondsOption,
+    editor_name,
+    open_platform,
+    print_json,
+    print_progress,
+)
+from heatherdyke.config_wait import judge_zones, require_in_force
+from heatherdyke.platform_client import PlatformClient
+from heatherdyke.zone_state import ZoneService, ZonesObject
+
+zone_app = typer.Typer(
+    name="zone",
+    help="Take an availability zone out and bring it back.",
+    no_args_is_help=True,
+)
+
+ZoneArgument = Annotated[str, typer.Argument(help="Name of the zone.")]
+ReasonOption = Annotated[
+    str, typer.Option("--reason", help="Why, for others to see.")
+]
+
+
+@zone_app.command("out")
+def zone_out(
+    zone: ZoneArgument,
+    platform: PlatformOption = "",
+    editor: EditorOption = "",
+    edit: EditOption = "",
+    reason: ReasonOption = "",
+    wait: WaitOption = False,
+    wait_s: WaitSecondsOption = 15.0,
+    as_json: JsonOption = False,
+) -> None:
+    """Take a zone out: its leaves get no new work."""
+    client = open_platform(platform)
+
+    async def run() -> None:
+        await commands.require_zone(client, zone)
+        zones = await commands.change_zone_state(
+            client, zone, ZoneService.OUT, editor_name(editor), reason, edit
+        )
+        await _report(client, zones, wait_s if wait else None, as_json)
+
+    asyncio.run(run())
+
+
+@zone_app.command("in")
+def zone_in(
+    zone: ZoneArgument,
+    platform: PlatformOption = "",
+    editor: EditorOption = "",
+    edit: EditOption = "",
+    reason: ReasonOption = "",
+    wait: WaitOption = False,
+    wait_s: WaitSecondsOption = 15.0,
+    as_json: JsonOption = False,
+) -> None:
+    """Bring a zone back."""
+    client = open_platform(platform)
+
+    async def run() -> None:
+        zones = await commands.change_zone_state(
+            client, zone, ZoneService.IN, editor_name(editor), reason, edit
+        )
+        await _report(client, zones, wait_s if wait else None, as_json)
+
+    asyncio.run(run())
+
+
+@zone_app.command("status")
+def zone_status(
+    platform: PlatformOption = "", as_json: JsonOption = False
+) -> None:
+    """Show each zone's state and which instances have it in force."""
+    client = open_platform(platform)
+
+    async def run() -> None:
+        zones = await commands.show_zones(client)
+        await _report(client, zones, 0.0, as_json)
+
+    asyncio.run(run())
+
+
+async def _report(
+    client: PlatformClient,
+    zones: ZonesObject,
+    wait_s: float | None,
+    as_json: bool,
+) -> None:
+    """Print the zones at once, then which instances have them in force."""
+    if not as_json:
+        _print_zones(zones)
+    instances = None
+    if wait_s is not None:
+        judge = judge_zones(zones.version)
+        instances = await commands.wait_everywhere(client, judge, wait_s)
+    if as_json:
+        print_json(commands.ZoneReport(zones, instances))
+    elif instances is not None:
+        print_progress(instances)
+    if instances is not None:
+        require_in_force(instances)
+
+
+def _print_zones(zones: ZonesObject) -> None:
+    typer.echo(f"zones version {zones.version}")
+    for name, entry in sorted(zones.zone_by_name.items()):
+        reason = f": {entry.reason}" if entry.reason else ""
+        typer.echo(
+            f"  {name} is {entry.state.value} since version {entry.order}, "
+            f"edit {entry.edit} by {entry.editor}{reason}"
+        )
--- /dev/null
+++ b/heatherdyke/config_commands.py
@@ -0,0 +1,227 @@
+"""What the ``config`` and ``zone`` commands do, without their output."""
+
+import asyncio
+from dataclasses import dataclass, field
+from pathlib import Path
+from time import monotonic, time
+from uuid import uuid4
+
+import msgspec
+import yaml
+
+from heatherdyke.config_apply import Acceptance, SectionEdit, SectionEditor
+from heatherdyke.config_check import check_document
+from heatherdyke.config_diff import Change, diff_sections
+from heatherdyke.config_document import DocumentReader
+from heatherdyke.config_fault import Fault
+from heatherdyke.config_file import load_section, load_valid_section
+from heatherdyke.config_model import ConfigDocument, SectionConfig
+from heatherdyke.config_wait import (
+    InstanceProgress,
+    Judge,
+    list_instances,
+    wait_in_force,
+)
+from heatherdyke.edit_retry import EditRetry
+from heatherdyke.errors import ConfigError, LaggingRead
+from heatherdyke.platform_client import PlatformClient
+from heatherdyke.zone_apply import ZoneEdit, apply_zone_edit, read_zones_object
+from heatherdyke.zone_state import ZoneService, ZonesObject
+
+NO_TEAM = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ShownSection:
+    """An accepted section with its version and last edit."""
+
+    team: str
+    version: int
+    edit: str
+    editor: str
+    section: SectionConfig
+
+
+@dataclass(frozen=True, slots=True)
+class ApplyReport:
+    """An acceptance and, if asked for, how far the instances are."""
+
+    acceptance: Acceptance
+    instances: list[InstanceProgress] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneReport:
+    """The zones' states and, if asked for, how far the instances are."""
+
+    zones: ZonesObject
+    instances: list[InstanceProgress] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ShownDocument:
+    """The accepted document."""
+
+    version: int
+    sections: list[ShownSection] = field(default_factory=list)
+
+
+def check_files(paths: list[Path]) -> list[Fault]:
+    """Return the faults of the sections and of the document they make.
+
+    Raises ConfigFileError if a file cannot be read.
+    """
+    faults: list[Fault] = []
+    section_by_team: dict[str, SectionConfig] = {}
+    for path in paths:
+        section, found = load_section(path)
+        faults += found
+        if section.team in section_by_team:
+            remedy = f"{path} holds a second section of the team: remove one"
+            faults.append(
+                Fault(section.team, "team", section.team, "one-file", remedy)
+            )
+        section_by_team[section.team] = section
+    if len(paths) > 1:
+        faults += check_document(ConfigDocument(0, section_by_team))
+    return faults
+
+
+def section_schema() -> bytes:
+    """Return the JSON Schema of a section, made from its types."""
+    schema = msgspec.json.schema(SectionConfig)
+    text = msgspec.json.encode(schema, order="sorted")
+    return msgspec.json.format(text, indent=2) + b"\n"
+
+
+async def show_document(
+    platform: PlatformClient, team: str = NO_TEAM
+) -> ShownDocument:
+    """Return the accepted document, or one team's section of it.
+
+    Raises PlatformUnavailable, or ConfigError if the team has no section.
+    """
+    reader = DocumentReader(platform)
+    head = (await reader.read_head()).head
+    sections = []
+    for name, pointer in sorted(head.section_by_team.items()):
+        if pointer.removed or team not in (NO_TEAM, name):
+            continue
+        section = await reader.read_section(pointer.object_key)
+        if section is None:
+            raise LaggingRead(pointer.object_key)
+        sections.append(
+            ShownSection(
+                name, pointer.version, pointer.edit, pointer.editor, section
+            )
+        )
+    if team and not sections:
+        raise ConfigError(
+            f"team {team!r} has no section", "see config show for the teams"
+        )
+    return ShownDocument(head.version, sections)
+
+
+async def diff_file(platform: PlatformClient, path: Path) -> list[Change]:
+    """Return what applying the file would change; raises as its checks."""
+    section = load_valid_section(path)
+    shown = await show_document(platform)
+    accepted = [s.section for s in shown.sections if s.team == section.team]
+    return diff_sections(accepted[0] if accepted else None, section)
+
+
+def section_text(section: SectionConfig) -> str:
+    """Return the section as YAML, as it is kept in version control."""
+    return yaml.safe_dump(msgspec.to_builtins(section), sort_keys=False)
+
+
+def require_team(section: SectionConfig, team: str) -> None:
+    """Raise ConfigError unless the section is the team's own."""
+    if section.team != team:
+        raise ConfigError(
+            f"the file holds the section of team {section.team!r}, "
+            f"not of {team!r}",
+            "a team applies its own section only: correct --team or the file",
+        )
+
+
+async def apply_section(
+    platform: PlatformClient,
+    team: str,
+    section: SectionConfig | None,
+    editor: str,
+    edit: str = "",
+    base_version: int | None = None,
+) -> Acceptance:
+    """Apply the team's section, or remove it if it is None.
+
+    Raises as SectionEditor.apply does.
+    """
+    section_edit = SectionEdit(
+        team=team,
+        section=section,
+        edit=edit or new_edit(),
+        editor=editor,
+        written_at=time(),
+        base_version=base_version,
+    )
+    return await SectionEditor(platform, section_edit, real_retry()).apply()
+
+
+async def change_zone_state(
+    platform: PlatformClient,
+    zone: str,
+    state: ZoneService,
+    editor: str,
+    reason: str = "",
+    edit: str = "",
+) -> ZonesObject:
+    """Take the zone out or in; raises as apply_zone_edit does."""
+    zone_edit = ZoneEdit(zone, state, edit or new_edit(), editor, reason)
+    return await apply_zone_edit(platform, zone_edit, real_retry())
+
+
+async def show_zones(platform: PlatformClient) -> ZonesObject:
+    """Return the zones' states; raises PlatformUnavailable."""
+    zones, _ = await read_zones_object(platform)
+    return zones
+
+
+async def require_zone(platform: PlatformClient, zone: str) -> None:
+    """Raise ConfigError unless an instance or a leaf is in the zone."""
+    rows = await platform.instances()
+    zones = {row.zone for row in rows}
+    if zone in zones:
+        return
+    shown = await show_document(platform)
+    for section in shown.sections:
+        zones |= {leaf.zone for leaf in section.section.leaves.values()}
+    if zone not in zones:
+        raise ConfigError(
+            f"no instance and no leaf is in zone {zone!r}",
+            f"use one of {', '.join(sorted(zones)) or 'none known'}",
+        )
+
+
+async def wait_everywhere(
+    platform: PlatformClient, judge: Judge, timeout_s: float
+) -> list[InstanceProgress]:
+    """Wait until each listed instance has a change in force.
+
+    Returns no row if the platform cannot list the instances.
+    """
+    try:
+        instances = await list_instances(platform)
+    except PlatformUnavailable:
+        return []
+    return await wait_in_force(instances, judge, timeout_s)
+
+
+def new_edit() -> str:
+    """Return a nonce that no other edit has."""
+    return uuid4().hex
+
+
+def real_retry() -> EditRetry:
+    """Return how edits wait and tell the time outside tests."""
+    return EditRetry(pause=asyncio.sleep, now=monotonic)
--- /dev/null
+++ b/heatherdyke/config_document.py
@@ -0,0 +1,89 @@
+"""Reads the accepted document from the platform, for editors."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from heatherdyke.codec import decode, encode
+from heatherdyke.config_model import (
+    HEAD_KEY,
+    ConfigDocument,
+    ConfigHead,
+    SectionConfig,
+    StoredSection,
+)
+from heatherdyke.errors import LaggingRead, UnreadableObject
+from heatherdyke.object_store import ObjectStore
+from heatherdyke.platform_client import ABSENT_VERSION, convert_value
+
+
+@dataclass(frozen=True, slots=True)
+class StoredHead:
+    """The head with the platform's version of its object."""
+
+    head: ConfigHead
+    object_version: int = ABSENT_VERSION
+
+
+class DocumentReader:
+    """Reads heads and sections; immutable sections are read only once."""
+
+    __slots__ = ("_platform", "_section_by_key")
+
+    def __init__(self, platform: ObjectStore) -> None:
+        self._platform = platform
+        self._section_by_key: dict[str, StoredSection] = {}
+
+    async def read_head(self) -> StoredHead:
+        """Return the head, an empty one if there is none yet.
+
+        Raises PlatformUnavailable or UnreadableObject.
+        """
+        stored = await self._platform.get(HEAD_KEY)
+        if stored is None:
+            return StoredHead(ConfigHead())
+        try:
+            head = convert_value(stored, ConfigHead)
+        except msgspec.MsgspecError as error:
+            raise UnreadableObject(HEAD_KEY, str(error)) from error
+        return StoredHead(head, stored.version)
+
+    async def read_stored(self, key: str) -> StoredSection | None:
+        """Return the section object, or None if it does not exist."""
+        if key not in self._section_by_key:
+            stored = await self._platform.get(key)
+            if stored is None:
+                return None
+            try:
+                section = decode(encode(stored.value), StoredSection)
+            except msgspec.MsgspecError as error:
+                raise UnreadableObject(key, str(error)) from error
+            self._section_by_key[key] = section
+        return self._section_by_key[key]
+
+    async def read_section(self, key: str) -> SectionConfig | None:
+        """Return the section of the object, or None if it is absent."""
+        stored = await self.read_stored(key)
+        if stored is None:
+            return None
+        try:
+            return decode(stored.section, SectionConfig)
+        except msgspec.MsgspecError as error:
+            raise UnreadableObject(key, str(error)) from error
+
+    async def read_document(
+        self, head: ConfigHead, but_team: str
+    ) -> ConfigDocument:
+        """Return the document of ``head`` without one team's section.
+
+        Raises LaggingRead if another section cannot be found.
+        """
+        section_by_team = {}
+        for team, pointer in sorted(head.section_by_team.items()):
+            if pointer.removed or team == but_team:
+                continue
+            section = await self.read_section(pointer.object_key)
+            if section is None:
+                raise LaggingRead(pointer.object_key)
+            section_by_team[team] = section
+        return ConfigDocument(head.version, section_by_team)
--- /dev/null
+++ b/heatherdyke/config_file.py
@@ -0,0 +1,81 @@
+"""Reads a section's YAML file and tells every fault in it."""
+
+from collections.abc import Hashable
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from heatherdyke.config_check import check_section
+from heatherdyke.config_fault import Fault
+from heatherdyke.config_model import SectionConfig
+from heatherdyke.config_structure import read_section
+from heatherdyke.errors import ConfigFileError, ConfigInvalid
+
+
+class _UniqueKeyLoader(yaml.SafeLoader):
+    """Loads plain data and keeps the keys that stand twice."""
+
+    def __init__(self, stream: str) -> None:
+        super().__init__(stream)
+        self.repeated: list[tuple[Any, int]] = []
+
+    def construct_mapping(
+        self, node: yaml.MappingNode, deep: bool = False
+    ) -> dict[Hashable, Any]:
+        """Return the mapping; note each key that stands in it before."""
+        seen = set()
+        for key_node, _ in node.value:
+            key = self.construct_object(key_node, deep=True)
+            if key in seen:
+                line = key_node.start_mark.line + 1
+                self.repeated.append((key, line))
+            seen.add(key)
+        return super().construct_mapping(node, deep)
+
+
+def load_section(path: Path) -> tuple[SectionConfig, list[Fault]]:
+    """Return the section in the file and all its faults.
+
+    Raises ConfigFileError if the file cannot be read as YAML.
+    """
+    value, faults = _load_plain(path)
+    section, _ = read_section(value, path.stem)
+    return section, faults + check_section(value, path.stem)
+
+
+def load_valid_section(path: Path) -> SectionConfig:
+    """Return the section in the file.
+
+    Raises ConfigFileError, or ConfigInvalid with every fault.
+    """
+    section, faults = load_section(path)
+    if faults:
+        raise ConfigInvalid(faults)
+    return section
+
+
+def _load_plain(path: Path) -> tuple[Any, list[Fault]]:
+    try:
+        loader = _UniqueKeyLoader(path.read_text(encoding="utf-8"))
+        value = loader.get_single_data()
+    except (OSError, UnicodeDecodeError) as error:
+        raise ConfigFileError(
+            f"{path} cannot be read: {error}", "name a readable YAML file"
+        ) from error
+    except yaml.YAMLError as error:
+        place = " ".join(str(error).split())
+        raise ConfigFileError(
+            f"{path} is not YAML: {place}", "correct the line named"
+        ) from error
+    faults = [
+        Fault(
+            path.stem,
+            f"line {line}",
+            key,
+            "repeated-key",
+            "write each key once; the last would win",
+        )
+        for key, line in loader.repeated
+    ]
+    return value, faults
--- a/heatherdyke/config_model.py
+++ b/heatherdyke/config_model.py
@@ -102,15 +102,16 @@
 class StoredSection:
     """The immutable platform object that one edit writes.
 
-    ``base_edit`` is the edit that this one was made upon; it was the
-    section's newest when this one was accepted.  ``written_at`` is wall
-    time in seconds, for garbage collection.
+    ``base_edit`` and ``base_version`` name the edit that this one was made
+    upon; it is the section's newest when this one is accepted.
+    ``written_at`` is wall time in seconds, for garbage collection.
     """
 
     team: str
     edit: str
     editor: str
     base_edit: str
+    base_version: int
     written_at: float
     section: msgspec.Raw
 
@@ -151,3 +152,8 @@
 TICKET_PREFIX = "ticket/"
 USAGE_PREFIX = "usage/"
 RESULT_PREFIX = "result/"
+
+
+def section_key(team: str, edit: str) -> str:
+    """Return the key of the object that an edit of a section writes."""
+    return f"{SECTION_PREFIX}{team}/{edit}"
--- a/heatherdyke/errors.py
+++ b/heatherdyke/errors.py
@@ -1,6 +1,10 @@
 """The exception tree: one class per failure, each naming its remedy."""
 
 from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from heatherdyke.config_fault import Fault
 
 
 class RunState(Enum):
@@ -40,6 +44,96 @@
         self.faults = faults
 
 
+class ConfigError(HeatherdykeError):
+    """The configuration cannot be read or changed as asked."""
+
+    kind = "config"
+    exit_code = 2
+
+
+class ConfigFileError(ConfigError):
+    """A section's file cannot be read."""
+
+    kind = "config_file"
+
+
+class ConfigInvalid(ConfigError):
+    """A section breaks rules; ``faults`` holds every one of them."""
+
+    kind = "config_invalid"
+
+    def __init__(self, faults: "list[Fault]") -> None:
+        super().__init__(
+            f"the section has {len(faults)} faults: "
+            + "; ".join(str(fault) for fault in faults),
+            "correct every path named and apply again",
+        )
+        self.faults = faults
+
+
+class EditConflict(ConfigError):
+    """Another edit of the same section or zone was accepted first."""
+
+    kind = "edit_conflict"
+    exit_code = 5
+
+    def __init__(
+        self, subject: str, version: int, edit: str, editor: str
+    ) -> None:
+        super().__init__(
+            f"{subject} is at version {version} by edit {edit} of {editor!r}",
+            "look at that edit, merge yours into it and apply again",
+        )
+        self.version = version
+        self.edit = edit
+        self.editor = editor
+
+
+class EditReused(ConfigError):
+    """A nonce was used before for another text."""
+
+    kind = "edit_reused"
+
+    def __init__(self, edit: str) -> None:
+        super().__init__(
+            f"edit {edit} was written before with another text",
+            "leave --edit out to make a new edit",
+        )
+
+
+class EditExpired(ConfigError):
+    """An edit was begun too long ago to be accepted; it was not."""
+
+    kind = "edit_expired"
+
+    def __init__(self, edit: str, limit_s: float) -> None:
+        super().__init__(
+            f"edit {edit} was begun more than {limit_s:.0f} s ago",
+            "leave --edit out to make a new edit",
+        )
+
+
+class EditUnresolved(ConfigError):
+    """It could not be found out whether an edit was accepted."""
+
+    kind = "edit_unresolved"
+    exit_code = 4
+
+    def __init__(self, edit: str, reason: str) -> None:
+        super().__init__(
+            f"edit {edit} may have been accepted: {reason}",
+            f"repeat the same command with --edit {edit}, which is safe",
+        )
+        self.edit = edit
+
+
+class NotInForce(ConfigError):
+    """Some instances do not have the accepted version in force yet."""
+
+    kind = "not_in_force"
+    exit_code = 3
+
+
 class TransportError(HeatherdykeError):
     """A connection failed; ``sent`` says if the request may have arrived."""
 
@@ -90,6 +184,19 @@
         self.current_version = current_version
 
 
+class LaggingRead(PlatformError):
+    """A read gave less than what is known to be in the platform."""
+
+    kind = "lagging_read"
+    exit_code = 4
+
+    def __init__(self, key: str) -> None:
+        super().__init__(
+            f"the read of {key!r} is older than what is known",
+            "try again; apply a section again whose object was deleted",
+        )
+
+
 class UnreadableObject(PlatformError):
     """A platform object has a form that this release does not know."""
 
--- /dev/null
+++ b/heatherdyke/zone_apply.py
@@ -0,0 +1,79 @@
+"""The edit protocol for taking a zone out and bringing it back."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from heatherdyke.config_model import ZONES_KEY
+from heatherdyke.edit_retry import EditRetry
+from heatherdyke.errors import (
+    EditUnresolved,
+    LaggingRead,
+    PlatformUnavailable,
+    UnreadableObject,
+    VersionConflict,
+)
+from heatherdyke.object_store import ObjectStore
+from heatherdyke.platform_client import ABSENT_VERSION, convert_value
+from heatherdyke.zone_state import (
+    ZoneEntry,
+    ZoneService,
+    ZonesObject,
+    change_zone,
+    has_edit,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneEdit:
+    """An operator's change of one zone; ``edit`` is its nonce."""
+
+    zone: str
+    state: ZoneService
+    edit: str
+    editor: str
+    reason: str = ""
+
+
+async def read_zones_object(
+    platform: ObjectStore,
+) -> tuple[ZonesObject, int]:
+    """Return the zones and the version of their object.
+
+    Raises PlatformUnavailable or UnreadableObject.
+    """
+    stored = await platform.get(ZONES_KEY)
+    if stored is None:
+        return ZonesObject(), ABSENT_VERSION
+    try:
+        return convert_value(stored, ZonesObject), stored.version
+    except msgspec.MsgspecError as error:
+        raise UnreadableObject(ZONES_KEY, str(error)) from error
+
+
+async def apply_zone_edit(
+    platform: ObjectStore, edit: ZoneEdit, retry: EditRetry
+) -> ZonesObject:
+    """Apply the change and return the zones that hold it.
+
+    A later change of the same zone is not undone by a repetition.  Raises
+    EditUnresolved if it could not be found out whether it took effect.
+    """
+    reason = ""
+    for attempt in range(retry.max_attempts):
+        try:
+            return await _try_once(platform, edit)
+        except (PlatformUnavailable, VersionConflict, LaggingRead) as error:
+            reason = error.detail
+        await retry.wait(attempt)
+    raise EditUnresolved(edit.edit, reason)
+
+
+async def _try_once(platform: ObjectStore, edit: ZoneEdit) -> ZonesObject:
+    zones, object_version = await read_zones_object(platform)
+    if has_edit(zones, edit.zone, edit.edit):
+        return zones
+    entry = ZoneEntry(edit.state, 0, edit.edit, edit.editor, edit.reason)
+    changed = change_zone(zones, edit.zone, entry)
+    await platform.put(ZONES_KEY, changed, object_version)
+    return changed
--- a/tests/config_platform.py
+++ b/tests/config_platform.py
@@ -2,8 +2,11 @@
 
 from typing import Any
 
-from heatherdyke.codec import decode, encode
-from heatherdyke.errors import PlatformUnavailable, VersionConflict
+from heatherdyke.codec import decode
+from heatherdyke.codec import encode
+from heatherdyke.edit_retry import EditRetry
+from heatherdyke.errors import PlatformUnavailable
+from heatherdyke.errors import VersionConflict
 from heatherdyke.messages import PlatformObject
 
 
@@ -15,23 +18,25 @@
 
 
 class MemoryPlatform:
-    """Holds every version of every object; a call is one step.
+    """Keeps every version of every object; a call is one step.
 
-    ``lost_replies`` counts the writes whose reply is lost after they took
-    effect; ``lag`` is how many versions the reads are behind.
+    ``lost_replies`` counts the next writes whose reply is lost after they
+    took effect, ``failures`` the next calls without effect, and ``lag`` is
+    how many versions the reads are behind.
     """
 
     def __init__(self) -> None:
-        self.versions_by_key: dict[str, list[Any]] = {}
+        self.versions_by_key: dict[str, list[bytes]] = {}
+        self.deleted: set[str] = set()
         self.lost_replies = 0
+        self.failures = 0
         self.lag = 0
-        self.down = False
 
     async def get(self, key: str) -> PlatformObject | None:
         await self._enter()
         versions = self.versions_by_key.get(key, [])
-        number = max(len(versions) - self.lag, 0)
-        if number == 0 or versions[number - 1] is None:
+        number = len(versions) - self.lag
+        if number <= 0 or key in self.deleted:
             return None
         return PlatformObject(key, number, decode(versions[number - 1], Any))
 
@@ -50,22 +55,39 @@
         await self._enter()
         if len(self.versions_by_key.get(key, [])) != if_version:
             raise VersionConflict(key, len(self.versions_by_key[key]))
-        del self.versions_by_key[key]
+        self.deleted.add(key)
 
     async def list(self, prefix: str) -> list[PlatformObject]:
         await self._enter()
         return [
             PlatformObject(key, len(versions), decode(versions[-1], Any))
             for key, versions in sorted(self.versions_by_key.items())
-            if key.startswith(prefix)
+            if key.startswith(prefix) and key not in self.deleted
         ]
 
     async def _enter(self) -> None:
         await Pause()
-        if self.down:
+        if self.failures:
+            self.failures -= 1
             raise PlatformUnavailable("the platform is down", "wait")
 
 
+class ManualClock:
+    """Monotonic and wall seconds that only the test moves."""
+
+    def __init__(self) -> None:
+        self.seconds = 1000.0
+
+    def now(self) -> float:
+        return self.seconds
+
+    def retry(self, max_attempts: int) -> EditRetry:
+        async def pause(seconds: float) -> None:
+            await Pause()
+
+        return EditRetry(pause, self.now, max_attempts)
+
+
 def finish(coroutine: Any) -> Any:
     """Step the coroutine to its end and return its result."""
     while True:
