--- a/heatherdyke/config_api.py
+++ b/heatherdyke/config_api.py
@@ -1,16 +1,18 @@
 """Serves the configuration in force to peers and operators over HTTP."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from dataclasses import field
 
-from blacksheep import Application, Content, Request, Response
+from blacksheep import Application
+from blacksheep import Content
+from blacksheep import Request
+from blacksheep import Response
 
 from heatherdyke.codec import encode
-from heatherdyke.config_state import (
-    ConfigDelta,
-    ConfigDigest,
-    UnreadableSection,
-)
+from heatherdyke.config_state import ConfigDelta
+from heatherdyke.config_state import ConfigDigest
+from heatherdyke.config_state import UnreadableSection
 from heatherdyke.settings import split_address
 
 JSON_TYPE = b"application/json"
--- a/heatherdyke/config_events.py
+++ b/heatherdyke/config_events.py
@@ -1,7 +1,9 @@
 """Reports what a merge of configuration changed."""
 
 from heatherdyke.config_state import MergeOutcome
-from heatherdyke.events import CONFIG_APPLIED, SECTION_UNREADABLE, ZONE_CHANGED
+from heatherdyke.events import CONFIG_APPLIED
+from heatherdyke.events import SECTION_UNREADABLE
+from heatherdyke.events import ZONE_CHANGED
 from heatherdyke.journal import Journal
 
 
--- a/heatherdyke/config_model.py
+++ b/heatherdyke/config_model.py
@@ -4,7 +4,8 @@
 is the set of all teams' sections, keyed by team.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from dataclasses import field
 
 import msgspec
 
@@ -49,7 +50,7 @@
 
     priority: int
     deadline_ms: int = 1000
-    wanted_coverage: float = 0.0
+    wanted_coverage: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherdyke/config_source.py
+++ b/heatherdyke/config_source.py
@@ -4,24 +4,23 @@
 
 import msgspec
 
-from heatherdyke.codec import decode, encode
-from heatherdyke.config_model import (
-    HEAD_KEY,
-    ZONES_KEY,
-    ConfigHead,
-    SectionPointer,
-    StoredSection,
-)
-from heatherdyke.config_state import (
-    ConfigDelta,
-    ConfigDigest,
-    ConfigState,
-    SectionUpdate,
-)
-from heatherdyke.errors import TransportError, UnreadableObject
+from heatherdyke.codec import decode
+from heatherdyke.codec import encode
+from heatherdyke.config_model import HEAD_KEY
+from heatherdyke.config_model import ZONES_KEY
+from heatherdyke.config_model import ConfigHead
+from heatherdyke.config_model import SectionPointer
+from heatherdyke.config_model import StoredSection
+from heatherdyke.config_state import ConfigDelta
+from heatherdyke.config_state import ConfigDigest
+from heatherdyke.config_state import ConfigState
+from heatherdyke.config_state import SectionUpdate
+from heatherdyke.errors import TransportError
+from heatherdyke.errors import UnreadableObject
 from heatherdyke.http_connection import HttpConnection
 from heatherdyke.messages import PlatformObject
-from heatherdyke.platform_client import PlatformClient, convert_value
+from heatherdyke.platform_client import PlatformClient
+from heatherdyke.platform_client import convert_value
 from heatherdyke.zone_state import ZonesObject
 
 T = TypeVar("T")
--- a/heatherdyke/config_state.py
+++ b/heatherdyke/config_state.py
@@ -6,18 +6,19 @@
 older than what is held is ever taken.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from dataclasses import field
 
 import msgspec
 
 from heatherdyke.codec import decode
-from heatherdyke.config_model import (
-    ConfigDocument,
-    ConfigHead,
-    SectionConfig,
-    SectionPointer,
-)
-from heatherdyke.zone_state import ZoneChange, ZonesObject, ZoneStates
+from heatherdyke.config_model import ConfigDocument
+from heatherdyke.config_model import ConfigHead
+from heatherdyke.config_model import SectionConfig
+from heatherdyke.config_model import SectionPointer
+from heatherdyke.zone_state import ZoneChange
+from heatherdyke.zone_state import ZonesObject
+from heatherdyke.zone_state import ZoneStates
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherdyke/config_store.py
+++ b/heatherdyke/config_store.py
@@ -5,11 +5,15 @@
 from blacksheep import Application
 
 from heatherdyke.clock import Clock
-from heatherdyke.config_api import ConfigApi, ConfigStatus
+from heatherdyke.config_api import ConfigApi
+from heatherdyke.config_api import ConfigStatus
 from heatherdyke.config_events import record_outcome
 from heatherdyke.config_model import ConfigDocument
-from heatherdyke.config_state import ConfigDelta, ConfigDigest, ConfigState
-from heatherdyke.config_sync import STALL_S, ConfigSync
+from heatherdyke.config_state import ConfigDelta
+from heatherdyke.config_state import ConfigDigest
+from heatherdyke.config_state import ConfigState
+from heatherdyke.config_sync import STALL_S
+from heatherdyke.config_sync import ConfigSync
 from heatherdyke.events import OLDER_CONFIG_IGNORED
 from heatherdyke.journal import Journal
 from heatherdyke.mechanisms import Mechanism
--- a/heatherdyke/config_sync.py
+++ b/heatherdyke/config_sync.py
@@ -6,27 +6,29 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
+from collections.abc import Callable
 
 from heatherdyke.clock import Clock
-from heatherdyke.config_model import HEAD_KEY, ZONES_KEY
-from heatherdyke.config_source import (
-    complete_head,
-    read_head,
-    read_peer,
-    read_platform,
-    read_zones,
-)
-from heatherdyke.config_state import ConfigDelta, ConfigDigest, ConfigState
-from heatherdyke.errors import PlatformError, TransportError
-from heatherdyke.events import (
-    CONFIG_SOURCE_BACK,
-    CONFIG_SOURCE_LOST,
-    SECTION_MISSING,
-    STALL_DETECTED,
-)
+from heatherdyke.config_model import HEAD_KEY
+from heatherdyke.config_model import ZONES_KEY
+from heatherdyke.config_source import complete_head
+from heatherdyke.config_source import read_head
+from heatherdyke.config_source import read_peer
+from heatherdyke.config_source import read_platform
+from heatherdyke.config_source import read_zones
+from heatherdyke.config_state import ConfigDelta
+from heatherdyke.config_state import ConfigDigest
+from heatherdyke.config_state import ConfigState
+from heatherdyke.errors import PlatformError
+from heatherdyke.errors import TransportError
+from heatherdyke.events import CONFIG_SOURCE_BACK
+from heatherdyke.events import CONFIG_SOURCE_LOST
+from heatherdyke.events import SECTION_MISSING
+from heatherdyke.events import STALL_DETECTED
 from heatherdyke.journal import Journal
-from heatherdyke.messages import InstanceKind, PlatformObject
+from heatherdyke.messages import InstanceKind
+from heatherdyke.messages import PlatformObject
 from heatherdyke.peer_directory import PeerDirectory
 from heatherdyke.platform_client import PlatformClient
 from heatherdyke.settings import Settings
--- a/heatherdyke/errors.py
+++ b/heatherdyke/errors.py
@@ -156,6 +156,15 @@
     kind = "connection_silent"
 
 
+class PartMismatch(TransportError):
+    """An answer names another request, shard or snapshot than was asked."""
+
+    kind = "part_mismatch"
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(detail, sent=True)
+
+
 class PlatformError(HeatherdykeError):
     """The platform's object API could not serve a call."""
 
@@ -210,6 +219,12 @@
         self.key = key
 
 
+class NoInstanceReachable(HeatherdykeError):
+    """None of the instances that a command asked gave an answer."""
+
+    kind = "no_instance_reachable"
+
+
 class RequestError(HeatherdykeError):
     """A caller's request ends without an answer.
 
--- a/heatherdyke/zone_state.py
+++ b/heatherdyke/zone_state.py
@@ -5,7 +5,9 @@
 platform and from peers merge in any sequence to the same result.
 """
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
 from enum import Enum
 
 RECENT_EDITS = 16
