--- a/heatherdyke_bench/table.py
+++ b/heatherdyke_bench/table.py
@@ -14,7 +14,7 @@
 LOAD_HEADER = (
     "| phase | policy | leaf searches | extra load | over slots "
     "| cold excess | of these known | sheds | at draining "
-    "| connections max | max/mean |"
+    "| connections max | max/mean | least zone |"
 )
 
 
@@ -75,12 +75,14 @@
         f"| {row.extra_share:+.1%} | {row.over_slots:.0f} "
         f"| {row.cold_excess:.0f} | {row.cold_excess_known:.0f} "
         f"| {row.sheds:.0f} | {row.draining_arrivals:.0f} "
-        f"| {row.connections_max:.0f} | {row.fairness:.2f} |"
+        f"| {row.connections_max:.0f} | {row.fairness:.2f} "
+        f"| {row.least_zone:.0f} |"
     )
 
 
 def _platform_line(group: _Group) -> str:
     report = group.reports[-1]
+    loads = [f"{r.load_average:.1f}" for r in group.reports]
     calls = ", ".join(
         f"{count} {kind}"
         for kind, count in sorted(report.platform_calls.items())
@@ -94,6 +96,8 @@
             details[kind] = phase.detail_by_kind[kind]
     return (
         f"{group.policy}, seed {report.seed}: platform calls {calls}; "
+        f"load average {', '.join(loads)}; "
+        f"requests of mixed snapshots {report.mixed_requests}; "
         f"watches waiting at most {report.watches_waiting_max}; longest "
         f"cold start {report.cold_s_max:.1f} s; refusals {kinds}, "
         f"one of each: {details}"
