Check, compare and apply sections; take zones out by command

An edit writes its section under its own nonce and is accepted by the conditional update of the head. The head and the chain of base edits tell after a lost reply whether it was accepted. The machine of tests found that a delta delivered to a holder of less than its base brought it to a version whose sections it lacked; deltas now name their base.

--- a/heatherdyke/cli.py
+++ b/heatherdyke/cli.py
@@ -7,9 +7,11 @@
 import typer
 
 from heatherdyke import __version__
+from heatherdyke.cli_config import config_app
 from heatherdyke.cli_observe import stats
 from heatherdyke.cli_observe import timeline
 from heatherdyke.cli_standin import app as standin
+from heatherdyke.cli_zone import zone_app
 from heatherdyke.errors import HeatherdykeError
 from heatherdyke.settings import Settings
 
@@ -45,6 +47,10 @@
     advertise: Annotated[
         str, _option("--advertise", "Address that others use, if not LISTEN.")
     ] = "",
+    peers: Annotated[
+        str,
+        _option("--peers", "Instances to ask while the platform is down."),
+    ] = "",
     source: Annotated[
         str, _option("--source", "IP number that connections come from.")
     ] = "",
@@ -71,6 +77,7 @@
     """Run one entry instance until SIGTERM."""
     settings = Settings.from_values(
         disabled=disable,
+        peers=peers,
         name=name,
         zone=zone,
         listen=listen,
@@ -139,13 +146,16 @@
 app.command()(timeline)
 app.command()(stats)
 app.add_typer(standin)
+app.add_typer(config_app)
+app.add_typer(zone_app)
 
 
 def main() -> None:
     """Run the command line; errors go to standard error with their remedy.
 
-    Exit codes: 0 done, 1 failed, 2 bad flags or input, 4 platform not
-    available, 5 conflict with another edit.
+    Exit codes: 0 done, 1 failed, 2 bad flags or input, 3 accepted but not
+    in force everywhere in time, 4 platform not available, 5 conflict with
+    another edit.
     """
     try:
         app()
--- a/heatherdyke/cli_options.py
+++ b/heatherdyke/cli_options.py
@@ -1,7 +1,8 @@
 """Options and output that the operators' commands share."""
 
 import getpass
-from typing import Annotated, Any
+from typing import Annotated
+from typing import Any
 
 import typer
 
--- a/heatherdyke/cli_zone.py
+++ b/heatherdyke/cli_zone.py
@@ -6,21 +6,21 @@
 import typer
 
 from heatherdyke import config_commands as commands
-from heatherdyke.cli_options import (
-    EditOption,
-    EditorOption,
-    JsonOption,
-    PlatformOption,
-    WaitOption,
-    WaitSecondsOption,
-    editor_name,
-    open_platform,
-    print_json,
-    print_progress,
-)
-from heatherdyke.config_wait import judge_zones, require_in_force
+from heatherdyke.cli_options import EditOption
+from heatherdyke.cli_options import EditorOption
+from heatherdyke.cli_options import JsonOption
+from heatherdyke.cli_options import PlatformOption
+from heatherdyke.cli_options import WaitOption
+from heatherdyke.cli_options import WaitSecondsOption
+from heatherdyke.cli_options import editor_name
+from heatherdyke.cli_options import open_platform
+from heatherdyke.cli_options import print_json
+from heatherdyke.cli_options import print_progress
+from heatherdyke.config_wait import judge_zones
+from heatherdyke.config_wait import require_in_force
 from heatherdyke.platform_client import PlatformClient
-from heatherdyke.zone_state import ZoneService, ZonesObject
+from heatherdyke.zone_state import ZoneService
+from heatherdyke.zone_state import ZonesObject
 
 zone_app = typer.Typer(
     name="zone",
--- a/heatherdyke/config_apply.py
+++ b/heatherdyke/config_apply.py
@@ -7,32 +7,32 @@
 if an edit was accepted, so that each step may be repeated.
 """
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
+from dataclasses import replace
 
 import msgspec
 
-from heatherdyke.codec import decode, encode
-from heatherdyke.config_check import check_document, check_rules
-from heatherdyke.config_document import DocumentReader, StoredHead
-from heatherdyke.config_model import (
-    HEAD_KEY,
-    ConfigDocument,
-    SectionConfig,
-    SectionPointer,
-    StoredSection,
-    section_key,
-)
+from heatherdyke.codec import decode
+from heatherdyke.codec import encode
+from heatherdyke.config_check import check_document
+from heatherdyke.config_check import check_rules
+from heatherdyke.config_document import DocumentReader
+from heatherdyke.config_document import StoredHead
+from heatherdyke.config_model import HEAD_KEY
+from heatherdyke.config_model import ConfigDocument
+from heatherdyke.config_model import SectionConfig
+from heatherdyke.config_model import SectionPointer
+from heatherdyke.config_model import StoredSection
+from heatherdyke.config_model import section_key
 from heatherdyke.edit_retry import EditRetry
-from heatherdyke.errors import (
-    ConfigInvalid,
-    EditConflict,
-    EditExpired,
-    EditReused,
-    EditUnresolved,
-    LaggingRead,
-    PlatformUnavailable,
-    VersionConflict,
-)
+from heatherdyke.errors import ConfigInvalid
+from heatherdyke.errors import EditConflict
+from heatherdyke.errors import EditExpired
+from heatherdyke.errors import EditReused
+from heatherdyke.errors import EditUnresolved
+from heatherdyke.errors import LaggingRead
+from heatherdyke.errors import PlatformUnavailable
+from heatherdyke.errors import VersionConflict
 from heatherdyke.object_store import ObjectStore
 from heatherdyke.platform_client import ABSENT_VERSION
 
--- a/heatherdyke/config_check.py
+++ b/heatherdyke/config_check.py
@@ -3,8 +3,11 @@
 from typing import Any
 
 from heatherdyke.config_fault import Fault
-from heatherdyke.config_model import ConfigDocument, SectionConfig
-from heatherdyke.config_rules import Breach, document_rules, section_rules
+from heatherdyke.config_model import ConfigDocument
+from heatherdyke.config_model import SectionConfig
+from heatherdyke.config_rules import Breach
+from heatherdyke.config_rules import document_rules
+from heatherdyke.config_rules import section_rules
 from heatherdyke.config_structure import read_section
 
 
--- a/heatherdyke/config_collect.py
+++ b/heatherdyke/config_collect.py
@@ -4,10 +4,13 @@
 
 import msgspec
 
-from heatherdyke.codec import decode, encode
+from heatherdyke.codec import decode
+from heatherdyke.codec import encode
 from heatherdyke.config_apply import MAX_EDIT_S
 from heatherdyke.config_document import DocumentReader
-from heatherdyke.config_model import HEAD_KEY, SECTION_PREFIX, StoredSection
+from heatherdyke.config_model import HEAD_KEY
+from heatherdyke.config_model import SECTION_PREFIX
+from heatherdyke.config_model import StoredSection
 from heatherdyke.errors import ConfigError
 from heatherdyke.messages import PlatformObject
 from heatherdyke.object_store import ObjectStore
--- a/heatherdyke/config_commands.py
+++ b/heatherdyke/config_commands.py
@@ -1,32 +1,42 @@
 """What the ``config`` and ``zone`` commands do, without their output."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from dataclasses import field
 from pathlib import Path
-from time import monotonic, time
+from time import monotonic
+from time import time
 from uuid import uuid4
 
 import msgspec
 import yaml
 
-from heatherdyke.config_apply import Acceptance, SectionEdit, SectionEditor
+from heatherdyke.config_apply import Acceptance
+from heatherdyke.config_apply import SectionEdit
+from heatherdyke.config_apply import SectionEditor
 from heatherdyke.config_check import check_document
-from heatherdyke.config_diff import Change, diff_sections
+from heatherdyke.config_diff import Change
+from heatherdyke.config_diff import diff_sections
 from heatherdyke.config_document import DocumentReader
 from heatherdyke.config_fault import Fault
-from heatherdyke.config_file import load_section, load_valid_section
-from heatherdyke.config_model import ConfigDocument, SectionConfig
-from heatherdyke.config_wait import (
-    InstanceProgress,
-    Judge,
-    list_instances,
-    wait_in_force,
-)
+from heatherdyke.config_file import load_section
+from heatherdyke.config_file import load_valid_section
+from heatherdyke.config_model import ConfigDocument
+from heatherdyke.config_model import SectionConfig
+from heatherdyke.config_wait import InstanceProgress
+from heatherdyke.config_wait import Judge
+from heatherdyke.config_wait import list_instances
+from heatherdyke.config_wait import wait_in_force
 from heatherdyke.edit_retry import EditRetry
-from heatherdyke.errors import ConfigError, LaggingRead
+from heatherdyke.errors import ConfigError
+from heatherdyke.errors import LaggingRead
+from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.platform_client import PlatformClient
-from heatherdyke.zone_apply import ZoneEdit, apply_zone_edit, read_zones_object
-from heatherdyke.zone_state import ZoneService, ZonesObject
+from heatherdyke.zone_apply import ZoneEdit
+from heatherdyke.zone_apply import apply_zone_edit
+from heatherdyke.zone_apply import read_zones_object
+from heatherdyke.zone_state import ZoneService
+from heatherdyke.zone_state import ZonesObject
 
 NO_TEAM = ""
 
--- a/heatherdyke/config_document.py
+++ b/heatherdyke/config_document.py
@@ -4,17 +4,18 @@
 
 import msgspec
 
-from heatherdyke.codec import decode, encode
-from heatherdyke.config_model import (
-    HEAD_KEY,
-    ConfigDocument,
-    ConfigHead,
-    SectionConfig,
-    StoredSection,
-)
-from heatherdyke.errors import LaggingRead, UnreadableObject
+from heatherdyke.codec import decode
+from heatherdyke.codec import encode
+from heatherdyke.config_model import HEAD_KEY
+from heatherdyke.config_model import ConfigDocument
+from heatherdyke.config_model import ConfigHead
+from heatherdyke.config_model import SectionConfig
+from heatherdyke.config_model import StoredSection
+from heatherdyke.errors import LaggingRead
+from heatherdyke.errors import UnreadableObject
 from heatherdyke.object_store import ObjectStore
-from heatherdyke.platform_client import ABSENT_VERSION, convert_value
+from heatherdyke.platform_client import ABSENT_VERSION
+from heatherdyke.platform_client import convert_value
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherdyke/config_file.py
+++ b/heatherdyke/config_file.py
@@ -10,7 +10,8 @@
 from heatherdyke.config_fault import Fault
 from heatherdyke.config_model import SectionConfig
 from heatherdyke.config_structure import read_section
-from heatherdyke.errors import ConfigFileError, ConfigInvalid
+from heatherdyke.errors import ConfigFileError
+from heatherdyke.errors import ConfigInvalid
 
 
 class _UniqueKeyLoader(yaml.SafeLoader):
--- a/heatherdyke/config_model.py
+++ b/heatherdyke/config_model.py
@@ -114,9 +114,9 @@
     edit: str
     editor: str
     base_edit: str
-    base_version: int
     written_at: float
     section: msgspec.Raw
+    base_version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherdyke/config_rules.py
+++ b/heatherdyke/config_rules.py
@@ -5,12 +5,15 @@
 
 import re
 from collections import defaultdict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
+from collections.abc import Iterator
 from math import isfinite
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
 from heatherdyke.codec import encode
-from heatherdyke.config_model import ConfigDocument, SectionConfig
+from heatherdyke.config_model import ConfigDocument
+from heatherdyke.config_model import SectionConfig
 from heatherdyke.registry import Registry
 from heatherdyke.settings import split_address
 
--- a/heatherdyke/config_source.py
+++ b/heatherdyke/config_source.py
@@ -1,5 +1,6 @@
 """Reads configuration from the platform and from peers."""
 
+from dataclasses import replace
 from typing import TypeVar
 
 import msgspec
@@ -44,7 +45,7 @@
         delta = await complete_head(platform, state, head)
     if zones is None:
         return delta
-    return ConfigDelta(delta.version, delta.updates, read_zones(zones))
+    return replace(delta, zones=read_zones(zones))
 
 
 async def complete_head(
@@ -55,6 +56,7 @@
     The delta has version 0 if a section object could not be found, which a
     lagging read can cause.  Raises PlatformUnavailable.
     """
+    base_version = state.version
     head = read_head(stored)
     updates = []
     complete = True
@@ -64,7 +66,8 @@
             complete = False
         else:
             updates.append(update)
-    return ConfigDelta(head.version if complete else 0, updates)
+    version = head.version if complete else 0
+    return ConfigDelta(version, updates, base_version=base_version)
 
 
 def read_head(stored: PlatformObject) -> ConfigHead:
--- a/heatherdyke/config_state.py
+++ b/heatherdyke/config_state.py
@@ -51,15 +51,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigDelta:
-    """What brings a holder of an earlier version up to ``version``.
+    """What brings a holder of ``base_version`` or later to ``version``.
 
     A version of 0 marks an incomplete delta, whose updates are taken but
-    bring the holder to no version.
+    bring the holder to no version; so does a holder of less than the base.
     """
 
     version: int = 0
     updates: list[SectionUpdate] = field(default_factory=list)
     zones: ZonesObject | None = None
+    base_version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,7 +133,7 @@
         for update in taken:
             self._held_by_team[update.team] = self._read(update)
         before = self.version
-        if delta.version:
+        if delta.version and self._holds_base(delta):
             self.version = self._next_version(delta.version)
         zones = [] if delta.zones is None else self._merge_zones(delta.zones)
         held = [self._held_by_team[update.team] for update in taken]
@@ -164,7 +165,7 @@
         zones = self.zone_states.zones
         if zones.version <= digest.zones_version:
             zones = None
-        return ConfigDelta(self.version, updates, zones)
+        return ConfigDelta(self.version, updates, zones, digest.config_version)
 
     def section_versions(self) -> dict[str, int]:
         """Return the newest version known of each team's section."""
@@ -176,6 +177,9 @@
     def _merge_zones(self, zones: ZonesObject) -> list[ZoneChange]:
         return self.zone_states.merge(zones)
 
+    def _holds_base(self, delta: ConfigDelta) -> bool:
+        return delta.base_version <= self.version or not self._monotone
+
     def _next_version(self, version: int) -> int:
         return max(self.version, version) if self._monotone else version
 
--- a/heatherdyke/config_structure.py
+++ b/heatherdyke/config_structure.py
@@ -6,12 +6,18 @@
 placeholder takes its place, so that the rules can be checked on the rest.
 """
 
-from dataclasses import MISSING, fields, is_dataclass
+from dataclasses import MISSING
+from dataclasses import fields
+from dataclasses import is_dataclass
 from enum import Enum
 from types import UnionType
-from typing import Any, get_args, get_origin, get_type_hints
+from typing import Any
+from typing import get_args
+from typing import get_origin
+from typing import get_type_hints
 
-from heatherdyke.config_fault import Fault, join_path
+from heatherdyke.config_fault import Fault
+from heatherdyke.config_fault import join_path
 from heatherdyke.config_model import SectionConfig
 
 PLACEHOLDER_BY_TYPE = {str: "", int: 1, float: 1.0, bool: False}
--- a/heatherdyke/config_wait.py
+++ b/heatherdyke/config_wait.py
@@ -10,9 +10,11 @@
 
 from heatherdyke.codec import decode
 from heatherdyke.config_api import ConfigStatus
-from heatherdyke.errors import NotInForce, TransportError
+from heatherdyke.errors import NotInForce
+from heatherdyke.errors import TransportError
 from heatherdyke.http_connection import HttpConnection
-from heatherdyke.messages import InstanceKind, InstanceState
+from heatherdyke.messages import InstanceKind
+from heatherdyke.messages import InstanceState
 from heatherdyke.platform_client import PlatformClient
 
 ASK_TIMEOUT_S = 1.0
--- a/heatherdyke/edit_retry.py
+++ b/heatherdyke/edit_retry.py
@@ -1,6 +1,7 @@
 """How an edit goes on after a conflict, a lost reply or an outage."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
+from collections.abc import Callable
 from dataclasses import dataclass
 
 MAX_ATTEMPTS = 30
--- a/heatherdyke/object_store.py
+++ b/heatherdyke/object_store.py
@@ -1,6 +1,7 @@
 """What the edit protocols ask of the platform."""
 
-from typing import Any, Protocol
+from typing import Any
+from typing import Protocol
 
 from heatherdyke.messages import PlatformObject
 
--- a/heatherdyke/zone_apply.py
+++ b/heatherdyke/zone_apply.py
@@ -6,22 +6,19 @@
 
 from heatherdyke.config_model import ZONES_KEY
 from heatherdyke.edit_retry import EditRetry
-from heatherdyke.errors import (
-    EditUnresolved,
-    LaggingRead,
-    PlatformUnavailable,
-    UnreadableObject,
-    VersionConflict,
-)
+from heatherdyke.errors import EditUnresolved
+from heatherdyke.errors import LaggingRead
+from heatherdyke.errors import PlatformUnavailable
+from heatherdyke.errors import UnreadableObject
+from heatherdyke.errors import VersionConflict
 from heatherdyke.object_store import ObjectStore
-from heatherdyke.platform_client import ABSENT_VERSION, convert_value
-from heatherdyke.zone_state import (
-    ZoneEntry,
-    ZoneService,
-    ZonesObject,
-    change_zone,
-    has_edit,
-)
+from heatherdyke.platform_client import ABSENT_VERSION
+from heatherdyke.platform_client import convert_value
+from heatherdyke.zone_state import ZoneEntry
+from heatherdyke.zone_state import ZoneService
+from heatherdyke.zone_state import ZonesObject
+from heatherdyke.zone_state import change_zone
+from heatherdyke.zone_state import has_edit
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_config_machine.py
+++ b/tests/test_config_machine.py
@@ -10,34 +10,35 @@
 from dataclasses import replace
 from typing import Any
 
+import pytest
 from hypothesis import HealthCheck
+from hypothesis import Phase
 from hypothesis import settings
 from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
-from hypothesis.stateful import RuleBasedStateMachine
 from hypothesis.stateful import run_state_machine_as_test
-import pytest
 
 from heatherdyke.codec import decode
 from heatherdyke.config_apply import SectionEdit
 from heatherdyke.config_apply import SectionEditor
-from heatherdyke.config_collect import collect_sections
 from heatherdyke.config_collect import MIN_AGE_S
-from heatherdyke.config_model import ConfigHead
+from heatherdyke.config_collect import collect_sections
 from heatherdyke.config_model import HEAD_KEY
-from heatherdyke.config_model import section_key
+from heatherdyke.config_model import ConfigHead
 from heatherdyke.config_model import SectionConfig
 from heatherdyke.config_model import StoredSection
+from heatherdyke.config_model import section_key
 from heatherdyke.config_source import read_platform
 from heatherdyke.config_state import ConfigState
 from heatherdyke.errors import ConfigError
 from heatherdyke.errors import EditUnresolved
 from heatherdyke.errors import PlatformError
 from heatherdyke.mechanisms import Mechanism
-from tests.config_platform import finish
 from tests.config_platform import ManualClock
 from tests.config_platform import MemoryPlatform
+from tests.config_platform import finish
 
 TEAMS = ("billing", "permits")
 INSTANCES = 3
@@ -48,6 +49,7 @@
     stateful_step_count=60,
     deadline=None,
     database=None,
+    report_multiple_bugs=False,
     suppress_health_check=list(HealthCheck),
 )
 
@@ -278,5 +280,6 @@
     def test_it_reverts_without_the_mechanism(self):
         with pytest.raises(AssertionError, match="reverted"):
             run_state_machine_as_test(
-                UnguardedConfigMachine, settings=SETTINGS
+                UnguardedConfigMachine,
+                settings=settings(SETTINGS, phases=[Phase.generate]),
             )
