--- a/heatherdyke/config_model.py
+++ b/heatherdyke/config_model.py
@@ -119,9 +119,9 @@
 class StoredSection:
     """The immutable platform object that one edit writes.
 
-    ``base_edit`` is the edit that this one was made upon; it was the
-    section's newest when this one was accepted.  ``written_at`` is wall
-    time in seconds, for garbage collection.
+    ``base_edit`` and ``base_version`` name the edit that this one was made
+    upon; it is the section's newest when this one is accepted.
+    ``written_at`` is wall time in seconds, for garbage collection.
     """
 
     team: str
@@ -130,6 +130,7 @@
     base_edit: str
     written_at: float
     section: msgspec.Raw
+    base_version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,3 +169,8 @@
 TICKET_PREFIX = "ticket/"
 USAGE_PREFIX = "usage/"
 RESULT_PREFIX = "result/"
+
+
+def section_key(team: str, edit: str) -> str:
+    """Return the key of the object that an edit of a section writes."""
+    return f"{SECTION_PREFIX}{team}/{edit}"
