--- a/heatherdyke/component.py
+++ b/heatherdyke/component.py
@@ -54,3 +54,6 @@
 
     def refresh(self, zone: str, address: str) -> None:
         """Ask the member at ``address`` for the zone's newest roster."""
+
+    def note_refused(self, member: Member) -> None:
+        """Take a refused TCP connection as proof that a member has ended."""
--- a/heatherdyke/entry.py
+++ b/heatherdyke/entry.py
@@ -147,6 +147,12 @@
         if config is not None and address is not None:
             self._members.refresh(config.zone, address)
 
+    def note_refused(self, address: str) -> None:
+        """Take a refused connection as proof that its member has ended."""
+        for member in self._members.members():
+            if member.address == address:
+                self._members.note_refused(member)
+
     def spawn(self, coroutine) -> asyncio.Task:
         """Run a coroutine as a task that this entry keeps alive."""
         task = asyncio.create_task(coroutine)
--- a/heatherdyke/search_run.py
+++ b/heatherdyke/search_run.py
@@ -2,10 +2,10 @@
 
 import asyncio
 from dataclasses import dataclass
-from dataclasses import field
 from typing import TYPE_CHECKING
 
 from heatherdyke.coverage import CoverageCount
+from heatherdyke.errors import ConnectionRefused
 from heatherdyke.errors import DeadlineExceeded
 from heatherdyke.errors import RunState
 from heatherdyke.errors import TransportError
@@ -22,16 +22,13 @@
 from heatherdyke.messages import SearchRequest
 from heatherdyke.search_plan import SearchPlan
 from heatherdyke.search_plan import find_child_leaves
+from heatherdyke.shard_tries import ShardTries
 
 if TYPE_CHECKING:
     from heatherdyke.entry import Entry
 
 RETURN_MARGIN_S = 0.004
 MAX_SNAPSHOT_RESTARTS = 2
-MAX_TRIES_PER_SHARD = 3
-MAX_MOVES_PER_SHARD = 4
-RETRY_PAUSE_S = 0.025
-MOVE_PAUSE_S = 0.005
 HOME_SILENCE_FACTOR = 2.0
 HOME_SILENCE_EXTRA_S = 0.01
 EARLY_DELAYS = 4.0
@@ -63,23 +60,6 @@
     error: TransportError | None = None
 
 
-@dataclass(slots=True)
-class _ShardTry:
-    """Which leaves a shard was asked on and how many asks are open."""
-
-    tried: list[str] = field(default_factory=list)
-    open: int = 0
-    moved: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class _RetryDue:
-    """A part that nobody worked on, to be asked again at ``at``."""
-
-    at: float
-    part: Part
-
-
 class SearchRun:
     """Works on one search until it is whole, good enough or late."""
 
@@ -123,7 +103,7 @@
                 self._take(report)
             elif self._entry.clock.now() >= self._deadline:
                 break
-            self._retry_due()
+            self._send(self._tries.take_due(self._entry.clock.now()), True)
             self._hedge_stragglers()
         self._cancel_rest()
         self._check_answer()
@@ -133,9 +113,7 @@
         check = self._entry.settings.uses(Mechanism.COVERAGE_CHECK)
         self._coverage = CoverageCount(self._plan.weight_by_shard, check)
         self._items: list[Item] = []
-        self._try_by_shard: dict[str, _ShardTry] = {}
-        self._retries_due: list[_RetryDue] = []
-        self._leaves_by_shard = dict(self._plan.leaves_by_shard)
+        self._tries = ShardTries(self._plan.leaves_by_shard)
 
     def _send(self, shards: list[str], hedge: bool) -> None:
         """Ask one more replica of each of the shards."""
@@ -146,9 +124,8 @@
             if leaf is None:
                 continue
             route = self._entry.find_route(leaf)
-            if route is not None:
-                leaf_by_shard = group_by_address.setdefault(route.address, {})
-                leaf_by_shard[shard] = leaf
+            leaf_by_shard = group_by_address.setdefault(route.address, {})
+            leaf_by_shard[shard] = leaf
         hedge_at = now + self._silence_s()
         for address, leaf_by_shard in group_by_address.items():
             group = Group(address, leaf_by_shard, self._restarts, hedge_at)
@@ -156,13 +133,11 @@
             self._start(group, now)
 
     def _choose(self, shard: str) -> str | None:
-        attempt = self._try_by_shard.setdefault(shard, _ShardTry())
         leaves = self._untried_leaves(shard)
-        if not leaves or len(attempt.tried) >= MAX_TRIES_PER_SHARD:
+        if not leaves:
             return None
         leaf = self._entry.choose_leaf(leaves)
-        attempt.tried.append(leaf)
-        attempt.open += 1
+        self._tries.start(shard, leaf)
         return leaf
 
     def _start(self, group: Group, now: float) -> None:
@@ -208,7 +183,9 @@
             return self._inbox.get_nowait()
         now = self._entry.clock.now()
         times = [g.hedge_at for g in self._groups if not g.hedged]
-        times.extend(retry.at for retry in self._retries_due)
+        due_at = self._tries.next_due_at
+        if due_at is not None:
+            times.append(due_at)
         early_at = self._early_at()
         if early_at > now:
             times.append(early_at)
@@ -224,7 +201,7 @@
         if group.restart != self._restarts or group not in self._groups:
             return
         if report.parts is None:
-            self._fail(group)
+            self._fail(group, report.error)
             return
         self._items.extend(report.parts.items)
         for part in report.parts.parts:
@@ -242,7 +219,7 @@
         level = LeafLevel(part.leaf, part.level, part.incarnation)
         self._entry.levels.learn(level, now)
         self.cost += part.asked
-        self._try_by_shard[part.shard].open -= 1
+        self._tries.finish(part.shard)
         self._coverage.add(part)
         if part.state is PartState.WHOLE:
             self._entry.hedges.latency.add(part.leaf_ms / 1000)
@@ -255,6 +232,7 @@
 
     def _retry(self, group: Group, part: Part) -> None:
         """Ask another replica for a part that is not whole."""
+        now = self._entry.clock.now()
         budget = self._entry.hedges.budget
         if part.state is PartState.REFUSED and part.asked:
             budget.punish_shed()
@@ -262,37 +240,13 @@
             return
         if part.state is PartState.NOT_HOME:
             self._entry.refresh_route(part.leaf, group.address)
-            self._allow_again(part)
-        elif not self._has_other(part.shard):
-            self._try_again_later(part)
-        elif part.asked == 0 or budget.spend():
-            self._send([part.shard], hedge=True)
-
-    def _try_again_later(self, part: Part) -> None:
-        """Ask the only replica again after a pause, if it did no work."""
-        attempt = self._try_by_shard[part.shard]
-        if part.asked or attempt.open:
+            self._tries.follow_home(part.shard, part.leaf, now)
+        elif part.asked and not budget.spend():
             return
-        attempt.tried.clear()
-        self._retries_due.append(
-            _RetryDue(self._entry.clock.now() + RETRY_PAUSE_S, part)
-        )
-
-    def _retry_due(self) -> None:
-        now = self._entry.clock.now()
-        due = [retry for retry in self._retries_due if retry.at <= now]
-        self._retries_due = [r for r in self._retries_due if r.at > now]
-        self._send([retry.part.shard for retry in due], hedge=True)
-
-    def _allow_again(self, part: Part) -> None:
-        """Let the leaf be asked at its new home, a bounded number of times."""
-        attempt = self._try_by_shard[part.shard]
-        attempt.moved += 1
-        if attempt.moved <= MAX_MOVES_PER_SHARD:
-            attempt.tried.remove(part.leaf)
-        self._retries_due.append(
-            _RetryDue(self._entry.clock.now() + MOVE_PAUSE_S, part)
-        )
+        elif self._has_other(part.shard):
+            self._send([part.shard], hedge=True)
+        elif not self._tries.is_open(part.shard):
+            self._tries.try_all_again(part.shard, now)
 
     def _ask_children(self, part: Part) -> None:
         service = part.shard.partition("/")[0]
@@ -301,7 +255,7 @@
             leaves = find_child_leaves(
                 self._entry.index.current(), service, name
             )
-            self._leaves_by_shard[child] = leaves
+            self._tries.add_shard(child, leaves)
         self._send(part.children, hedge=True)
 
     def _note_gone(self, part: Part) -> None:
@@ -323,16 +277,18 @@
         self._entry.snapshots.learn(self._plan.index, self.snapshot)
         if self._entry.settings.uses(Mechanism.SNAPSHOT_PIN):
             self._begin()
-            self._send(list(self._plan.weight_by_shard), hedge=True)
+            self._send(list(self._plan.weight_by_shard), hedge=False)
             return
         missing = self._coverage.result().missing
-        self._try_by_shard.clear()
-        self._send(missing, hedge=True)
+        self._tries.restart()
+        self._send(missing, hedge=False)
 
-    def _fail(self, group: Group) -> None:
+    def _fail(self, group: Group, error: TransportError) -> None:
         self._groups.discard(group)
+        if isinstance(error, ConnectionRefused):
+            self._entry.note_refused(group.address)
         for shard, leaf in list(group.pending_leaf_by_shard.items()):
-            part = Part(shard, leaf, PartState.LOST)
+            part = Part(shard, leaf, PartState.LOST, asked=int(error.sent))
             self._take_part(group, part)
 
     def _hedge_stragglers(self) -> None:
@@ -358,12 +314,10 @@
         return bool(self._untried_leaves(shard))
 
     def _untried_leaves(self, shard: str) -> list[str]:
-        tried = self._try_by_shard[shard].tried
-        leaves = self._leaves_by_shard.get(shard, [])
         return [
             leaf
-            for leaf in self._entry.leaves_in_use(leaves)
-            if leaf not in tried and self._entry.find_route(leaf) is not None
+            for leaf in self._entry.leaves_in_use(self._tries.untried(shard))
+            if self._entry.find_route(leaf) is not None
         ]
 
     def _silence_s(self) -> float:
@@ -371,7 +325,7 @@
         return HOME_SILENCE_FACTOR * delay_s + HOME_SILENCE_EXTRA_S
 
     def _is_open(self) -> bool:
-        return bool(self._groups or self._retries_due)
+        return bool(self._groups) or self._tries.next_due_at is not None
 
     def _early_at(self) -> float:
         """Return when an answer with the wanted coverage need not wait."""
