--- a/heatherdyke/leaf_connection_task.py
+++ b/heatherdyke/leaf_connection_task.py
@@ -12,7 +12,7 @@
 from heatherdyke.leaf_work import refuse
 from heatherdyke.messages import LeafRun
 
-ANSWER_GRACE_S = 0.05
+ANSWER_GRACE_S = 0.2
 MAX_SEND_DELAY_S = 0.1
 PATIENT_TIMEOUT_S = 60.0
 
