--- a/heatherdyke/leaf_worker.py
+++ b/heatherdyke/leaf_worker.py
@@ -68,6 +68,7 @@
         "_tasks",
         "_draining",
         "_reopen_at",
+        "_answered_at",
         "_drained_incarnation",
         "_cold_starts_reported",
     )
@@ -95,6 +96,7 @@
         self._tasks: dict[ConnectionTask, asyncio.Task] = {}
         self._draining = False
         self._reopen_at = 0.0
+        self._answered_at = 0.0
         self._drained_incarnation = ""
         self._cold_starts_reported = 0
 
@@ -173,7 +175,7 @@
         if connection is not None and self._policy.silence_timeout:
             self._tasks[connection].cancel()
             self._free_slot(work)
-            self._distrust_idle()
+            self._distrust_idle(work)
 
     def _give_back(self, work: LeafWork) -> None:
         if work.sent or work.outcome is not None or self.load < MOVE_LOAD:
@@ -198,8 +200,13 @@
             connection.close()
         return True
 
-    def _distrust_idle(self) -> None:
-        """Replace the idle connections, which may be silent as well."""
+    def _distrust_idle(self, silent: LeafWork) -> None:
+        """Replace the idle connections, which may be silent as well.
+
+        They are not if the leaf answered on one of them meanwhile.
+        """
+        if self._answered_at > silent.started_at:
+            return
         for connection in self._idle:
             self._tasks[connection].cancel()
         self._idle.clear()
@@ -258,6 +265,7 @@
         now = self._clock.now()
         outcome = work.outcome
         if not isinstance(outcome, TransportError):
+            self._answered_at = now
             self._idle.append(connection)
             self._connection_by_work.pop(work, None)
         else:
@@ -300,7 +308,7 @@
             self._policy.observer.connection_silent(
                 self.leaf_id, self.config.zone, work.question.request_id
             )
-            self._distrust_idle()
+            self._distrust_idle(work)
             self._start(self._free_after_cancel(work))
             return
         self._connection_by_work.pop(work, None)
