--- a/tests/test_proof_answers.py
+++ b/tests/test_proof_answers.py
@@ -13,6 +13,7 @@
 from heatherdyke_bench.admin import set_faults
 from tests.small_fleet import Callers
 from tests.small_fleet import start_fleet
+from tests.small_fleet import wait_until
 
 ALL_ITEMS = 100
 LATE_MS = 15.0
@@ -73,6 +74,8 @@
             async with Callers(fleet, ALL_ITEMS) as callers:
                 callers.start(2)
                 await callers.wait_for_answers(30)
+                answers = callers.outcomes.answers
+                await wait_until(lambda: answers[-1][1].coverage_share == 1.0)
                 return await callers.stop()
 
     def test_overstates_without_the_check(self, tmp_path):
