Call a member settled only if its leaves were its own all along

A member now remembers under which generation a leaf's work began and is not settled while the leaf was another's in between.

Heartbeats: beyond six members a tree of fan-out 6 and a ring, other zones' versions with each fourth only, and the reader confirms by a watch that does not wait.

--- a/heatherdyke/home_lease.py
+++ b/heatherdyke/home_lease.py
@@ -21,6 +21,7 @@
 from heatherdyke.lease_terms import NEVER
 from heatherdyke.lease_terms import LeaseTerms
 from heatherdyke.lease_terms import reserve_of
+from heatherdyke.member_messages import Generation
 from heatherdyke.member_messages import GoneProof
 from heatherdyke.member_messages import Member
 from heatherdyke.member_messages import Roster
@@ -63,6 +64,7 @@
         self.confirmed_at = NEVER
         self.superseded_at: dict[int, float] = {}
         self.settled_by_incarnation: dict[str, int] = {}
+        self.busy_from_by_leaf: dict[str, int] = {}
         self._gone: dict[str, _Gone] = {}
         self._home_by_leaf: dict[str, Member | None] = {}
         self._standing_by_leaf: dict[str, _Standing] = {}
@@ -111,6 +113,19 @@
         self._clear()
         return True
 
+    def note_busy(self, leaf_id: str) -> None:
+        """Note that work is sent to the leaf under this generation."""
+        self.busy_from_by_leaf.setdefault(leaf_id, self.roster.generation)
+
+    def note_idle(self, leaves_at_work: set[str]) -> None:
+        """Note that no work runs at any other leaf."""
+        if self.busy_from_by_leaf.keys() - leaves_at_work:
+            self.busy_from_by_leaf = {
+                leaf_id: generation
+                for leaf_id, generation in self.busy_from_by_leaf.items()
+                if leaf_id in leaves_at_work
+            }
+
     # Queries
 
     @property
@@ -176,14 +191,30 @@
             return slots
         return slots - reserve
 
-    def settled_generation(self, leaves_at_work: set[str]) -> int:
+    def settled_generation(self, leaves_at_work: set[str], now: float) -> int:
         """Return the generation under which alone this instance acts.
 
-        It is 0 while work runs at a leaf that has moved away.
+        It is 0 while work runs at a leaf that has moved away, also if the
+        leaf has come back since: another may act under the generation
+        between.
         """
-        if all(self.is_home(leaf_id) for leaf_id in leaves_at_work):
-            return self.roster.generation
-        return 0
+        for leaf_id in leaves_at_work:
+            if not self.is_home(leaf_id):
+                return 0
+            since = self.busy_from_by_leaf.get(leaf_id, 0)
+            for former in self.roster.history:
+                if former.number >= since and not self._kept(
+                    leaf_id, former, now
+                ):
+                    return 0
+        return self.roster.generation
+
+    def _kept(self, leaf_id: str, former: Generation, now: float) -> bool:
+        """Tell whether nobody else can act on the leaf under ``former``."""
+        work_s = self.longest_work_s(leaf_id)
+        return not self._waiting(
+            leaf_id, former.number, former.members, now, work_s
+        )
 
     def _longest_work(self, _: str) -> float:
         return self.terms.longest_work_s
--- a/heatherdyke/lease_snapshot.py
+++ b/heatherdyke/lease_snapshot.py
@@ -32,6 +32,7 @@
     superseded_age_s: tuple[tuple[int, float], ...] = ()
     settled: tuple[tuple[str, int], ...] = ()
     gone: tuple[GoneAge, ...] = ()
+    busy_from: tuple[tuple[str, int], ...] = ()
 
     @classmethod
     def of(cls, lease: HomeLease, now: float) -> "LeaseSnapshot":
@@ -58,6 +59,7 @@
                 )
                 for proof in sorted(lease.gone, key=lambda p: p.incarnation)
             ),
+            busy_from=tuple(sorted(lease.busy_from_by_leaf.items())),
         )
 
     def restore(
@@ -75,4 +77,5 @@
         for gone in self.gone:
             proof = GoneProof(gone.incarnation, gone.drained)
             lease.note_gone(proof, now - gone.age_s)
+        lease.busy_from_by_leaf.update(self.busy_from)
         return lease
--- a/heatherdyke/member_core.py
+++ b/heatherdyke/member_core.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from dataclasses import dataclass
+from math import ceil
 
 from heatherdyke.home_lease import HomeLease
 from heatherdyke.home_lease import LeaseTerms
@@ -15,12 +16,12 @@
 from heatherdyke.member_messages import Heartbeat
 from heatherdyke.member_messages import LifecycleState
 from heatherdyke.member_messages import Member
-from heatherdyke.member_messages import Roster
 from heatherdyke.member_messages import VersionedRoster
 from heatherdyke.member_messages import ZoneView
 from heatherdyke.membership import Membership
 
 REMEMBERED_SEQUENCES = 64
+ALL_ZONES_EVERY = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,14 +90,20 @@
             news |= membership.lease.note_gone(proof, now)
         return news
 
-    def note_at_work(self, leaves_at_work: set[str]) -> None:
+    def note_at_work(self, leaves_at_work: set[str], now: float) -> None:
         """Note at which leaves this instance has work, before a send."""
         for membership in self._concerning():
             lease = membership.lease
+            lease.note_idle(leaves_at_work)
             lease.note_settled(
-                self.me.incarnation, lease.settled_generation(leaves_at_work)
+                self.me.incarnation,
+                lease.settled_generation(leaves_at_work, now),
             )
 
+    def note_busy(self, leaf_id: str, zone: str) -> None:
+        """Note that work is about to be sent to the leaf."""
+        self.lease(zone).note_busy(leaf_id)
+
     def begin_leaving(self) -> None:
         """Ask to be taken out of every roster."""
         self.state = LifecycleState.LEAVING
@@ -199,14 +206,22 @@
             views=tuple(self._views(now)),
             config_version=config.config_version,
             zones_version=config.zones_version,
-            roster_version_by_zone={
-                zone: membership.lease.version
-                for zone, membership in self.membership_by_zone.items()
-            },
+            roster_version_by_zone=self._versions(sequence, echo),
             gone=tuple(gone.values()),
             suspects=tuple(member.incarnation for member in suspects),
         )
 
+    def _versions(self, sequence: int, echo: int) -> dict[str, int]:
+        """Return the roster versions to send: mostly the own zone's only.
+
+        All zones' go with each fourth question and with its answer.
+        """
+        if (echo or sequence) % ALL_ZONES_EVERY:
+            zones = [self.me.zone]
+        else:
+            zones = list(self.membership_by_zone)
+        return {zone: self.lease(zone).version for zone in zones}
+
     def _ask_longest_work(self, leaf_id: str) -> float:
         return self.longest_work_s(leaf_id)
 
@@ -223,7 +238,7 @@
             lease = membership.lease
             age_s = None
             if lease.is_fresh(now):
-                age_s = max(0.0, now - lease.confirmed_at)
+                age_s = _round_up(max(0.0, now - lease.confirmed_at))
             settled = {}
             if lease.roster.history:
                 settled = dict(lease.settled_by_incarnation)
@@ -272,6 +287,6 @@
         return None
 
 
-def empty_roster(zone: str) -> VersionedRoster:
-    """Return what an absent roster object stands for."""
-    return VersionedRoster(0, Roster(zone))
+def _round_up(seconds: float) -> float:
+    """Return whole milliseconds, never less, to keep messages short."""
+    return ceil(seconds * 1000) / 1000
--- a/heatherdyke/member_task.py
+++ b/heatherdyke/member_task.py
@@ -30,6 +30,7 @@
 from heatherdyke.http_support import json_response
 from heatherdyke.journal import Journal
 from heatherdyke.mechanisms import Mechanism
+from heatherdyke.member_core import ALL_ZONES_EVERY
 from heatherdyke.member_core import ConfigVersions
 from heatherdyke.member_core import MemberCore
 from heatherdyke.member_messages import GoneProof
@@ -46,7 +47,6 @@
 
 RELEASE_WAIT_LEASES = 2
 FAREWELLS = 3
-CROSS_ZONE_INTERVALS = 4
 
 
 class ConfigPeer(Protocol):
@@ -146,9 +146,13 @@
         Ask immediately before each send.  ``work_s`` is the longest that
         the work to be sent may last.
         """
-        return self.core.slots_allowed(
-            leaf_id, zone or self._me.zone, slots, self._clock.now(), work_s
+        zone = zone or self._me.zone
+        allowed = self.core.slots_allowed(
+            leaf_id, zone, slots, self._clock.now(), work_s
         )
+        if allowed:
+            self.core.note_busy(leaf_id, zone)
+        return allowed
 
     # Commands
 
@@ -210,7 +214,7 @@
             await asyncio.sleep(self._settings.heartbeat_interval_s)
 
     def _send_heartbeats(self, udp: UdpEndpoint) -> None:
-        self.core.note_at_work(self.leaves_at_work())
+        self.core.note_at_work(self.leaves_at_work(), self._clock.now())
         heartbeat = self.core.ask(self._clock.now(), self._versions())
         payload = self._stamped(heartbeat)
         for membership in self._asked_zones():
@@ -230,9 +234,9 @@
     def _cross_zone_targets(self) -> list[Member]:
         """Return one member of each other zone, another one each time."""
         own = self.core.membership(self._me.zone)
-        if self._ticks % CROSS_ZONE_INTERVALS or not own.is_reader():
+        if self._ticks % ALL_ZONES_EVERY or not own.is_reader():
             return []
-        turn = self._ticks // CROSS_ZONE_INTERVALS
+        turn = self._ticks // ALL_ZONES_EVERY
         targets = []
         for zone, membership in self.core.membership_by_zone.items():
             members = membership.lease.roster.members
@@ -261,7 +265,7 @@
         self._journal.observe(heartbeat.clock)
         now = self._clock.now()
         known = {proof.incarnation for proof in self._proofs()}
-        self.core.note_at_work(self.leaves_at_work())
+        self.core.note_at_work(self.leaves_at_work(), self._clock.now())
         heard = self.core.hear(heartbeat, now, self._versions())
         for proof in self._proofs():
             if proof.incarnation not in known:
--- a/heatherdyke/membership.py
+++ b/heatherdyke/membership.py
@@ -16,9 +16,9 @@
 from heatherdyke.roster import replace_members
 
 UNANSWERED_TO_SUSPECT = 3
-FULL_MESH_MEMBERS = 9
-TREE_FANOUT = 8
-RING_SUCCESSORS = 2
+FULL_MESH_MEMBERS = 6
+TREE_FANOUT = 6
+RING_SUCCESSORS = 1
 JOIN_INTERVALS = 4
 
 
--- a/heatherdyke/roster_task.py
+++ b/heatherdyke/roster_task.py
@@ -11,7 +11,6 @@
 from heatherdyke.events import ROSTER_CHANGED
 from heatherdyke.journal import Journal
 from heatherdyke.member_core import MemberCore
-from heatherdyke.member_core import empty_roster
 from heatherdyke.member_messages import Roster
 from heatherdyke.member_messages import VersionedRoster
 from heatherdyke.platform_client import PlatformClient
@@ -19,6 +18,7 @@
 
 CHANGE_INTERVAL_S = 0.5
 LIST_INTERVAL_S = 2.0
+MEMBERS_PER_LIST_INTERVAL = 16
 
 
 class RosterTask:
@@ -69,7 +69,7 @@
     async def _work(self) -> None:
         now = self._clock.now()
         own = self._core.membership(self._core.me.zone)
-        if now - self._listed_at >= LIST_INTERVAL_S and (
+        if now - self._listed_at >= self._list_interval_s() and (
             own.is_reader() or not own.lease.version
         ):
             await self._list()
@@ -88,6 +88,14 @@
                 zones.append(zone)
         return zones
 
+    def _list_interval_s(self) -> float:
+        """Return when to list all rosters again, longer if they are long.
+
+        Between two lists the zones' readers tell each other of changes.
+        """
+        count = len(self._core.members())
+        return LIST_INTERVAL_S * max(1.0, count / MEMBERS_PER_LIST_INTERVAL)
+
     async def _list(self) -> None:
         for stored in await self._platform.list(ROSTER_PREFIX):
             try:
@@ -98,15 +106,23 @@
         self._listed_at = self._clock.now()
 
     async def _read(self, zone: str) -> None:
+        """Confirm the roster, reading it only if it is newer than known."""
         asked_at = self._clock.now()
-        stored = await self._platform.get(ROSTER_PREFIX + zone)
-        versioned = empty_roster(zone)
+        key = ROSTER_PREFIX + zone
+        lease = self._core.lease(zone)
+        known = lease.version, lease.roster.generation
+        if lease.version:
+            stored = await self._platform.watch(key, lease.version, 0.0)
+        else:
+            stored = await self._platform.get(key)
         if stored is not None:
-            roster = convert_value(stored, Roster)
-            versioned = VersionedRoster(stored.version, roster)
-        self._adopt(versioned)
-        if versioned.version == self._core.lease(zone).version:
-            self._core.confirm(zone, versioned.roster.generation, asked_at)
+            versioned = VersionedRoster(
+                stored.version, convert_value(stored, Roster)
+            )
+            self._adopt(versioned)
+            known = versioned.version, versioned.roster.generation
+        if known[0] == lease.version:
+            self._core.confirm(zone, known[1], asked_at)
 
     async def _change(self, zone: str) -> None:
         now = self._clock.now()
--- a/heatherdyke/udp_endpoint.py
+++ b/heatherdyke/udp_endpoint.py
@@ -6,6 +6,7 @@
 from heatherdyke.settings import split_address
 
 MAX_QUEUED_DATAGRAMS = 1024
+HEADER_BYTES = 28
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,7 +18,10 @@
 
 
 class UdpEndpoint(asyncio.DatagramProtocol):
-    """Owns one socket; counts bytes for the capacity reckoning."""
+    """Owns one socket; counts bytes for the capacity reckoning.
+
+    The counts include the headers of IPv4 and UDP.
+    """
 
     def __init__(self) -> None:
         self.inbox: asyncio.Queue[Datagram] = asyncio.Queue(
@@ -39,7 +43,7 @@
     def send(self, address: str, payload: bytes) -> None:
         """Send a datagram, which may be lost."""
         if self._transport is not None:
-            self.sent_bytes += len(payload)
+            self.sent_bytes += len(payload) + HEADER_BYTES
             self._transport.sendto(payload, split_address(address))
 
     def close(self) -> None:
@@ -53,7 +57,7 @@
 
     def datagram_received(self, data: bytes, addr: tuple) -> None:
         """Queue a datagram, or drop it if the queue is full."""
-        self.received_bytes += len(data)
+        self.received_bytes += len(data) + HEADER_BYTES
         if not self.inbox.full():
             self.inbox.put_nowait(Datagram(f"{addr[0]}:{addr[1]}", data))
 
--- a/heatherdyke_models/handover.py
+++ b/heatherdyke_models/handover.py
@@ -140,7 +140,8 @@
         for ticks in (SHORT_TICKS, LONG_TICKS):
             if len(node.work) < self.allowed(index, node.view, ticks):
                 work = tuple(sorted((*node.work, ticks)))
-                sent = replace(node, work=work)
+                view = self._busy(index, node.view)
+                sent = replace(node, work=work, view=view)
                 yield f"{name} sends {ticks}", _with(state, index, sent)
             if not self.bounds.long_work:
                 break
@@ -268,7 +269,12 @@
     def _settled(self, state: State, index: int) -> int:
         node: Node = state[2 + index]
         lease = self._lease(index, node.view)
-        return lease.settled_generation({LEAF} if node.work else set())
+        return lease.settled_generation({LEAF} if node.work else set(), NOW)
+
+    def _busy(self, index: int, view: LeaseSnapshot) -> LeaseSnapshot:
+        lease = self._lease(index, view)
+        lease.note_busy(LEAF)
+        return LeaseSnapshot.of(lease, NOW)
 
     def _allowed(self, index: int, view: LeaseSnapshot, ticks: int) -> int:
         lease = self._lease(index, view)
@@ -302,7 +308,10 @@
     if reply is not None:
         age = min(reply.age + 1, STALE)
         reply = replace(reply, age=age)
-    return replace(node, work=work, reply=reply, view=_aged_view(node.view))
+    view = _aged_view(node.view)
+    if not work:
+        view = replace(view, busy_from=())
+    return replace(node, work=work, reply=reply, view=view)
 
 
 def _aged_view(view: LeaseSnapshot) -> LeaseSnapshot:
--- a/tests/test_home_lease.py
+++ b/tests/test_home_lease.py
@@ -18,6 +18,7 @@
 from heatherdyke.member_messages import Member
 from heatherdyke.member_messages import Roster
 from heatherdyke.member_messages import VersionedRoster
+from heatherdyke.rendezvous import rank
 from heatherdyke.roster import replace_members
 from heatherdyke_models.handover import Bounds
 from heatherdyke_models.handover import check
@@ -39,8 +40,9 @@
         )
         self.core = MemberCore(self.member, 0.5, TERMS, guard)
 
-    def settle(self, ends_by_leaf: dict[str, list[float]]) -> None:
-        self.core.note_at_work({leaf for leaf, e in ends_by_leaf.items() if e})
+    def settle(self, ends_by_leaf: dict[str, list[float]], now: float) -> None:
+        at_work = {leaf for leaf, ends in ends_by_leaf.items() if ends}
+        self.core.note_at_work(at_work, now)
 
 
 class HandoverMachine(RuleBasedStateMachine):
@@ -169,6 +171,7 @@
             leaf, ZONE, self.slots, self.now, work_s
         )
         while len(ends) < allowed:
+            process.core.note_busy(leaf, ZONE)
             ends.append(self.now + work_s)
 
     @invariant()
@@ -195,7 +198,8 @@
         process = self.processes[place]
         own = process.member.incarnation
         process.settle(
-            {leaf: ends for (i, leaf), ends in self.work.items() if i == own}
+            {leaf: ends for (i, leaf), ends in self.work.items() if i == own},
+            self.now,
         )
 
     def _probe(self, core: MemberCore, member: Member) -> None:
@@ -230,6 +234,35 @@
 )
 
 
+class TestRegainedLeaf:
+    """The counterexample that a model of three generations found."""
+
+    def test_old_work_is_not_settled_by_a_return(self):
+        two = [_Process(number, 1, True) for number in range(2)]
+        rank_by_place = rank("leaf0", [process.member for process in two])
+        first = next(p for p in two if p.member == rank_by_place[0])
+        other = next(p for p in two if p is not first)
+        core = first.core
+        roster = replace_members(Roster(ZONE), [p.member for p in two], [])
+        core.adopt(VersionedRoster(1, roster), 0.0)
+        assert core.slots_allowed("leaf0", ZONE, 2, 0.0) == 1
+        core.note_busy("leaf0", ZONE)
+        without = replace_members(roster, [], [first.member.incarnation])
+        back = replace_members(without, [first.member], [])
+        core.adopt(VersionedRoster(3, back), 0.0)
+        core.note_at_work({"leaf0"}, 0.0)
+        lease = core.lease(ZONE)
+        assert lease.is_home("leaf0")
+        assert first.member.incarnation not in lease.settled_by_incarnation
+        other.core.adopt(VersionedRoster(2, without), 0.0)
+        other.core.confirm(ZONE, without.generation, 0.0)
+        other.core.hear(core.ask(0.0, VERSIONS), 0.0, VERSIONS)
+        assert other.core.slots_allowed("leaf0", ZONE, 2, 0.0) == 0
+        core.note_at_work(set(), 1.0)
+        other.core.hear(core.ask(1.0, VERSIONS), 1.0, VERSIONS)
+        assert other.core.slots_allowed("leaf0", ZONE, 2, 1.0) == 2
+
+
 class TestHandoverMachine:
     def test_overloads_a_leaf_without_the_guard(self):
         with pytest.raises(AssertionError):
