--- a/heatherdyke/entry.py
+++ b/heatherdyke/entry.py
@@ -12,6 +12,7 @@
 from heatherdyke.hedging import ExtraLoadBudget
 from heatherdyke.hedging import HedgePolicy
 from heatherdyke.home import Home
+from heatherdyke.level_book import LevelBook
 from heatherdyke.mechanisms import Mechanism
 from heatherdyke.messages import SearchAnswer
 from heatherdyke.messages import SearchRequest
@@ -52,6 +53,7 @@
         peers: PeerClient,
         snapshots: SnapshotBook,
         observer: SearchObserver,
+        levels: LevelBook,
         clock: Clock,
     ) -> None:
         uses = settings.uses
@@ -60,6 +62,7 @@
         self.peers = peers
         self.snapshots = snapshots
         self.observer = observer
+        self.levels = levels
         self.clock = clock
         self.index = ConfigIndexCache(config)
         self.views = ReplicaViews()
@@ -122,6 +125,12 @@
             return LOCAL_ROUTE
         return Route(home.address)
 
+    def refresh_route(self, leaf_id: str, address: str | None) -> None:
+        """Learn of the leaf's new home from the former one."""
+        config = self.index.current().leaf_by_id.get(leaf_id)
+        if config is not None and address is not None:
+            self._members.refresh(config.zone, address)
+
     def spawn(self, coroutine) -> asyncio.Task:
         """Run a coroutine as a task that this entry keeps alive."""
         task = asyncio.create_task(coroutine)
--- a/heatherdyke/home.py
+++ b/heatherdyke/home.py
@@ -11,13 +11,16 @@
 from heatherdyke.errors import TransportError
 from heatherdyke.hedging import LatencyQuantile
 from heatherdyke.leaf_limit import LeafLimit
-from heatherdyke.leaf_worker import LeafWork
+from heatherdyke.leaf_work import GiveBack
+from heatherdyke.leaf_work import LeafWork
+from heatherdyke.leaf_work import ListedAs
+from heatherdyke.leaf_work import Submit
+from heatherdyke.leaf_work import Withdraw
+from heatherdyke.leaf_work import WorkerPolicy
 from heatherdyke.leaf_worker import LeafWorker
-from heatherdyke.leaf_worker import ListedAs
-from heatherdyke.leaf_worker import Submit
-from heatherdyke.leaf_worker import Withdraw
-from heatherdyke.leaf_worker import WorkerPolicy
 from heatherdyke.lease_terms import SHORT_WORK_S
+from heatherdyke.level_book import LeafLevel
+from heatherdyke.level_book import LevelBook
 from heatherdyke.mechanisms import Mechanism
 from heatherdyke.merge import merge_items
 from heatherdyke.messages import Item
@@ -36,8 +39,10 @@
 from heatherdyke.settings import Settings
 
 MEDIAN = 0.5
+MEDIAN_STEP = 0.1
 STATE_BY_REFUSAL = {
     "deadline": PartState.LATE,
+    "not_home": PartState.NOT_HOME,
     "snapshot_gone": PartState.SNAPSHOT_GONE,
     "shard_split": PartState.SPLIT,
 }
@@ -52,6 +57,7 @@
         config: ConfigView,
         members: MemberView,
         observer: SearchObserver,
+        levels: LevelBook,
         clock: Clock,
     ) -> None:
         self._settings = settings
@@ -59,10 +65,12 @@
         self._index = ConfigIndexCache(config)
         self._members = members
         self._observer = observer
+        self._levels = levels
         self._clock = clock
         self._worker_by_leaf: dict[str, LeafWorker] = {}
         self._tasks: set[asyncio.Task] = set()
-        self._median = LatencyQuantile(MEDIAN)
+        self._median = LatencyQuantile(MEDIAN, step=MEDIAN_STEP)
+        self._seen_usual = False
         self._works_by_request: dict[str, set[LeafWork]] = {}
 
     @property
@@ -75,6 +83,14 @@
         run_s = self._index.current().run_s_by_leaf.get(leaf_id, 0.0)
         return max(SHORT_WORK_S, run_s)
 
+    def levels(self) -> list[LeafLevel]:
+        """Return how warm the leaves are whose home this instance is."""
+        return [
+            LeafLevel(leaf, w.limit.level, w.limit.incarnation)
+            for leaf, w in self._worker_by_leaf.items()
+            if self._may_serve(leaf, w.config)
+        ]
+
     def leaves_at_work(self) -> set[str]:
         """Return the ids of leaves at which this instance has work."""
         return {leaf for leaf, w in self._worker_by_leaf.items() if w.running}
@@ -101,6 +117,7 @@
         report_at = self._clock.now() + group.report_after_ms / 1000
         try:
             done = await collector.collect(len(works), report_at)
+            self._give_back_movable(group, works)
             left = len(works) - len(done)
             yield self._report(group, refused, done, last=not left)
             while left:
@@ -114,6 +131,17 @@
             self._works_by_request.pop(group.request_id, None)
             self._withdraw(works)
 
+    def _give_back_movable(
+        self, group: PeerSearch, works: set[LeafWork]
+    ) -> None:
+        """Offer unsent parts that have another replica back."""
+        movable = {part.shard for part in group.parts if part.movable}
+        for work in works:
+            waits = work.outcome is None and not work.sent
+            if waits and work.question.shard in movable:
+                worker = self._worker_by_leaf[work.leaf_id]
+                worker.inbox.put_nowait(GiveBack(work))
+
     async def run_once(
         self, leaf_id: str, question: LeafRun, priority: int
     ) -> LeafRunAnswer | LeafRefusal:
@@ -209,14 +237,21 @@
     def _start_worker(self, leaf_id: str, config: LeafConfig) -> LeafWorker:
         uses = self._settings.uses
         limit = LeafLimit(
-            config.slots, config.cold_slots, uses(Mechanism.COLD_RAMP)
+            config.slots,
+            config.cold_slots,
+            config.cold_searches,
+            uses(Mechanism.COLD_RAMP),
         )
+        heard = self._levels.find(leaf_id, self._clock.now())
+        if heard is not None:
+            limit.resume(heard.level, heard.incarnation)
         policy = WorkerPolicy(
+            is_home=lambda: self._may_serve(leaf_id, config),
             slots_allowed=lambda work_s: self._slots_allowed(
                 leaf_id, config, work_s
             ),
             reference_s=lambda: self._median.value_s,
-            observe_latency=self._median.add,
+            observe_latency=self._observe_latency,
             silence_timeout=uses(Mechanism.SILENCE_TIMEOUT),
             match_parts=uses(Mechanism.PART_MATCH),
             heed_drain=uses(Mechanism.LEAF_DRAIN),
@@ -229,6 +264,12 @@
         task.add_done_callback(self._tasks.discard)
         return worker
 
+    def _observe_latency(self, took_s: float, usual: bool) -> None:
+        """Move the usual time by warm leaves, or by all until one is."""
+        self._seen_usual = self._seen_usual or usual
+        if usual or not self._seen_usual:
+            self._median.add(took_s)
+
     def _slots_allowed(
         self, leaf_id: str, config: LeafConfig, work_s: float
     ) -> int:
@@ -322,4 +363,6 @@
         asked=int(work.sent),
         draining=work.draining,
         load=work.load,
+        level=work.level,
+        incarnation=work.incarnation,
     )
--- a/heatherdyke_bench/experiment.py
+++ b/heatherdyke_bench/experiment.py
@@ -4,6 +4,7 @@
 import sys
 from collections.abc import Callable
 from dataclasses import dataclass
+from os import getloadavg
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from time import time
@@ -58,7 +59,9 @@
                 for profile in self.deployment.profiles()
             ]
             path = Path(directory)
-            fleet = Fleet(self.deployment, profiles, policy, path)
+            fleet = Fleet(
+                self.deployment, profiles, policy, path, self.scenario.proxied
+            )
             try:
                 await fleet.start()
                 return await self._measure(fleet, seed, path)
@@ -79,14 +82,11 @@
         records = await fleet.leaf_records()
         platform = await fleet.platform_record()
         arrived = arrived_requests(records)
-        equal_leaves = [
-            leaf
-            for leaf in fleet.leaf_by_name
+        zone_by_equal_leaf = {
+            leaf: profile.zone
+            for leaf, profile in fleet.profile_by_leaf.items()
             if leaf.rsplit(".", 2)[0] in self.deployment.small_services
-        ]
-        mixed = mixed_snapshots(records)
-        if mixed:
-            sys.stderr.write(f"{mixed} requests mixed snapshots\n")
+        }
         return RunReport(
             scenario=self.scenario.name,
             deployment=self.deployment.name,
@@ -97,7 +97,7 @@
                     result.by_phase[phase.name],
                     totals[number],
                     totals[number + 1],
-                    equal_leaves,
+                    zone_by_equal_leaf,
                     arrived,
                 )
                 for number, phase in enumerate(self.scenario.phases)
@@ -106,6 +106,8 @@
             platform_calls=platform.calls_by_kind,
             watches_waiting_max=platform.watches_waiting_max,
             cold_s_max=LeafTotals.from_records(records).cold_s_max,
+            mixed_requests=mixed_snapshots(records),
+            load_average=getloadavg()[0],
         )
 
     def _load_plan(
