Let an instance of another zone stand in for a zone without one

Now the reader of another zone joins the roster of a zone whose members are all proven gone, by the same conditional update and under the same lease, and leaves it once an instance of the zone is there. Ruled out: plain rendezvous over all zones, which knows no lease and so could send beside a former home. A zone whose instances are only cut off gets no stand-in. Test: killed, back at coverage 1.0, over slots 0. The demo asks for whole coverage, so that its test does not depend on load.

--- a/heatherdyke/demo.py
+++ b/heatherdyke/demo.py
@@ -192,7 +192,7 @@
             )
             for leaf_id, leaf in leaves.items()
         },
-        urgency={"foreman": UrgencyConfig(1, 1000, 0.95)},
+        urgency={"foreman": UrgencyConfig(1, 5000, 1.0)},
         key_hashes=[hash_key(KEY)],
     )
 
--- a/heatherdyke/instance.py
+++ b/heatherdyke/instance.py
@@ -254,6 +254,7 @@
         """Let the parts hear of each other."""
         self.members.config = self.config
         self.config.set_reader(lambda: self._find_reader() is None)
+        self.members.rosters.zones_in_use = self._zones_in_use
         self.members.leaves_at_work = self.home.leaves_at_work
         self.members.core.longest_work_s = self.home.longest_work_s
 
@@ -289,11 +290,16 @@
         zones = {member.zone for member in self.members.members()}
         if not zones:
             return False
-        leaf_by_id = self.entry.index.current().leaf_by_id
-        wanted = {leaf.zone for leaf in leaf_by_id.values()}
+        wanted = self._zones_in_use()
         waited_s = self._clock.now() - self._started_at
         return wanted <= zones or waited_s > ZONE_WAIT_S
 
+    def _zones_in_use(self) -> set[str]:
+        """Return the zones that have leaves and are not taken out."""
+        leaf_by_id = self.entry.index.current().leaf_by_id
+        zones = {leaf.zone for leaf in leaf_by_id.values()}
+        return {z for z in zones if not self.config.zone_is_out(z)}
+
     def _known(self) -> list[KnownInstance]:
         return [
             KnownInstance(member.name, member.zone, member.address)
--- a/heatherdyke/member_core.py
+++ b/heatherdyke/member_core.py
@@ -74,6 +74,16 @@
 
     # Commands
 
+    def offer_to_stand_in(self, zones: set[str]) -> None:
+        """Let this instance join the rosters of zones without instances.
+
+        Only the reader of an instance's own zone does, so that few
+        instances contend for a roster.
+        """
+        is_reader = self.membership(self.me.zone).is_reader()
+        for zone in zones - {self.me.zone}:
+            self.membership(zone).may_stand_in = is_reader
+
     def adopt(self, versioned: VersionedRoster, now: float) -> bool:
         """Take over a roster if it is newer; return whether it was."""
         lease = self.lease(versioned.roster.zone)
--- a/heatherdyke/member_task.py
+++ b/heatherdyke/member_task.py
@@ -89,7 +89,7 @@
             terms,
             guard=settings.uses(Mechanism.HOME_LEASE),
         )
-        self._rosters = RosterTask(
+        self.rosters = RosterTask(
             self.core,
             platform,
             journal,
@@ -176,7 +176,7 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._receive(self.udp))
                 group.create_task(self._tick_forever(self.udp))
-                group.create_task(self._rosters.run())
+                group.create_task(self.rosters.run())
         finally:
             self.udp.close()
 
@@ -186,7 +186,7 @@
         Gives up after some leases; a platform outage may prevent it.
         """
         self.core.begin_leaving()
-        self._rosters.wake()
+        self.rosters.wake()
         wait_s = RELEASE_WAIT_LEASES * self._settings.lease_s
         until = self._clock.now() + wait_s
         while self._stands_in_roster() and self._clock.now() < until:
@@ -334,7 +334,7 @@
             self._journal.record(
                 MEMBER_GONE, incarnation=proof.incarnation, proof=how
             )
-            self._rosters.wake()
+            self.rosters.wake()
 
     async def _fetch(self, address: str, zone: str) -> None:
         versioned = await fetch_roster(address, zone)
--- a/heatherdyke/membership.py
+++ b/heatherdyke/membership.py
@@ -45,6 +45,7 @@
         self.lease = lease
         self.interval_s = interval_s
         self.leaving = False
+        self.may_stand_in = False
         self._peer_by_incarnation: dict[str, _Peer] = {}
 
     # Commands
@@ -95,6 +96,18 @@
         """Tell whether this instance stands in the roster."""
         return self.me in self.lease.roster.members
 
+    @property
+    def needs_stand_in(self) -> bool:
+        """Tell whether no instance is left to be home of the zone's leaves.
+
+        A member that is only suspected counts as left, because it may be
+        cut off from here and still serve.
+        """
+        return all(
+            self.lease.is_gone(member.incarnation)
+            for member in self.lease.roster.members
+        )
+
     def targets(self) -> list[Member]:
         """Return whom to send a heartbeat that asks for an answer."""
         others = [
@@ -186,11 +199,28 @@
             and self._heard_lately(peer, now)
             and not self.lease.is_gone(peer.member.incarnation)
         ]
-        if not self.leaving and self.me.zone == self.zone:
+        if not self.leaving and self._belongs(joining):
             joining.append(self.me)
         fresh = [member for member in joining if self._has_place(member)]
         return sorted(fresh, key=lambda member: member.name)
 
+    def _belongs(self, joining: list[Member]) -> bool:
+        """Tell whether this instance should stand in the roster.
+
+        One of another zone does while the zone has no instance of its own.
+        """
+        if self.me.zone == self.zone:
+            return True
+        if joining or self._has_own_instance():
+            return False
+        return self.is_member or (self.may_stand_in and self.needs_stand_in)
+
+    def _has_own_instance(self) -> bool:
+        return any(
+            member.zone == self.zone and not self._should_leave(member)
+            for member in self.lease.roster.members
+        )
+
     def _has_place(self, joining: Member) -> bool:
         """Tell whether no live member stands under the name."""
         for member in self.lease.roster.members:
@@ -207,7 +237,7 @@
 
     def _should_leave(self, member: Member) -> bool:
         if member.incarnation == self.me.incarnation:
-            return self.leaving
+            return self.leaving or self._is_replaced()
         if self.lease.is_gone(member.incarnation):
             return True
         peer = self._peer_by_incarnation.get(member.incarnation)
@@ -217,6 +247,10 @@
             return True
         return peer.probe_failed and self._is_suspect(member.incarnation)
 
+    def _is_replaced(self) -> bool:
+        """Tell whether an instance of the zone has joined a stand-in."""
+        return self.me.zone != self.zone and self._has_own_instance()
+
     def _is_suspect(self, incarnation: str) -> bool:
         peer = self._peer_by_incarnation.get(incarnation)
         return peer is not None and peer.unanswered >= UNANSWERED_TO_SUSPECT
--- a/heatherdyke/roster_task.py
+++ b/heatherdyke/roster_task.py
@@ -1,6 +1,7 @@
 """Reads and changes the rosters in the platform, at a bounded rate."""
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 
@@ -13,6 +14,7 @@
 from heatherdyke.member_core import MemberCore
 from heatherdyke.member_messages import Roster
 from heatherdyke.member_messages import VersionedRoster
+from heatherdyke.membership import Membership
 from heatherdyke.platform_client import PlatformClient
 from heatherdyke.platform_client import convert_value
 
@@ -25,7 +27,9 @@
     """Confirms the own zone's roster and changes it when it has to.
 
     The zone's reader confirms it each interval; another instance only when
-    its own confirmation is older than half the lease.
+    its own confirmation is older than half the lease.  ``zones_in_use``
+    returns the zones with leaves, for which it stands in if they have no
+    instance; the instance sets it before the task runs.
     """
 
     def __init__(
@@ -43,6 +47,7 @@
         self._clock = clock
         self._interval_s = interval_s
         self._lease_s = lease_s
+        self.zones_in_use: Callable[[], set[str]] = set
         self._wake = asyncio.Event()
         self._changed_at = float("-inf")
         self._listed_at = float("-inf")
@@ -68,6 +73,7 @@
 
     async def _work(self) -> None:
         now = self._clock.now()
+        self._core.offer_to_stand_in(self.zones_in_use())
         own = self._core.membership(self._core.me.zone)
         if now - self._listed_at >= self._list_interval_s() and (
             own.is_reader() or not own.lease.version
@@ -81,13 +87,18 @@
         now = self._clock.now()
         zones = []
         for zone, membership in self._core.membership_by_zone.items():
-            if zone != self._core.me.zone and not membership.is_member:
+            if not self._concerns(zone, membership):
                 continue
             age_s = now - membership.lease.confirmed_at
             if membership.is_reader() or age_s > self._lease_s / 2:
                 zones.append(zone)
         return zones
 
+    def _concerns(self, zone: str, membership: Membership) -> bool:
+        if zone == self._core.me.zone or membership.is_member:
+            return True
+        return membership.may_stand_in and membership.needs_stand_in
+
     def _list_interval_s(self) -> float:
         """Return when to list all rosters again, longer if they are long.
 
--- a/tests/test_proof_servers.py
+++ b/tests/test_proof_servers.py
@@ -14,6 +14,7 @@
 from heatherdyke_bench.admin import set_faults
 from tests.small_fleet import Callers
 from tests.small_fleet import latest_records
+from tests.small_fleet import small_deployment
 from tests.small_fleet import start_fleet
 from tests.small_fleet import wait_until
 
@@ -123,3 +124,30 @@
         kinds = {error.problem.kind for error in outcomes.refused}
         assert kinds <= {"shutting_down"}
         assert not outcomes.wrong_answers()
+
+
+class TestZoneWithoutInstance:
+    def test_is_served_by_a_stand_in_until_one_is_back(self, tmp_path):
+        async def lose_zone():
+            deployment = small_deployment(services=3, replicas=1)
+            async with start_fleet(tmp_path, deployment=deployment) as fleet:
+                lost, *others = fleet.instance_by_name
+                async with Callers(fleet) as callers:
+                    callers.start(2, others)
+                    answers = callers.outcomes.answers
+                    await callers.wait_for_answers(20)
+                    await fleet.find_instance(lost).stop(signal.SIGKILL)
+                    await wait_until(
+                        lambda: answers[-1][1].coverage_share < 1.0
+                    )
+                    await wait_until(
+                        lambda: answers[-1][1].coverage_share == 1.0
+                    )
+                    await fleet.start_instance(lost)
+                    await callers.wait_for_answers(200)
+                    await callers.stop()
+                    return answers, await latest_records(fleet)
+
+        answers, records = asyncio.run(lose_zone())
+        assert all(a.coverage_share == 1.0 for _, a in answers[-50:])
+        assert sum(record.over_slots for record in records.values()) == 0
