--- a/heatherdyke/config_model.py
+++ b/heatherdyke/config_model.py
@@ -6,10 +6,24 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from enum import Enum
 
 import msgspec
 
 
+class RunOnceMode(Enum):
+    """How a service takes requests that run at most once.
+
+    RECORDED keeps a record and the result in the platform, so that both
+    outlive the instance; TICKET binds the request to one incarnation of
+    one instance and needs no platform call.
+    """
+
+    NONE = "none"
+    RECORDED = "recorded"
+    TICKET = "ticket"
+
+
 @dataclass(frozen=True, slots=True)
 class LeafConfig:
     """One leaf: where it is and what its backend server bears.
@@ -42,7 +56,7 @@
 
     index: str
     shards: dict[str, ShardConfig]
-    run_once: bool = False
+    run_once: RunOnceMode = RunOnceMode.NONE
     run_deadline_ms: int = 30000
 
 
--- a/heatherdyke/leaf_worker.py
+++ b/heatherdyke/leaf_worker.py
@@ -29,6 +29,8 @@
 from heatherdyke.leaf_work import Wake
 from heatherdyke.leaf_work import Withdraw
 from heatherdyke.leaf_work import WorkerPolicy
+from heatherdyke.leaf_work import refuse
+from heatherdyke.lease_terms import SHORT_WORK_S
 from heatherdyke.messages import LeafAnswer
 from heatherdyke.messages import LeafRefusal
 from heatherdyke.messages import LeafRun
@@ -39,10 +41,15 @@
 MAX_OPENING = 2
 REOPEN_DELAY_S = 0.2
 MOVE_LOAD = 2.0
+AGEING_S = 1.0
 
 
 class LeafWorker:
-    """Sends work to one leaf within its limit, most urgent first."""
+    """Sends work to one leaf within its limit, most urgent first.
+
+    A step of priority is worth AGEING_S of waiting, so that less urgent
+    work is overtaken for a bounded time only.
+    """
 
     __slots__ = (
         "leaf_id",
@@ -78,7 +85,7 @@
         self.inbox: asyncio.Queue = asyncio.Queue()
         self._policy = policy
         self._clock = clock
-        self._queue: list[tuple[int, int, LeafWork]] = []
+        self._queue: list[tuple[float, int, LeafWork]] = []
         self._sequence = 0
         self._connection_by_work: dict[LeafWork, ConnectionTask] = {}
         self._cancels: set[asyncio.Task] = set()
@@ -141,7 +148,8 @@
             self._refuse(work, "draining")
             return
         self._sequence += 1
-        heappush(self._queue, (work.priority, self._sequence, work))
+        place = work.submitted_at + work.priority * AGEING_S
+        heappush(self._queue, (place, self._sequence, work))
 
     def _withdraw(self, work: LeafWork) -> None:
         """Drop the work, but let a cold leaf do it: that warms it."""
@@ -216,7 +224,7 @@
                 heappop(self._queue)
                 self._refuse(work, "deadline")
                 continue
-            allowed = self._policy.slots_allowed(work.expires_at - now)
+            allowed = self._policy.slots_allowed(_work_s(work, now))
             if not allowed and isinstance(work.question, LeafSearch):
                 self._refuse_queued("handing_over")
                 break
@@ -230,7 +238,7 @@
         self._wake_later(now)
 
     def _send(self, work: LeafWork, now: float) -> None:
-        remaining_ms = (work.expires_at - now) * 1000
+        remaining_ms = _work_s(work, now) * 1000
         work.question = _with_remaining(work.question, remaining_ms)
         work.sent = True
         work.started_at = now
@@ -323,14 +331,14 @@
             self._refuse(work, kind)
 
     def _refuse(self, work: LeafWork, kind: str) -> None:
-        work.outcome = LeafRefusal(
-            work.question.request_id, work.question.shard, kind
-        )
+        work.outcome = refuse(work, kind)
         self._deliver(work)
 
     def _deliver(self, work: LeafWork) -> None:
         work.took_s = self._clock.now() - work.submitted_at
         work.load = self.load
+        work.level = self.limit.level
+        work.incarnation = self.limit.incarnation
         work.draining = self._draining
         work.deliver(work)
 
@@ -373,6 +381,18 @@
         )
 
 
+def _work_s(work: LeafWork, now: float) -> float:
+    """Return how long the work may last at the leaf if sent now.
+
+    A search gets no more than short work may last, whatever its deadline,
+    so that it need not be waited for when the leaf's home moves.
+    """
+    remaining_s = work.expires_at - now
+    if isinstance(work.question, LeafSearch):
+        return min(remaining_s, SHORT_WORK_S)
+    return remaining_s
+
+
 def _with_remaining(
     question: LeafSearch | LeafRun, remaining_ms: float
 ) -> LeafSearch | LeafRun:
--- a/heatherdyke/messages.py
+++ b/heatherdyke/messages.py
@@ -123,7 +123,8 @@
     ``children`` names the shards that a split made of this one, ``asked``
     counts the searches sent to the leaf, ``leaf_ms`` is the time from
     submission to the answer, and ``load`` the work at the leaf's home
-    over what the home may send at once.
+    over what the home may send at once, which is ``level`` for the leaf's
+    ``incarnation``.
     """
 
     shard: str
@@ -136,6 +137,8 @@
     asked: int = 0
     draining: bool = False
     load: float = 0.0
+    level: int = 0
+    incarnation: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,7 +194,7 @@
     """Why a leaf did not do the work.
 
     ``kind`` is one of shed, draining, deadline, snapshot_gone, shard_split,
-    unknown_shard, cancelled.
+    unknown_shard, cancelled; the leaf's home adds not_sent and not_home.
     """
 
     request_id: str
@@ -294,3 +297,75 @@
 
     current: int
     held: list[int] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class RunRequest:
+    """A caller's request that runs at most once, under a key.
+
+    Without ``shard`` the argument's hash chooses one of the service's.
+    """
+
+    service: str
+    operation: str
+    argument: str
+    shard: str | None = None
+    deadline_ms: int | None = None
+    urgency: str = "default"
+
+
+class RunOutcomeState(Enum):
+    """What is known of a run; all but ``running`` are final."""
+
+    RUNNING = "running"
+    DONE = "done"
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+
+
+@dataclass(frozen=True, slots=True)
+class RunOutcome:
+    """The outcome under a key, with the result if it is done."""
+
+    key: str
+    state: RunOutcomeState
+    result: str | None = None
+    detail: str = ""
+    instance: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class RunTickets:
+    """Unused tickets of one incarnation of an instance, as keys."""
+
+    tickets: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class PeerRunOnce:
+    """A question to the holder of a key.
+
+    ``attempt`` names the holder's attempt, for a recorded key; ``intent``
+    is one of run, look, withdraw.
+    """
+
+    team: str
+    key: str
+    attempt: str
+    intent: str
+    priority: int
+    remaining_ms: float
+    fingerprint: str = ""
+    request: RunRequest | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class PeerRunOnceOutcome:
+    """The holder's answer; ``phase`` is a run_once.RunPhase's value.
+
+    An empty ``phase`` means that the asked instance is not the holder.
+    """
+
+    phase: str = ""
+    result: str | None = None
+    detail: str = ""
