--- a/heatherdyke/observe_client.py
+++ b/heatherdyke/observe_client.py
@@ -10,16 +10,13 @@
 from msgspec import DecodeError
 
 from heatherdyke.codec import decode
-from heatherdyke.config_model import ROSTER_PREFIX
 from heatherdyke.errors import HeatherdykeError
 from heatherdyke.errors import NoInstanceReachable
 from heatherdyke.errors import TransportError
 from heatherdyke.http_connection import HttpConnection
-from heatherdyke.member_messages import Roster
-from heatherdyke.messages import InstanceKind
+from heatherdyke.instance_listing import list_instances
 from heatherdyke.observe_component import KnownInstance
 from heatherdyke.platform_client import PlatformClient
-from heatherdyke.platform_client import convert_value
 
 T = TypeVar("T")
 
@@ -116,17 +113,4 @@
 
 
 async def _ask_platform(address: str) -> list[KnownInstance]:
-    """Return the instances of the list, which lags, and of the rosters."""
-    platform = PlatformClient(address, TIMEOUT_S)
-    known = [
-        KnownInstance(row.name, row.zone, row.address)
-        for row in await platform.instances()
-        if row.kind is InstanceKind.ENTRY
-    ]
-    for stored in await platform.list(ROSTER_PREFIX):
-        roster = convert_value(stored, Roster)
-        known.extend(
-            KnownInstance(member.name, member.zone, member.address)
-            for member in roster.members
-        )
-    return known
+    return await list_instances(PlatformClient(address, TIMEOUT_S))
