--- a/heatherdyke/config_commands.py
+++ b/heatherdyke/config_commands.py
@@ -25,12 +25,12 @@
 from heatherdyke.config_model import SectionConfig
 from heatherdyke.config_wait import InstanceProgress
 from heatherdyke.config_wait import Judge
-from heatherdyke.config_wait import list_instances
 from heatherdyke.config_wait import wait_in_force
 from heatherdyke.edit_retry import EditRetry
 from heatherdyke.errors import ConfigError
 from heatherdyke.errors import LaggingRead
 from heatherdyke.errors import PlatformUnavailable
+from heatherdyke.instance_listing import list_instances
 from heatherdyke.platform_client import PlatformClient
 from heatherdyke.zone_apply import ZoneEdit
 from heatherdyke.zone_apply import apply_zone_edit
