--- a/heatherdyke/component.py
+++ b/heatherdyke/component.py
@@ -28,6 +28,10 @@
     def document(self) -> ConfigDocument:
         """Return the configuration in force."""
 
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether new work may start on the configuration held."""
+
     def zone_is_out(self, zone: str) -> bool:
         """Tell whether operators have taken the zone out."""
 
--- a/heatherdyke/home.py
+++ b/heatherdyke/home.py
@@ -210,12 +210,16 @@
 
     def _may_serve(self, leaf_id: str, config: LeafConfig) -> bool:
         uses = self._settings.uses
-        if uses(Mechanism.ZONE_OUT) and self._config.zone_is_out(config.zone):
+        if uses(Mechanism.ZONE_OUT) and self._may_be_out(config.zone):
             return False
         if not uses(Mechanism.HOME_ROUTING):
             return True
         return self._members.is_home(leaf_id, config.zone)
 
+    def _may_be_out(self, zone: str) -> bool:
+        """Tell whether the zone is out, or may be since a pause."""
+        return self._config.zone_is_out(zone) or not self._config.is_settled
+
     def _start_worker(self, leaf_id: str, config: LeafConfig) -> LeafWorker:
         uses = self._settings.uses
         limit = LeafLimit(
--- a/heatherdyke/instance.py
+++ b/heatherdyke/instance.py
@@ -180,6 +180,7 @@
     def _connect(self) -> None:
         """Let the parts hear of each other."""
         self.members.config = self.config
+        self.config.set_reader(lambda: self._find_reader() is None)
         self.members.leaves_at_work = self.home.leaves_at_work
 
     def _find_reader(self) -> str | None:
@@ -190,7 +191,8 @@
 
     def _health(self) -> HealthState:
         return HealthState(
-            config_known=self.config.document.version > 0,
+            config_known=self.config.has_config
+            and self.config.document.version > 0,
             members_known=self._members_known(),
             leaving=self.gate.leaving,
             zone_out=self.config.zone_is_out(self.settings.zone),
--- /dev/null
+++ b/heatherdyke_bench/config_delay.py
@@ -0,0 +1,205 @@
+"""Measures how soon edits and zone changes are in force on all instances.
+
+Run ``python -m heatherdyke_bench.config_delay --edits 100 --instances 7``.
+"""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import asdict
+from dataclasses import dataclass
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+from statistics import quantiles
+from tempfile import TemporaryDirectory
+from time import monotonic
+from typing import Annotated
+
+import typer
+
+from heatherdyke.caller_client import CallerClient
+from heatherdyke.config_api import ConfigStatus
+from heatherdyke.config_commands import apply_section
+from heatherdyke.config_commands import change_zone_state
+from heatherdyke.config_commands import show_document
+from heatherdyke.config_model import UrgencyConfig
+from heatherdyke.config_wait import ask_status
+from heatherdyke.errors import HeatherdykeError
+from heatherdyke.messages import SearchRequest
+from heatherdyke.zone_state import ZoneService
+from heatherdyke_bench.deployments import Deployment
+from heatherdyke_bench.deployments import LeafKind
+from heatherdyke_bench.deployments import LoadClass
+from heatherdyke_bench.deployments import ServicePlan
+from heatherdyke_bench.deployments import key_of
+from heatherdyke_bench.fleet import Fleet
+from heatherdyke_bench.fleet import Policy
+
+TEAM = "permits"
+ZONES = ["brescia", "bergamo", "verona"]
+URGENCY = LoadClass("foreman", TEAM, 1, 1.0, 2000, 0.0, 0, 10)
+ASK_AGAIN_S = 0.005
+IN_FORCE_TIMEOUT_S = 30.0
+EDIT_PAUSE_S = 0.5
+WATCH_LEAVES_S = 4.0
+CALLERS = 6
+
+
+@dataclass(frozen=True, slots=True)
+class DelayReport:
+    """Seconds from acceptance; ``last_new_work_s`` is of a zone's leaves."""
+
+    edits: int
+    instances: int
+    p50_s: float
+    p99_s: float
+    max_s: float
+    last_new_work_s: float
+
+
+def delay_deployment(instances: int) -> Deployment:
+    """Return 8 services, each with a leaf in two of three zones."""
+    names = [f"permits{number:02d}" for number in range(8)]
+    kind = LeafKind(3, 30, 1.0)
+    plan = ServicePlan(TEAM, names, TEAM, 1, 2, kind)
+    return Deployment("delay", ZONES, instances, [plan], [URGENCY])
+
+
+@asynccontextmanager
+async def start_fleet(
+    instances: int, directory: Path, disable: str = ""
+) -> AsyncIterator[Fleet]:
+    """Run a fleet of ``delay_deployment`` as processes."""
+    deployment = delay_deployment(instances)
+    profiles = [replace(p, service_ms=2.0) for p in deployment.profiles()]
+    policy = Policy("delay", disable)
+    fleet = Fleet(deployment, profiles, policy, directory)
+    try:
+        await fleet.start()
+        yield fleet
+    finally:
+        await fleet.stop()
+
+
+async def edit_section(fleet: Fleet, number: int) -> int:
+    """Apply an edit that changes one number; return its version."""
+    platform = fleet.platform_client()
+    (shown,) = (await show_document(platform, TEAM)).sections
+    urgency = shown.section.urgency | {"edited": UrgencyConfig(9, number)}
+    section = replace(shown.section, urgency=urgency)
+    acceptance = await apply_section(platform, TEAM, section, "bench")
+    return acceptance.version
+
+
+async def wait_for_version(address: str, version: int) -> ConfigStatus:
+    """Return the instance's status once ``version`` is in force there."""
+    async with asyncio.timeout(IN_FORCE_TIMEOUT_S):
+        while True:
+            status = await ask_status(address)
+            if status.config_version >= version:
+                return status
+            await asyncio.sleep(ASK_AGAIN_S)
+
+
+async def measure_edits(fleet: Fleet, count: int, seed: int) -> list[float]:
+    """Return, for each edit, the delay until the last instance has it."""
+    random = Random(seed)  # noqa: S311
+    delays = []
+    for number in range(1, count + 1):
+        await asyncio.sleep(random.uniform(0, EDIT_PAUSE_S))
+        version = await edit_section(fleet, number)
+        accepted_at = monotonic()
+        await asyncio.gather(
+            *(
+                wait_for_version(process.address, version)
+                for process in fleet.instance_by_name.values()
+            )
+        )
+        delays.append(monotonic() - accepted_at)
+    return delays
+
+
+async def measure_zone_out(fleet: Fleet, zone: str) -> float:
+    """Return when the zone's leaves last got new work after the command.
+
+    The leaves' own records tell; callers search all the time.
+    """
+    callers = [
+        asyncio.create_task(_search_forever(fleet, number))
+        for number in range(CALLERS)
+    ]
+    try:
+        await asyncio.sleep(1.0)
+        platform = fleet.platform_client()
+        await change_zone_state(platform, zone, ZoneService.OUT, "bench")
+        return await _find_last_new_work(fleet, zone)
+    finally:
+        for caller in callers:
+            caller.cancel()
+        await asyncio.gather(*callers, return_exceptions=True)
+
+
+async def count_zone_work(fleet: Fleet, zone: str) -> int:
+    """Return the searches that have arrived at the zone's leaves."""
+    records = await fleet.leaf_records()
+    return sum(
+        incarnation.searches
+        for leaf, record in records.items()
+        if fleet.profile_by_leaf[leaf].zone == zone
+        for incarnation in record.incarnations
+    )
+
+
+async def _find_last_new_work(fleet: Fleet, zone: str) -> float:
+    started_at = monotonic()
+    last_s = 0.0
+    before = await count_zone_work(fleet, zone)
+    while monotonic() - started_at < WATCH_LEAVES_S:
+        await asyncio.sleep(ASK_AGAIN_S)
+        seen_s = monotonic() - started_at
+        now = await count_zone_work(fleet, zone)
+        if now > before:
+            before, last_s = now, seen_s
+    return last_s
+
+
+async def _search_forever(fleet: Fleet, number: int) -> None:
+    names = sorted(fleet.instance_by_name)
+    address = fleet.instance_by_name[names[number % len(names)]].address
+    client = CallerClient(address, key_of(TEAM))
+    while True:
+        request = SearchRequest(
+            fleet.deployment.small_services, f"q{number}", URGENCY.name
+        )
+        try:
+            await client.search(request)
+        except HeatherdykeError:
+            await asyncio.sleep(ASK_AGAIN_S)
+
+
+async def measure(edits: int, instances: int, seed: int) -> DelayReport:
+    """Measure both delays on one fleet."""
+    with TemporaryDirectory() as directory:
+        async with start_fleet(instances, Path(directory)) as fleet:
+            delays = await measure_edits(fleet, edits, seed)
+            last_s = await measure_zone_out(fleet, ZONES[0])
+    cuts = quantiles(delays, n=100, method="inclusive")
+    return DelayReport(
+        edits, instances, cuts[49], cuts[98], max(delays), last_s
+    )
+
+
+def main(
+    edits: Annotated[int, typer.Option(help="Edits to apply.")] = 100,
+    instances: Annotated[int, typer.Option(help="Instances.")] = 7,
+    seed: Annotated[int, typer.Option(help="Seed of the pauses.")] = 1,
+) -> None:
+    """Print the delays as JSON."""
+    report = asyncio.run(measure(edits, instances, seed))
+    typer.echo(json.dumps(asdict(report)))
+
+
+if __name__ == "__main__":
+    typer.run(main)
