--- a/heatherdyke/config_sync.py
+++ b/heatherdyke/config_sync.py
@@ -206,7 +206,6 @@
             return
         self._note_platform()
         self._apply(delta, "platform")
-        self.has_heard = True
 
     async def _learn_instances(self) -> None:
         try:
@@ -232,6 +231,7 @@
     def _note_platform(self, error: PlatformError | None = None) -> None:
         if error is None:
             self.platform_read_at = self._clock.now()
+            self.has_heard = True
         lost = error is not None
         if lost == self._platform_lost:
             return
--- /dev/null
+++ b/tests/test_config_check.py
@@ -0,0 +1,107 @@
+"""Sections are checked offline, as a whole, and every fault is told."""
+
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from heatherdyke.config_check import check_document
+from heatherdyke.config_check import check_section
+from heatherdyke.config_commands import check_files
+from heatherdyke.config_commands import section_schema
+from heatherdyke.config_diff import diff_sections
+from heatherdyke.config_file import load_section
+from heatherdyke.config_model import ConfigDocument
+from heatherdyke.config_model import LeafConfig
+from heatherdyke.config_model import SectionConfig
+from heatherdyke.errors import ConfigFileError
+
+DOCS = Path(__file__).parent.parent / "docs"
+
+FAULTY = """
+team: permits
+typo: 1
+leaves:
+  a: {address: "localhost:80", zone: brescia, slots: 0, connections: x}
+  a: {address: "127.0.0.1:80", zone: brescia, slots: 0, connections: x}
+services:
+  search:
+    index: ledger
+    shards:
+      s0: {leaves: [a, b, a], weight: -1}
+urgency:
+  foreman: {priority: 1, wanted_coverage: 2.0}
+key_hashes: [secret]
+"""
+
+
+class TestCheck:
+    def test_every_fault_is_told_at_once(self, tmp_path):
+        path = tmp_path / "permits.yaml"
+        path.write_text(FAULTY)
+        _, faults = load_section(path)
+        assert {(f.path, f.rule) for f in faults} == {
+            ("line 6", "repeated-key"),
+            ("typo", "unknown-field"),
+            ("leaves.a.slots", "positive-number"),
+            ("leaves.a.cold_slots", "cold-slots"),
+            ("leaves.a.connections", "type"),
+            ("services.search.shards.s0.leaves.1", "shard-leaves"),
+            ("services.search.shards.s0.leaves.2", "shard-leaves"),
+            ("services.search.shards.s0.weight", "positive-number"),
+            ("urgency.foreman.wanted_coverage", "urgency-class"),
+            ("key_hashes.0", "key-hash"),
+        }
+        assert all(fault.remedy for fault in faults)
+
+    @pytest.mark.parametrize("value", [None, [], "text", {"team": 3}])
+    def test_other_data_is_a_fault_and_no_crash(self, value):
+        assert check_section(value)
+
+    def test_file_that_is_no_yaml_is_told(self, tmp_path):
+        path = tmp_path / "broken.yaml"
+        path.write_text("a: [")
+        with pytest.raises(ConfigFileError):
+            load_section(path)
+
+    def test_ids_are_unique_over_teams(self):
+        leaf = LeafConfig("127.0.0.1:1", "z", 1, 1)
+        sections = {
+            team: SectionConfig(team, leaves={"a": leaf}, key_hashes=["k"])
+            for team in ("billing", "permits")
+        }
+        faults = check_document(ConfigDocument(1, sections))
+        assert {(f.team, f.rule) for f in faults} == {
+            ("permits", "leaf-unique"),
+            ("permits", "address-unique"),
+            ("permits", "key-unique"),
+        }
+
+
+class TestDiff:
+    def test_paths_are_named(self):
+        before = SectionConfig("a", readers=["b"])
+        after = SectionConfig(
+            "a", leaves={"x": LeafConfig("127.0.0.1:1", "z", 1, 1)}
+        )
+        changes = [str(change) for change in diff_sections(before, after)]
+        assert changes[0].startswith("+ leaves.x = ")
+        assert changes[1] == "~ readers = ['b'] -> []"
+
+
+class TestDocs:
+    def test_schema_matches_the_types(self):
+        assert (DOCS / "section.schema.json").read_bytes() == section_schema()
+
+    def test_examples_have_no_faults(self):
+        paths = sorted((DOCS / "examples").glob("*.yaml"))
+        assert len(paths) > 1
+        assert check_files(paths) == []
+
+    def test_schema_names_every_field(self):
+        schema = msgspec.json.decode(section_schema())
+        section = schema["$defs"]["SectionConfig"]["properties"]
+        fields = {
+            f.name for f in msgspec.inspect.type_info(SectionConfig).fields
+        }
+        assert set(section) == fields
