--- a/heatherdyke_bench/config_delay.py
+++ b/heatherdyke_bench/config_delay.py
@@ -34,6 +34,7 @@
 from heatherdyke_bench.deployments import LoadClass
 from heatherdyke_bench.deployments import ServicePlan
 from heatherdyke_bench.deployments import key_of
+from heatherdyke_bench.errors import FleetError
 from heatherdyke_bench.fleet import Fleet
 from heatherdyke_bench.fleet import Policy
 
@@ -44,6 +45,7 @@
 IN_FORCE_TIMEOUT_S = 30.0
 EDIT_PAUSE_S = 0.5
 WATCH_LEAVES_S = 4.0
+LOAD_BEFORE_S = 1.0
 CALLERS = 6
 
 
@@ -131,7 +133,12 @@
         for number in range(CALLERS)
     ]
     try:
-        await asyncio.sleep(1.0)
+        await asyncio.sleep(LOAD_BEFORE_S)
+        if not await count_zone_work(fleet, zone):
+            raise FleetError(
+                f"the leaves of {zone} got no work before it was taken out",
+                "read the instances' logs",
+            )
         platform = fleet.platform_client()
         await change_zone_state(platform, zone, ZoneService.OUT, "bench")
         return await _find_last_new_work(fleet, zone)
