--- a/heatherdyke/cli.py
+++ b/heatherdyke/cli.py
@@ -12,6 +12,7 @@
 from heatherdyke.cli_observe import timeline
 from heatherdyke.cli_standin import app as standin
 from heatherdyke.cli_zone import zone_app
+from heatherdyke.cli_usage import usage
 from heatherdyke.errors import HeatherdykeError
 from heatherdyke.settings import Settings
 
@@ -145,6 +146,7 @@
 
 app.command()(timeline)
 app.command()(stats)
+app.command()(usage)
 app.add_typer(standin)
 app.add_typer(config_app)
 app.add_typer(zone_app)
