--- a/heatherdyke/cli.py
+++ b/heatherdyke/cli.py
@@ -11,8 +11,8 @@
 from heatherdyke.cli_observe import stats
 from heatherdyke.cli_observe import timeline
 from heatherdyke.cli_standin import app as standin
-from heatherdyke.cli_zone import zone_app
 from heatherdyke.cli_usage import usage
+from heatherdyke.cli_zone import zone_app
 from heatherdyke.errors import HeatherdykeError
 from heatherdyke.settings import Settings
 
