--- a/heatherdyke/config_rules.py
+++ b/heatherdyke/config_rules.py
@@ -13,6 +13,7 @@
 
 from heatherdyke.codec import encode
 from heatherdyke.config_model import ConfigDocument
+from heatherdyke.config_model import RunOnceMode
 from heatherdyke.config_model import SectionConfig
 from heatherdyke.registry import Registry
 from heatherdyke.settings import split_address
@@ -85,7 +86,7 @@
 
 def _positive_numbers(section: SectionConfig) -> Iterator[tuple[str, float]]:
     for leaf_id, leaf in section.leaves.items():
-        for name in ("slots", "connections", "cold_slots"):
+        for name in ("slots", "connections", "cold_slots", "cold_searches"):
             yield f"leaves.{leaf_id}.{name}", getattr(leaf, name)
     for name, service in section.services.items():
         yield f"services.{name}.run_deadline_ms", service.run_deadline_ms
@@ -134,6 +135,30 @@
             yield Breach(place, leaf_id, "name each replica once")
 
 
+@section_rules.register("run-once-index")
+def _check_run_once(section: SectionConfig) -> Iterator[Breach]:
+    """Let an index hold either one run-once service or searched ones.
+
+    A search of an index must not reach leaves that keep their slots for
+    requests that may not be repeated.
+    """
+    services = section.services
+    for name, service in services.items():
+        if service.run_once is RunOnceMode.NONE:
+            continue
+        others = [
+            other
+            for other in services
+            if other != name and services[other].index == service.index
+        ]
+        if others:
+            yield Breach(
+                f"services.{name}.index",
+                service.index,
+                f"service {others[0]!r} has it too: give each its own",
+            )
+
+
 @section_rules.register("urgency-class")
 def _check_urgency(section: SectionConfig) -> Iterator[Breach]:
     for name, urgency in section.urgency.items():
--- a/tests/test_config_check.py
+++ b/tests/test_config_check.py
@@ -1,11 +1,13 @@
 """Sections are checked offline, as a whole, and every fault is told."""
 
+from dataclasses import replace
 from pathlib import Path
 
 import msgspec
 import pytest
 
 from heatherdyke.config_check import check_document
+from heatherdyke.config_check import check_rules
 from heatherdyke.config_check import check_section
 from heatherdyke.config_commands import check_files
 from heatherdyke.config_commands import section_schema
@@ -14,7 +16,10 @@
 from heatherdyke.config_model import ConfigDocument
 from heatherdyke.config_model import LeafConfig
 from heatherdyke.config_model import SectionConfig
+from heatherdyke.config_model import ServiceConfig
+from heatherdyke.config_model import ShardConfig
 from heatherdyke.errors import ConfigFileError
+from heatherdyke_bench.deployments import deployments
 
 DOCS = Path(__file__).parent.parent / "docs"
 
@@ -77,6 +82,30 @@
             ("permits", "key-unique"),
         }
 
+    @pytest.mark.parametrize("name", sorted(deployments.by_name))
+    def test_todays_deployments_have_no_faults(self, name):
+        deployment = deployments.find(name)
+        profiles = deployment.profiles()
+        address_by_leaf = {
+            profile.leaf: f"127.0.0.1:{number}"
+            for number, profile in enumerate(profiles, 10_000)
+        }
+        sections = deployment.sections(profiles, address_by_leaf)
+        assert [check_rules(s) for s in sections.values()] == [[]] * len(
+            sections
+        )
+        assert check_document(ConfigDocument(1, sections)) == []
+
+    def test_run_once_service_has_its_own_index(self):
+        service = ServiceConfig("i", {"s": ShardConfig(["a"])})
+        section = SectionConfig(
+            "permits",
+            {"x": service, "y": replace(service, run_once="ticket")},
+            {"a": LeafConfig("127.0.0.1:1", "z", 1, 1)},
+        )
+        value = msgspec.to_builtins(section)
+        assert [f.rule for f in check_section(value)] == ["run-once-index"]
+
 
 class TestDiff:
     def test_paths_are_named(self):
