--- a/heatherdyke/instance.py
+++ b/heatherdyke/instance.py
@@ -275,7 +275,8 @@
 
     def _health(self) -> HealthState:
         return HealthState(
-            config_known=self.config.document.version > 0,
+            config_known=self.config.has_config
+            and self.config.document.version > 0,
             members_known=self._members_known(),
             leaving=self.gate.leaving,
             zone_out=self.config.zone_is_out(self.settings.zone),
