--- a/heatherdyke/fault_proxy_model.py
+++ b/heatherdyke/fault_proxy_model.py
@@ -36,7 +36,8 @@
     """The faults of one route; they replace its former ones.
 
     ``cut`` closes all connections and each new one at once.  ``lose``
-    names the direction whose bytes vanish.  ``silent`` stops the open
+    names the direction whose bytes vanish; a connection that lost some
+    stays silent for good.  ``silent`` stops the open
     connections for good while new ones work.  ``cross`` swaps what the
     target sends next on two open connections, that many times.  The faults
     touch only clients whose IP number begins with one of ``sources``, if
--- a/heatherdyke/fault_proxy_tcp.py
+++ b/heatherdyke/fault_proxy_tcp.py
@@ -163,7 +163,10 @@
         faults = self.route.faults
         if faults.delay_ms and faults.touch(self.source):
             await asyncio.sleep(faults.delay_ms / 1000)
-        if self.silent or faults.lose_bytes(self.source, direction):
+        if faults.lose_bytes(self.source, direction):
+            # A stream with a gap in it would not be TCP: nothing more passes.
+            self.silent = True
+        if self.silent:
             return
         writer = take_writer()
         if writer.transport.is_closing():
