Cover a split shard by its children before the configuration names them

Cause: the children of a split were looked up in the configuration only, so a split under a running configuration left the shard uncovered until the operators' edit. The leaves of the split shard are asked for its children meanwhile. Proof with real processes: coverage 1.0 throughout.

--- a/heatherdyke/search_run.py
+++ b/heatherdyke/search_run.py
@@ -249,13 +249,18 @@
             self._tries.try_all_again(part.shard, now)
 
     def _ask_children(self, part: Part) -> None:
+        """Ask for the shards that a split made of one.
+
+        Until the configuration declares them, the leaves of the split shard
+        are taken to hold them.
+        """
         service = part.shard.partition("/")[0]
+        index = self._entry.index.current()
+        parents = self._tries.replicas(part.shard)
         for child in part.children:
             name = child.rpartition("/")[2]
-            leaves = find_child_leaves(
-                self._entry.index.current(), service, name
-            )
-            self._tries.add_shard(child, leaves)
+            leaves = find_child_leaves(index, service, name)
+            self._tries.add_shard(child, leaves or parents)
         self._send(part.children, hedge=True)
 
     def _note_gone(self, part: Part) -> None:
--- a/heatherdyke/shard_tries.py
+++ b/heatherdyke/shard_tries.py
@@ -49,8 +49,11 @@
         tried = self._find(shard).tried
         if len(tried) >= MAX_TRIES_PER_SHARD:
             return []
-        leaves = self._leaves_by_shard.get(shard, [])
-        return [leaf for leaf in leaves if leaf not in tried]
+        return [leaf for leaf in self.replicas(shard) if leaf not in tried]
+
+    def replicas(self, shard: str) -> list[str]:
+        """Return all leaves that hold the shard."""
+        return self._leaves_by_shard.get(shard, [])
 
     def is_open(self, shard: str) -> bool:
         """Tell whether an ask for the shard has not come back."""
--- a/tests/test_proof_answers.py
+++ b/tests/test_proof_answers.py
@@ -90,6 +90,29 @@
         assert not outcomes.wrong_answers()
 
 
+class TestSplitShard:
+    def test_is_covered_by_its_children(self, tmp_path):
+        parent = "permits00/permits00.0"
+        children = [f"{parent}a", f"{parent}b"]
+        faults = LeafFaults(children_by_shard={parent: children})
+
+        async def split():
+            async with start_fleet(tmp_path) as fleet:
+                async with Callers(fleet, ALL_ITEMS) as callers:
+                    callers.start(3)
+                    await callers.wait_for_answers(30)
+                    for leaf, process in fleet.leaf_by_name.items():
+                        if leaf.startswith("permits00"):
+                            await set_faults(process.address, faults)
+                    await callers.wait_for_answers(60)
+                    return await callers.stop()
+
+        outcomes = asyncio.run(split())
+        assert all(a.coverage_share == 1.0 for _, a in outcomes.answers)
+        shards = {item.shard for item in outcomes.answers[-1][1].items}
+        assert shards == {*children, "permits01/permits01.0"}
+
+
 class TestOwnAnswer:
     async def cross(self, directory, disable):
         async with start_fleet(directory, disable) as fleet:
