Cancel at a leaf only what has time left

In overload every search that ended at its deadline cancelled its running parts over a new connection each, though the leaves end them by then themselves.

--- a/heatherdyke/leaf_worker.py
+++ b/heatherdyke/leaf_worker.py
@@ -42,6 +42,7 @@
 REOPEN_DELAY_S = 0.2
 LEAST_SHARE_OF_USUAL = 0.5
 MOVE_LOAD = 2.0
+MIN_CANCEL_S = 0.1
 AGEING_S = 1.0
 
 
@@ -155,9 +156,14 @@
         heappush(self._queue, (place, self._sequence, work))
 
     def _withdraw(self, work: LeafWork) -> None:
-        """Drop the work, but let a cold leaf do it: that warms it."""
+        """Drop the work.
+
+        A cold leaf finishes what it does, which warms it; so does one whose
+        deadline is near, as a cancellation would come no sooner.
+        """
         if work in self._connection_by_work:
-            if self.limit.is_warm:
+            remaining_s = work.expires_at - self._clock.now()
+            if self.limit.is_warm and remaining_s > MIN_CANCEL_S:
                 self._start(self._cancel(work))
             return
         work.expires_at = 0.0
