--- a/heatherdyke/leaf_limit.py
+++ b/heatherdyke/leaf_limit.py
@@ -11,6 +11,7 @@
 SUCCESSES_PER_STEP = 10
 SLOW_FACTOR = 3.0
 SLOW_ANSWERS_MEAN_COLD = 6
+SLOW_PATIENCE = 100
 SHED_PAUSE_S = 0.05
 SHED_PAUSE_MAX_S = 2.0
 
@@ -19,16 +20,19 @@
 class LeafLimit:
     """The limit of one leaf; times are monotonic seconds.
 
-    ``slots`` is the most it ever allows and ``cold_slots`` the start.
-    Without ``ramp`` the limit is always ``slots``.
+    ``slots`` is the most it ever allows, and ``cold_slots`` the start, kept
+    until ``cold_searches`` have been answered.  Without ``ramp`` the limit
+    is always ``slots``.
     """
 
     slots: int
     cold_slots: int = 1
+    cold_searches: int = 0
     ramp: bool = True
     level: int = 0
     incarnation: str = ""
     cold_starts: int = 0
+    _answered: int = 0
     _successes: int = 0
     _slow_answers: int = 0
     _sheds_in_row: int = 0
@@ -44,29 +48,41 @@
             return 0
         return self.level
 
+    @property
+    def is_warm(self) -> bool:
+        """Tell whether all slots are in use."""
+        return self.level >= self.slots
+
     def resumes_at(self, now: float) -> float | None:
         """Return when a pause ends, or None if there is none."""
         return self._paused_until if now < self._paused_until else None
 
     def succeed(
         self, incarnation: str, took_s: float, reference_s: float
-    ) -> None:
+    ) -> bool:
         """Count an answer; ``reference_s`` is the usual time of one.
 
-        Another incarnation than before makes the leaf cold again.
+        Another incarnation than before makes the leaf cold again.  Returns
+        whether the time taken may count as usual: that of a warm leaf, or
+        of one that stays slow long after it should be warm.
         """
         if self._is_new(incarnation):
             self.turn_cold()
         self.incarnation = incarnation or self.incarnation
         self._sheds_in_row = 0
-        if reference_s > 0 and took_s > SLOW_FACTOR * reference_s:
+        self._answered += 1
+        patient = self._answered <= self.cold_searches + SLOW_PATIENCE
+        if patient and took_s > SLOW_FACTOR * reference_s:
             self._count_slow()
-            return
+            return False
         self._slow_answers = 0
+        if self._answered <= self.cold_searches:
+            return False
         self._successes += 1
         if self._successes >= SUCCESSES_PER_STEP and self.level < self.slots:
             self._successes = 0
             self.level += 1
+        return self.is_warm or not patient
 
     def shed(self, now: float, incarnation: str, retry_after_s: float) -> None:
         """Halve the limit and pause, longer with each shed in a row."""
@@ -84,9 +100,10 @@
         """Start again from the cold limit, as after a reset."""
         if not self.ramp:
             return
-        if self.level > self.cold_slots or self._successes:
+        if self.level > self.cold_slots or self._answered:
             self.cold_starts += 1
         self.level = self.cold_slots
+        self._answered = 0
         self._successes = 0
         self._slow_answers = 0
 
@@ -96,5 +113,6 @@
 
     def _count_slow(self) -> None:
         self._slow_answers += 1
-        if self._slow_answers >= SLOW_ANSWERS_MEAN_COLD:
+        raised = self.level > self.cold_slots
+        if raised and self._slow_answers >= SLOW_ANSWERS_MEAN_COLD:
             self.turn_cold()
