--- a/heatherdyke/admission.py
+++ b/heatherdyke/admission.py
@@ -17,6 +17,7 @@
 KEPT_WINDOWS = 10
 MIN_WINDOW_COMPLETIONS = 20
 OPEN_SHARE = 0.02
+USABLE_SHARE = 0.6
 MIN_RETRY_S = 0.1
 
 
@@ -107,7 +108,7 @@
         expected_s = 0.0
         if rate is not None and self.under_way and self._enabled:
             expected_s = (self._ahead(priority) + needed) / rate
-        late_s = expected_s - remaining_s
+        late_s = expected_s - USABLE_SHARE * remaining_s
         if late_s > 0 and not self._take_open(priority, needed, rate, now):
             retry_after_s = max(MIN_RETRY_S, late_s)
             return AdmissionDecision(False, expected_s, retry_after_s)
--- a/heatherdyke/leaf_work.py
+++ b/heatherdyke/leaf_work.py
@@ -86,3 +86,4 @@
     silence_timeout: bool = True
     match_parts: bool = True
     heed_drain: bool = True
+    refuse_late: bool = True
--- /dev/null
+++ b/tests/test_usage.py
@@ -0,0 +1,56 @@
+"""Usage pages survive lost replies, and the report says what is missing."""
+
+import asyncio
+
+import pytest
+from typer.testing import CliRunner
+
+from heatherdyke.cli import app
+from heatherdyke.errors import PlatformUnavailable
+from heatherdyke.journal import Journal
+from heatherdyke.platform_client import PlatformClient
+from heatherdyke.standin_platform import PlatformFaults
+from heatherdyke.standin_platform import PlatformStandin
+from heatherdyke.usage import TeamUsage
+from heatherdyke.usage import UsageCounters
+from heatherdyke.usage_report import describe_usage
+from heatherdyke.usage_report import read_usage
+from heatherdyke.usage_task import UsageTask
+
+
+class TestUsageTask:
+    async def store_with_faults(self):
+        platform = PlatformStandin()
+        await platform.start()
+        counters = UsageCounters("a", "1")
+        client = PlatformClient(platform.address)
+        task = UsageTask(counters, client, Journal("a"))
+        counters.count("permits", searches=1, leaf_searches=50)
+        platform.set_faults(PlatformFaults(lose_replies=1))
+        assert not await task.store()
+        platform.set_faults(PlatformFaults(outage=True))
+        counters.count("permits", searches=1, leaf_searches=50)
+        assert not await task.store()
+        platform.set_faults(PlatformFaults())
+        await task.stop()
+        report = await read_usage("", platform.address)
+        await platform.stop()
+        return report
+
+    def test_nothing_is_charged_twice(self):
+        report = asyncio.run(self.store_with_faults())
+        assert report.usage_by_team == {"permits": TeamUsage(2, 100)}
+        assert any("live instances" in why for why in report.not_read)
+        assert "permits" in describe_usage(report)
+        assert "permits" not in describe_usage(report, "bonds")
+
+
+class TestUsageCommand:
+    def test_tells_that_nothing_could_be_read(self):
+        with pytest.raises(PlatformUnavailable) as caught:
+            CliRunner().invoke(
+                app,
+                ["usage", "--platform", "127.0.0.1:1"],
+                catch_exceptions=False,
+            )
+        assert caught.value.remedy
