Refuse only after lateness was seen, within less of the deadline

An entry now refuses only while a search at least as urgent took half of its time or more within the last 2 s.

--- a/heatherdyke/admission.py
+++ b/heatherdyke/admission.py
@@ -5,8 +5,10 @@
 only work at least as urgent is ahead.  The rate is measured, as the highest
 of the last windows while work was under way: a windowed maximum of the
 delivery rate, as in N. Cardwell et al., "BBR: Congestion-Based Congestion
-Control", ACM Queue 14(5), 2016.  A share of the rate stays open to each
-less urgent class, so that none is starved.
+Control", ACM Queue 14(5), 2016.  Since the rate of a system with little to
+do is no measure of its capacity, nothing is refused unless a search at
+least as urgent was late, or nearly, within the last seconds.  A share of
+the rate stays open to each less urgent class, so that none is starved.
 """
 
 from collections import deque
@@ -17,7 +19,9 @@
 KEPT_WINDOWS = 10
 MIN_WINDOW_COMPLETIONS = 20
 OPEN_SHARE = 0.02
-USABLE_SHARE = 0.6
+USABLE_SHARE = 0.4
+LATE_SHARE = 0.5
+LATE_MEMORY_S = 2.0
 MIN_RETRY_S = 0.1
 
 
@@ -82,6 +86,7 @@
         "_rate",
         "_ahead_by_priority",
         "_open",
+        "_late_until_by_priority",
     )
 
     def __init__(self, by_urgency: bool = True, enabled: bool = True) -> None:
@@ -90,6 +95,7 @@
         self._rate = CompletionRate()
         self._ahead_by_priority: dict[int, int] = {}
         self._open: dict[int, tuple[float, float]] = {}
+        self._late_until_by_priority: dict[int, float] = {}
 
     @property
     def under_way(self) -> int:
@@ -106,7 +112,7 @@
         priority = priority if self._by_urgency else 0
         rate = self._rate.per_s
         expected_s = 0.0
-        if rate is not None and self.under_way and self._enabled:
+        if rate is not None and self._is_late(priority, now):
             expected_s = (self._ahead(priority) + needed) / rate
         late_s = expected_s - USABLE_SHARE * remaining_s
         if late_s > 0 and not self._take_open(priority, needed, rate, now):
@@ -117,13 +123,31 @@
         return AdmissionDecision(True, expected_s)
 
     def finished(
-        self, priority: int, needed: int, completed: int, now: float
+        self,
+        priority: int,
+        needed: int,
+        completed: int,
+        took_share: float,
+        now: float,
     ) -> None:
-        """Take an admitted search out; ``completed`` of it were answered."""
+        """Take an admitted search out; ``completed`` of it were answered.
+
+        ``took_share`` is the time that it took over the time that it had.
+        """
         priority = priority if self._by_urgency else 0
+        if took_share >= LATE_SHARE:
+            until = now + LATE_MEMORY_S
+            self._late_until_by_priority[priority] = until
         self._count(priority, -needed)
         self._rate.complete(completed, now, idle=not self.under_way)
 
+    def _is_late(self, priority: int, now: float) -> bool:
+        """Tell whether work at least as urgent was late not long ago."""
+        return self._enabled and any(
+            other <= priority and until > now
+            for other, until in self._late_until_by_priority.items()
+        )
+
     def _ahead(self, priority: int) -> int:
         return sum(
             count
--- a/heatherdyke/search_admission.py
+++ b/heatherdyke/search_admission.py
@@ -79,10 +79,17 @@
         try:
             yield search
         finally:
-            self._settle(team, priority, needed, search)
+            took_s = self._clock.now() - now
+            took_share = took_s / max(remaining_s, 0.001)
+            self._settle(team, priority, needed, took_share, search)
 
     def _settle(
-        self, team: str, priority: int, needed: int, search: AdmittedSearch
+        self,
+        team: str,
+        priority: int,
+        needed: int,
+        took_share: float,
+        search: AdmittedSearch,
     ) -> None:
         charged = min(search.asked, needed)
         self._spending.give_back(team, needed - charged)
@@ -93,5 +100,5 @@
             hedges=search.asked - charged,
         )
         self._admission.finished(
-            priority, needed, search.completed, self._clock.now()
+            priority, needed, search.completed, took_share, self._clock.now()
         )
