--- a/heatherdyke/events.py
+++ b/heatherdyke/events.py
@@ -405,3 +405,12 @@
         "instance ends is not charged.",
     )
 )
+RUN_RECORDS_REMOVED = register(
+    EventKind(
+        5004,
+        "run_records_removed",
+        Severity.INFO,
+        "Records of runs older than their retention were removed.",
+        ("count",),
+    )
+)
