--- a/heatherdyke/instance.py
+++ b/heatherdyke/instance.py
@@ -20,6 +20,8 @@
 from heatherdyke.home import Home
 from heatherdyke.http_routes import new_application
 from heatherdyke.journal import Journal
+from heatherdyke.level_book import LevelBook
+from heatherdyke.level_sync import LevelSync
 from heatherdyke.mechanisms import Mechanism
 from heatherdyke.member_task import MemberTask
 from heatherdyke.metrics import Metrics
@@ -71,8 +73,14 @@
         self.snapshots = SnapshotBook()
         self.usage = UsageCounters(settings.name, self.members.incarnation)
         self.observer = SearchObserver(self.journal, self.metrics)
+        self.levels = LevelBook()
         self.home = Home(
-            settings, self.config, self.members, self.observer, clock
+            settings,
+            self.config,
+            self.members,
+            self.observer,
+            self.levels,
+            clock,
         )
         self.entry = Entry(
             settings,
@@ -82,6 +90,7 @@
             self.peers,
             self.snapshots,
             self.observer,
+            self.levels,
             self._build_admission(clock),
             clock,
         )
@@ -95,6 +104,7 @@
                 self.members.incarnation,
                 self._find_reader,
             ),
+            LevelSync(self.home, self.levels, self._find_peers, clock),
             ObserveComponent(
                 self.journal, self.metrics, self._health, self._known, clock
             ),
@@ -243,7 +253,18 @@
     def _connect(self) -> None:
         """Let the parts hear of each other."""
         self.members.config = self.config
+        self.config.set_reader(lambda: self._find_reader() is None)
         self.members.leaves_at_work = self.home.leaves_at_work
+        self.members.core.longest_work_s = self.home.longest_work_s
+
+    def _find_peers(self) -> list[str]:
+        """Return the addresses of the zone's other members."""
+        return [
+            member.address
+            for member in self.members.members()
+            if member.zone == self.settings.zone
+            and member.name != self.settings.name
+        ]
 
     def _find_reader(self) -> str | None:
         reader = self.members.reader()
