--- a/heatherdyke/instance.py
+++ b/heatherdyke/instance.py
@@ -32,13 +32,8 @@
 from heatherdyke.platform_client import PlatformClient
 from heatherdyke.platform_view import PlatformView
 from heatherdyke.request_gate import RequestGate
-from heatherdyke.run_book import RunBook
-from heatherdyke.run_driver import Identity
-from heatherdyke.run_driver import RunDriver
-from heatherdyke.run_once_task import RunOnceTask
-from heatherdyke.run_peers import RunPeers
-from heatherdyke.run_store import RunStore
-from heatherdyke.run_tickets import TicketBook
+from heatherdyke.run_assembly import RunSurroundings
+from heatherdyke.run_assembly import build_run_components
 from heatherdyke.search_admission import SearchAdmission
 from heatherdyke.search_observer import SearchObserver
 from heatherdyke.server import HttpServer
@@ -109,8 +104,19 @@
                 self.journal, self.metrics, self._health, self._known, clock
             ),
         ]
-        self.runs = self._build_runs(clock)
-        self.components.append(self.runs)
+        self.components += build_run_components(
+            RunSurroundings(
+                settings,
+                self.entry,
+                self.config,
+                self.members,
+                self.platform,
+                self.journal,
+                self.usage,
+                self.gate,
+                clock,
+            )
+        )
         self.components.append(
             UsageTask(self.usage, self.platform, self.journal)
         )
@@ -192,40 +198,6 @@
             clock,
         )
 
-    def _build_runs(self, clock: Clock) -> RunOnceTask:
-        settings = self.settings
-        peers = RunPeers(
-            self.entry,
-            self.config,
-            self.members,
-            self.journal,
-            self.usage,
-            clock,
-        )
-        driver = RunDriver(
-            Identity(settings.name, settings.address),
-            RunStore(self.platform),
-            peers.send,
-            peers.ask,
-            peers.choose_leaves,
-            clock,
-        )
-        book = RunBook(
-            TicketBook(settings.name, self.members.incarnation),
-            driver,
-            self.journal,
-            clock,
-            settings.uses(Mechanism.RUN_ONCE),
-        )
-        return RunOnceTask(
-            book,
-            self.config,
-            self.gate,
-            clock,
-            settings.drain_s,
-            settings.uses(Mechanism.TRUTHFUL_REFUSAL),
-        )
-
     async def _drain(self) -> None:
         self.gate.begin_leaving()
         drain_s = self.settings.drain_s
--- /dev/null
+++ b/heatherdyke/run_assembly.py
@@ -0,0 +1,89 @@
+"""Puts together the parts that run requests at most once."""
+
+from dataclasses import dataclass
+
+from heatherdyke.clock import Clock
+from heatherdyke.component import Component
+from heatherdyke.component import ConfigView
+from heatherdyke.entry import Entry
+from heatherdyke.journal import Journal
+from heatherdyke.mechanisms import Mechanism
+from heatherdyke.member_task import MemberTask
+from heatherdyke.platform_client import PlatformClient
+from heatherdyke.rendezvous import rank
+from heatherdyke.request_gate import RequestGate
+from heatherdyke.run_book import RunBook
+from heatherdyke.run_driver import Identity
+from heatherdyke.run_driver import RunDriver
+from heatherdyke.run_once_task import RunOnceTask
+from heatherdyke.run_peers import RunPeers
+from heatherdyke.run_store import RunStore
+from heatherdyke.run_sweeper import RunSweeper
+from heatherdyke.run_tickets import TicketBook
+from heatherdyke.settings import Settings
+from heatherdyke.usage import UsageCounters
+
+SWEEPER_ID = "run-sweeper"
+
+
+@dataclass(frozen=True, slots=True)
+class RunSurroundings:
+    """The parts of an instance that runs build upon."""
+
+    settings: Settings
+    entry: Entry
+    config: ConfigView
+    members: MemberTask
+    platform: PlatformClient
+    journal: Journal
+    usage: UsageCounters
+    gate: RequestGate
+    clock: Clock
+
+
+def build_run_components(around: RunSurroundings) -> list[Component]:
+    """Return the component that serves runs and the one that sweeps."""
+    uses = around.settings.uses
+    task = RunOnceTask(
+        _build_book(around, uses(Mechanism.RUN_ONCE)),
+        around.config,
+        around.gate,
+        around.clock,
+        around.settings.drain_s,
+        uses(Mechanism.TRUTHFUL_REFUSAL),
+    )
+    sweeper = RunSweeper(
+        around.platform,
+        around.config,
+        lambda: _is_sweeper(around.settings.name, around.members),
+        around.journal,
+        around.clock,
+    )
+    return [task, sweeper]
+
+
+def _build_book(around: RunSurroundings, guarded: bool) -> RunBook:
+    settings = around.settings
+    peers = RunPeers(
+        around.entry,
+        around.config,
+        around.members,
+        around.journal,
+        around.usage,
+        around.clock,
+    )
+    driver = RunDriver(
+        Identity(settings.name, settings.address),
+        RunStore(around.platform),
+        peers.send,
+        peers.ask,
+        peers.choose_leaves,
+        around.clock,
+    )
+    tickets = TicketBook(settings.name, around.members.incarnation)
+    return RunBook(tickets, driver, around.journal, around.clock, guarded)
+
+
+def _is_sweeper(name: str, members: MemberTask) -> bool:
+    ranked = rank(SWEEPER_ID, members.members())
+    return bool(ranked) and ranked[0].name == name
