--- a/heatherdyke/leaf_worker.py
+++ b/heatherdyke/leaf_worker.py
@@ -40,7 +40,6 @@
 SPARE_CONNECTIONS = 1
 MAX_OPENING = 2
 REOPEN_DELAY_S = 0.2
-LEAST_SHARE_OF_USUAL = 0.5
 MOVE_LOAD = 2.0
 MIN_CANCEL_S = 0.1
 AGEING_S = 1.0
@@ -245,7 +244,6 @@
         limit = self.limit.allowed(now)
         while self._queue:
             work = self._queue[0][2]
-            if self._is_too_late(work, now):
             if work.expires_at <= now + self._least_s(work):
                 heappop(self._queue)
                 self._refuse(work, "deadline")
@@ -263,13 +261,6 @@
             self._send(work, now)
         self._wake_later(now)
 
-    def _is_too_late(self, work: LeafWork, now: float) -> bool:
-        """Tell whether the work would hardly be done by its deadline."""
-        least_s = 0.0
-        if isinstance(work.question, LeafSearch):
-            least_s = LEAST_SHARE_OF_USUAL * self._policy.reference_s()
-        return work.expires_at <= now + least_s
-
     def _send(self, work: LeafWork, now: float) -> None:
         remaining_ms = _work_s(work, now) * 1000
         work.question = _with_remaining(work.question, remaining_ms)
