--- a/heatherdyke/entry.py
+++ b/heatherdyke/entry.py
@@ -17,6 +17,7 @@
 from heatherdyke.messages import SearchAnswer
 from heatherdyke.messages import SearchRequest
 from heatherdyke.peer_client import PeerClient
+from heatherdyke.peer_health import PeerHealth
 from heatherdyke.replica_choice import ReplicaViews
 from heatherdyke.replica_choice import replica_choices
 from heatherdyke.search_admission import SearchAdmission
@@ -68,6 +69,7 @@
         self.clock = clock
         self.index = ConfigIndexCache(config)
         self.views = ReplicaViews()
+        self.peer_health = PeerHealth()
         budget = ExtraLoadBudget(
             settings.extra_load_share, uses(Mechanism.EXTRA_LOAD_BUDGET)
         )
@@ -147,6 +149,13 @@
         if config is not None and address is not None:
             self._members.refresh(config.zone, address)
 
+    def is_home_suspect(self, leaf_id: str) -> bool:
+        """Tell whether the leaf's home does not answer at present."""
+        route = self.find_route(leaf_id)
+        if route is None:
+            return True
+        return self.peer_health.is_suspect(route.address, self.clock.now())
+
     def note_refused(self, address: str) -> None:
         """Take a refused connection as proof that its member has ended."""
         for member in self._members.members():
--- a/heatherdyke/search_run.py
+++ b/heatherdyke/search_run.py
@@ -49,6 +49,7 @@
     restart: int
     hedge_at: float
     hedged: bool = False
+    answered: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,7 +137,10 @@
         leaves = self._untried_leaves(shard)
         if not leaves:
             return None
-        leaf = self._entry.choose_leaf(leaves)
+        answering = [
+            leaf for leaf in leaves if not self._entry.is_home_suspect(leaf)
+        ]
+        leaf = self._entry.choose_leaf(answering or leaves)
         self._tries.start(shard, leaf)
         return leaf
 
@@ -203,12 +207,14 @@
         if report.parts is None:
             self._fail(group, report.error)
             return
+        self._entry.peer_health.note_answer(group.address)
         self._items.extend(report.parts.items)
         for part in report.parts.parts:
             self._take_part(group, part)
         if report.parts.last or not group.pending_leaf_by_shard:
             self._groups.discard(group)
         else:
+            group.answered = True
             group.hedge_at = self._entry.clock.now()
         self._restart_if_gone()
 
@@ -290,6 +296,8 @@
 
     def _fail(self, group: Group, error: TransportError) -> None:
         self._groups.discard(group)
+        now = self._entry.clock.now()
+        self._entry.peer_health.note_failure(group.address, now)
         if isinstance(error, ConnectionRefused):
             self._entry.note_refused(group.address)
         for shard, leaf in list(group.pending_leaf_by_shard.items()):
@@ -302,14 +310,22 @@
             if group.hedged or group.hedge_at > now:
                 continue
             group.hedged = True
-            self._hedge(list(group.pending_leaf_by_shard))
+            if not group.answered:
+                self._entry.peer_health.note_silence(group.address, now)
+            self._hedge(group)
+
+    def _hedge(self, group: Group) -> None:
+        """Ask other replicas; those of a suspect home cost no budget.
 
-    def _hedge(self, shards: list[str]) -> None:
+        Its parts are taken for not being worked on.
+        """
+        now = self._entry.clock.now()
+        free = self._entry.peer_health.is_suspect(group.address, now)
         chosen = []
-        for shard in shards:
+        for shard in group.pending_leaf_by_shard:
             if self._coverage.is_whole(shard) or not self._has_other(shard):
                 continue
-            if not self._entry.hedges.may_hedge():
+            if not free and not self._entry.hedges.may_hedge():
                 break
             chosen.append(shard)
         if chosen:
@@ -341,9 +357,17 @@
         share = self._coverage.covered_share()
         if share >= 1.0:
             return True
-        if share < self._plan.wanted_coverage or share == 0.0:
+        if share == 0.0 or self._entry.clock.now() < self._early_at():
             return False
-        return self._entry.clock.now() >= self._early_at()
+        return share >= self._plan.wanted_coverage or self._is_cut_off()
+
+    def _is_cut_off(self) -> bool:
+        """Tell whether all that is missing is at homes that do not answer."""
+        now = self._entry.clock.now()
+        return self._tries.next_due_at is None and all(
+            self._entry.peer_health.is_suspect(group.address, now)
+            for group in self._groups
+        )
 
     def _cancel_rest(self) -> None:
         for group in self._groups:
