--- a/heatherdyke/instance.py
+++ b/heatherdyke/instance.py
@@ -32,13 +32,8 @@
 from heatherdyke.platform_client import PlatformClient
 from heatherdyke.platform_view import PlatformView
 from heatherdyke.request_gate import RequestGate
-from heatherdyke.run_book import RunBook
-from heatherdyke.run_driver import Identity
-from heatherdyke.run_driver import RunDriver
-from heatherdyke.run_once_task import RunOnceTask
-from heatherdyke.run_peers import RunPeers
-from heatherdyke.run_store import RunStore
-from heatherdyke.run_tickets import TicketBook
+from heatherdyke.run_assembly import RunSurroundings
+from heatherdyke.run_assembly import build_run_components
 from heatherdyke.search_admission import SearchAdmission
 from heatherdyke.search_observer import SearchObserver
 from heatherdyke.server import HttpServer
@@ -109,8 +104,19 @@
                 self.journal, self.metrics, self._health, self._known, clock
             ),
         ]
-        self.runs = self._build_runs(clock)
-        self.components.append(self.runs)
+        self.components += build_run_components(
+            RunSurroundings(
+                settings,
+                self.entry,
+                self.config,
+                self.members,
+                self.platform,
+                self.journal,
+                self.usage,
+                self.gate,
+                clock,
+            )
+        )
         self.components.append(
             UsageTask(self.usage, self.platform, self.journal)
         )
@@ -192,40 +198,6 @@
             clock,
         )
 
-    def _build_runs(self, clock: Clock) -> RunOnceTask:
-        settings = self.settings
-        peers = RunPeers(
-            self.entry,
-            self.config,
-            self.members,
-            self.journal,
-            self.usage,
-            clock,
-        )
-        driver = RunDriver(
-            Identity(settings.name, settings.address),
-            RunStore(self.platform),
-            peers.send,
-            peers.ask,
-            peers.choose_leaves,
-            clock,
-        )
-        book = RunBook(
-            TicketBook(settings.name, self.members.incarnation),
-            driver,
-            self.journal,
-            clock,
-            settings.uses(Mechanism.RUN_ONCE),
-        )
-        return RunOnceTask(
-            book,
-            self.config,
-            self.gate,
-            clock,
-            settings.drain_s,
-            settings.uses(Mechanism.TRUTHFUL_REFUSAL),
-        )
-
     async def _drain(self) -> None:
         self.gate.begin_leaving()
         drain_s = self.settings.drain_s
@@ -254,6 +226,7 @@
         """Let the parts hear of each other."""
         self.members.config = self.config
         self.config.set_reader(lambda: self._find_reader() is None)
+        self.members.rosters.zones_in_use = self._zones_in_use
         self.members.leaves_at_work = self.home.leaves_at_work
         self.members.core.longest_work_s = self.home.longest_work_s
 
@@ -274,7 +247,8 @@
 
     def _health(self) -> HealthState:
         return HealthState(
-            config_known=self.config.document.version > 0,
+            config_known=self.config.has_config
+            and self.config.document.version > 0,
             members_known=self._members_known(),
             leaving=self.gate.leaving,
             zone_out=self.config.zone_is_out(self.settings.zone),
@@ -289,11 +263,16 @@
         zones = {member.zone for member in self.members.members()}
         if not zones:
             return False
-        leaf_by_id = self.entry.index.current().leaf_by_id
-        wanted = {leaf.zone for leaf in leaf_by_id.values()}
+        wanted = self._zones_in_use()
         waited_s = self._clock.now() - self._started_at
         return wanted <= zones or waited_s > ZONE_WAIT_S
 
+    def _zones_in_use(self) -> set[str]:
+        """Return the zones that have leaves and are not taken out."""
+        leaf_by_id = self.entry.index.current().leaf_by_id
+        zones = {leaf.zone for leaf in leaf_by_id.values()}
+        return {z for z in zones if not self.config.zone_is_out(z)}
+
     def _known(self) -> list[KnownInstance]:
         return [
             KnownInstance(member.name, member.zone, member.address)
