--- a/tests/test_config_machine.py
+++ b/tests/test_config_machine.py
@@ -87,12 +87,21 @@
         versions = self.platform.versions_by_key[section_key(team, edit)]
         return decode(versions[0], StoredSection)
 
+    def accepted_version(self, team: str) -> int:
+        pointers = [h.section_by_team.get(team) for h in self.heads()[-1:]]
+        return pointers[0].version if pointers and pointers[0] else 0
+
     @rule(team=st.sampled_from(TEAMS), text=st.sampled_from("xyz"))
     def start_edit(self, team, text):
         section = SectionConfig(team, key_hashes=[f"{ord(text):064x}"])
         number = len(self.editors)
         edit = SectionEdit(
-            team, section, f"e{number}", f"o{number}", self.clock.now()
+            team,
+            section,
+            f"e{number}",
+            f"o{number}",
+            self.clock.now(),
+            self.accepted_version(team),
         )
         self.run_edit(edit)
 
@@ -142,7 +151,7 @@
 
     @rule(
         lag=st.sampled_from([0, 0, 0, 1, 2]),
-        lost_replies=st.sampled_from([0, 1]),
+        lost_replies=st.sampled_from([0, 1, 2]),
         failures=st.sampled_from([0, 0, 1, 3]),
     )
     def set_faults(self, lag, lost_replies, failures):
@@ -225,6 +234,8 @@
         for editor in self.editors:
             if editor.outcome == "accepted":
                 assert editor.edit.edit in accepted
+                stored = self.stored(editor.edit.team, editor.edit.edit)
+                assert stored.base_version == editor.edit.base_version
             if editor.outcome in ("refused", "unchanged"):
                 assert editor.edit.edit not in accepted
 
