--- a/heatherdyke/config_wait.py
+++ b/heatherdyke/config_wait.py
@@ -13,9 +13,7 @@
 from heatherdyke.errors import NotInForce
 from heatherdyke.errors import TransportError
 from heatherdyke.http_connection import HttpConnection
-from heatherdyke.messages import InstanceKind
-from heatherdyke.messages import InstanceState
-from heatherdyke.platform_client import PlatformClient
+from heatherdyke.observe_component import KnownInstance
 
 ASK_TIMEOUT_S = 1.0
 ASK_AGAIN_S = 0.05
@@ -41,15 +39,6 @@
     version: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class AskedInstance:
-    """An instance that the platform lists."""
-
-    name: str
-    zone: str
-    address: str
-
-
 Judge = Callable[[ConfigStatus], tuple[Progress, int]]
 
 
@@ -78,15 +67,6 @@
     return judge
 
 
-async def list_instances(platform: PlatformClient) -> list[AskedInstance]:
-    """Return the live entry instances; raises PlatformUnavailable."""
-    return [
-        AskedInstance(row.name, row.zone, row.address)
-        for row in await platform.instances()
-        if row.kind is InstanceKind.ENTRY and row.state is InstanceState.LIVE
-    ]
-
-
 async def ask_status(address: str) -> ConfigStatus:
     """Return what the instance has in force; raises TransportError."""
     connection = await HttpConnection.open(address, ASK_TIMEOUT_S)
@@ -105,14 +85,14 @@
 
 
 async def ask_instances(
-    instances: list[AskedInstance], judge: Judge
+    instances: list[KnownInstance], judge: Judge
 ) -> list[InstanceProgress]:
     """Return the progress of each instance, asked at the same time."""
     return await asyncio.gather(*(_ask(i, judge) for i in instances))
 
 
 async def wait_in_force(
-    instances: list[AskedInstance], judge: Judge, timeout_s: float
+    instances: list[KnownInstance], judge: Judge, timeout_s: float
 ) -> list[InstanceProgress]:
     """Ask until each has the change in force or ``timeout_s`` is over."""
     deadline = monotonic() + timeout_s
@@ -142,7 +122,7 @@
         )
 
 
-async def _ask(instance: AskedInstance, judge: Judge) -> InstanceProgress:
+async def _ask(instance: KnownInstance, judge: Judge) -> InstanceProgress:
     try:
         progress, version = judge(await ask_status(instance.address))
     except TransportError:
