--- a/tests/test_proof_config.py
+++ b/tests/test_proof_config.py
@@ -30,6 +30,8 @@
 
 ZONE_OUT_LIMIT_S = 3.0
 PAUSE_S = 3.0
+SLOW_MS = 400.0
+SLOW_LIMIT_S = 5.0
 NOTHING_LISTENS = "127.0.0.1:9"
 
 
@@ -135,6 +137,20 @@
     def test_new_instance_gets_them_from_peers_in_an_outage(self, tmp_path):
         asyncio.run(self.outlast_outage(tmp_path))
 
+    async def edit_slowly(self, directory):
+        async with start_fleet(3, directory) as fleet:
+            await set_faults(
+                fleet.platform.address,
+                PlatformFaults(delay_ms=SLOW_MS, lose_replies=2),
+            )
+            version = await edit_section(fleet, 1)
+            async with asyncio.timeout(SLOW_LIMIT_S):
+                for process in fleet.instance_by_name.values():
+                    await wait_for_version(process.address, version)
+
+    def test_slow_platform_delays_them_by_a_few_calls(self, tmp_path):
+        asyncio.run(self.edit_slowly(tmp_path))
+
     async def wake_after_edit(self, directory):
         async with start_fleet(3, directory) as fleet:
             paused, *others = fleet.instance_by_name.values()
