--- a/heatherdyke/leaf_worker.py
+++ b/heatherdyke/leaf_worker.py
@@ -41,10 +41,15 @@
 MAX_OPENING = 2
 REOPEN_DELAY_S = 0.2
 MOVE_LOAD = 2.0
+AGEING_S = 1.0
 
 
 class LeafWorker:
-    """Sends work to one leaf within its limit, most urgent first."""
+    """Sends work to one leaf within its limit, most urgent first.
+
+    A step of priority is worth AGEING_S of waiting, so that less urgent
+    work is overtaken for a bounded time only.
+    """
 
     __slots__ = (
         "leaf_id",
@@ -80,7 +85,7 @@
         self.inbox: asyncio.Queue = asyncio.Queue()
         self._policy = policy
         self._clock = clock
-        self._queue: list[tuple[int, int, LeafWork]] = []
+        self._queue: list[tuple[float, int, LeafWork]] = []
         self._sequence = 0
         self._connection_by_work: dict[LeafWork, ConnectionTask] = {}
         self._cancels: set[asyncio.Task] = set()
@@ -143,7 +148,8 @@
             self._refuse(work, "draining")
             return
         self._sequence += 1
-        heappush(self._queue, (work.priority, self._sequence, work))
+        place = work.submitted_at + work.priority * AGEING_S
+        heappush(self._queue, (place, self._sequence, work))
 
     def _withdraw(self, work: LeafWork) -> None:
         """Drop the work, but let a cold leaf do it: that warms it."""
