Keep a leaf within its slots while its configuration is edited

An edit of a leaf made its home start a second worker beside the first, each with all slots. The former worker now sends no more, refuses its queue as not_home so that it is asked for again, counts against the slots until its work has ended, and ends then; before, it lived on. The proof's leaves counted searches over their slots before this change and none after it.

--- a/heatherdyke/home.py
+++ b/heatherdyke/home.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Coroutine
 
 from heatherdyke.clock import Clock
 from heatherdyke.component import ConfigView
@@ -15,6 +16,7 @@
 from heatherdyke.leaf_work import LeafWork
 from heatherdyke.leaf_work import ListedAs
 from heatherdyke.leaf_work import Submit
+from heatherdyke.leaf_work import Wake
 from heatherdyke.leaf_work import Withdraw
 from heatherdyke.leaf_work import WorkerPolicy
 from heatherdyke.leaf_worker import LeafWorker
@@ -38,6 +40,7 @@
 from heatherdyke.search_observer import SearchObserver
 from heatherdyke.settings import Settings
 
+REPLACED_CHECK_S = 0.02
 MEDIAN = 0.5
 MEDIAN_STEP = 0.1
 STATE_BY_REFUSAL = {
@@ -68,6 +71,8 @@
         self._levels = levels
         self._clock = clock
         self._worker_by_leaf: dict[str, LeafWorker] = {}
+        self._replaced: list[LeafWorker] = []
+        self._task_by_worker: dict[LeafWorker, asyncio.Task] = {}
         self._tasks: set[asyncio.Task] = set()
         self._median = LatencyQuantile(MEDIAN, step=MEDIAN_STEP)
         self._seen_usual = False
@@ -76,7 +81,8 @@
     @property
     def running(self) -> int:
         """Return how many searches and runs are at leaves."""
-        return sum(w.running for w in self._worker_by_leaf.values())
+        workers = [*self._worker_by_leaf.values(), *self._replaced]
+        return sum(worker.running for worker in workers)
 
     def longest_work_s(self, leaf_id: str) -> float:
         """Return how long work may last at the leaf, under the config."""
@@ -93,7 +99,8 @@
 
     def leaves_at_work(self) -> set[str]:
         """Return the ids of leaves at which this instance has work."""
-        return {leaf for leaf, w in self._worker_by_leaf.items() if w.running}
+        workers = [*self._worker_by_leaf.values(), *self._replaced]
+        return {worker.leaf_id for worker in workers if worker.running}
 
     @property
     def worker_by_leaf(self) -> dict[str, LeafWorker]:
@@ -252,10 +259,11 @@
         if heard is not None:
             limit.resume(heard.level, heard.incarnation)
         policy = WorkerPolicy(
-            is_home=lambda: self._may_serve(leaf_id, config),
-            slots_allowed=lambda work_s: self._slots_allowed(
-                leaf_id, config, work_s
+            is_home=lambda: (
+                worker not in self._replaced
+                and self._may_serve(leaf_id, config)
             ),
+            slots_allowed=lambda work_s: self._slots_left(worker, work_s),
             reference_s=lambda: self._median.value_s,
             observe_latency=self._observe_latency,
             silence_timeout=uses(Mechanism.SILENCE_TIMEOUT),
@@ -264,11 +272,43 @@
             observer=self._observer,
         )
         worker = LeafWorker(leaf_id, config, limit, policy, self._clock)
+        former = self._worker_by_leaf.get(leaf_id)
+        if former is not None:
+            self._replaced.append(former)
+            self._start_task(self._end_when_idle(former))
         self._worker_by_leaf[leaf_id] = worker
-        task = asyncio.create_task(worker.run())
+        self._task_by_worker[worker] = self._start_task(worker.run())
+        return worker
+
+    def _start_task(self, work: Coroutine) -> asyncio.Task:
+        task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        return worker
+        return task
+
+    async def _end_when_idle(self, worker: LeafWorker) -> None:
+        """End a worker whose leaf was edited once its work has ended.
+
+        Its queue is refused, to be asked for again; until its work ends it
+        counts against the slots of the worker that took its place.
+        """
+        worker.inbox.put_nowait(Wake())
+        while worker.running or not worker.inbox.empty():
+            await asyncio.sleep(REPLACED_CHECK_S)
+        self._replaced.remove(worker)
+        self._task_by_worker.pop(worker).cancel()
+
+    def _slots_left(self, worker: LeafWorker, work_s: float) -> int:
+        """Return the slots allowed less those that former workers use."""
+        if worker in self._replaced:
+            return 0
+        allowed = self._slots_allowed(worker.leaf_id, worker.config, work_s)
+        in_use = sum(
+            former.running
+            for former in self._replaced
+            if former.leaf_id == worker.leaf_id
+        )
+        return max(0, allowed - in_use)
 
     def _observe_latency(self, took_s: float, usual: bool) -> None:
         """Move the usual time by warm leaves, or by all until one is."""
--- a/tests/test_proof_homes.py
+++ b/tests/test_proof_homes.py
@@ -13,8 +13,15 @@
 from dataclasses import dataclass
 from dataclasses import replace
 
+import msgspec
 import pytest
 
+from heatherdyke.codec import encode
+from heatherdyke.config_model import HEAD_KEY
+from heatherdyke.config_model import SECTION_PREFIX
+from heatherdyke.config_model import ConfigHead
+from heatherdyke.config_model import SectionPointer
+from heatherdyke.config_model import StoredSection
 from heatherdyke.fault_proxy import FaultProxy
 from heatherdyke.fault_proxy import ProxyConfig
 from heatherdyke.fault_proxy import ProxyFaults
@@ -250,3 +257,40 @@
         """The leaf drops a dead home's work, so the lease is not needed."""
         directory = tmp_path / "on"
         assert asyncio.run(count_over_slots(directory, "", KILL)) == 0
+
+
+class TestEditedLeaf:
+    """A leaf whose slots an edit changes while searches are at work."""
+
+    async def edit(self, directory):
+        scenario = Scenario(pause_and_wake, proxied=False)
+        async with run_zone(directory, "", scenario) as (fleet, callers):
+            for connections in (CONNECTIONS - 1, CONNECTIONS - 2):
+                await edit_connections(fleet, connections)
+                await callers.wait_for_answers(2 * CALLERS)
+            return await fleet.over_slots()
+
+    def test_keeps_within_slots(self, tmp_path):
+        assert asyncio.run(self.edit(tmp_path)) == 0
+
+
+async def edit_connections(fleet: ZoneFleet, connections: int) -> None:
+    """Store a section that gives each leaf another cap on connections."""
+    client = fleet.platform_client()
+    stored = await client.get(HEAD_KEY)
+    head = convert_value(stored, ConfigHead)
+    address_by_leaf = {n: p.address for n, p in fleet.leaf_by_name.items()}
+    profiles = list(fleet.profile_by_leaf.values())
+    sections = fleet.deployment.sections(profiles, address_by_leaf)
+    section = sections[TEAM]
+    leaves = {
+        leaf: replace(config, connections=connections)
+        for leaf, config in section.leaves.items()
+    }
+    text = msgspec.Raw(encode(replace(section, leaves=leaves)))
+    edit = f"edit-{connections}"
+    key = f"{SECTION_PREFIX}{TEAM}/{edit}"
+    await client.put(key, StoredSection(TEAM, edit, "test", "", 0.0, text), 0)
+    pointer = SectionPointer(head.version + 1, key, edit, "test")
+    changed = ConfigHead(head.version + 1, {TEAM: pointer})
+    await client.put(HEAD_KEY, changed, stored.version)
