--- a/heatherdyke/component.py
+++ b/heatherdyke/component.py
@@ -28,6 +28,10 @@
     def document(self) -> ConfigDocument:
         """Return the configuration in force."""
 
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether new work may start on the configuration held."""
+
     def zone_is_out(self, zone: str) -> bool:
         """Tell whether operators have taken the zone out."""
 
@@ -54,3 +58,6 @@
 
     def refresh(self, zone: str, address: str) -> None:
         """Ask the member at ``address`` for the zone's newest roster."""
+
+    def note_refused(self, member: Member) -> None:
+        """Take a refused TCP connection as proof that a member has ended."""
--- /dev/null
+++ b/heatherdyke/instance_listing.py
@@ -0,0 +1,38 @@
+"""Which instances run, as far as the platform can tell."""
+
+from heatherdyke.config_model import ROSTER_PREFIX
+from heatherdyke.member_messages import Roster
+from heatherdyke.messages import InstanceKind
+from heatherdyke.messages import InstanceState
+from heatherdyke.observe_component import KnownInstance
+from heatherdyke.platform_client import PlatformClient
+from heatherdyke.platform_client import convert_value
+
+
+async def list_instances(platform: PlatformClient) -> list[KnownInstance]:
+    """Return the instances of the list and of the rosters, once each.
+
+    The list lags, and the rosters name only members; both may name an
+    instance that has ended.  Those that the list shows as leaving are left
+    out.  Raises PlatformUnavailable.
+    """
+    known_by_address: dict[str, KnownInstance] = {}
+    leaving: set[str] = set()
+    for stored in await platform.list(ROSTER_PREFIX):
+        for member in convert_value(stored, Roster).members:
+            known_by_address[member.address] = KnownInstance(
+                member.name, member.zone, member.address
+            )
+    for row in await platform.instances():
+        if row.kind is not InstanceKind.ENTRY:
+            continue
+        if row.state is InstanceState.LEAVING:
+            leaving.add(row.address)
+        known_by_address[row.address] = KnownInstance(
+            row.name, row.zone, row.address
+        )
+    return [
+        known
+        for address, known in known_by_address.items()
+        if address not in leaving
+    ]
--- a/tests/test_proof_answers.py
+++ b/tests/test_proof_answers.py
@@ -13,9 +13,11 @@
 from heatherdyke_bench.admin import set_faults
 from tests.small_fleet import Callers
 from tests.small_fleet import start_fleet
+from tests.small_fleet import wait_until
 
 ALL_ITEMS = 100
 LATE_MS = 15.0
+TRUNCATED = 60
 
 
 def items_of_other_snapshots(outcomes):
@@ -67,11 +69,13 @@
         async with start_fleet(directory, disable) as fleet:
             for process in fleet.leaf_by_name.values():
                 await set_faults(
-                    process.address, LeafFaults(truncate_answers=10)
+                    process.address, LeafFaults(truncate_answers=TRUNCATED)
                 )
             async with Callers(fleet, ALL_ITEMS) as callers:
                 callers.start(2)
                 await callers.wait_for_answers(30)
+                answers = callers.outcomes.answers
+                await wait_until(lambda: answers[-1][1].coverage_share == 1.0)
                 return await callers.stop()
 
     def test_overstates_without_the_check(self, tmp_path):
