--- a/heatherdyke/demo.py
+++ b/heatherdyke/demo.py
@@ -16,6 +16,7 @@
 from heatherdyke.config_model import SNAPSHOTS_PREFIX
 from heatherdyke.config_model import ConfigHead
 from heatherdyke.config_model import LeafConfig
+from heatherdyke.config_model import RunOnceMode
 from heatherdyke.config_model import SectionConfig
 from heatherdyke.config_model import SectionPointer
 from heatherdyke.config_model import ServiceConfig
@@ -24,9 +25,11 @@
 from heatherdyke.config_model import UrgencyConfig
 from heatherdyke.instance import Instance
 from heatherdyke.messages import IndexSnapshots
+from heatherdyke.messages import RunRequest
 from heatherdyke.messages import SearchRequest
 from heatherdyke.platform_client import ABSENT_VERSION
 from heatherdyke.platform_client import PlatformClient
+from heatherdyke.run_client import RunClient
 from heatherdyke.settings import Settings
 from heatherdyke.standin_leaf import LeafStandin
 from heatherdyke.standin_leaf_model import LeafProfile
@@ -36,6 +39,8 @@
 TEAM = "demo"
 KEY = "demo-key"
 INDEX = "permits"
+ARCHIVE = "archive"
+PULL_KEY = "demo-pull-1"
 SERVICES = 50
 SLOTS = 3
 CONNECTIONS = 30
@@ -59,6 +64,19 @@
         await _wait_until_ready(instances)
         show(f"{len(instances)} instances, {len(leaves)} leaves, 3 zones")
         await _search(show, instances)
+        await _pull(show, instances)
+
+
+async def _pull(show: Print, instances: list[Instance]) -> None:
+    """Pull one dossier, then ask for it again elsewhere, as a retry does."""
+    request = RunRequest(ARCHIVE, "pull", "dossier 7")
+    for instance in instances[:2]:
+        client = RunClient(instance.settings.address, KEY)
+        outcome = await client.run(PULL_KEY, request)
+        show(
+            f"archive pull {outcome.key} at {instance.settings.name}: "
+            f"{outcome.state.value}, {outcome.result}"
+        )
 
 
 async def _search(show: Print, instances: list[Instance]) -> None:
@@ -147,7 +165,8 @@
                 },
             )
             for number in range(SERVICES)
-        },
+        }
+        | {ARCHIVE: _archive()},
         leaves={
             leaf_id: LeafConfig(
                 leaf.address,
@@ -162,6 +181,11 @@
     )
 
 
+def _archive() -> ServiceConfig:
+    shards = {"0": ShardConfig(["leaf-00-0", "leaf-00-1"])}
+    return ServiceConfig(INDEX, shards, RunOnceMode.RECORDED)
+
+
 def _service(number: int) -> str:
     return f"permits-{number:02d}"
 
