--- a/heatherdyke/demo.py
+++ b/heatherdyke/demo.py
@@ -4,6 +4,7 @@
 import socket
 from collections.abc import Callable
 from contextlib import AsyncExitStack
+from uuid import uuid4
 
 import msgspec
 from loguru import logger
@@ -38,9 +39,10 @@
 ZONES = ("brescia", "bergamo", "verona")
 TEAM = "demo"
 KEY = "demo-key"
-INDEX = "permits"
 ARCHIVE = "archive"
-PULL_KEY = "demo-pull-1"
+ARCHIVE_INDEX = "dossiers"
+ARCHIVE_SHARDS = 5
+INDEX = "permits"
 SERVICES = 50
 SLOTS = 3
 CONNECTIONS = 30
@@ -68,13 +70,14 @@
 
 
 async def _pull(show: Print, instances: list[Instance]) -> None:
-    """Pull one dossier, then ask for it again elsewhere, as a retry does."""
-    request = RunRequest(ARCHIVE, "pull", "dossier 7")
+    """Pull one dossier, and ask for the same pull again elsewhere."""
+    key = f"pull-{uuid4().hex}"
+    request = RunRequest(ARCHIVE, "pull", "dossier 17")
     for instance in instances[:2]:
         client = RunClient(instance.settings.address, KEY)
-        outcome = await client.run(PULL_KEY, request)
+        outcome = await client.run(key, request)
         show(
-            f"archive pull {outcome.key} at {instance.settings.name}: "
+            f"archive pull at {instance.settings.name}: "
             f"{outcome.state.value}, {outcome.result}"
         )
 
@@ -110,7 +113,12 @@
                 seed=service * 2 + replica,
             )
             leaves[leaf_id] = LeafStandin(profile)
-            await _enter(stack, leaves[leaf_id])
+    for shard in range(ARCHIVE_SHARDS):
+        leaf_id = _archive_leaf(shard)
+        zone = ZONES[shard % len(ZONES)]
+        leaves[leaf_id] = LeafStandin(LeafProfile(leaf=leaf_id, zone=zone))
+    for leaf in leaves.values():
+        await _enter(stack, leaf)
     return leaves
 
 
@@ -153,20 +161,28 @@
 
 
 def _build_section(leaves: dict[str, LeafStandin]) -> SectionConfig:
+    services = {
+        _service(number): ServiceConfig(
+            INDEX,
+            {
+                "0": ShardConfig(
+                    [f"leaf-{number:02d}-0", f"leaf-{number:02d}-1"]
+                )
+            },
+        )
+        for number in range(SERVICES)
+    }
+    services[ARCHIVE] = ServiceConfig(
+        ARCHIVE_INDEX,
+        {
+            str(shard): ShardConfig([_archive_leaf(shard)])
+            for shard in range(ARCHIVE_SHARDS)
+        },
+        RunOnceMode.RECORDED,
+    )
     return SectionConfig(
         team=TEAM,
-        services={
-            _service(number): ServiceConfig(
-                INDEX,
-                {
-                    "0": ShardConfig(
-                        [f"leaf-{number:02d}-0", f"leaf-{number:02d}-1"]
-                    )
-                },
-            )
-            for number in range(SERVICES)
-        }
-        | {ARCHIVE: _archive()},
+        services=services,
         leaves={
             leaf_id: LeafConfig(
                 leaf.address,
@@ -176,20 +192,19 @@
             )
             for leaf_id, leaf in leaves.items()
         },
-        urgency={"foreman": UrgencyConfig(1, 1000, 0.95)},
+        urgency={"foreman": UrgencyConfig(1, 5000, 1.0)},
         key_hashes=[hash_key(KEY)],
     )
 
 
-def _archive() -> ServiceConfig:
-    shards = {"0": ShardConfig(["leaf-00-0", "leaf-00-1"])}
-    return ServiceConfig(INDEX, shards, RunOnceMode.RECORDED)
-
-
 def _service(number: int) -> str:
     return f"permits-{number:02d}"
 
 
+def _archive_leaf(shard: int) -> str:
+    return f"{ARCHIVE}-{shard}"
+
+
 def find_free_port() -> int:
     """Return a TCP port of the loopback interface that is free now."""
     with socket.socket() as probe:
--- a/heatherdyke/leaf_worker.py
+++ b/heatherdyke/leaf_worker.py
@@ -40,9 +40,9 @@
 SPARE_CONNECTIONS = 1
 MAX_OPENING = 2
 REOPEN_DELAY_S = 0.2
+LEAST_SHARE_OF_USUAL = 0.5
 MOVE_LOAD = 2.0
 AGEING_S = 1.0
-LEAST_SHARE = 0.7
 
 
 class LeafWorker:
@@ -68,6 +68,7 @@
         "_tasks",
         "_draining",
         "_reopen_at",
+        "_answered_at",
         "_drained_incarnation",
         "_cold_starts_reported",
     )
@@ -95,6 +96,7 @@
         self._tasks: dict[ConnectionTask, asyncio.Task] = {}
         self._draining = False
         self._reopen_at = 0.0
+        self._answered_at = 0.0
         self._drained_incarnation = ""
         self._cold_starts_reported = 0
 
@@ -173,7 +175,7 @@
         if connection is not None and self._policy.silence_timeout:
             self._tasks[connection].cancel()
             self._free_slot(work)
-            self._distrust_idle()
+            self._distrust_idle(work)
 
     def _give_back(self, work: LeafWork) -> None:
         if work.sent or work.outcome is not None or self.load < MOVE_LOAD:
@@ -198,8 +200,13 @@
             connection.close()
         return True
 
-    def _distrust_idle(self) -> None:
-        """Replace the idle connections, which may be silent as well."""
+    def _distrust_idle(self, silent: LeafWork) -> None:
+        """Replace the idle connections, which may be silent as well.
+
+        They are not if the leaf answered on one of them meanwhile.
+        """
+        if self._answered_at > silent.started_at:
+            return
         for connection in self._idle:
             self._tasks[connection].cancel()
         self._idle.clear()
@@ -213,16 +220,6 @@
         self._cancels.add(task)
         task.add_done_callback(self._cancels.discard)
 
-    def _least_s(self, work: LeafWork) -> float:
-        """Return the least time that the work would take at the leaf.
-
-        Sending what cannot be done in time would waste a slot, and under
-        overload most of them.
-        """
-        if not self._policy.refuse_late or isinstance(work.question, LeafRun):
-            return 0.0
-        return LEAST_SHARE * self._policy.reference_s()
-
     def _pump(self) -> None:
         now = self._clock.now()
         if self._queue and not self._policy.is_home():
@@ -231,7 +228,7 @@
         limit = self.limit.allowed(now)
         while self._queue:
             work = self._queue[0][2]
-            if work.expires_at <= now + self._least_s(work):
+            if self._is_too_late(work, now):
                 heappop(self._queue)
                 self._refuse(work, "deadline")
                 continue
@@ -248,6 +245,13 @@
             self._send(work, now)
         self._wake_later(now)
 
+    def _is_too_late(self, work: LeafWork, now: float) -> bool:
+        """Tell whether the work would hardly be done by its deadline."""
+        least_s = 0.0
+        if isinstance(work.question, LeafSearch):
+            least_s = LEAST_SHARE_OF_USUAL * self._policy.reference_s()
+        return work.expires_at <= now + least_s
+
     def _send(self, work: LeafWork, now: float) -> None:
         remaining_ms = _work_s(work, now) * 1000
         work.question = _with_remaining(work.question, remaining_ms)
@@ -261,6 +265,7 @@
         now = self._clock.now()
         outcome = work.outcome
         if not isinstance(outcome, TransportError):
+            self._answered_at = now
             self._idle.append(connection)
             self._connection_by_work.pop(work, None)
         else:
@@ -303,7 +308,7 @@
             self._policy.observer.connection_silent(
                 self.leaf_id, self.config.zone, work.question.request_id
             )
-            self._distrust_idle()
+            self._distrust_idle(work)
             self._start(self._free_after_cancel(work))
             return
         self._connection_by_work.pop(work, None)
--- a/heatherdyke/observe_client.py
+++ b/heatherdyke/observe_client.py
@@ -14,7 +14,7 @@
 from heatherdyke.errors import NoInstanceReachable
 from heatherdyke.errors import TransportError
 from heatherdyke.http_connection import HttpConnection
-from heatherdyke.messages import InstanceKind
+from heatherdyke.instance_listing import list_instances
 from heatherdyke.observe_component import KnownInstance
 from heatherdyke.platform_client import PlatformClient
 
@@ -57,8 +57,9 @@
         for known in found:
             known_by_address.setdefault(known.address, known)
     if not known_by_address:
+        reasons = "; ".join(failures) or "the platform lists none"
         raise NoInstanceReachable(
-            "no instance could be found: " + "; ".join(failures),
+            f"no instance could be found: {reasons}",
             "name a running one with --instance or the platform's address "
             "with --platform",
         )
@@ -112,9 +113,4 @@
 
 
 async def _ask_platform(address: str) -> list[KnownInstance]:
-    rows = await PlatformClient(address, TIMEOUT_S).instances()
-    return [
-        KnownInstance(row.name, row.zone, row.address)
-        for row in rows
-        if row.kind is InstanceKind.ENTRY
-    ]
+    return await list_instances(PlatformClient(address, TIMEOUT_S))
--- a/heatherdyke/standin_leaf.py
+++ b/heatherdyke/standin_leaf.py
@@ -15,7 +15,6 @@
 import msgspec
 
 from heatherdyke.codec import decode
-from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.messages import InstanceKind
 from heatherdyke.messages import InstanceState
 from heatherdyke.messages import LeafAnswer
@@ -25,8 +24,8 @@
 from heatherdyke.messages import LeafSearch
 from heatherdyke.messages import ListedInstance
 from heatherdyke.messages import PeerCancel
-from heatherdyke.platform_client import PlatformClient
 from heatherdyke.registry import Registry
+from heatherdyke.standin_announcer import announce_forever
 from heatherdyke.standin_content import items_for
 from heatherdyke.standin_content import result_for
 from heatherdyke.standin_http import HttpReply
@@ -41,7 +40,6 @@
 from heatherdyke.standin_slots import LeafSlots
 from heatherdyke.standin_slots import Shed
 
-ANNOUNCE_INTERVAL_S = 1.0
 STATUS_BY_REFUSAL = {
     "shed": 429,
     "draining": 503,
@@ -86,7 +84,9 @@
         """Serve until ``stop``, and stand in the platform's list."""
         await self._server.start()
         if self.profile.platform:
-            self._announcer = asyncio.create_task(self._announce())
+            self._announcer = asyncio.create_task(
+                announce_forever(self.profile.platform, self._row)
+            )
 
     async def stop(self) -> None:
         """Close everything."""
@@ -226,13 +226,13 @@
         await slots.wait(slots.reserve(), cancelled)
         done_well = False
         try:
-            if not self._is_late(search, arrived_at):
-                seconds = slots.draw_service_s()
-                await asyncio.wait((cancelled,), timeout=seconds)
+            left_s = arrived_at + search.remaining_ms / 1000 - monotonic()
+            seconds = slots.draw_service_s()
+            await asyncio.wait((cancelled,), timeout=min(seconds, left_s))
             if cancelled.done():
                 self._record.cancelled += 1
                 return self._refusal(search, "cancelled")
-            if self._is_late(search, arrived_at):
+            if seconds >= left_s:
                 return self._refusal(search, "deadline")
             done_well = True
             return self._search_answer(search)
@@ -256,9 +256,6 @@
             record.draining_arrivals += 1
             record.draining_last_s = self._state.drain_s
 
-    def _is_late(self, search: LeafSearch, arrived_at: float) -> bool:
-        return (monotonic() - arrived_at) * 1000 >= search.remaining_ms
-
     def _refusal(self, request: LeafSearch | LeafRun, kind: str):
         children = self._state.children_by_shard.get(request.shard, [])
         shed_s = max(0.0, self._slots.shed_until - monotonic())
@@ -313,15 +310,6 @@
             return None
         return HttpReply.from_message(sent)
 
-    async def _announce(self) -> None:
-        client = PlatformClient(self.profile.platform)
-        while True:
-            try:
-                await client.announce(self._row())
-            except PlatformUnavailable:
-                pass  # the list is a hint; the next round renews the row
-            await asyncio.sleep(ANNOUNCE_INTERVAL_S)
-
     def _row(self) -> ListedInstance:
         leaving = self._state.is_draining
         return ListedInstance(
--- a/heatherdyke_bench/fleet.py
+++ b/heatherdyke_bench/fleet.py
@@ -18,7 +18,11 @@
 from heatherdyke.config_model import StoredSection
 from heatherdyke.errors import TransportError
 from heatherdyke.messages import IndexSnapshots
+from heatherdyke.messages import InstanceKind
+from heatherdyke.messages import ListedInstance
 from heatherdyke.platform_client import PlatformClient
+from heatherdyke.standin_announcer import ANNOUNCE_INTERVAL_S
+from heatherdyke.standin_announcer import announce_once
 from heatherdyke.standin_leaf_model import LeafProfile
 from heatherdyke.standin_leaf_model import LeafRecord
 from heatherdyke.standin_platform import PlatformRecord
@@ -67,6 +71,7 @@
         self._tree = Path(policy.tree).resolve()
         self._gate = asyncio.Semaphore(START_AT_ONCE)
         self.network_process: FleetProcess | None = None
+        self._announcer: asyncio.Task | None = None
         self.platform = self._process(
             "platform",
             ["heatherdyke.cli_standin", "platform", "--listen=127.0.0.1:0"],
@@ -82,12 +87,15 @@
             self._add_instance(name, zone)
         await self._start_network()
         await self._write_configuration()
+        self._announcer = asyncio.create_task(self._announce_instances())
         await asyncio.gather(
             *(self.start_instance(n) for n in self.instance_by_name)
         )
 
     async def stop(self) -> None:
         """End all processes that this fleet started."""
+        if self._announcer is not None:
+            self._announcer.cancel()
         instances = list(self.instance_by_name.values())
         others = [*self.leaf_by_name.values(), self.platform]
         if self.network_process is not None:
@@ -152,6 +160,25 @@
             for leaf, process in self.leaf_by_name.items()
         }
 
+    async def _announce_instances(self) -> None:
+        """List the running instances, as the platform itself would."""
+        platform = self.platform_client()
+        while True:
+            for name, zone in self.deployment.zone_by_instance.items():
+                if self.instance_by_name[name].running:
+                    await announce_once(platform, self._row(name, zone))
+            await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+
+    def _row(self, name: str, zone: str) -> ListedInstance:
+        address = self.instance_by_name[name].address
+        return ListedInstance(
+            name,
+            InstanceKind.ENTRY,
+            zone,
+            self.network.route_instance(name, address),
+            "",
+        )
+
     def _add_instance(self, name: str, zone: str) -> None:
         host = self.network.host_of_zone(zone)
         address = free_address(host)
