--- a/heatherdyke/leaf_worker.py
+++ b/heatherdyke/leaf_worker.py
@@ -40,10 +40,10 @@
 SPARE_CONNECTIONS = 1
 MAX_OPENING = 2
 REOPEN_DELAY_S = 0.2
+LEAST_SHARE_OF_USUAL = 0.5
 MOVE_LOAD = 2.0
 MIN_CANCEL_S = 0.1
 AGEING_S = 1.0
-LEAST_SHARE = 0.7
 
 
 class LeafWorker:
@@ -226,16 +226,6 @@
         self._cancels.add(task)
         task.add_done_callback(self._cancels.discard)
 
-    def _least_s(self, work: LeafWork) -> float:
-        """Return the least time that the work would take at the leaf.
-
-        Sending what cannot be done in time would waste a slot, and under
-        overload most of them.
-        """
-        if not self._policy.refuse_late or isinstance(work.question, LeafRun):
-            return 0.0
-        return LEAST_SHARE * self._policy.reference_s()
-
     def _pump(self) -> None:
         now = self._clock.now()
         if self._queue and not self._policy.is_home():
@@ -244,7 +234,7 @@
         limit = self.limit.allowed(now)
         while self._queue:
             work = self._queue[0][2]
-            if work.expires_at <= now + self._least_s(work):
+            if self._is_too_late(work, now):
                 heappop(self._queue)
                 self._refuse(work, "deadline")
                 continue
@@ -261,6 +251,13 @@
             self._send(work, now)
         self._wake_later(now)
 
+    def _is_too_late(self, work: LeafWork, now: float) -> bool:
+        """Tell whether the work would hardly be done by its deadline."""
+        least_s = 0.0
+        if isinstance(work.question, LeafSearch):
+            least_s = LEAST_SHARE_OF_USUAL * self._policy.reference_s()
+        return work.expires_at <= now + least_s
+
     def _send(self, work: LeafWork, now: float) -> None:
         remaining_ms = _work_s(work, now) * 1000
         work.question = _with_remaining(work.question, remaining_ms)
