--- a/heatherdyke_bench/capacity_rows.py
+++ b/heatherdyke_bench/capacity_rows.py
@@ -7,6 +7,7 @@
 
 from heatherdyke import config_sync
 from heatherdyke import platform_view
+from heatherdyke import usage_task
 from heatherdyke.journal import RING_EVENTS
 from heatherdyke.membership import TREE_FANOUT
 from heatherdyke.metrics import MAX_SERIES
@@ -297,6 +298,14 @@
             0,
             "the section, then the head by conditional update",
         ),
+        Row(
+            "platform",
+            "writes of usage",
+            TARGET.instances / usage_task.STORE_INTERVAL_S,
+            "/s",
+            0,
+            "one object an instance and interval, while it has callers",
+        ),
         Row(
             "platform",
             "writes of rosters",
