--- a/heatherdyke/events.py
+++ b/heatherdyke/events.py
@@ -393,6 +393,15 @@
         "Do not stop the instance before the platform is back.",
     )
 )
+RUN_RECORDS_REMOVED = register(
+    EventKind(
+        5004,
+        "run_records_removed",
+        Severity.INFO,
+        "Records of runs older than their retention were removed.",
+        ("count",),
+    )
+)
 USAGE_NOT_STORED = register(
     EventKind(
         5010,
