--- a/heatherdyke/config_api.py
+++ b/heatherdyke/config_api.py
@@ -5,18 +5,16 @@
 from dataclasses import field
 
 from blacksheep import Application
-from blacksheep import Content
 from blacksheep import Request
 from blacksheep import Response
 
-from heatherdyke.codec import encode
 from heatherdyke.config_state import ConfigDelta
 from heatherdyke.config_state import ConfigDigest
 from heatherdyke.config_state import UnreadableSection
+from heatherdyke.http_routes import add_route
+from heatherdyke.http_support import json_response
 from heatherdyke.settings import split_address
 
-JSON_TYPE = b"application/json"
-
 
 @dataclass(frozen=True, slots=True)
 class ConfigStatus:
@@ -53,15 +51,8 @@
 
     def add_routes(self, app: Application) -> None:
         """Add both handlers to ``app``."""
-
-        async def serve_peer(request: Request) -> Response:
-            return await self.serve_peer(request)
-
-        async def serve_status(request: Request) -> Response:
-            return await self.serve_status(request)
-
-        app.router.add_get("/peer/config", serve_peer)
-        app.router.add_get("/config/status", serve_status)
+        add_route(app, "GET", "/peer/config", self.serve_peer)
+        add_route(app, "GET", "/config/status", self.serve_status)
 
     async def serve_peer(self, request: Request) -> Response:
         """Answer with what the asking peer lacks, or 204 if nothing."""
@@ -78,17 +69,13 @@
         if address:
             self._observe(address, digest)
         delta = self._delta_since(digest)
-        return Response(204) if delta is None else _json(delta)
+        return Response(204) if delta is None else json_response(delta)
 
     async def serve_status(self, request: Request) -> Response:
         """Answer with the ConfigStatus of this instance."""
-        return _json(self._status())
+        return json_response(self._status())
 
 
 def _parameter(request: Request, name: str, default: str) -> str:
     values = request.query.get(name)
     return values[0] if values else default
-
-
-def _json(message: object) -> Response:
-    return Response(200, content=Content(JSON_TYPE, encode(message)))
