--- a/heatherdyke/leaf_worker.py
+++ b/heatherdyke/leaf_worker.py
@@ -40,9 +40,10 @@
 SPARE_CONNECTIONS = 1
 MAX_OPENING = 2
 REOPEN_DELAY_S = 0.2
-LEAST_SHARE_OF_USUAL = 0.5
 MOVE_LOAD = 2.0
+MIN_CANCEL_S = 0.1
 AGEING_S = 1.0
+LEAST_SHARE = 0.7
 
 
 class LeafWorker:
@@ -155,9 +156,14 @@
         heappush(self._queue, (place, self._sequence, work))
 
     def _withdraw(self, work: LeafWork) -> None:
-        """Drop the work, but let a cold leaf do it: that warms it."""
+        """Drop the work.
+
+        A cold leaf finishes what it does, which warms it; so does one whose
+        deadline is near, as a cancellation would come no sooner.
+        """
         if work in self._connection_by_work:
-            if self.limit.is_warm:
+            remaining_s = work.expires_at - self._clock.now()
+            if self.limit.is_warm and remaining_s > MIN_CANCEL_S:
                 self._start(self._cancel(work))
             return
         work.expires_at = 0.0
@@ -220,6 +226,16 @@
         self._cancels.add(task)
         task.add_done_callback(self._cancels.discard)
 
+    def _least_s(self, work: LeafWork) -> float:
+        """Return the least time that the work would take at the leaf.
+
+        Sending what cannot be done in time would waste a slot, and under
+        overload most of them.
+        """
+        if not self._policy.refuse_late or isinstance(work.question, LeafRun):
+            return 0.0
+        return LEAST_SHARE * self._policy.reference_s()
+
     def _pump(self) -> None:
         now = self._clock.now()
         if self._queue and not self._policy.is_home():
@@ -228,7 +244,7 @@
         limit = self.limit.allowed(now)
         while self._queue:
             work = self._queue[0][2]
-            if self._is_too_late(work, now):
+            if work.expires_at <= now + self._least_s(work):
                 heappop(self._queue)
                 self._refuse(work, "deadline")
                 continue
@@ -245,13 +261,6 @@
             self._send(work, now)
         self._wake_later(now)
 
-    def _is_too_late(self, work: LeafWork, now: float) -> bool:
-        """Tell whether the work would hardly be done by its deadline."""
-        least_s = 0.0
-        if isinstance(work.question, LeafSearch):
-            least_s = LEAST_SHARE_OF_USUAL * self._policy.reference_s()
-        return work.expires_at <= now + least_s
-
     def _send(self, work: LeafWork, now: float) -> None:
         remaining_ms = _work_s(work, now) * 1000
         work.question = _with_remaining(work.question, remaining_ms)
--- a/heatherdyke_bench/deployments.py
+++ b/heatherdyke_bench/deployments.py
@@ -272,3 +272,26 @@
         ],
     )
 )
+
+deployments.register("small")(
+    Deployment(
+        name="small",
+        zones=["brescia", "bergamo", "verona"],
+        instances=3,
+        plans=[
+            ServicePlan(
+                "permits",
+                _numbered("permits", 6),
+                "ledger",
+                1,
+                2,
+                LeafKind(3, 30, 6.0),
+            ),
+        ],
+        classes=[
+            LoadClass("foreman", "permits", 0, 10.0, 600, 0.6, 6, 10),
+            LoadClass("planner", "permits", 2, 20.0, 1500, 0.95, 6, 50),
+            LoadClass("clerk", "permits", 5, 3.0, 5000, 0.95, 6, 50),
+        ],
+    )
+)
