Show the reverting configuration by a fixed sequence

Cause: the machine without the rule is drawn anew by hypothesis with the modules loaded, so whether it found the fault depended on which tests were collected (DID NOT RAISE with the whole suite, passes alone); more examples did not help. The fixed sequence fails without the mechanism and passes with it on every run, which is as strict and gives one verdict; the drawn machine with the mechanism on stays as it was.

--- a/tests/test_config_machine.py
+++ b/tests/test_config_machine.py
@@ -12,7 +12,6 @@
 
 import pytest
 from hypothesis import HealthCheck
-from hypothesis import Phase
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine
@@ -289,8 +288,19 @@
         run_state_machine_as_test(ConfigMachine, settings=SETTINGS)
 
     def test_it_reverts_without_the_mechanism(self):
+        """A fixed sequence, for drawn ones vary with the modules loaded."""
         with pytest.raises(AssertionError, match="reverted"):
-            run_state_machine_as_test(
-                UnguardedConfigMachine,
-                settings=settings(SETTINGS, phases=[Phase.generate]),
-            )
+            deliver_older(UnguardedConfigMachine())
+        deliver_older(ConfigMachine())
+
+
+def deliver_older(machine: ConfigMachine) -> None:
+    """Give an instance a peer's older answer after a newer head."""
+    machine.edit_at_once(TEAMS[0], "x")
+    machine.read_platform(1)
+    machine.ask_peer(0, 1)
+    machine.edit_at_once(TEAMS[0], "y")
+    machine.read_platform(0)
+    machine.nothing_reverts()
+    machine.deliver_late(0, 0)
+    machine.nothing_reverts()
