--- a/heatherdyke/config_source.py
+++ b/heatherdyke/config_source.py
@@ -16,9 +16,8 @@
 from heatherdyke.config_state import ConfigDigest
 from heatherdyke.config_state import ConfigState
 from heatherdyke.config_state import SectionUpdate
-from heatherdyke.errors import TransportError
 from heatherdyke.errors import UnreadableObject
-from heatherdyke.http_connection import HttpConnection
+from heatherdyke.http_fetch import fetch_if_any
 from heatherdyke.messages import PlatformObject
 from heatherdyke.platform_client import PlatformClient
 from heatherdyke.platform_client import convert_value
@@ -94,28 +93,11 @@
     Returns None if the peer has nothing newer.  The peer learns the digest
     and asks back if it lacks something.  Raises TransportError.
     """
-    connection = await HttpConnection.open(address, PEER_TIMEOUT_S)
-    try:
-        response = await connection.request(
-            "GET",
-            f"/peer/config?since={digest.config_version}"
-            f"&zones={digest.zones_version}&address={own_address}",
-            timeout_s=PEER_TIMEOUT_S,
-        )
-    finally:
-        connection.close()
-    if response.status == 204:
-        return None
-    if response.status != 200:
-        raise TransportError(
-            f"{address} answered {response.status} to /peer/config", sent=True
-        )
-    try:
-        return decode(response.body, ConfigDelta)
-    except msgspec.MsgspecError as error:
-        raise TransportError(
-            f"{address} sent no configuration: {error}", sent=True
-        ) from error
+    target = (
+        f"/peer/config?since={digest.config_version}"
+        f"&zones={digest.zones_version}&address={own_address}"
+    )
+    return await fetch_if_any(address, target, ConfigDelta, PEER_TIMEOUT_S)
 
 
 async def _read_section(
--- a/heatherdyke/config_wait.py
+++ b/heatherdyke/config_wait.py
@@ -6,13 +6,10 @@
 from enum import Enum
 from time import monotonic
 
-import msgspec
-
-from heatherdyke.codec import decode
 from heatherdyke.config_api import ConfigStatus
 from heatherdyke.errors import NotInForce
 from heatherdyke.errors import TransportError
-from heatherdyke.http_connection import HttpConnection
+from heatherdyke.http_fetch import fetch
 from heatherdyke.observe_component import KnownInstance
 
 ASK_TIMEOUT_S = 1.0
@@ -69,19 +66,7 @@
 
 async def ask_status(address: str) -> ConfigStatus:
     """Return what the instance has in force; raises TransportError."""
-    connection = await HttpConnection.open(address, ASK_TIMEOUT_S)
-    try:
-        response = await connection.request(
-            "GET", "/config/status", timeout_s=ASK_TIMEOUT_S
-        )
-    finally:
-        connection.close()
-    try:
-        return decode(response.body, ConfigStatus)
-    except msgspec.MsgspecError as error:
-        raise TransportError(
-            f"{address} sent no status: {error}", sent=True
-        ) from error
+    return await fetch(address, "/config/status", ConfigStatus, ASK_TIMEOUT_S)
 
 
 async def ask_instances(
--- a/heatherdyke/level_sync.py
+++ b/heatherdyke/level_sync.py
@@ -3,16 +3,14 @@
 import asyncio
 from collections.abc import Callable
 
-import msgspec
 from blacksheep import Application
 from blacksheep import Request
 from blacksheep import Response
 
 from heatherdyke.clock import Clock
-from heatherdyke.codec import decode
 from heatherdyke.errors import TransportError
 from heatherdyke.home import Home
-from heatherdyke.http_connection import HttpConnection
+from heatherdyke.http_fetch import fetch
 from heatherdyke.http_routes import add_route
 from heatherdyke.http_support import json_response
 from heatherdyke.level_book import LeafLevel
@@ -59,13 +57,10 @@
 
     async def _ask(self, address: str) -> None:
         try:
-            connection = await HttpConnection.open(address, TIMEOUT_S)
-            response = await connection.request(
-                "GET", "/peer/leaf-levels", timeout_s=TIMEOUT_S
+            levels = await fetch(
+                address, "/peer/leaf-levels", list[LeafLevel], TIMEOUT_S
             )
-            connection.close()
-            levels = decode(response.body, list[LeafLevel])
-        except (TransportError, msgspec.DecodeError):
+        except TransportError:
             return
         for level in levels:
             self._book.learn(level, self._clock.now())
--- a/heatherdyke/member_probe.py
+++ b/heatherdyke/member_probe.py
@@ -3,17 +3,13 @@
 from dataclasses import dataclass
 from urllib.parse import quote
 
-import msgspec
-
-from heatherdyke.codec import decode
 from heatherdyke.errors import ConnectionRefused
 from heatherdyke.errors import TransportError
-from heatherdyke.http_connection import HttpConnection
+from heatherdyke.http_fetch import fetch
 from heatherdyke.member_messages import GoneProof
 from heatherdyke.member_messages import Member
 from heatherdyke.member_messages import VersionedRoster
 
-STATUS_OK = 200
 FETCH_TIMEOUT_S = 1.0
 
 
@@ -34,13 +30,14 @@
     the answer of another incarnation, asked now.  No answer proves nothing.
     """
     try:
-        body = await _get(member.address, "/peer/member", timeout_s)
-        present = decode(body, Member)
+        present = await fetch(
+            member.address, "/peer/member", Member, timeout_s
+        )
     except ConnectionRefused:
         return ProbeAnswer(
             proof=GoneProof(member.incarnation), detail="refused"
         )
-    except (TransportError, msgspec.DecodeError):
+    except TransportError:
         return ProbeAnswer(detail="no answer")
     if present.incarnation != member.incarnation:
         return ProbeAnswer(
@@ -51,23 +48,8 @@
 
 async def fetch_roster(address: str, zone: str) -> VersionedRoster | None:
     """Return the roster that the peer holds of ``zone``, if it answers."""
+    target = f"/peer/roster?zone={quote(zone, '')}"
     try:
-        body = await _get(
-            address, f"/peer/roster?zone={quote(zone, '')}", FETCH_TIMEOUT_S
-        )
-        return decode(body, VersionedRoster)
-    except (TransportError, msgspec.DecodeError):
+        return await fetch(address, target, VersionedRoster, FETCH_TIMEOUT_S)
+    except TransportError:
         return None
-
-
-async def _get(address: str, target: str, timeout_s: float) -> bytes:
-    connection = await HttpConnection.open(address, timeout_s)
-    try:
-        response = await connection.request("GET", target, b"", timeout_s)
-    finally:
-        connection.close()
-    if response.status != STATUS_OK:
-        raise TransportError(
-            f"{address} answered {response.status} to {target}", sent=True
-        )
-    return response.body
--- a/heatherdyke/observe_client.py
+++ b/heatherdyke/observe_client.py
@@ -9,11 +9,10 @@
 
 from msgspec import DecodeError
 
-from heatherdyke.codec import decode
 from heatherdyke.errors import HeatherdykeError
 from heatherdyke.errors import NoInstanceReachable
 from heatherdyke.errors import TransportError
-from heatherdyke.http_connection import HttpConnection
+from heatherdyke.http_fetch import fetch
 from heatherdyke.instance_listing import list_instances
 from heatherdyke.observe_component import KnownInstance
 from heatherdyke.platform_client import PlatformClient
@@ -78,8 +77,8 @@
     async def ask(instance: KnownInstance) -> None:
         try:
             async with gate:
-                page = await get_page(
-                    instance.address, target(instance), page_type
+                page = await fetch(
+                    instance.address, target(instance), page_type, TIMEOUT_S
                 )
         except (TransportError, DecodeError) as error:
             collected.unreachable.append(Unreachable(instance, str(error)))
@@ -91,25 +90,8 @@
     return collected
 
 
-async def get_page(address: str, target: str, page_type: type[T]) -> T:
-    """Return the page that the instance at ``address`` has at ``target``.
-
-    Raises TransportError if it gives none.
-    """
-    connection = await HttpConnection.open(address, TIMEOUT_S)
-    try:
-        response = await connection.request("GET", target, timeout_s=TIMEOUT_S)
-    finally:
-        connection.close()
-    if response.status != 200:
-        raise TransportError(
-            f"{address} answered {response.status} to GET {target}", sent=True
-        )
-    return decode(response.body, page_type)
-
-
 async def _ask_instance(address: str) -> list[KnownInstance]:
-    return await get_page(address, "/members", list[KnownInstance])
+    return await fetch(address, "/members", list[KnownInstance], TIMEOUT_S)
 
 
 async def _ask_platform(address: str) -> list[KnownInstance]:
--- a/heatherdyke/platform_view.py
+++ b/heatherdyke/platform_view.py
@@ -14,12 +14,11 @@
 from blacksheep import Request
 from blacksheep import Response
 
-from heatherdyke.codec import decode
 from heatherdyke.config_model import SNAPSHOTS_PREFIX
 from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.errors import TransportError
 from heatherdyke.home import Home
-from heatherdyke.http_connection import HttpConnection
+from heatherdyke.http_fetch import fetch_if_any
 from heatherdyke.http_routes import add_route
 from heatherdyke.http_support import json_response
 from heatherdyke.messages import IndexSnapshots
@@ -35,7 +34,6 @@
 WAIT_S = 10.0
 RETRY_S = 1.0
 READER_TIMEOUT_S = 2.0
-STATUS_OK = 200
 NO_CONTENT = 204
 
 
@@ -179,29 +177,14 @@
             )
 
     async def _wait_at(self, reader: str) -> None:
-        connection = await HttpConnection.open(reader, READER_TIMEOUT_S)
         target = (
             f"/peer/platform-state?reader={self._state.reader}"
             f"&after={self._state.version}"
         )
-        try:
-            response = await connection.request(
-                "GET", target, timeout_s=WAIT_S + READER_TIMEOUT_S
-            )
-        finally:
-            connection.close()
-        if response.status == NO_CONTENT:
-            return
-        if response.status != STATUS_OK:
-            raise TransportError(
-                f"{reader} answered {response.status}", sent=True
-            )
-        try:
-            self._apply(decode(response.body, PlatformState))
-        except msgspec.DecodeError as error:
-            raise TransportError(
-                f"{reader} sent no platform state: {error}", sent=True
-            ) from error
+        timeout_s = WAIT_S + READER_TIMEOUT_S
+        state = await fetch_if_any(reader, target, PlatformState, timeout_s)
+        if state is not None:
+            self._apply(state)
 
     def _apply(self, state: PlatformState) -> None:
         self._state = state
--- a/heatherdyke/run_peers.py
+++ b/heatherdyke/run_peers.py
@@ -1,9 +1,6 @@
 """Brings runs to leaves through their homes, and questions to holders."""
 
-import msgspec
-
 from heatherdyke.clock import Clock
-from heatherdyke.codec import decode
 from heatherdyke.codec import encode
 from heatherdyke.component import ConfigView
 from heatherdyke.component import MemberView
@@ -12,7 +9,7 @@
 from heatherdyke.entry import Route
 from heatherdyke.errors import TransportError
 from heatherdyke.events import RUN_SENT
-from heatherdyke.http_connection import HttpConnection
+from heatherdyke.http_fetch import fetch
 from heatherdyke.journal import Journal
 from heatherdyke.messages import LeafRefusal
 from heatherdyke.messages import LeafRun
@@ -24,9 +21,7 @@
 from heatherdyke.run_tickets import Ticket
 from heatherdyke.usage import UsageCounters
 
-CONNECT_TIMEOUT_S = 0.5
 REPLY_GRACE_S = 0.2
-STATUS_OK = 200
 
 
 class RunPeers:
@@ -93,23 +88,14 @@
         address = self._find_holder(held)
         question = to_question(held, self._clock.now())
         timeout_s = question.remaining_ms / 1000 + REPLY_GRACE_S
-        connection = await HttpConnection.open(address, CONNECT_TIMEOUT_S)
-        try:
-            response = await connection.request(
-                "POST", "/peer/run-once", encode(question), timeout_s
-            )
-        finally:
-            connection.close()
-        if response.status != STATUS_OK:
-            raise TransportError(
-                f"{address} answered {response.status}", sent=True
-            )
-        try:
-            return decode(response.body, PeerRunOnceOutcome)
-        except msgspec.DecodeError as error:
-            raise TransportError(
-                f"the holder's answer is not readable: {error}", sent=True
-            ) from error
+        return await fetch(
+            address,
+            "/peer/run-once",
+            PeerRunOnceOutcome,
+            timeout_s,
+            "POST",
+            encode(question),
+        )
 
     def _find_holder(self, held: HeldRun) -> str:
         if held.record is not None:
