--- a/heatherdyke/admission.py
+++ b/heatherdyke/admission.py
@@ -20,6 +20,7 @@
 MIN_WINDOW_COMPLETIONS = 20
 OPEN_SHARE = 0.02
 USABLE_SHARE = 0.4
+TOP_USABLE_SHARE = 0.8
 LATE_SHARE = 0.8
 LATE_MEMORY_S = 2.0
 MIN_RETRY_S = 0.1
@@ -87,6 +88,7 @@
         "_ahead_by_priority",
         "_open",
         "_late_until_by_priority",
+        "_top_priority",
     )
 
     def __init__(self, by_urgency: bool = True, enabled: bool = True) -> None:
@@ -96,6 +98,7 @@
         self._ahead_by_priority: dict[int, int] = {}
         self._open: dict[int, tuple[float, float]] = {}
         self._late_until_by_priority: dict[int, float] = {}
+        self._top_priority: int | None = None
 
     @property
     def under_way(self) -> int:
@@ -114,7 +117,7 @@
         expected_s = 0.0
         if rate is not None and self._is_late(priority, now):
             expected_s = (self._ahead(priority) + needed) / rate
-        late_s = expected_s - USABLE_SHARE * remaining_s
+        late_s = expected_s - self._usable_share(priority) * remaining_s
         if late_s > 0 and not self._take_open(priority, needed, rate, now):
             retry_after_s = max(MIN_RETRY_S, late_s)
             return AdmissionDecision(False, expected_s, retry_after_s)
@@ -141,6 +144,16 @@
         self._count(priority, -needed)
         self._rate.complete(completed, now, idle=not self.under_way)
 
+    def _usable_share(self, priority: int) -> float:
+        """Return the share of the remaining time that waiting may take.
+
+        Work that comes later overtakes all but the most urgent class seen.
+        """
+        if self._top_priority is None or priority <= self._top_priority:
+            self._top_priority = priority
+            return TOP_USABLE_SHARE
+        return USABLE_SHARE
+
     def _is_late(self, priority: int, now: float) -> bool:
         """Tell whether work at least as urgent was late not long ago."""
         return self._enabled and any(
