--- a/heatherdyke/leaf_worker.py
+++ b/heatherdyke/leaf_worker.py
@@ -44,7 +44,6 @@
 MOVE_LOAD = 2.0
 MIN_CANCEL_S = 0.1
 AGEING_S = 1.0
-LEAST_SHARE = 0.7
 
 
 class LeafWorker:
@@ -227,16 +226,6 @@
         self._cancels.add(task)
         task.add_done_callback(self._cancels.discard)
 
-    def _least_s(self, work: LeafWork) -> float:
-        """Return the least time that the work would take at the leaf.
-
-        Sending what cannot be done in time would waste a slot, and under
-        overload most of them.
-        """
-        if not self._policy.refuse_late or isinstance(work.question, LeafRun):
-            return 0.0
-        return LEAST_SHARE * self._policy.reference_s()
-
     def _pump(self) -> None:
         now = self._clock.now()
         if self._queue and not self._policy.is_home():
@@ -246,7 +235,6 @@
         while self._queue:
             work = self._queue[0][2]
             if self._is_too_late(work, now):
-            if work.expires_at <= now + self._least_s(work):
                 heappop(self._queue)
                 self._refuse(work, "deadline")
                 continue
