--- a/heatherdyke/home.py
+++ b/heatherdyke/home.py
@@ -273,7 +273,6 @@
             silence_timeout=uses(Mechanism.SILENCE_TIMEOUT),
             match_parts=uses(Mechanism.PART_MATCH),
             heed_drain=uses(Mechanism.LEAF_DRAIN),
-            refuse_late=uses(Mechanism.ADMISSION),
             observer=self._observer,
         )
         worker = LeafWorker(leaf_id, config, limit, policy, self._clock)
--- a/heatherdyke/leaf_work.py
+++ b/heatherdyke/leaf_work.py
@@ -88,7 +88,6 @@
     silence_timeout: bool = True
     match_parts: bool = True
     heed_drain: bool = True
-    refuse_late: bool = True
 
 
 def refuse(work: LeafWork, kind: str) -> LeafRefusal:
