Stand in for a zone only after a while, and tell when done

A stand-in now joins after 3 s without an instance and goes on telling while a former generation names it.

--- a/heatherdyke/leaf_limit.py
+++ b/heatherdyke/leaf_limit.py
@@ -32,6 +32,7 @@
     level: int = 0
     incarnation: str = ""
     cold_starts: int = 0
+    _unconfirmed: bool = False
     _answered: int = 0
     _successes: int = 0
     _slow_answers: int = 0
@@ -46,14 +47,20 @@
         """Return how many searches may be at work at ``now``."""
         if now < self._paused_until:
             return 0
+        if self._unconfirmed:
+            return min(self.level, self.cold_slots)
         return self.level
 
     def resume(self, level: int, incarnation: str) -> None:
-        """Start where another home was with the leaf's incarnation."""
+        """Start where another home was with the leaf's incarnation.
+
+        The cold limit holds until an answer shows that incarnation.
+        """
         if not self.ramp:
             return
         self.level = max(self.cold_slots, min(level, self.slots))
         self.incarnation = incarnation
+        self._unconfirmed = True
         if self.level > self.cold_slots:
             self._answered = self.cold_searches
 
@@ -79,6 +86,7 @@
             self.turn_cold()
         self.incarnation = incarnation or self.incarnation
         self._sheds_in_row = 0
+        self._unconfirmed = False
         self._answered += 1
         patient = self._answered <= self.cold_searches + SLOW_PATIENCE
         if patient and took_s > SLOW_FACTOR * reference_s:
--- a/heatherdyke/member_core.py
+++ b/heatherdyke/member_core.py
@@ -74,7 +74,7 @@
 
     # Commands
 
-    def offer_to_stand_in(self, zones: set[str]) -> None:
+    def offer_to_stand_in(self, zones: set[str], now: float) -> None:
         """Let this instance join the rosters of zones without instances.
 
         Only the reader of an instance's own zone does, so that few
@@ -82,7 +82,7 @@
         """
         is_reader = self.membership(self.me.zone).is_reader()
         for zone in zones - {self.me.zone}:
-            self.membership(zone).may_stand_in = is_reader
+            self.membership(zone).offer_to_stand_in(is_reader, now)
 
     def adopt(self, versioned: VersionedRoster, now: float) -> bool:
         """Take over a roster if it is newer; return whether it was."""
@@ -102,7 +102,7 @@
 
     def note_at_work(self, leaves_at_work: set[str], now: float) -> None:
         """Note at which leaves this instance has work, before a send."""
-        for membership in self._concerning():
+        for membership in self.concerning():
             lease = membership.lease
             lease.note_idle(leaves_at_work)
             lease.note_settled(
@@ -138,7 +138,7 @@
         sender = heartbeat.sender
         if sender.incarnation == self.me.incarnation:
             return Heard(None)
-        for membership in self._concerning():
+        for membership in self.concerning():
             membership.hear(heartbeat, now)
         for proof in heartbeat.gone:
             self.note_gone(proof, now)
@@ -235,16 +235,21 @@
     def _ask_longest_work(self, leaf_id: str) -> float:
         return self.longest_work_s(leaf_id)
 
-    def _concerning(self) -> list[Membership]:
-        """Return the zones to whose leaves this instance may send."""
+    def concerning(self) -> list[Membership]:
+        """Return the zones to whose leaves this instance may send or sent.
+
+        A former member goes on telling that it has no work there any more.
+        """
         return [
             membership
             for zone, membership in self.membership_by_zone.items()
-            if zone == self.me.zone or membership.is_member
+            if zone == self.me.zone
+            or membership.is_member
+            or membership.may_have_acted
         ]
 
     def _views(self, now: float) -> Iterable[ZoneView]:
-        for membership in self._concerning():
+        for membership in self.concerning():
             lease = membership.lease
             age_s = None
             if lease.is_fresh(now):
--- a/heatherdyke/member_task.py
+++ b/heatherdyke/member_task.py
@@ -39,7 +39,6 @@
 from heatherdyke.member_messages import VersionedRoster
 from heatherdyke.member_probe import fetch_roster
 from heatherdyke.member_probe import probe
-from heatherdyke.membership import Membership
 from heatherdyke.platform_client import PlatformClient
 from heatherdyke.roster_task import RosterTask
 from heatherdyke.settings import Settings
@@ -221,20 +220,13 @@
         self.core.note_at_work(self.leaves_at_work(), self._clock.now())
         heartbeat = self.core.ask(self._clock.now(), self._versions())
         payload = self._stamped(heartbeat)
-        for membership in self._asked_zones():
+        for membership in self.core.concerning():
             for target in membership.targets():
                 membership.note_asked(target)
                 udp.send(target.address, payload)
         for target in self._cross_zone_targets():
             udp.send(target.address, payload)
 
-    def _asked_zones(self) -> list[Membership]:
-        return [
-            membership
-            for zone, membership in self.core.membership_by_zone.items()
-            if zone == self._me.zone or membership.is_member
-        ]
-
     def _cross_zone_targets(self) -> list[Member]:
         """Return one member of each other zone, another one each time."""
         own = self.core.membership(self._me.zone)
@@ -303,7 +295,7 @@
     # Probes and rosters
 
     def _probe_suspects(self) -> None:
-        for membership in self._asked_zones():
+        for membership in self.core.concerning():
             for member in membership.suspects():
                 self._start_probe(member)
 
--- a/heatherdyke/membership.py
+++ b/heatherdyke/membership.py
@@ -20,6 +20,7 @@
 TREE_FANOUT = 6
 RING_SUCCESSORS = 1
 JOIN_INTERVALS = 4
+STAND_IN_AFTER_S = 3.0
 
 
 @dataclass(slots=True)
@@ -46,6 +47,7 @@
         self.interval_s = interval_s
         self.leaving = False
         self.may_stand_in = False
+        self._empty_since: float | None = None
         self._peer_by_incarnation: dict[str, _Peer] = {}
 
     # Commands
@@ -61,6 +63,22 @@
             if suspect is not None:
                 suspect.suspected_by_other = True
 
+    def offer_to_stand_in(self, is_reader: bool, now: float) -> None:
+        """Note whether this instance may join a zone that is without one.
+
+        It waits for STAND_IN_AFTER_S, because an instance that comes back
+        by then needs no hand-over.
+        """
+        if not self.needs_stand_in:
+            self._empty_since = None
+        elif self._empty_since is None:
+            self._empty_since = now
+        self.may_stand_in = (
+            is_reader
+            and self._empty_since is not None
+            and now - self._empty_since >= STAND_IN_AFTER_S
+        )
+
     def note_asked(self, member: Member) -> None:
         """Note that a heartbeat was sent that asks for an answer."""
         self._peer(member).unanswered += 1
@@ -108,6 +126,13 @@
             for member in self.lease.roster.members
         )
 
+    @property
+    def may_have_acted(self) -> bool:
+        """Tell whether this instance stands in a former generation."""
+        return any(
+            self.me in former.members for former in self.lease.roster.history
+        )
+
     def targets(self) -> list[Member]:
         """Return whom to send a heartbeat that asks for an answer."""
         others = [
--- a/heatherdyke/roster_task.py
+++ b/heatherdyke/roster_task.py
@@ -73,7 +73,7 @@
 
     async def _work(self) -> None:
         now = self._clock.now()
-        self._core.offer_to_stand_in(self.zones_in_use())
+        self._core.offer_to_stand_in(self.zones_in_use(), now)
         own = self._core.membership(self._core.me.zone)
         if now - self._listed_at >= self._list_interval_s() and (
             own.is_reader() or not own.lease.version
@@ -97,6 +97,8 @@
     def _concerns(self, zone: str, membership: Membership) -> bool:
         if zone == self._core.me.zone or membership.is_member:
             return True
+        if membership.may_have_acted:
+            return True
         return membership.may_stand_in and membership.needs_stand_in
 
     def _list_interval_s(self) -> float:
--- a/tests/test_leaf_limit.py
+++ b/tests/test_leaf_limit.py
@@ -64,6 +64,19 @@
             limit.succeed("a", COLD_S, USUAL_S)
         assert limit.allowed(0.0) == COLD_SLOTS
 
+    def test_a_resumed_level_waits_for_the_incarnation(self):
+        limit = LeafLimit(SLOTS, COLD_SLOTS)
+        limit.resume(SLOTS, "a")
+        assert limit.allowed(0.0) == COLD_SLOTS
+        limit.succeed("a", USUAL_S, USUAL_S)
+        assert limit.allowed(0.0) == SLOTS
+
+    def test_a_resumed_level_is_lost_with_the_incarnation(self):
+        limit = LeafLimit(SLOTS, COLD_SLOTS)
+        limit.resume(SLOTS, "a")
+        limit.succeed("b", USUAL_S, USUAL_S)
+        assert limit.allowed(0.0) == COLD_SLOTS
+
     def test_a_shed_halves_and_pauses_longer_each_time(self):
         limit = LeafLimit(SLOTS, COLD_SLOTS)
         warm(limit)
