--- a/heatherdyke/home.py
+++ b/heatherdyke/home.py
@@ -37,18 +37,15 @@
 from heatherdyke.messages import PeerCancel
 from heatherdyke.messages import PeerParts
 from heatherdyke.messages import PeerSearch
+from heatherdyke.part_collector import PartCollector
+from heatherdyke.part_report import items_of
+from heatherdyke.part_report import to_part
 from heatherdyke.search_observer import SearchObserver
 from heatherdyke.settings import Settings
 
 REPLACED_CHECK_S = 0.02
 MEDIAN = 0.5
 MEDIAN_STEP = 0.1
-STATE_BY_REFUSAL = {
-    "deadline": PartState.LATE,
-    "not_home": PartState.NOT_HOME,
-    "snapshot_gone": PartState.SNAPSHOT_GONE,
-    "shard_split": PartState.SPLIT,
-}
 
 
 class Home:
@@ -115,7 +112,7 @@
         """
         self._observer.hear(group.clock)
         self._observer.parts_taken(group)
-        collector = _Collector(self._clock)
+        collector = PartCollector(self._clock)
         parts = [self._start(group, part, collector) for part in group.parts]
         refused = [part for part in parts if isinstance(part, Part)]
         works = {work for work in parts if isinstance(work, LeafWork)}
@@ -159,7 +156,7 @@
         worker = self._find_worker(leaf_id)
         if worker is None:
             return LeafRefusal(question.request_id, question.shard, "not_home")
-        collector = _Collector(self._clock)
+        collector = PartCollector(self._clock)
         now = self._clock.now()
         expires_at = now + question.remaining_ms / 1000
         work = LeafWork(
@@ -202,7 +199,7 @@
             task.cancel()
 
     def _start(
-        self, group: PeerSearch, part: PartRequest, collector: "_Collector"
+        self, group: PeerSearch, part: PartRequest, collector: "PartCollector"
     ) -> LeafWork | Part:
         worker = self._find_worker(part.leaf)
         if worker is None:
@@ -346,73 +343,9 @@
         items: list[Item] = []
         parts = list(refused)
         for work in done:
-            parts.append(_to_part(work))
+            parts.append(to_part(work))
             if isinstance(work.outcome, LeafAnswer):
-                items.extend(_with_shard(work.outcome))
+                items.extend(items_of(work.outcome))
         merged = merge_items(items, group.limit)
         stamp = self._observer.stamp()
         return PeerParts(group.request_id, parts, merged, last, stamp)
-
-
-class _Collector:
-    """Collects finished works of one group."""
-
-    __slots__ = ("_clock", "_finished")
-
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._finished: asyncio.Queue[LeafWork] = asyncio.Queue()
-
-    def take(self, work: LeafWork) -> None:
-        """Receive a finished work; workers call it."""
-        self._finished.put_nowait(work)
-
-    async def collect(self, count: int, until: float) -> list[LeafWork]:
-        """Return up to ``count`` works, those done by ``until``."""
-        done: list[LeafWork] = []
-        while len(done) < count:
-            timeout_s = max(0.0, until - self._clock.now())
-            try:
-                async with asyncio.timeout(timeout_s):
-                    done.append(await self._finished.get())
-            except TimeoutError:
-                break
-        return done
-
-
-def _with_shard(answer: LeafAnswer) -> list[Item]:
-    return [
-        Item(item.id, item.score, item.text, answer.shard)
-        for item in answer.items
-    ]
-
-
-def _to_part(work: LeafWork) -> Part:
-    outcome = work.outcome
-    state = PartState.LOST
-    total = 0
-    snapshots: list[int] = []
-    children: list[str] = []
-    if isinstance(outcome, LeafAnswer):
-        total = outcome.total
-        state = PartState.WHOLE
-        if outcome.truncated:
-            state = PartState.TRUNCATED
-    elif isinstance(outcome, LeafRefusal):
-        state = STATE_BY_REFUSAL.get(outcome.kind, PartState.REFUSED)
-        snapshots = outcome.snapshots
-        children = outcome.children
-    return Part(
-        work.question.shard,
-        work.leaf_id,
-        state,
-        total,
-        snapshots,
-        children,
-        leaf_ms=work.took_s * 1000,
-        asked=int(work.sent),
-        draining=work.draining,
-        load=work.load,
-        level=work.level,
-        incarnation=work.incarnation,
-    )
--- /dev/null
+++ b/heatherdyke/part_collector.py
@@ -0,0 +1,32 @@
+"""Collects the finished works of one group of parts."""
+
+import asyncio
+
+from heatherdyke.clock import Clock
+from heatherdyke.leaf_work import LeafWork
+
+
+class PartCollector:
+    """Collects finished works of one group."""
+
+    __slots__ = ("_clock", "_finished")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._finished: asyncio.Queue[LeafWork] = asyncio.Queue()
+
+    def take(self, work: LeafWork) -> None:
+        """Receive a finished work; workers call it."""
+        self._finished.put_nowait(work)
+
+    async def collect(self, count: int, until: float) -> list[LeafWork]:
+        """Return up to ``count`` works, those done by ``until``."""
+        done: list[LeafWork] = []
+        while len(done) < count:
+            timeout_s = max(0.0, until - self._clock.now())
+            try:
+                async with asyncio.timeout(timeout_s):
+                    done.append(await self._finished.get())
+            except TimeoutError:
+                break
+        return done
--- /dev/null
+++ b/heatherdyke/part_report.py
@@ -0,0 +1,55 @@
+"""Turns finished works into the parts that a home reports (pure)."""
+
+from heatherdyke.leaf_work import LeafWork
+from heatherdyke.messages import Item
+from heatherdyke.messages import LeafAnswer
+from heatherdyke.messages import LeafRefusal
+from heatherdyke.messages import Part
+from heatherdyke.messages import PartState
+
+STATE_BY_REFUSAL = {
+    "deadline": PartState.LATE,
+    "not_home": PartState.NOT_HOME,
+    "snapshot_gone": PartState.SNAPSHOT_GONE,
+    "shard_split": PartState.SPLIT,
+}
+
+
+def items_of(answer: LeafAnswer) -> list[Item]:
+    """Return the answer's items with the shard they come from."""
+    return [
+        Item(item.id, item.score, item.text, answer.shard)
+        for item in answer.items
+    ]
+
+
+def to_part(work: LeafWork) -> Part:
+    """Return what a home reports of a finished work."""
+    outcome = work.outcome
+    state = PartState.LOST
+    total = 0
+    snapshots: list[int] = []
+    children: list[str] = []
+    if isinstance(outcome, LeafAnswer):
+        total = outcome.total
+        state = PartState.WHOLE
+        if outcome.truncated:
+            state = PartState.TRUNCATED
+    elif isinstance(outcome, LeafRefusal):
+        state = STATE_BY_REFUSAL.get(outcome.kind, PartState.REFUSED)
+        snapshots = outcome.snapshots
+        children = outcome.children
+    return Part(
+        work.question.shard,
+        work.leaf_id,
+        state,
+        total,
+        snapshots,
+        children,
+        leaf_ms=work.took_s * 1000,
+        asked=int(work.sent),
+        draining=work.draining,
+        load=work.load,
+        level=work.level,
+        incarnation=work.incarnation,
+    )
