Answer an unexpected failure as a problem

Cause: a fault in a handler reached the caller as blacksheep's HTML page, which says nothing about whether the request ran; seen in the first small fleet. It is logged and told as may_have_run.

--- a/heatherdyke/http_routes.py
+++ b/heatherdyke/http_routes.py
@@ -7,6 +7,10 @@
 from blacksheep import Request
 from blacksheep import Response
 from blacksheep import Router
+from loguru import logger
+
+from heatherdyke.errors import HeatherdykeError
+from heatherdyke.http_support import problem_response
 
 Handler = Callable[[Request], Awaitable[Response]]
 
@@ -25,9 +29,20 @@
     """Serve ``method`` on ``path`` by ``handler``.
 
     The handler may be a bound method, which blacksheep cannot mark itself.
+    An error that it does not handle is logged and answered as a problem
+    whose run state is ``may_have_run``.
     """
 
     async def handle(request: Request) -> Response:
-        return await handler(request)
+        try:
+            return await handler(request)
+        except Exception:
+            logger.exception("{} {} failed", method, path)
+            return problem_response(
+                HeatherdykeError(
+                    "the instance failed at the request",
+                    "report the instance's log as a fault of heatherdyke",
+                )
+            )
 
     app.router.add(method, path, handle)
