Order the homes' queues by deadline

The queue goes by deadline now, a step of priority counting as 0.1 s. Ruled out: priority alone, which starves what may wait.

--- a/heatherdyke/leaf_worker.py
+++ b/heatherdyke/leaf_worker.py
@@ -43,14 +43,15 @@
 LEAST_SHARE_OF_USUAL = 0.5
 MOVE_LOAD = 2.0
 MIN_CANCEL_S = 0.1
-AGEING_S = 1.0
+PRIORITY_STEP_S = 0.1
 
 
 class LeafWorker:
     """Sends work to one leaf within its limit, most urgent first.
 
-    A step of priority is worth AGEING_S of waiting, so that less urgent
-    work is overtaken for a bounded time only.
+    Work goes by its deadline, and a step of priority counts as a deadline
+    PRIORITY_STEP_S later: urgent classes have short deadlines, and what may
+    wait is overtaken until its own deadline is near.
     """
 
     __slots__ = (
@@ -152,7 +153,7 @@
             self._refuse(work, "draining")
             return
         self._sequence += 1
-        place = work.submitted_at + work.priority * AGEING_S
+        place = work.expires_at + work.priority * PRIORITY_STEP_S
         heappush(self._queue, (place, self._sequence, work))
 
     def _withdraw(self, work: LeafWork) -> None:
