Find a caller's team in one place

The searches' and the runs' routes each kept the key look-ups of the document in force and read the same header; CallerDirectory does it for both. No behaviour changes.

--- a/heatherdyke/caller_api.py
+++ b/heatherdyke/caller_api.py
@@ -6,7 +6,7 @@
 from blacksheep import Request
 from blacksheep import Response
 
-from heatherdyke.caller_keys import CallerKeys
+from heatherdyke.caller_keys import CallerDirectory
 from heatherdyke.component import ConfigView
 from heatherdyke.entry import Entry
 from heatherdyke.errors import HeatherdykeError
@@ -30,11 +30,9 @@
         observer: SearchObserver,
     ) -> None:
         self._entry = entry
-        self._config = config
         self._gate = gate
         self._observer = observer
-        self._keys = CallerKeys.from_document(config.document)
-        self._keys_document = config.document
+        self._callers = CallerDirectory(config)
 
     def add_routes(self, app: Application) -> None:
         """Add the callers' routes."""
@@ -45,7 +43,7 @@
         team = ""
         try:
             with self._gate.admit():
-                team = self._find_team(request)
+                team = self._callers.find_team(request)
                 message = await read_message(request, SearchRequest)
                 answer = await self._entry.search(team, message, request_id)
         except HeatherdykeError as error:
@@ -53,11 +51,3 @@
             return problem_response(error, request_id)
         self._observer.answered(team, message.urgency, answer)
         return json_response(answer)
-
-    def _find_team(self, request: Request) -> str:
-        document = self._config.document
-        if document is not self._keys_document:
-            self._keys = CallerKeys.from_document(document)
-            self._keys_document = document
-        header = request.headers.get_first(b"Authorization")
-        return self._keys.find_team(header.decode() if header else None)
--- a/heatherdyke/caller_keys.py
+++ b/heatherdyke/caller_keys.py
@@ -7,6 +7,9 @@
 from collections.abc import Mapping
 from hashlib import sha256
 
+from blacksheep import Request
+
+from heatherdyke.component import ConfigView
 from heatherdyke.config_model import ConfigDocument
 from heatherdyke.config_model import SectionConfig
 from heatherdyke.errors import Forbidden
@@ -79,6 +82,30 @@
         return section
 
 
+class CallerDirectory:
+    """Answers as CallerKeys does, for the document now in force."""
+
+    __slots__ = ("_config", "_document", "_keys")
+
+    def __init__(self, config: ConfigView) -> None:
+        self._config = config
+        self._document = config.document
+        self._keys = CallerKeys.from_document(config.document)
+
+    def current(self) -> CallerKeys:
+        """Return the keys of the document now in force."""
+        document = self._config.document
+        if document is not self._document:
+            self._document = document
+            self._keys = CallerKeys.from_document(document)
+        return self._keys
+
+    def find_team(self, request: Request) -> str:
+        """Return the team of a caller's request; raises UnknownKey."""
+        header = request.headers.get_first(b"Authorization")
+        return self.current().find_team(header.decode() if header else None)
+
+
 def hash_key(key: str) -> str:
     """Return the hexadecimal SHA-256 under which a section knows a key."""
     return sha256(key.encode()).hexdigest()
--- a/heatherdyke/run_once_task.py
+++ b/heatherdyke/run_once_task.py
@@ -11,7 +11,7 @@
 from blacksheep import Response
 from xxhash import xxh3_64_intdigest
 
-from heatherdyke.caller_keys import CallerKeys
+from heatherdyke.caller_keys import CallerDirectory
 from heatherdyke.clock import Clock
 from heatherdyke.codec import encode
 from heatherdyke.component import ConfigView
@@ -69,8 +69,7 @@
         self._clock = clock
         self._stop_s = stop_s
         self._truthful = truthful
-        self._keys = CallerKeys.from_document(config.document)
-        self._keys_document = config.document
+        self._callers = CallerDirectory(config)
 
     def add_routes(self, app: Application) -> None:
         """Add the routes for callers and peers."""
@@ -132,7 +131,7 @@
         return guarded
 
     async def _issue(self, request: Request) -> Response:
-        self._find_team(request)
+        self._callers.find_team(request)
         count = _read_count(request)
         tickets = self._book.tickets.issue(count)
         return json_response(RunTickets([t.key for t in tickets]))
@@ -141,8 +140,8 @@
         key = _check_key(request.headers.get_first(b"Idempotency-Key"))
         message = await read_message(request, RunRequest)
         _check_deadline(message)
-        team = self._find_team(request)
-        section = self._keys.check_access(team, message.service)
+        team = self._callers.find_team(request)
+        section = self._callers.current().check_access(team, message.service)
         service = section.services[message.service]
         _check_mode(service, key)
         chosen = replace(message, shard=_choose_shard(service, message))
@@ -170,7 +169,7 @@
         return json_response(await self._look(request, RunIntent.WITHDRAW))
 
     async def _look(self, request: Request, intent: RunIntent) -> RunOutcome:
-        team = self._find_team(request)
+        team = self._callers.find_team(request)
         key = _check_key(request.route_values["key"].encode())
         until = self._clock.now() + LOOK_TIMEOUT_S
         held = self._book.begin(team, key, intent, until)
@@ -197,14 +196,6 @@
         ticket = Ticket.from_key(key)
         return ticket is not None and self._book.tickets.is_own(ticket)
 
-    def _find_team(self, request: Request) -> str:
-        document = self._config.document
-        if document is not self._keys_document:
-            self._keys = CallerKeys.from_document(document)
-            self._keys_document = document
-        header = request.headers.get_first(b"Authorization")
-        return self._keys.find_team(header.decode() if header else None)
-
     def _section_of(self, team: str) -> SectionConfig:
         return self._config.document.section_by_team[team]
 
