Turn clients away while cut off, believe later cold reports, doubt silent leafs

Ruled out: refusals for lack of budget (none in the log). Change: readiness follows Isolation, a pure module; a leaf without any answer for 0.4 s is left alone until a health check; store reads that may be old.

--- a/heatherdyke/gateway/attempts.py
+++ b/heatherdyke/gateway/attempts.py
@@ -9,6 +9,7 @@
 from heatherdyke.gateway.leaf_connection import Attempt
 from heatherdyke.gateway.leaf_table import Leaf
 from heatherdyke.gateway.messages import ClientRequest
+from heatherdyke.gateway.messages import Failure
 from heatherdyke.gateway.messages import Outcome
 from heatherdyke.gateway.timing import Pace
 
@@ -110,10 +111,11 @@
     def abandon(self) -> None:
         """Stop all attempts; leafs drop what they have not finished."""
         self._finished = True
+        now = self.core.loop.time()
         for attempt in self._running:
-            if attempt.pool.leaf.is_stalled(self.core.loop.time(), LINGER_S):
-                attempt.pool.leaf.hear_failure(self.core.loop.time())
             attempt.pool.abandon(attempt)
+            if attempt.pool.leaf.is_silent(attempt.sent_at, now):
+                self.core.pools.silent(attempt.pool)
         self._running.clear()
 
     def _ended(self, attempt: Attempt, outcome: Outcome) -> None:
@@ -122,6 +124,10 @@
         leaf.finish(attempt.number)
         now = self.core.loop.time()
         hear_outcome(leaf, self.pace, attempt, outcome, now)
+        if outcome.response is not None:
+            self.core.isolation.hear_answer(leaf.entry.zone, now)
+        elif outcome.failure is Failure.BROKEN:
+            self.core.isolation.hear_failure(leaf.entry.zone)
         if not self._finished:
             self._on_end(attempt, outcome)
 
--- a/heatherdyke/gateway/clients.py
+++ b/heatherdyke/gateway/clients.py
@@ -19,10 +19,10 @@
 class Clients:
     """Owns the connections of the clients' address."""
 
-    __slots__ = ("closing", "_core", "_dispatcher", "_connections")
+    __slots__ = ("stopping", "_core", "_dispatcher", "_connections")
 
     def __init__(self, core: Core, dispatcher: Dispatcher) -> None:
-        self.closing = False
+        self.stopping = False
         self._core = core
         self._dispatcher = dispatcher
         self._connections: set[ClientConnection] = set()
@@ -33,6 +33,13 @@
         config = self._core.config
         return config.limits if config is not None else DEFAULT_LIMITS
 
+    @property
+    def closing(self) -> bool:
+        """Tell whether clients should come back on other connections."""
+        core = self._core
+        cut_off = core.isolation.should_turn_away(core.loop.time())
+        return self.stopping or cut_off
+
     @property
     def open_count(self) -> int:
         """Return the number of connections."""
--- a/heatherdyke/gateway/core.py
+++ b/heatherdyke/gateway/core.py
@@ -8,6 +8,7 @@
 from heatherdyke.gateway.cold_limit import cold_allowance
 from heatherdyke.gateway.connection_share import owner_of
 from heatherdyke.gateway.decision_log import DecisionLog
+from heatherdyke.gateway.isolation import Isolation
 from heatherdyke.gateway.leaf_choice import choose_leaf
 from heatherdyke.gateway.leaf_pools import LeafPools
 from heatherdyke.gateway.leaf_table import Leaf
@@ -34,6 +35,7 @@
         "random",
         "routes",
         "leafs",
+        "isolation",
         "pools",
         "paces",
         "budget",
@@ -57,7 +59,10 @@
         self.random = random
         self.routes: RouteTable | None = None
         self.leafs = LeafTable()
-        self.pools = LeafPools(loop, log, settings.name, self.service)
+        self.isolation = Isolation(settings.zone)
+        self.pools = LeafPools(
+            loop, log, self.isolation, settings.name, self.service
+        )
         self.paces = Paces()
         self.instances: list[str] = []
         self.budget = RetryBudget(
--- a/heatherdyke/gateway/leaf_pools.py
+++ b/heatherdyke/gateway/leaf_pools.py
@@ -8,6 +8,7 @@
 from heatherdyke.gateway.decision_log import DecisionLog
 from heatherdyke.gateway.events import LEAF_DOUBTED
 from heatherdyke.gateway.events import LEAF_VERIFIED
+from heatherdyke.gateway.isolation import Isolation
 from heatherdyke.gateway.leaf_connection import Attempt
 from heatherdyke.gateway.leaf_pool import LeafPool
 from heatherdyke.gateway.leaf_table import Leaf
@@ -22,9 +23,8 @@
 
     __slots__ = (
         "loop",
-        "handshakes",
-        "health_checks",
         "_log",
+        "_isolation",
         "_own_name",
         "_instances",
         "_service_of",
@@ -37,12 +37,13 @@
         self,
         loop: asyncio.AbstractEventLoop,
         log: DecisionLog,
+        isolation: Isolation,
         own_name: str,
         service_of: Callable[[str], Service],
     ) -> None:
         self.loop = loop
-        self.health_checks = 0
         self._log = log
+        self._isolation = isolation
         self._own_name = own_name
         self._instances: Sequence[str] = ()
         self._service_of = service_of
@@ -98,14 +99,22 @@
 
     def unreachable(self, pool: LeafPool, error: Exception) -> None:
         """Leave a leaf alone that cannot be connected."""
+        self._suspect(pool, type(error).__name__)
+
+    def silent(self, pool: LeafPool) -> None:
+        """Leave a leaf alone that does not answer."""
+        self._suspect(pool, "silent")
+
+    def _suspect(self, pool: LeafPool, why: str) -> None:
         leaf = pool.leaf
+        self._isolation.hear_failure(leaf.entry.zone)
         now = self.loop.time()
         leaf.hear_unreachable(now)
         self._log.record(
             LEAF_DOUBTED,
             leaf=leaf.leaf_id,
             service=leaf.entry.service,
-            why=type(error).__name__,
+            why=why,
             pause_s=round(leaf.suspect_until - now, 3),
         )
 
@@ -114,7 +123,6 @@
         if leaf in self._checking or not pool.has_room():
             return
         self._checking.add(leaf)
-        self.health_checks += 1
         attempt = Attempt(
             number=self.number(),
             request_id=b"",
@@ -143,6 +151,7 @@
         if response is None:
             leaf.hear_unreachable(now)
             return
+        self._isolation.hear_answer(leaf.entry.zone, now)
         own_id = response.leaf_id == leaf.leaf_id.encode()
         if response.leaf_id is not None and not own_id:
             leaf.misdirected = True
@@ -163,6 +172,7 @@
             return
         self._checking.discard(leaf)
         attempt.pool.abandon(attempt)
+        self._isolation.hear_failure(leaf.entry.zone)
         leaf.hear_unreachable(self.loop.time())
 
     def _limit_of(self, leaf: Leaf) -> int:
--- a/heatherdyke/gateway/leaf_table.py
+++ b/heatherdyke/gateway/leaf_table.py
@@ -23,6 +23,8 @@
 SLOWNESS_HALF_LIFE_S = 1.5
 # One straggler moves the estimate by little.
 MAX_SLOWNESS_SAMPLE = 3.0
+# A usual pause is shorter than this; who is silent longer may be gone.
+SILENT_S = 0.4
 # A leaf that is silent for this many usual times is taken as paused.
 STALL_FACTOR = 2.5
 STALL_MIN_S = 0.03
@@ -35,9 +37,12 @@
     ``slowness`` is the time its answers take as a multiple of the usual
     time; ``failure_share`` the share of its answers that are failures.
     ``sent_at_by_attempt`` holds the requests that wait for it, oldest first.
+    ``reported_cold_until`` follows the leaf's own reports, ``cold_until``
+    what a health check or a zone's return says; the later one counts.
     """
 
     entry: LeafEntry
+    reported_cold_until: float = 0.0
     cold_until: float = 0.0
     absent_since: float | None = None
     misdirected: bool = False
@@ -56,7 +61,7 @@
 
     def is_cold(self, now: float) -> bool:
         """Tell whether the leaf bears only the cold rate."""
-        return now < self.cold_until
+        return now < max(self.cold_until, self.reported_cold_until)
 
     def is_usable(self, now: float) -> bool:
         """Tell whether requests may be sent, if the leaf is warm."""
@@ -75,6 +80,10 @@
         since = max(oldest, self.heard_at)
         return now - since > max(STALL_MIN_S, STALL_FACTOR * usual_s)
 
+    def is_silent(self, sent_at: float, now: float) -> bool:
+        """Tell whether nothing came since ``sent_at``, for too long."""
+        return self.heard_at < sent_at and now - sent_at > SILENT_S
+
     def current_slowness(self, now: float) -> float:
         """Return the slowness, which fades while nothing is heard."""
         age_s = max(0.0, now - self.heard_at)
@@ -245,9 +254,10 @@
         self._leafs_by_service[leaf.entry.service].remove(leaf)
 
     def _note_cold(self, leaf: Leaf, now: float) -> None:
-        if leaf.entry.cold_s > 0.0:
-            until = now + leaf.entry.cold_s + COLD_MARGIN_S
-            leaf.cold_until = max(leaf.cold_until, until)
+        cold_s = leaf.entry.cold_s
+        leaf.reported_cold_until = now
+        if cold_s > 0.0:
+            leaf.reported_cold_until = now + cold_s + COLD_MARGIN_S
 
 
 def _is_older(entry: LeafEntry, known: LeafEntry) -> bool:
--- a/heatherdyke/gateway/process.py
+++ b/heatherdyke/gateway/process.py
@@ -108,10 +108,10 @@
     @property
     def is_ready(self) -> bool:
         """Tell whether requests can be served."""
-        known = (
-            self._core.config is not None and self._leaf_feed.listed.is_set()
-        )
-        return known and not self._stopping.is_set()
+        core = self._core
+        known = core.config is not None and self._leaf_feed.listed.is_set()
+        cut_off = core.isolation.should_turn_away(core.loop.time())
+        return known and not cut_off and not self._stopping.is_set()
 
     async def run(self) -> None:
         """Serve until told to stop, then finish what runs."""
@@ -211,7 +211,7 @@
             open_connections=self._clients.open_count,
             running=self._clients.running_count,
         )
-        self._clients.closing = True
+        self._clients.stopping = True
         last_at = began_at + core.settings.bounds.shutdown_s - KILL_MARGIN_S
         unrouted_at = began_at + UNROUTED_AFTER_S
         while core.loop.time() < last_at:
--- a/heatherdyke/gateway/search.py
+++ b/heatherdyke/gateway/search.py
@@ -197,6 +197,7 @@
         elapsed_s = core.loop.time() - self._exchange.request.arrived_at
         core.metrics.record_latency("search", self._route.name, elapsed_s)
         core.metrics.count("answers", "200")
+        core.isolation.hear_request(refused=False)
         if self._progress.missing:
             core.metrics.count("missing_shards", "", self._progress.missing)
             core.log.record(
@@ -237,6 +238,7 @@
         not_run = not self._may_have_run and self._sender.running == 0
         answer = fail(why, not_run and not self._parts, core.random)
         core.metrics.count("answers", str(answer.status))
+        core.isolation.hear_request(refused=True)
         self._exchange.answer(answer)
         core.log.record(
             FAILED,
@@ -253,6 +255,7 @@
         core = self._core
         refusal = refuse(why, self._exchange.request.wait_s, core.random)
         core.metrics.count("answers", "503")
+        core.isolation.hear_request(refused=True)
         self._exchange.answer(refusal.answer)
         core.log.record(
             REFUSED,
--- a/heatherdyke/platform/store.py
+++ b/heatherdyke/platform/store.py
@@ -127,7 +127,7 @@
         """
         target = (
             f"/api/objects/{kind}?watch={revision}"
-            f"&wait-ms={int(wait_s * 1000)}"
+            f"&wait-ms={int(wait_s * 1000)}&allow-stale=1"
         )
         response = await self._call("GET", target, wait_s + WATCH_SLACK_S)
         page = _decode(response, _Events)
