Let instances near the leafs ask for groups of a search's shards

Cause: on the grown sites one machine of half a core sends 90 parts a search, which takes longer than the aim; zones without leafs carry each part across. Change: grouping (pure) says who asks for which shards; a group's request is sent only after the other's 100 Continue, so that one that does not continue has not begun and its shards can be asked for directly, none twice.

--- a/heatherdyke/gateway/beliefs.py
+++ b/heatherdyke/gateway/beliefs.py
@@ -14,6 +14,7 @@
 from heatherdyke.platform.configuration import NAME as CONFIG_NAME
 from heatherdyke.platform.configuration import decode_configuration
 from heatherdyke.platform.discovery import decode_leaf
+from heatherdyke.platform.instances import decode_instance
 from heatherdyke.platform.store import Change
 from heatherdyke.platform.store import Listing
 from heatherdyke.platform.store import StoredObject
@@ -88,7 +89,12 @@
 
     def instances_listed(self, listing: Listing) -> None:
         """Take in which instances there are."""
-        self._core.set_instances(sorted(item.name for item in listing.objects))
+        entries = [
+            entry
+            for stored in listing.objects
+            if (entry := decode_instance(stored.name, stored.spec)) is not None
+        ]
+        self._core.set_instances(entries)
 
     def _adopt(self, stored: StoredObject) -> None:
         core = self._core
--- a/heatherdyke/gateway/core.py
+++ b/heatherdyke/gateway/core.py
@@ -10,9 +10,11 @@
 from heatherdyke.gateway.decision_log import DecisionLog
 from heatherdyke.gateway.isolation import Isolation
 from heatherdyke.gateway.leaf_choice import choose_leaf
+from heatherdyke.gateway.leaf_entry import LeafEntry
 from heatherdyke.gateway.leaf_pools import LeafPools
 from heatherdyke.gateway.leaf_table import Leaf
 from heatherdyke.gateway.leaf_table import LeafTable
+from heatherdyke.gateway.peers import Peers
 from heatherdyke.gateway.retry_budget import RetryBudget
 from heatherdyke.gateway.routing import Route
 from heatherdyke.gateway.routing import RouteTable
@@ -37,6 +39,7 @@
         "leafs",
         "isolation",
         "pools",
+        "peers",
         "paces",
         "budget",
         "instances",
@@ -63,6 +66,7 @@
         self.pools = LeafPools(
             loop, log, self.isolation, settings.name, self.service
         )
+        self.peers = Peers(loop, log, settings.name, settings.zone)
         self.paces = Paces()
         self.instances: list[str] = []
         self.budget = RetryBudget(
@@ -90,9 +94,11 @@
             bounds.retry_share, bounds.retry_slack, bounds.retry_window_s
         )
 
-    def set_instances(self, instances: list[str]) -> None:
+    def set_instances(self, entries: list[LeafEntry]) -> None:
         """Share out what is bounded in sum among these instances."""
+        instances = sorted(entry.leaf_id for entry in entries)
         self.instances = instances
+        self.peers.set_entries(entries)
         self.budget.set_instances(len(instances))
         self.pools.set_instances(instances)
 
@@ -104,6 +110,10 @@
             self._split_by_route[route.name] = counter
         return counter.next(route.targets)
 
+    def zones_with_leaf(self, service: str, route: Route) -> set[str]:
+        """Return the zones in which the service has a leaf to send to."""
+        return {leaf.entry.zone for leaf in self.candidates(service, route)}
+
     def candidates(self, service: str, route: Route) -> list[Leaf]:
         """Return the leafs to which requests may be sent now, warm ones.
 
--- a/heatherdyke/gateway/events.py
+++ b/heatherdyke/gateway/events.py
@@ -204,6 +204,16 @@
         ("request_id", "service", "leaf", "why"),
     )
 )
+GROUP_FAILED = register(
+    EventKind(
+        7307,
+        "group_failed",
+        Severity.WARNING,
+        "Another instance did not bring a group of a search's shards.",
+        ("request_id", "peer", "shards", "begun", "why"),
+        "If it had not begun, the shards were asked for directly.",
+    )
+)
 DEPENDENCY_LOST = register(
     EventKind(
         7601,
--- /dev/null
+++ b/heatherdyke/gateway/gathering.py
@@ -0,0 +1,106 @@
+"""Collects the parts of one search and says when it is to be answered."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from heatherdyke.gateway.search_progress import SearchProgress
+from heatherdyke.gateway.search_progress import Verdict
+
+# The loop's timers fire a little late; earlier ones would spin.
+LEAST_DELAY_S = 0.001
+
+
+class Gathering:
+    """Parts by shard; ``on_verdict`` is called once, when to end."""
+
+    __slots__ = (
+        "progress",
+        "answered_shards",
+        "signatures",
+        "bodies",
+        "ended",
+        "_loop",
+        "_on_verdict",
+        "_timer",
+    )
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        progress: SearchProgress,
+        on_verdict: Callable[[Verdict], None],
+    ) -> None:
+        self.progress = progress
+        self.answered_shards: list[str] = []
+        self.signatures: list[bytes] = []
+        self.bodies: list[bytes] = []
+        self.ended = False
+        self._loop = loop
+        self._on_verdict = on_verdict
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Begin to wait; everything has been asked for."""
+        self._set_timer()
+        self.decide()
+
+    def stop(self) -> None:
+        """Take in nothing more."""
+        self.ended = True
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def add_part(self, shard: str, signature: bytes, body: bytes) -> None:
+        """Take in one shard's part; a second one counts for nothing."""
+        if not self.ended and self.progress.add_answer(shard):
+            self.answered_shards.append(shard)
+            self.signatures.append(signature)
+            self.bodies.append(body)
+
+    def add_merged(
+        self, parts: Iterable[tuple[str, bytes]], body: bytes
+    ) -> None:
+        """Take in shards with their signatures and their merged records.
+
+        Records of a shard that is there already cannot be told from the
+        others, so that such a batch is left out as a whole.
+        """
+        known = self.progress.answered
+        batch = list(parts)
+        if self.ended or any(shard in known for shard, _ in batch):
+            return
+        for shard, signature in batch:
+            self.progress.add_answer(shard)
+            self.answered_shards.append(shard)
+            self.signatures.append(signature)
+        self.bodies.append(body)
+
+    def add_loss(self, shard: str) -> None:
+        """Take in that no part of the shard is to come."""
+        self.progress.add_loss(shard)
+
+    def decide(self) -> None:
+        """End the search if it is time to."""
+        if self.ended:
+            return
+        verdict = self.progress.verdict(self._loop.time())
+        if verdict is not Verdict.WAIT:
+            self.stop()
+            self._on_verdict(verdict)
+
+    def _set_timer(self) -> None:
+        now = self._loop.time()
+        progress = self.progress
+        at = progress.limit_at
+        if now < progress.answer_at:
+            at = min(at, progress.answer_at)
+        at = max(at, now + LEAST_DELAY_S)
+        self._timer = self._loop.call_at(at, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self.decide()
+        if not self.ended:
+            self._set_timer()
--- a/heatherdyke/gateway/leaf_connection.py
+++ b/heatherdyke/gateway/leaf_connection.py
@@ -22,13 +22,15 @@
 # A leaf may close just before the time that it states.
 IDLE_MARGIN_S = 0.5
 IDLE_DEFAULT_S = 4.0
+STATUS_CONTINUE = 100
 
 
 class Attempt:
     """One request on its way to one leaf.
 
     ``on_end`` is called once with the attempt and its outcome, unless the
-    attempt is abandoned before.
+    attempt is abandoned before.  ``continuation`` is sent only after the
+    receiver's ``100 Continue``; ``continued`` tells that it was.
     """
 
     __slots__ = (
@@ -41,6 +43,8 @@
         "on_end",
         "connection",
         "context",
+        "continuation",
+        "continued",
     )
 
     def __init__(
@@ -52,6 +56,7 @@
         pool: "LeafPool",
         on_end: Callable[["Attempt", Outcome], None],
         context: str = "",
+        continuation: bytes | None = None,
     ) -> None:
         self.number = number
         self.request_id = request_id
@@ -62,6 +67,8 @@
         self.on_end = on_end
         self.connection: LeafConnection | None = None
         self.context = context
+        self.continuation = continuation
+        self.continued = False
 
 
 class LeafConnection(asyncio.Protocol):
@@ -175,11 +182,22 @@
 
     def on_message_complete(self) -> None:
         """Note the response, unless it is an interim or late one."""
-        interim = self._parser.get_status_code() < 200
-        if interim or self._response_ready is not None:
+        status = self._parser.get_status_code()
+        if self._response_ready is not None:
+            return
+        if status < 200:
+            self._continue(status)
             return
         self._complete(reusable=self._parser.should_keep_alive())
 
+    def _continue(self, status: int) -> None:
+        """Send the rest of a request whose receiver asks for it."""
+        attempt = self.attempt
+        waits = attempt.continuation is not None and not attempt.continued
+        if status == STATUS_CONTINUE and waits:
+            attempt.continued = True
+            self.transport.write(attempt.continuation)
+
     def _complete(self, reusable: bool) -> None:
         echoed = find_id(self._headers)
         if echoed is not None and echoed != self.attempt.request_id:
--- /dev/null
+++ b/heatherdyke/gateway/peer_call.py
@@ -0,0 +1,154 @@
+"""Asks another instance for a group of shards.
+
+The request waits for the other's ``100 Continue`` before its body is sent.
+One that does not continue has not begun, and never will: the shards can be
+asked for directly without any being asked for twice.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from heatherdyke.gateway.core import Core
+from heatherdyke.gateway.events import GROUP_FAILED
+from heatherdyke.gateway.grouping import Group
+from heatherdyke.gateway.leaf_connection import Attempt
+from heatherdyke.gateway.leaf_table import Leaf
+from heatherdyke.gateway.messages import Outcome
+from heatherdyke.gateway.peer_messages import PATH
+from heatherdyke.gateway.peer_messages import GroupRequest
+from heatherdyke.gateway.peer_messages import GroupResult
+from heatherdyke.gateway.peer_messages import decode_result
+from heatherdyke.gateway.peer_messages import encode_message
+
+# How long the other may take to continue, as a share of the objective.
+CONTINUE_SHARE = 0.15
+CONTINUE_MIN_S = 0.015
+
+
+class PeerCall:
+    """One group's request; ``on_end`` hears the result, or None.
+
+    The result is None if the other failed; ``begun`` then tells whether it
+    may have asked leafs.
+    """
+
+    __slots__ = (
+        "group",
+        "begun",
+        "_core",
+        "_message",
+        "_peer",
+        "_on_end",
+        "_attempt",
+        "_timer",
+    )
+
+    def __init__(
+        self,
+        core: Core,
+        group: Group,
+        message: GroupRequest,
+        on_end: Callable[["PeerCall", GroupResult | None], None],
+    ) -> None:
+        self.group = group
+        self.begun = False
+        self._core = core
+        self._message = message
+        self._peer: Leaf | None = None
+        self._on_end = on_end
+        self._attempt: Attempt | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> bool:
+        """Ask the best instance; return False if there is none."""
+        core = self._core
+        message = self._message
+        pace = core.paces.of(message.route, "group", message.objective_s)
+        self._peer = core.peers.choose(self.group, pace.usual_s)
+        if self._peer is None:
+            return False
+        body = encode_message(message)
+        pool = core.peers.pools.of(self._peer)
+        self._attempt = Attempt(
+            number=core.peers.pools.number(),
+            request_id=b"",
+            message=_head(self._peer, len(body)),
+            is_head=False,
+            pool=pool,
+            on_end=self._ended,
+            continuation=body,
+        )
+        pool.send(self._attempt)
+        wait_s = max(CONTINUE_MIN_S, CONTINUE_SHARE * message.objective_s)
+        self._timer = core.loop.call_later(wait_s, self._check_begun)
+        return True
+
+    def abandon(self) -> None:
+        """Stop; the other stops its attempts when the connection ends."""
+        self._stop_timer()
+        attempt, self._attempt = self._attempt, None
+        if attempt is not None:
+            attempt.pool.abandon(attempt)
+            now = self._core.loop.time()
+            if self._peer.is_silent(attempt.sent_at, now):
+                self._core.peers.pools.silent(attempt.pool)
+
+    def _check_begun(self) -> None:
+        self._timer = None
+        attempt = self._attempt
+        if attempt is None or attempt.continued:
+            return
+        self._attempt = None
+        attempt.pool.abandon(attempt)
+        self._core.peers.pools.silent(attempt.pool)
+        self._fail("no_continue")
+
+    def _ended(self, attempt: Attempt, outcome: Outcome) -> None:
+        self._stop_timer()
+        self._attempt = None
+        self.begun = attempt.continued
+        now = self._core.loop.time()
+        self._peer.finish(attempt.number)
+        response = outcome.response
+        if response is None or response.status != 200:
+            self._peer.hear_failure(now)
+            status = response.status if response is not None else None
+            self._fail(f"{outcome.failure or status}")
+            return
+        try:
+            result = decode_result(response.body)
+        except msgspec.MsgspecError as error:
+            self._fail(str(error))
+            return
+        took_s = now - attempt.sent_at
+        message = self._message
+        pace = self._core.paces.of(message.route, "group", message.objective_s)
+        pace.add(took_s)
+        self._peer.hear_answer(now, took_s, pace.usual_s)
+        self._on_end(self, result)
+
+    def _fail(self, why: str) -> None:
+        self._core.metrics.count("group_failures", why)
+        self._core.log.record(
+            GROUP_FAILED,
+            request_id=self._message.request_id.decode("latin-1"),
+            peer=self._peer.leaf_id,
+            shards=len(self.group.shards),
+            begun=self.begun,
+            why=why,
+        )
+        self._on_end(self, None)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
+def _head(peer: Leaf, length: int) -> bytes:
+    return b"POST %s HTTP/1.1\r\nHost: %s\r\n" % (
+        PATH,
+        str(peer.entry.address).encode(),
+    ) + (b"Content-Length: %d\r\nExpect: 100-continue\r\n\r\n" % length)
--- a/heatherdyke/gateway/process.py
+++ b/heatherdyke/gateway/process.py
@@ -24,6 +24,7 @@
 from heatherdyke.gateway.events import STOPPING
 from heatherdyke.gateway.feed import Feed
 from heatherdyke.gateway.pause import PauseDetector
+from heatherdyke.gateway.peer_api import PeerApi
 from heatherdyke.gateway.roster import Roster
 from heatherdyke.gateway.settings import GatewaySettings
 from heatherdyke.gateway.side_api import SideApi
@@ -57,6 +58,7 @@
         "_leaf_feed",
         "_zone_feed",
         "_roster",
+        "_peer_api",
         "_metrics_port",
         "_stopping",
         "_pause",
@@ -85,6 +87,7 @@
         )
         self._roster = Roster(core, beliefs)
         self._clients = Clients(core, Dispatcher(core, self._config_feed))
+        self._peer_api = PeerApi(core)
         self._metrics_port = metrics_port
         self._stopping = asyncio.Event()
         self._pause = PauseDetector(TICK_S)
@@ -124,6 +127,8 @@
         server = await self._listen(settings.client_address, self._clients)
         health = SideApi.for_health(loop.time, lambda: self.is_ready)
         await self._listen(settings.health_address, health)
+        peer_address = Address(settings.ip, settings.peer_ports[0])
+        await self._listen(peer_address, self._peer_api)
         if self._metrics_port:
             address = Address(settings.ip, self._metrics_port)
             metrics = SideApi.for_metrics(loop.time, self._render_metrics)
@@ -148,7 +153,7 @@
             task.cancel()
 
     async def _listen(
-        self, address: Address, owner: Clients | SideApi
+        self, address: Address, owner: Clients | PeerApi | SideApi
     ) -> asyncio.Server:
         return await self._core.loop.create_server(
             lambda: ClientConnection(owner),
@@ -167,6 +172,7 @@
             if paused_s:
                 self._resume(paused_s)
             core.pools.maintain(now)
+            core.peers.pools.maintain(now)
             self._clients.maintain(now)
             self._beliefs.expire_leafs(now)
             if now >= self._reload_at:
@@ -212,6 +218,7 @@
             running=self._clients.running_count,
         )
         self._clients.stopping = True
+        self._peer_api.stopping = True
         last_at = began_at + core.settings.bounds.shutdown_s - KILL_MARGIN_S
         unrouted_at = began_at + UNROUTED_AFTER_S
         while core.loop.time() < last_at:
@@ -219,7 +226,8 @@
             if core.loop.time() < unrouted_at:
                 continue
             self._clients.close_idle()
-            if self._clients.open_count == 0:
+            running = self._peer_api.running_count
+            if self._clients.open_count == 0 and running == 0:
                 break
         server.close()
         core.log.record(
--- a/heatherdyke/gateway/roster.py
+++ b/heatherdyke/gateway/roster.py
@@ -6,9 +6,11 @@
 from heatherdyke.gateway.beliefs import Beliefs
 from heatherdyke.gateway.core import Core
 from heatherdyke.gateway.events import DEPENDENCY_LOST
+from heatherdyke.net.address import Address
+from heatherdyke.platform.instances import KIND
+from heatherdyke.platform.instances import encode_instance
 from heatherdyke.platform.store import Store
 
-KIND = "heatherdyke-instances"
 RETRY_S = 1.0
 # All instances start together; the second list has those that were late.
 FIRST_WAIT_S = 3.0
@@ -29,7 +31,8 @@
     async def run(self) -> None:
         """Work until cancelled."""
         settings = self._core.settings
-        spec = {"zone": settings.zone, "ip": settings.ip}
+        address = Address(settings.ip, settings.peer_ports[0])
+        spec = encode_instance(settings.zone, address)
         created = False
         wait_s = FIRST_WAIT_S
         while True:
--- a/heatherdyke/gateway/search.py
+++ b/heatherdyke/gateway/search.py
@@ -1,8 +1,5 @@
-"""Serves one search: asks a leaf of each shard, merges what comes in time."""
+"""Serves one client's search: who asks for which shards, and the answer."""
 
-import asyncio
-
-from heatherdyke.gateway.attempts import Sender
 from heatherdyke.gateway.core import Core
 from heatherdyke.gateway.events import FAILED
 from heatherdyke.gateway.events import LEFT
@@ -10,11 +7,13 @@
 from heatherdyke.gateway.events import REFUSED
 from heatherdyke.gateway.events import SERVED
 from heatherdyke.gateway.exchange import Exchange
-from heatherdyke.gateway.leaf_connection import Attempt
-from heatherdyke.gateway.leaf_table import Leaf
+from heatherdyke.gateway.gathering import Gathering
+from heatherdyke.gateway.grouping import Group
+from heatherdyke.gateway.grouping import group_shards
 from heatherdyke.gateway.messages import Answer
-from heatherdyke.gateway.messages import LeafResponse
-from heatherdyke.gateway.messages import Outcome
+from heatherdyke.gateway.peer_call import PeerCall
+from heatherdyke.gateway.peer_messages import GroupResult
+from heatherdyke.gateway.peer_messages import group_request
 from heatherdyke.gateway.records import greatest_records
 from heatherdyke.gateway.refusal import Why
 from heatherdyke.gateway.refusal import fail
@@ -23,6 +22,8 @@
 from heatherdyke.gateway.search_progress import SearchProgress
 from heatherdyke.gateway.search_progress import Verdict
 from heatherdyke.gateway.search_progress import enough
+from heatherdyke.gateway.shard_search import ShardSearch
+from heatherdyke.gateway.timing import GROUP_RETURN_S
 from heatherdyke.gateway.timing import answer_due
 from heatherdyke.gateway.timing import last_moment
 from heatherdyke.platform.headers import merged_headers
@@ -35,14 +36,11 @@
         "_core",
         "_exchange",
         "_route",
-        "_sender",
-        "_progress",
-        "_pace",
-        "_parts",
-        "_tried_by_shard",
-        "_open_by_shard",
-        "_timer",
-        "_hedge_at",
+        "_gathering",
+        "_own",
+        "_calls",
+        "_missing",
+        "_sent",
         "_extra_sends",
         "_may_have_run",
     )
@@ -52,145 +50,125 @@
         limit_at = last_moment(
             request.arrived_at, request.wait_s, route.timeout_s
         )
-        self._core = core
-        self._exchange = exchange
-        self._route = route
-        self._pace = core.paces.of(route.name, "", route.objective_s)
-        self._sender = Sender(
-            core, request, self._pace, limit_at, self._on_end
+        due_at = answer_due(
+            request.arrived_at,
+            route.objective_s,
+            request.first_on_connection,
         )
-        self._progress = SearchProgress(
+        progress = SearchProgress(
             shard_count=len(route.shards),
             min_share=route.min_share,
-            answer_at=min(
-                limit_at,
-                answer_due(
-                    request.arrived_at,
-                    route.objective_s,
-                    request.first_on_connection,
-                ),
-            ),
+            answer_at=min(limit_at, due_at),
             limit_at=limit_at,
         )
-        self._parts: list[LeafResponse] = []
-        self._tried_by_shard: dict[str, list[Leaf]] = {}
-        self._open_by_shard: dict[str, int] = {}
-        self._timer: asyncio.TimerHandle | None = None
-        self._hedge_at = 0.0
+        self._core = core
+        self._exchange = exchange
+        self._route = route
+        self._gathering = Gathering(core.loop, progress, self._end)
+        self._own: list[ShardSearch] = []
+        self._calls: set[PeerCall] = set()
+        self._missing: list[str] = []
+        self._sent = 0
         self._extra_sends = 0
         self._may_have_run = False
 
     def start(self) -> None:
-        """Ask one leaf of each shard, or refuse if too few have one."""
+        """Ask for all shards, or refuse if too few have a leaf."""
         core = self._core
-        now = core.loop.time()
-        first_by_shard: dict[str, Leaf] = {}
-        for shard in self._route.shards:
-            core.budget.count_request(shard, now)
-            leaf = core.choose(shard, self._route, (), self._pace.usual_s)
-            if leaf is not None:
-                first_by_shard[shard] = leaf
-        shard_count = len(self._route.shards)
-        if not enough(len(first_by_shard), shard_count, self._route.min_share):
-            self._refuse(Why.NO_LEAF, shard_count - len(first_by_shard))
+        route = self._route
+        zones_by_shard = {
+            shard: core.zones_with_leaf(shard, route) for shard in route.shards
+        }
+        reachable = sum(map(bool, zones_by_shard.values()))
+        if not enough(reachable, len(route.shards), route.min_share):
+            self._refuse(Why.NO_LEAF, len(route.shards) - reachable)
             return
-        if now >= self._progress.limit_at:
+        if core.loop.time() >= self._gathering.progress.limit_at:
             self._refuse(Why.NO_TIME, 0)
             return
         self._exchange.on_left(self._client_left)
-        for shard in self._route.shards:
-            leaf = first_by_shard.get(shard)
-            if leaf is None:
-                self._progress.add_loss(shard)
-            else:
-                self._send(shard, leaf)
-        left_s = self._progress.answer_at - now
-        self._hedge_at = now + self._pace.hedge_delay_s(left_s)
-        self._set_timer(now)
-
-    def _send(self, shard: str, leaf: Leaf, why: str | None = None) -> None:
-        self._tried_by_shard.setdefault(shard, []).append(leaf)
-        self._open_by_shard[shard] = self._open_by_shard.get(shard, 0) + 1
-        if why is None:
-            self._sender.send(leaf, shard)
-        else:
-            self._extra_sends += 1
-            self._sender.send_extra(leaf, shard, why)
-
-    def _send_extra(self, shard: str, why: str) -> bool:
-        """Ask another leaf of the shard if attempts and budget allow it."""
-        core = self._core
-        tried = self._tried_by_shard[shard]
-        if len(tried) >= self._route.max_attempts:
-            return False
-        leaf = core.choose(shard, self._route, tried, self._pace.usual_s)
-        if leaf is None or not core.budget.take(shard, core.loop.time()):
-            return False
-        self._send(shard, leaf, why)
-        return True
+        grouping = group_shards(
+            route.shards,
+            zones_by_shard,
+            core.settings.zone,
+            core.peers.zones(),
+            core.random,
+        )
+        for group in grouping.groups:
+            self._ask_peer(group)
+        if grouping.own:
+            self._ask_leafs(grouping.own)
+        self._gathering.start()
 
-    def _on_end(self, attempt: Attempt, outcome: Outcome) -> None:
-        shard = attempt.context
-        self._open_by_shard[shard] -= 1
-        response = outcome.response
-        if not outcome.not_run:
-            self._may_have_run = True
-        if response is not None and response.is_good:
-            if self._progress.add_answer(shard):
-                self._parts.append(response)
-        elif shard not in self._progress.answered:
-            why = "rejected" if outcome.not_run else "failed"
-            sent = self._send_extra(shard, why)
-            if not sent and self._open_by_shard[shard] == 0:
-                self._progress.add_loss(shard)
-        self._decide()
+    def _ask_leafs(self, shards: tuple[str, ...]) -> None:
+        search = ShardSearch(
+            self._core,
+            self._exchange.request,
+            self._route,
+            list(shards),
+            self._gathering,
+        )
+        self._own.append(search)
+        search.start(search.choose_first())
 
-    def _on_timer(self) -> None:
-        self._timer = None
+    def _ask_peer(self, group: Group) -> None:
+        progress = self._gathering.progress
         now = self._core.loop.time()
-        if now >= self._hedge_at:
-            self._hedge(now)
-        self._decide()
-        if not self._exchange.answered:
-            self._set_timer(now)
+        message = group_request(
+            self._exchange.request,
+            self._route,
+            group.shards,
+            max(0.0, progress.answer_at - now - GROUP_RETURN_S),
+            max(0.0, progress.limit_at - now - GROUP_RETURN_S),
+        )
+        call = PeerCall(self._core, group, message, self._group_ended)
+        if call.start():
+            self._calls.add(call)
+        else:
+            self._ask_leafs(group.shards)
 
-    def _hedge(self, now: float) -> None:
-        self._hedge_at = self._progress.limit_at + 1.0
-        for shard in self._route.shards:
-            is_open = self._open_by_shard.get(shard, 0) > 0
-            if is_open and shard not in self._progress.answered:
-                self._send_extra(shard, "straggler")
+    def _group_ended(self, call: PeerCall, result: GroupResult | None) -> None:
+        self._calls.discard(call)
+        if self._gathering.ended:
+            return
+        if result is not None:
+            self._take_result(call.group, result)
+        elif call.begun:
+            self._may_have_run = True
+            for shard in call.group.shards:
+                self._gathering.add_loss(shard)
+        else:
+            self._ask_leafs(call.group.shards)
+        self._gathering.decide()
 
-    def _set_timer(self, now: float) -> None:
-        progress = self._progress
-        due = [self._hedge_at, progress.limit_at]
-        if now < progress.answer_at:
-            due.append(progress.answer_at)
-        at = max(now + 0.001, min(due))
-        self._timer = self._core.loop.call_at(at, self._on_timer)
+    def _take_result(self, group: Group, result: GroupResult) -> None:
+        self._sent += result.sent
+        self._extra_sends += result.extra_sends
+        self._missing += result.missing
+        self._may_have_run = True
+        self._gathering.add_merged(result.parts, result.records)
+        for shard in group.shards:
+            self._gathering.add_loss(shard)
 
-    def _decide(self) -> None:
-        if self._exchange.answered:
-            return
-        verdict = self._progress.verdict(self._core.loop.time())
+    def _end(self, verdict: Verdict) -> None:
         if verdict is Verdict.ANSWER:
             self._answer()
-        elif verdict is Verdict.GIVE_UP:
+        else:
             self._give_up()
 
     def _answer(self) -> None:
-        self._stop_timer()
-        body = greatest_records(
-            (part.body for part in self._parts), self._route.record_limit
-        )
+        gathering = self._gathering
+        body = greatest_records(gathering.bodies, self._route.record_limit)
         headers = merged_headers(
-            [part.signature for part in self._parts],
-            self._progress.missing,
+            gathering.signatures,
+            gathering.progress.missing,
             self._exchange.request.request_id,
         )
         self._exchange.answer(Answer(200, headers, body))
-        self._sender.finish()
+        for search in self._own:
+            search.finish()
         self._report_answer()
+        self._abandon_calls()
 
     def _report_answer(self) -> None:
         core = self._core
@@ -198,15 +176,16 @@
         core.metrics.record_latency("search", self._route.name, elapsed_s)
         core.metrics.count("answers", "200")
         core.isolation.hear_request(refused=False)
-        if self._progress.missing:
-            core.metrics.count("missing_shards", "", self._progress.missing)
+        missing = self._gathering.progress.missing
+        if missing:
+            core.metrics.count("missing_shards", "", missing)
             core.log.record(
                 PARTIAL,
                 request_id=self._exchange.request.id_text,
                 route=self._route.name,
-                missing=self._missing_shards(),
+                missing=self._describe_missing(),
                 elapsed_ms=round(elapsed_s * 1000, 1),
-                attempts=self._sender.sent,
+                attempts=self._attempts(),
             )
             return
         core.log.record(
@@ -214,29 +193,28 @@
             request_id=self._exchange.request.id_text,
             route=self._route.name,
             elapsed_ms=round(elapsed_s * 1000, 1),
-            extra_sends=self._extra_sends,
+            extra_sends=self._extra_sends
+            + sum(search.extra_sends for search in self._own),
         )
 
-    def _missing_shards(self) -> list[str]:
+    def _describe_missing(self) -> list[str]:
         """Return the missing shards with the leafs that were asked."""
-        return [
-            shard
-            + ":"
-            + ",".join(
-                leaf.leaf_id for leaf in self._tried_by_shard.get(shard, ())
-            )
-            for shard in self._route.shards
-            if shard not in self._progress.answered
-        ]
+        missing = list(self._missing)
+        for search in self._own:
+            missing += search.describe_missing()
+        for call in self._calls:
+            missing.append(f"{len(call.group.shards)} at {call.group.zone}")
+        return missing
+
+    def _attempts(self) -> int:
+        return self._sent + sum(search.sent for search in self._own)
 
     def _give_up(self) -> None:
-        self._stop_timer()
         core = self._core
-        now = core.loop.time()
-        late = now >= self._progress.limit_at
+        late = core.loop.time() >= self._gathering.progress.limit_at
         why = Why.TIMEOUT if late else Why.SHARE
-        not_run = not self._may_have_run and self._sender.running == 0
-        answer = fail(why, not_run and not self._parts, core.random)
+        not_run = not self._may_have_run and not self._is_running()
+        answer = fail(why, not_run, core.random)
         core.metrics.count("answers", str(answer.status))
         core.isolation.hear_request(refused=True)
         self._exchange.answer(answer)
@@ -245,11 +223,18 @@
             request_id=self._exchange.request.id_text,
             route=self._route.name,
             status=answer.status,
-            why=f"{why.value}: {self._missing_shards()}",
+            why=f"{why.value}: {self._describe_missing()}",
             elapsed_ms=self._elapsed_ms(),
-            attempts=self._sender.sent,
+            attempts=self._attempts(),
+        )
+        self._abandon()
+
+    def _is_running(self) -> bool:
+        """Tell whether a leaf has run this request, or may yet."""
+        own = any(
+            search.may_have_run or search.running for search in self._own
         )
-        self._sender.abandon()
+        return own or bool(self._calls) or bool(self._gathering.bodies)
 
     def _refuse(self, why: Why, missing: int) -> None:
         core = self._core
@@ -269,8 +254,8 @@
         )
 
     def _client_left(self) -> None:
-        self._stop_timer()
-        self._sender.abandon()
+        self._gathering.stop()
+        self._abandon()
         self._core.metrics.count("clients_left", self._route.name)
         self._core.log.record(
             LEFT,
@@ -279,11 +264,16 @@
             elapsed_ms=self._elapsed_ms(),
         )
 
+    def _abandon(self) -> None:
+        for search in self._own:
+            search.abandon()
+        self._abandon_calls()
+
+    def _abandon_calls(self) -> None:
+        for call in self._calls:
+            call.abandon()
+        self._calls.clear()
+
     def _elapsed_ms(self) -> float:
         now = self._core.loop.time()
         return round((now - self._exchange.request.arrived_at) * 1000, 1)
-
-    def _stop_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
--- /dev/null
+++ b/heatherdyke/gateway/shard_search.py
@@ -0,0 +1,165 @@
+"""Asks one leaf of each of some shards, and another where it is of use."""
+
+import asyncio
+
+from heatherdyke.gateway.attempts import Sender
+from heatherdyke.gateway.core import Core
+from heatherdyke.gateway.gathering import Gathering
+from heatherdyke.gateway.leaf_connection import Attempt
+from heatherdyke.gateway.leaf_table import Leaf
+from heatherdyke.gateway.messages import ClientRequest
+from heatherdyke.gateway.messages import Outcome
+from heatherdyke.gateway.routing import Route
+
+
+class ShardSearch:
+    """The attempts of one search at the leafs of its shards.
+
+    Parts and losses go to the gathering.
+    """
+
+    __slots__ = (
+        "extra_sends",
+        "may_have_run",
+        "_core",
+        "_route",
+        "_shards",
+        "_gathering",
+        "_pace",
+        "_sender",
+        "_tried_by_shard",
+        "_open_by_shard",
+        "_timer",
+    )
+
+    def __init__(
+        self,
+        core: Core,
+        request: ClientRequest,
+        route: Route,
+        shards: list[str],
+        gathering: Gathering,
+    ) -> None:
+        self.extra_sends = 0
+        self.may_have_run = False
+        self._core = core
+        self._route = route
+        self._shards = shards
+        self._gathering = gathering
+        self._pace = core.paces.of(route.name, "", route.objective_s)
+        self._sender = Sender(
+            core,
+            request,
+            self._pace,
+            gathering.progress.limit_at,
+            self._on_end,
+        )
+        self._tried_by_shard: dict[str, list[Leaf]] = {}
+        self._open_by_shard: dict[str, int] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def running(self) -> int:
+        """Return the number of attempts without an end."""
+        return self._sender.running
+
+    @property
+    def sent(self) -> int:
+        """Return the number of attempts."""
+        return self._sender.sent
+
+    def choose_first(self) -> dict[str, Leaf]:
+        """Return a leaf for each shard that has one, by shard."""
+        core = self._core
+        now = core.loop.time()
+        first_by_shard: dict[str, Leaf] = {}
+        for shard in self._shards:
+            core.budget.count_request(shard, now)
+            leaf = core.choose(shard, self._route, (), self._pace.usual_s)
+            if leaf is not None:
+                first_by_shard[shard] = leaf
+        return first_by_shard
+
+    def start(self, first_by_shard: dict[str, Leaf]) -> None:
+        """Send to the chosen leafs; shards without one are lost."""
+        for shard in self._shards:
+            leaf = first_by_shard.get(shard)
+            if leaf is None:
+                self._gathering.add_loss(shard)
+            else:
+                self._send(shard, leaf)
+        now = self._core.loop.time()
+        left_s = self._gathering.progress.answer_at - now
+        delay_s = self._pace.hedge_delay_s(left_s)
+        if self._route.max_attempts > 1:
+            self._timer = self._core.loop.call_later(delay_s, self._hedge)
+
+    def finish(self) -> None:
+        """Ask nobody any more; answers may still come in for a while."""
+        self._stop_timer()
+        self._sender.finish()
+
+    def abandon(self) -> None:
+        """Stop all attempts at once."""
+        self._stop_timer()
+        self._sender.abandon()
+
+    def describe_missing(self) -> list[str]:
+        """Return the shards without a part, with the leafs asked."""
+        answered = self._gathering.progress.answered
+        return [
+            f"{shard}:"
+            + ",".join(
+                leaf.leaf_id for leaf in self._tried_by_shard.get(shard, ())
+            )
+            for shard in self._shards
+            if shard not in answered
+        ]
+
+    def _send(self, shard: str, leaf: Leaf, why: str | None = None) -> None:
+        self._tried_by_shard.setdefault(shard, []).append(leaf)
+        self._open_by_shard[shard] = self._open_by_shard.get(shard, 0) + 1
+        if why is not None:
+            self.extra_sends += 1
+            self._core.metrics.count("extra_sends", why)
+        self._sender.send(leaf, shard)
+
+    def _send_extra(self, shard: str, why: str) -> bool:
+        """Ask another leaf of the shard if attempts and budget allow it."""
+        core = self._core
+        tried = self._tried_by_shard[shard]
+        if len(tried) >= self._route.max_attempts:
+            return False
+        leaf = core.choose(shard, self._route, tried, self._pace.usual_s)
+        if leaf is None or not core.budget.take(shard, core.loop.time()):
+            return False
+        self._send(shard, leaf, why)
+        return True
+
+    def _on_end(self, attempt: Attempt, outcome: Outcome) -> None:
+        shard = attempt.context
+        gathering = self._gathering
+        self._open_by_shard[shard] -= 1
+        response = outcome.response
+        if not outcome.not_run:
+            self.may_have_run = True
+        if response is not None and response.is_good:
+            gathering.add_part(shard, response.signature, response.body)
+        elif shard not in gathering.progress.answered:
+            why = "rejected" if outcome.not_run else "failed"
+            sent = self._send_extra(shard, why)
+            if not sent and self._open_by_shard[shard] == 0:
+                gathering.add_loss(shard)
+        gathering.decide()
+
+    def _hedge(self) -> None:
+        self._timer = None
+        answered = self._gathering.progress.answered
+        for shard, waiting in list(self._open_by_shard.items()):
+            if waiting > 0 and shard not in answered:
+                self._send_extra(shard, "straggler")
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
--- a/heatherdyke/gateway/timing.py
+++ b/heatherdyke/gateway/timing.py
@@ -17,6 +17,8 @@
 RETURN_S = 0.010
 # Opening a connection is one more round trip for the client.
 CONNECT_S = 0.006
+# The way of a group's result from another instance, and its merge.
+GROUP_RETURN_S = 0.005
 # No answer is sent later than this before the client's own deadline.
 DEADLINE_MARGIN_S = 0.015
 
