Open connections to leafs on demand among many instances

Cause: with more instances than connections a leaf takes, most instances had none: shards were lost without any leaf asked (seen in search_partial).

--- a/heatherdyke/gateway/connection_share.py
+++ b/heatherdyke/gateway/connection_share.py
@@ -1,8 +1,9 @@
-"""How many of a leaf's connections belong to this instance (pure).
+"""How many of a leaf's connections this instance may open (pure).
 
-A leaf accepts a number of connections from all instances together.  If that
-is enough for one an instance, each gets an equal part.  Otherwise the
-instances that rank highest for the leaf, by rendezvous hashing, get one each.
+A leaf accepts a number of connections from all instances together, of which
+each may take an equal part.  Among many instances that part is too small for
+one whose turn it is: there, few ask a leaf at a time, because groups of shards
+have few instances that ask for them, and each may open some.
 """
 
 from collections.abc import Sequence
@@ -11,6 +12,8 @@
 
 # Leafs accept fewer while their queue is long, and health checks take one.
 SHARE_USED = 0.85
+# A search, a second one at the same time, and one that hangs.
+LEAST_CONNECTIONS = 3
 # What an instance opens before it knows how many others there are.
 UNKNOWN_INSTANCES = 16
 
@@ -27,16 +30,11 @@
     return max(instances, key=lambda name: (weight_of(leaf_id, name), name))
 
 
-def connection_share(
-    limit: int, leaf_id: str, own_name: str, instances: Sequence[str]
-) -> int:
-    """Return how many connections this instance may open to the leaf."""
+def connection_share(limit: int, instances: int) -> int:
+    """Return how many connections this instance may open to a leaf.
+
+    ``instances`` is the number of all instances, 0 if it is not known.
+    """
     usable = max(1, int(limit * SHARE_USED))
-    if not instances:
-        return max(1, usable // UNKNOWN_INSTANCES)
-    part = usable // len(instances)
-    if part >= 1:
-        return part
-    own_weight = weight_of(leaf_id, own_name)
-    higher = sum(weight_of(leaf_id, name) > own_weight for name in instances)
-    return 1 if higher < usable else 0
+    part = usable // (instances or UNKNOWN_INSTANCES)
+    return max(part, min(usable, LEAST_CONNECTIONS))
--- a/heatherdyke/gateway/core.py
+++ b/heatherdyke/gateway/core.py
@@ -63,9 +63,7 @@
         self.routes: RouteTable | None = None
         self.leafs = LeafTable()
         self.isolation = Isolation(settings.zone)
-        self.pools = LeafPools(
-            loop, log, self.isolation, settings.name, self.service
-        )
+        self.pools = LeafPools(loop, log, self.isolation, self.service)
         self.peers = Peers(loop, log, settings.name, settings.zone)
         self.paces = Paces()
         self.instances: list[str] = []
@@ -100,7 +98,7 @@
         self.instances = instances
         self.peers.set_entries(entries)
         self.budget.set_instances(len(instances))
-        self.pools.set_instances(instances)
+        self.pools.set_instances(len(instances))
 
     def split(self, route: Route) -> str:
         """Return the service that the route's next request goes to."""
--- a/heatherdyke/gateway/leaf_pools.py
+++ b/heatherdyke/gateway/leaf_pools.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Sequence
 
 from heatherdyke.gateway.connection_share import connection_share
 from heatherdyke.gateway.decision_log import DecisionLog
@@ -25,7 +24,6 @@
         "loop",
         "_log",
         "_isolation",
-        "_own_name",
         "_instances",
         "_service_of",
         "_pool_by_leaf",
@@ -38,14 +36,12 @@
         loop: asyncio.AbstractEventLoop,
         log: DecisionLog,
         isolation: Isolation,
-        own_name: str,
         service_of: Callable[[str], Service],
     ) -> None:
         self.loop = loop
         self._log = log
         self._isolation = isolation
-        self._own_name = own_name
-        self._instances: Sequence[str] = ()
+        self._instances = 0
         self._service_of = service_of
         self._pool_by_leaf: dict[Leaf, LeafPool] = {}
         self._checking: set[Leaf] = set()
@@ -64,8 +60,8 @@
             self._pool_by_leaf[leaf] = pool
         return pool
 
-    def set_instances(self, instances: Sequence[str]) -> None:
-        """Share the leafs' connections among these instances."""
+    def set_instances(self, instances: int) -> None:
+        """Share the leafs' connections among so many instances."""
         self._instances = instances
         for leaf, pool in self._pool_by_leaf.items():
             pool.limit = self._limit_of(leaf)
@@ -177,9 +173,4 @@
 
     def _limit_of(self, leaf: Leaf) -> int:
         service = self._service_of(leaf.entry.service)
-        return connection_share(
-            service.connection_limit,
-            leaf.leaf_id,
-            self._own_name,
-            self._instances,
-        )
+        return connection_share(service.connection_limit, self._instances)
--- a/heatherdyke/gateway/peer_api.py
+++ b/heatherdyke/gateway/peer_api.py
@@ -44,6 +44,7 @@
             min_share=message.min_share,
             answer_at=now + message.due_s,
             limit_at=now + message.limit_s,
+            is_group=True,
         )
         self._gathering = Gathering(core.loop, progress, self._end)
         request = ClientRequest(
--- a/heatherdyke/gateway/peer_messages.py
+++ b/heatherdyke/gateway/peer_messages.py
@@ -10,6 +10,7 @@
 
 PATH = b"/peer/search"
 HEALTH_PATH = "/peer/health"
+LEAST_HELD_SHARDS = 20
 
 
 class GroupRequest(msgspec.Struct, array_like=True):
@@ -89,7 +90,7 @@
         record_limit=route.record_limit,
         rank=route.rank,
         max_attempts=route.max_attempts,
-        min_share=route.min_share,
+        min_share=group_share(len(shards), route.min_share),
         objective_s=route.objective_s,
         home_regions=sorted(route.home_regions),
         due_s=due_s,
@@ -97,6 +98,15 @@
     )
 
 
+def group_share(shard_count: int, min_share: float) -> float:
+    """Return the share for which a group is waited for beyond its due time.
+
+    One missing shard is a large share of a small group and says little of
+    the whole search, so that a small group's result is not held.
+    """
+    return min_share if shard_count >= LEAST_HELD_SHARDS else 0.0
+
+
 def route_of(message: GroupRequest) -> Route:
     """Return the route that the message describes."""
     return Route(
--- a/heatherdyke/gateway/peers.py
+++ b/heatherdyke/gateway/peers.py
@@ -46,7 +46,6 @@
             loop,
             log,
             Isolation(own_zone),
-            own_name,
             lambda name: _declaration,
         )
 
@@ -56,7 +55,7 @@
         others = [
             entry for entry in entries if entry.leaf_id != self._own_name
         ]
-        self.pools.set_instances([entry.leaf_id for entry in entries])
+        self.pools.set_instances(len(entries))
         for peer in self._table.replace(others, now, may_be_back=False):
             self.pools.drop(peer)
 
--- a/heatherdyke/gateway/search_progress.py
+++ b/heatherdyke/gateway/search_progress.py
@@ -24,13 +24,15 @@
     """Shards of one search: open, answered or lost.
 
     ``answer_at`` is when an answer that is enough is not held any longer,
-    ``limit_at`` the last moment; both monotonic.
+    ``limit_at`` the last moment; both monotonic.  A group is a part
+    of a search: it ends once all its shards have, however few answered.
     """
 
     shard_count: int
     min_share: float
     answer_at: float
     limit_at: float
+    is_group: bool = False
     answered: set[str] = field(default_factory=set)
     lost: set[str] = field(default_factory=set)
 
@@ -65,9 +67,11 @@
 
     def verdict(self, now: float) -> Verdict:
         """Return what to do at ``now``."""
-        if not self.can_be_enough:
-            return Verdict.GIVE_UP
         settled = len(self.answered) + len(self.lost) >= self.shard_count
+        if self.is_group and settled:
+            return Verdict.ANSWER
+        if not self.is_group and not self.can_be_enough:
+            return Verdict.GIVE_UP
         if self.is_enough and (settled or now >= self.answer_at):
             return Verdict.ANSWER
         return Verdict.GIVE_UP if now >= self.limit_at else Verdict.WAIT
--- /dev/null
+++ b/heatherdyke/platform_standin/listener.py
@@ -0,0 +1,68 @@
+"""Listens on a loopback address with the gateway's own HTTP connections."""
+
+import asyncio
+from collections.abc import Callable
+
+from heatherdyke.gateway.client_connection import ClientConnection
+from heatherdyke.gateway.exchange import Exchange
+from heatherdyke.gateway.routing import ClientLimits
+from heatherdyke.net.address import Address
+
+LIMITS = ClientLimits(
+    max_body_bytes=4_194_304, idle_timeout_s=60.0, header_timeout_s=10.0
+)
+
+
+class Listener:
+    """Owns a listening socket and its connections."""
+
+    __slots__ = ("address", "closing", "connections", "_handle", "_server")
+
+    def __init__(self, handle: Callable[[Exchange], None]) -> None:
+        self.address = Address("127.0.0.1", 0)
+        self.closing = False
+        self.connections: set[ClientConnection] = set()
+        self._handle = handle
+        self._server: asyncio.Server | None = None
+
+    @property
+    def limits(self) -> ClientLimits:
+        """Return generous limits."""
+        return LIMITS
+
+    def now(self) -> float:
+        """Return the loop's time."""
+        return asyncio.get_running_loop().time()
+
+    def opened(self, connection: ClientConnection) -> None:
+        """Note a new connection."""
+        self.connections.add(connection)
+
+    def closed(self, connection: ClientConnection) -> None:
+        """Note that a connection has ended."""
+        self.connections.discard(connection)
+
+    def handle(self, exchange: Exchange) -> None:
+        """Hand a request over."""
+        self._handle(exchange)
+
+    async def start(self, port: int = 0) -> None:
+        """Listen on a loopback port, a free one by default."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: ClientConnection(self),
+            self.address.host,
+            port,
+            reuse_address=True,
+        )
+        bound = self._server.sockets[0].getsockname()[1]
+        self.address = Address(self.address.host, bound)
+
+    async def stop(self) -> None:
+        """Stop listening and reset all connections."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for connection in list(self.connections):
+            connection.transport.abort()
+        await asyncio.sleep(0)
--- /dev/null
+++ b/tests/gateway_fleet.py
@@ -0,0 +1,220 @@
+"""A store, leafs and gateway processes on loopback, for tests."""
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+from heatherdyke.errors import TransportError
+from heatherdyke.http_connection import HttpConnection
+from heatherdyke.platform_standin.leaf import StandinLeaf
+from heatherdyke.platform_standin.store import StandinStore
+
+HOST = "shop.example"
+READY_TIMEOUT_S = 15.0
+
+SETTINGS = """\
+node-name = "{name}"
+zone = "{zone}"
+region = "nord"
+ip-address = "127.0.0.1"
+internal-port-range = [{peer_port},{peer_port}]
+heartbeat-ms = 300
+unknown-field = 1
+[zones]
+brescia = "nord"
+verona = "nord"
+[listen-addresses]
+front = "127.0.0.1:{front_port}"
+ready-address = "127.0.0.1:{ready_port}"
+[bounds]
+grace-s = 4
+retry-budget-ratio = 0.2
+retry-budget-slack = 50
+[platform]
+address = "{store}"
+"""
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def route(name: str, prefix: str, **fields) -> dict:
+    return {
+        "name": name,
+        "host": HOST,
+        "path-prefix": prefix,
+        "kind": "safe",
+        "timeout-ms": 2000,
+        "target-latency-ms": 300,
+        "priority": 1,
+        "max-attempts": 2,
+        **fields,
+    }
+
+
+def config(version: int, routes: list[dict], services: list[str]) -> dict:
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {
+                "name": name,
+                "health-check-path": "/health",
+                "connection-limit": 31,
+                "cold-start-s": 1.0,
+                "cold-per-s": 0.0,
+            }
+            for name in services
+        ],
+        "limits": {
+            "max-header-bytes": 8192,
+            "max-body-bytes": 65536,
+            "header-timeout-ms": 1000,
+            "idle-timeout-ms": 15000,
+        },
+    }
+
+
+@dataclass
+class Gateway:
+    name: str
+    zone: str
+    front: str
+    ready: str
+    settings_path: Path
+    process: asyncio.subprocess.Process | None = None
+
+    async def is_ready(self) -> bool:
+        try:
+            connection = await HttpConnection.open(self.ready)
+            answer = await connection.request("GET", "/api/readiness")
+            connection.close()
+        except TransportError:
+            return False
+        return answer.status == 200
+
+    async def wait_ready(self) -> None:
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while not await self.is_ready():
+                await asyncio.sleep(0.02)
+
+    def kill(self) -> None:
+        self.process.send_signal(signal.SIGKILL)
+
+    def terminate(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+
+
+class Fleet:
+    """Starts and ends everything; ends only what it started."""
+
+    def __init__(self, directory: Path) -> None:
+        self.directory = directory
+        self.store = StandinStore()
+        self.leafs: list[StandinLeaf] = []
+        self.gateways: list[Gateway] = []
+
+    async def __aenter__(self) -> "Fleet":
+        await self.store.listener.start()
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        for gateway in self.gateways:
+            if gateway.process.returncode is None:
+                gateway.kill()
+            await gateway.process.wait()
+        for leaf in self.leafs:
+            await leaf.listener.stop()
+        await self.store.listener.stop()
+
+    async def add_leaf(self, leaf: StandinLeaf) -> StandinLeaf:
+        await leaf.start()
+        self.leafs.append(leaf)
+        self.store.put("servers", leaf.leaf_id, leaf.entry())
+        return leaf
+
+    def set_config(self, value: dict) -> None:
+        self.store.put("config", "main", value)
+
+    async def add_gateway(self, name: str, zone: str = "brescia") -> Gateway:
+        front, ready = free_port(), free_port()
+        path = self.directory / f"{name}.toml"
+        path.write_text(
+            SETTINGS.format(
+                name=name,
+                zone=zone,
+                peer_port=free_port(),
+                front_port=front,
+                ready_port=ready,
+                store=self.store.listener.address,
+            )
+        )
+        gateway = Gateway(
+            name, zone, f"127.0.0.1:{front}", f"127.0.0.1:{ready}", path
+        )
+        await self.start_process(gateway)
+        self.gateways.append(gateway)
+        return gateway
+
+    async def start_process(self, gateway: Gateway) -> None:
+        log = (self.directory / f"{gateway.name}.log").open("ab")
+        gateway.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *os.environ.get("GATEWAY_PYTHON_ARGUMENTS", "").split(),
+            "-m",
+            "heatherdyke.gateway",
+            env={**os.environ, "HEATHERDYKE_BOOT": str(gateway.settings_path)},
+            stdout=log,
+        )
+        log.close()
+
+    def log_of(self, gateway: Gateway) -> str:
+        return (self.directory / f"{gateway.name}.log").read_text()
+
+
+async def ask(
+    gateway: Gateway,
+    path: str,
+    request_id: str,
+    method: str = "GET",
+    body: bytes = b"",
+    wait_ms: int = 1500,
+):
+    """Return the raw answer of one request on a connection of its own."""
+    host, port = gateway.front.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    head = (
+        f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
+        f"X-Request-Id: {request_id}\r\nX-Deadline-Remaining: {wait_ms}\r\n"
+        f"Connection: close\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    writer.write(head.encode() + body)
+    async with asyncio.timeout(10):
+        data = await reader.read()
+    writer.close()
+    return RawAnswer.parse(data)
+
+
+@dataclass
+class RawAnswer:
+    status: int
+    value_by_header: dict[str, str]
+    body: bytes
+
+    @classmethod
+    def parse(cls, data: bytes) -> "RawAnswer":
+        head, _, body = data.partition(b"\r\n\r\n")
+        lines = head.decode().split("\r\n")
+        fields = (line.split(": ", 1) for line in lines[1:])
+        return cls(
+            int(lines[0].split()[1]),
+            {name.lower(): value for name, value in fields},
+            body,
+        )
