Count a group's times from when its body is sent

Cause: the due time was stamped before the other's 100 Continue, so that each group's result came a round trip after the search was due.

--- a/heatherdyke/gateway/leaf_connection.py
+++ b/heatherdyke/gateway/leaf_connection.py
@@ -29,8 +29,8 @@
     """One request on its way to one leaf.
 
     ``on_end`` is called once with the attempt and its outcome, unless the
-    attempt is abandoned before.  ``continuation`` is sent only after the
-    receiver's ``100 Continue``; ``continued`` tells that it was.
+    attempt is abandoned before.  What ``continuation`` returns is sent
+    after the receiver's ``100 Continue``; ``continued`` tells that it was.
     """
 
     __slots__ = (
@@ -56,7 +56,7 @@
         pool: "LeafPool",
         on_end: Callable[["Attempt", Outcome], None],
         context: str = "",
-        continuation: bytes | None = None,
+        continuation: Callable[[], bytes] | None = None,
     ) -> None:
         self.number = number
         self.request_id = request_id
@@ -196,7 +196,7 @@
         waits = attempt.continuation is not None and not attempt.continued
         if status == STATUS_CONTINUE and waits:
             attempt.continued = True
-            self.transport.write(attempt.continuation)
+            self.transport.write(attempt.continuation())
 
     def _complete(self, reusable: bool) -> None:
         echoed = find_id(self._headers)
--- a/heatherdyke/gateway/peer_call.py
+++ b/heatherdyke/gateway/peer_call.py
@@ -21,6 +21,7 @@
 from heatherdyke.gateway.peer_messages import GroupResult
 from heatherdyke.gateway.peer_messages import decode_result
 from heatherdyke.gateway.peer_messages import encode_message
+from heatherdyke.gateway.timing import GROUP_RETURN_S
 
 # How long the other may take to continue, as a share of the objective.
 CONTINUE_SHARE = 0.15
@@ -39,6 +40,8 @@
         "begun",
         "_core",
         "_message",
+        "_due_at",
+        "_limit_at",
         "_peer",
         "_on_end",
         "_attempt",
@@ -50,12 +53,16 @@
         core: Core,
         group: Group,
         message: GroupRequest,
+        due_at: float,
+        limit_at: float,
         on_end: Callable[["PeerCall", GroupResult | None], None],
     ) -> None:
         self.group = group
         self.begun = False
         self._core = core
         self._message = message
+        self._due_at = due_at
+        self._limit_at = limit_at
         self._peer: Leaf | None = None
         self._on_end = on_end
         self._attempt: Attempt | None = None
@@ -69,6 +76,7 @@
         self._peer = core.peers.choose(self.group, pace.usual_s)
         if self._peer is None:
             return False
+        self._set_times()
         body = encode_message(message)
         pool = core.peers.pools.of(self._peer)
         self._attempt = Attempt(
@@ -78,13 +86,25 @@
             is_head=False,
             pool=pool,
             on_end=self._ended,
-            continuation=body,
+            continuation=self._body,
         )
         pool.send(self._attempt)
         wait_s = max(CONTINUE_MIN_S, CONTINUE_SHARE * message.objective_s)
         self._timer = core.loop.call_later(wait_s, self._check_begun)
         return True
 
+    def _set_times(self) -> None:
+        """Say how long from now the result is waited for."""
+        message = self._message
+        now = self._core.loop.time()
+        message.due_s = max(0.0, self._due_at - now - GROUP_RETURN_S)
+        message.limit_s = max(0.0, self._limit_at - now - GROUP_RETURN_S)
+
+    def _body(self) -> bytes:
+        """Return the message as of now; its length does not change."""
+        self._set_times()
+        return encode_message(self._message)
+
     def abandon(self) -> None:
         """Stop; the other stops its attempts when the connection ends."""
         self._stop_timer()
--- a/heatherdyke/gateway/peer_messages.py
+++ b/heatherdyke/gateway/peer_messages.py
@@ -33,8 +33,8 @@
     min_share: float
     objective_s: float
     home_regions: list[str]
-    due_s: float
-    limit_s: float
+    due_s: float = 0.0
+    limit_s: float = 0.0
 
 
 class GroupResult(msgspec.Struct, array_like=True):
@@ -75,8 +75,6 @@
     request: ClientRequest,
     route: Route,
     shards: tuple[str, ...],
-    due_s: float,
-    limit_s: float,
 ) -> GroupRequest:
     """Return the message for some shards of a client's request."""
     return GroupRequest(
@@ -93,8 +91,6 @@
         min_share=group_share(len(shards), route.min_share),
         objective_s=route.objective_s,
         home_regions=sorted(route.home_regions),
-        due_s=due_s,
-        limit_s=limit_s,
     )
 
 
--- a/heatherdyke/gateway/search.py
+++ b/heatherdyke/gateway/search.py
@@ -23,7 +23,6 @@
 from heatherdyke.gateway.search_progress import Verdict
 from heatherdyke.gateway.search_progress import enough
 from heatherdyke.gateway.shard_search import ShardSearch
-from heatherdyke.gateway.timing import GROUP_RETURN_S
 from heatherdyke.gateway.timing import answer_due
 from heatherdyke.gateway.timing import last_moment
 from heatherdyke.platform.headers import merged_headers
@@ -113,15 +112,17 @@
 
     def _ask_peer(self, group: Group) -> None:
         progress = self._gathering.progress
-        now = self._core.loop.time()
         message = group_request(
-            self._exchange.request,
-            self._route,
-            group.shards,
-            max(0.0, progress.answer_at - now - GROUP_RETURN_S),
-            max(0.0, progress.limit_at - now - GROUP_RETURN_S),
+            self._exchange.request, self._route, group.shards
+        )
+        call = PeerCall(
+            self._core,
+            group,
+            message,
+            progress.answer_at,
+            progress.limit_at,
+            self._group_ended,
         )
-        call = PeerCall(self._core, group, message, self._group_ended)
         if call.start():
             self._calls.add(call)
         else:
