Cut all groups of a large search; read first lists that may be old

Cause: groups of 36 shards were held for the least share and made whole searches late; 5 pages of leafs an instance made most calls to the store.

--- a/heatherdyke/gateway/feed.py
+++ b/heatherdyke/gateway/feed.py
@@ -28,7 +28,9 @@
     """Lists a kind, then watches it; lists again when history is gone.
 
     ``on_listing`` hears all objects and whether the store was away so long
-    that entries may be missing for a while; ``on_change`` one change.
+    that entries may be missing for a while; ``on_change`` one change.  The
+    first list may be some seconds old where the watch that follows brings
+    what it lacks; lists after a loss never are.
     """
 
     __slots__ = (
@@ -43,6 +45,7 @@
         "_lapsed_until",
         "_retry_s",
         "_batch_s",
+        "_may_be_old",
         "_relist",
     )
 
@@ -53,6 +56,7 @@
         on_listing: Callable[[Listing, bool], None],
         on_change: Callable[[Change, bool], None],
         batch_s: float = BATCH_S,
+        first_may_be_old: bool = False,
     ) -> None:
         self.kind = kind
         self.heard_at = 0.0
@@ -65,6 +69,7 @@
         self._lapsed_until = 0.0
         self._retry_s = RETRY_FIRST_S
         self._batch_s = batch_s
+        self._may_be_old = first_may_be_old
         self._relist = False
 
     def lost_for_s(self) -> float:
@@ -94,7 +99,8 @@
                 await self._lost(error)
 
     async def _list(self) -> int:
-        listing = await self._store.list(self.kind)
+        listing = await self._store.list(self.kind, self._may_be_old)
+        self._may_be_old = False
         self._heard()
         self._guard(lambda: self._on_listing(listing, self._may_lapse()))
         self.listed.set()
--- a/heatherdyke/gateway/grouping.py
+++ b/heatherdyke/gateway/grouping.py
@@ -57,10 +57,10 @@
         zones = zones_by_shard.get(shard, ())
         zone = _zone_for(zones, own_zone, other_zones)
         shards_by_zone.setdefault(zone, []).append(shard)
+    alone = len(shards) <= MOST_SHARDS_ALONE
     own: list[str] = []
     groups: list[Group] = []
     for zone, members in shards_by_zone.items():
-        alone = len(members) <= MOST_SHARDS_ALONE
         if zone == own_zone and (alone or own_zone not in peer_zones):
             own += members
         elif len(members) < LEAST_SHARDS:
--- a/heatherdyke/gateway/process.py
+++ b/heatherdyke/gateway/process.py
@@ -80,10 +80,18 @@
             batch_s=0.0,
         )
         self._leaf_feed = Feed(
-            LEAF_KIND, core, beliefs.leafs_listed, beliefs.leaf_changed
+            LEAF_KIND,
+            core,
+            beliefs.leafs_listed,
+            beliefs.leaf_changed,
+            first_may_be_old=True,
         )
         self._zone_feed = Feed(
-            ZONE_OUT_KIND, core, beliefs.zones_listed, beliefs.zone_changed
+            ZONE_OUT_KIND,
+            core,
+            beliefs.zones_listed,
+            beliefs.zone_changed,
+            first_may_be_old=True,
         )
         self._roster = Roster(core, beliefs)
         self._clients = Clients(core, Dispatcher(core, self._config_feed))
--- a/heatherdyke/gateway/roster.py
+++ b/heatherdyke/gateway/roster.py
@@ -40,9 +40,7 @@
                 if not created:
                     await self._store.create(KIND, settings.name, spec)
                     created = True
-                listing = await self._store.list(
-                    KIND, may_be_old=wait_s == WAIT_S
-                )
+                listing = await self._store.list(KIND, may_be_old=True)
                 self._beliefs.instances_listed(listing)
                 await asyncio.sleep(wait_s)
                 wait_s = WAIT_S
--- a/heatherdyke/gateway/timing.py
+++ b/heatherdyke/gateway/timing.py
@@ -14,11 +14,11 @@
 # The share of the objective that is usual before anything was measured.
 FIRST_SHARE = 0.2
 # The way to the client and back, which its objective counts.
-RETURN_S = 0.010
+RETURN_S = 0.012
 # Opening a connection is one more round trip for the client.
 CONNECT_S = 0.006
 # The way of a group's result from another instance, and its merge.
-GROUP_RETURN_S = 0.005
+GROUP_RETURN_S = 0.007
 # No answer is sent later than this before the client's own deadline.
 DEADLINE_MARGIN_S = 0.015
 
