Test the gateway's decisions and its processes on loopback

Found by the tests: a head over the limit that came whole in one read was passed on; it is answered 431 now.

--- a/heatherdyke/gateway/client_connection.py
+++ b/heatherdyke/gateway/client_connection.py
@@ -16,6 +16,8 @@
 from heatherdyke.platform import headers as names
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Colon, space and line end of a header field.
+FIELD_FRAMING_BYTES = 4
 
 
 class ConnectionOwner(Protocol):
@@ -163,6 +165,13 @@
         """Ask for the body if the client waits for that."""
         self._in_head = False
         self._head_bytes = 0
+        fields = sum(
+            len(name) + len(value) + FIELD_FRAMING_BYTES
+            for name, value in self._headers
+        )
+        if fields + len(self._target) > self.owner.limits.max_header_bytes:
+            self._reject(431)
+            return
         expect = find_header(self._headers, b"expect")
         if expect is not None and expect.lower() == b"100-continue":
             self.transport.write(CONTINUE)
--- /dev/null
+++ b/tests/test_gateway_fleet.py
@@ -0,0 +1,428 @@
+"""Gateway processes between a stand-in store, leafs and clients."""
+
+import asyncio
+import os
+import subprocess
+import sys
+
+from gateway_fleet import HOST
+from gateway_fleet import Fleet
+from gateway_fleet import ask
+from gateway_fleet import config
+from gateway_fleet import route
+
+from heatherdyke.platform_standin.leaf import Behaviour
+from heatherdyke.platform_standin.leaf import StandinLeaf
+
+SHARDS = [f"shard{number}" for number in range(6)]
+SEARCH = route(
+    "search",
+    "/s/",
+    **{"fan-out-services": SHARDS, "top-k": 20, "min-shard-share": 0.5},
+)
+ONE = route("one", "/o/", service="one")
+UNSAFE = route("unsafe", "/u/", service="one", kind="unsafe")
+CONFIG = config(3, [SEARCH, ONE, UNSAFE], [*SHARDS, "one"])
+
+
+async def search_fleet(fleet: Fleet, zone: str = "brescia") -> None:
+    for shard in SHARDS:
+        for copy in range(2):
+            leaf = StandinLeaf(f"{shard}-{copy}", shard, zone=zone)
+            await fleet.add_leaf(leaf)
+    fleet.set_config(CONFIG)
+
+
+async def one_fleet(fleet: Fleet, count: int = 2) -> list[StandinLeaf]:
+    leafs = [
+        await fleet.add_leaf(StandinLeaf(f"one-{number}", "one"))
+        for number in range(count)
+    ]
+    fleet.set_config(CONFIG)
+    return leafs
+
+
+async def ready_gateway(fleet: Fleet, name: str = "a", zone: str = "brescia"):
+    gateway = await fleet.add_gateway(name, zone)
+    await gateway.wait_ready()
+    return gateway
+
+
+async def until(condition, timeout_s: float = 5.0) -> None:
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def run(scenario, directory) -> None:
+    async def main():
+        async with Fleet(directory) as fleet:
+            await scenario(fleet)
+
+    asyncio.run(main())
+
+
+class TestSearch:
+    def test_all_shards_are_merged_into_the_greatest_records(self, tmp_path):
+        async def scenario(fleet):
+            await search_fleet(fleet)
+            gateway = await ready_gateway(fleet)
+            answer = await ask(gateway, "/s/x?q=1", "r1")
+            assert answer.status == 200
+            assert answer.value_by_header["x-missing-parts"] == "0"
+            signatures = answer.value_by_header["x-part-stamps"].split(", ")
+            assert len(set(signatures)) == len(SHARDS)
+            assert len(answer.body) == 20 * 16
+            records = [answer.body[at : at + 16] for at in range(0, 320, 16)]
+            assert records == sorted(records, reverse=True)
+            arrivals = [
+                arrival for leaf in fleet.leafs for arrival in leaf.arrivals
+            ]
+            assert {arrival.request_id for arrival in arrivals} == {b"r1"}
+            assert {arrival.target for arrival in arrivals} == {b"/s/x?q=1"}
+            assert all(arrival.remaining_s < 1.5 for arrival in arrivals)
+
+        run(scenario, tmp_path)
+
+    def test_a_silent_leaf_costs_a_second_attempt_not_the_shard(
+        self, tmp_path
+    ):
+        async def scenario(fleet):
+            await search_fleet(fleet)
+            fleet.leafs[0].behaviour = Behaviour.SILENT
+            gateway = await ready_gateway(fleet)
+            for number in range(5):
+                answer = await ask(gateway, "/s/x", f"r{number}")
+                assert answer.value_by_header["x-missing-parts"] == "0"
+
+        run(scenario, tmp_path)
+
+    def test_failed_parts_are_not_in_the_answer(self, tmp_path):
+        async def scenario(fleet):
+            await search_fleet(fleet)
+            for leaf in fleet.leafs[:2]:
+                leaf.behaviour = Behaviour.FAIL
+            gateway = await ready_gateway(fleet)
+            answer = await ask(gateway, "/s/x", "r1")
+            assert answer.status == 200
+            assert answer.value_by_header["x-missing-parts"] == "1"
+            assert SHARDS[0] not in answer.value_by_header["x-part-stamps"]
+
+        run(scenario, tmp_path)
+
+    def test_too_few_shards_are_refused_at_once_with_a_time(self, tmp_path):
+        async def scenario(fleet):
+            await search_fleet(fleet)
+            gateway = await ready_gateway(fleet)
+            for leaf in fleet.leafs[:8]:
+                fleet.store.delete("servers", leaf.leaf_id)
+            await until(
+                lambda: fleet.log_of(gateway).count('"entry_gone"') == 8
+            )
+            answer = await ask(gateway, "/s/x", "r1")
+            assert answer.status == 503
+            assert 0 < float(answer.value_by_header["retry-after"]) < 1
+            assert not any(leaf.arrivals for leaf in fleet.leafs)
+
+        run(scenario, tmp_path)
+
+
+class TestGroupsOfShards:
+    def test_an_instance_near_the_leafs_asks_and_merges(self, tmp_path):
+        async def scenario(fleet):
+            await search_fleet(fleet)
+            near = await ready_gateway(fleet, "near", "brescia")
+            far = await ready_gateway(fleet, "far", "verona")
+            await until(lambda: "heatherdyke-instances" in known(fleet))
+            await asyncio.sleep(0.2)
+            answer = await ask(far, "/s/x", "r1")
+            assert answer.status == 200
+            assert answer.value_by_header["x-missing-parts"] == "0"
+            assert len(answer.body) == 20 * 16
+            near.kill()
+            await near.process.wait()
+            answer = await ask(far, "/s/x", "r2")
+            assert answer.status == 200
+            assert answer.value_by_header["x-missing-parts"] == "0"
+            runs = [run_id for leaf in fleet.leafs for run_id in leaf.runs]
+            assert runs.count(b"r2") >= len(SHARDS)
+
+        def known(fleet):
+            return {key.split()[1] for key in fleet.store.calls}
+
+        run(scenario, tmp_path)
+
+
+class TestForward:
+    def test_method_path_and_body_pass_unchanged(self, tmp_path):
+        async def scenario(fleet):
+            leafs = await one_fleet(fleet, 1)
+            gateway = await ready_gateway(fleet)
+            body = os.urandom(5000)
+            answer = await ask(
+                gateway, "/u/a%20b?c=%2F", "r1", method="POST", body=body
+            )
+            assert answer.status == 200
+            assert answer.value_by_header["x-response-stamp"] == "one-0.r1"
+            arrival = leafs[0].arrivals[0]
+            assert arrival.method == b"POST"
+            assert arrival.target == b"/u/a%20b?c=%2F"
+            assert arrival.body == body
+
+        run(scenario, tmp_path)
+
+    def test_an_unsafe_request_whose_answer_is_lost_runs_once(self, tmp_path):
+        async def scenario(fleet):
+            leafs = await one_fleet(fleet)
+            for leaf in leafs:
+                leaf.behaviour = Behaviour.RESET_AFTER_RUN
+            gateway = await ready_gateway(fleet)
+            answer = await ask(gateway, "/u/x", "r1", "POST", b"x")
+            assert answer.status == 502
+            assert sum(leaf.runs.count(b"r1") for leaf in leafs) == 1
+
+        run(scenario, tmp_path)
+
+    def test_a_safe_request_whose_answer_is_lost_is_sent_again(self, tmp_path):
+        async def scenario(fleet):
+            leafs = await one_fleet(fleet)
+            gateway = await ready_gateway(fleet)
+            leafs[0].behaviour = Behaviour.RESET_AFTER_RUN
+            for number in range(4):
+                answer = await ask(gateway, "/o/x", f"r{number}")
+                assert answer.status == 200
+
+        run(scenario, tmp_path)
+
+    def test_an_unsafe_request_that_was_rejected_is_sent_elsewhere(
+        self, tmp_path
+    ):
+        async def scenario(fleet):
+            leafs = await one_fleet(fleet)
+            leafs[0].behaviour = Behaviour.REJECT
+            gateway = await ready_gateway(fleet)
+            for number in range(4):
+                answer = await ask(gateway, "/u/x", f"r{number}", "POST", b"x")
+                assert answer.status == 200
+            assert len(leafs[1].runs) == 4
+
+        run(scenario, tmp_path)
+
+    def test_a_refusal_is_true_and_names_a_time(self, tmp_path):
+        async def scenario(fleet):
+            leafs = await one_fleet(fleet)
+            for leaf in leafs:
+                leaf.behaviour = Behaviour.REJECT
+            gateway = await ready_gateway(fleet)
+            answer = await ask(gateway, "/u/x", "r1", "POST", b"x")
+            assert answer.status == 503
+            assert float(answer.value_by_header["retry-after"]) > 0
+            assert not any(leaf.runs for leaf in leafs)
+
+        run(scenario, tmp_path)
+
+    def test_an_address_that_was_given_to_another_leaf_is_left(self, tmp_path):
+        async def scenario(fleet):
+            leafs = await one_fleet(fleet)
+            gateway = await ready_gateway(fleet)
+            leafs[0].leaf_id = "somebody-else"
+            for number in range(4):
+                answer = await ask(gateway, "/u/x", f"r{number}", "POST", b"x")
+                assert answer.status == 200
+            assert leafs[0].runs == []
+
+        run(scenario, tmp_path)
+
+    def test_a_draining_leaf_gets_nothing_more(self, tmp_path):
+        async def scenario(fleet):
+            leafs = await one_fleet(fleet)
+            gateway = await ready_gateway(fleet)
+            leafs[0].sequence = 2
+            draining = leafs[0].entry(draining=True)
+            fleet.store.put("servers", "one-0", draining)
+            await until(lambda: '"draining"' in fleet.log_of(gateway))
+            for number in range(4):
+                answer = await ask(gateway, "/o/x", f"r{number}")
+                assert answer.status == 200
+            assert leafs[0].arrivals == []
+
+        run(scenario, tmp_path)
+
+    def test_a_client_that_leaves_ends_the_work(self, tmp_path):
+        async def scenario(fleet):
+            (leaf,) = await one_fleet(fleet, 1)
+            leaf.work_s = 5.0
+            gateway = await ready_gateway(fleet)
+            host, port = gateway.front.split(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            head = f"GET /o/x HTTP/1.1\r\nHost: {HOST}\r\n"
+            writer.write(head.encode() + b"X-Request-Id: r1\r\n\r\n")
+            await until(lambda: leaf.runs == [b"r1"])
+            writer.close()
+            await until(lambda: not leaf.listener.connections)
+
+        run(scenario, tmp_path)
+
+
+class TestConfiguration:
+    def test_before_the_first_one_requests_are_refused_not_denied(
+        self, tmp_path
+    ):
+        async def scenario(fleet):
+            gateway = await fleet.add_gateway("a")
+            await until(lambda: "gateway_started" in fleet.log_of(gateway))
+            answer = await ask(gateway, "/o/x", "r1")
+            assert answer.status == 503
+            assert not await gateway.is_ready()
+
+        run(scenario, tmp_path)
+
+    def test_a_new_version_is_in_force_and_an_older_one_is_not(self, tmp_path):
+        async def scenario(fleet):
+            await one_fleet(fleet)
+            gateway = await ready_gateway(fleet)
+            assert (await ask(gateway, "/o/x", "r1")).status == 200
+            fleet.set_config(config(8, [UNSAFE], ["one"]))
+            await until(lambda: '"version":8' in fleet.log_of(gateway))
+            assert (await ask(gateway, "/o/x", "r2")).status == 404
+            fleet.set_config(CONFIG)
+            await asyncio.sleep(0.3)
+            assert (await ask(gateway, "/o/x", "r3")).status == 404
+
+        run(scenario, tmp_path)
+
+    def test_an_unreadable_one_leaves_the_last_in_force(self, tmp_path):
+        async def scenario(fleet):
+            await one_fleet(fleet)
+            gateway = await ready_gateway(fleet)
+            fleet.set_config({"version": "nine"})
+            await until(lambda: "routing_rejected" in fleet.log_of(gateway))
+            assert (await ask(gateway, "/o/x", "r1")).status == 200
+
+        run(scenario, tmp_path)
+
+
+class TestStore:
+    def test_an_unreadable_entry_names_no_leaf_and_harms_no_other(
+        self, tmp_path
+    ):
+        async def scenario(fleet):
+            fleet.store.put("servers", "bad-1", {"service": 7})
+            fleet.store.put("servers", "bad-2", None)
+            fleet.store.put("servers", "bad-3", {"state": "asleep"})
+            await one_fleet(fleet)
+            gateway = await ready_gateway(fleet)
+            assert (await ask(gateway, "/o/x", "r1")).status == 200
+            log = fleet.log_of(gateway)
+            assert log.count("leaf_entry_unreadable") == 3
+
+        run(scenario, tmp_path)
+
+    def test_service_goes_on_while_the_store_is_down(self, tmp_path):
+        async def scenario(fleet):
+            await one_fleet(fleet)
+            gateway = await ready_gateway(fleet)
+            fleet.store.status = 503
+            fleet.store.forget_history()
+            await until(lambda: '"store_lost"' in fleet.log_of(gateway))
+            assert (await ask(gateway, "/o/x", "r1")).status == 200
+            fleet.store.status = 200
+            await until(lambda: '"store_regained"' in fleet.log_of(gateway))
+            assert (await ask(gateway, "/o/x", "r2")).status == 200
+
+        run(scenario, tmp_path)
+
+    def test_after_lost_history_all_is_read_again(self, tmp_path):
+        async def scenario(fleet):
+            leafs = await one_fleet(fleet)
+            gateway = await ready_gateway(fleet)
+            fleet.store.forget_history()
+            late = await fleet.add_leaf(StandinLeaf("one-9", "one"))
+            await until(lambda: "one-9" in fleet.log_of(gateway))
+            for leaf in leafs:
+                fleet.store.delete("servers", leaf.leaf_id)
+            await until(
+                lambda: fleet.log_of(gateway).count("leaf_removed") == 2
+            )
+            assert (await ask(gateway, "/o/x", "r1")).status == 200
+            assert late.runs == [b"r1"]
+
+        run(scenario, tmp_path)
+
+
+class TestStop:
+    def test_a_running_request_is_answered_and_the_process_ends(
+        self, tmp_path
+    ):
+        async def scenario(fleet):
+            (leaf,) = await one_fleet(fleet, 1)
+            leaf.work_s = 1.0
+            gateway = await ready_gateway(fleet)
+            asking = asyncio.create_task(ask(gateway, "/o/x", "r1"))
+            await until(lambda: leaf.runs == [b"r1"])
+            gateway.terminate()
+            assert (await asking).status == 200
+            assert not await gateway.is_ready()
+            assert (await ask(gateway, "/o/x", "r2")).status == 200
+            assert await gateway.process.wait() == 0
+            assert "gateway_stopped" in fleet.log_of(gateway)
+
+        run(scenario, tmp_path)
+
+
+class TestBadInput:
+    def test_malformed_and_oversized_requests_reach_no_leaf(self, tmp_path):
+        async def scenario(fleet):
+            leafs = await one_fleet(fleet)
+            gateway = await ready_gateway(fleet)
+            head = f"GET /o/x HTTP/1.1\r\nHost: {HOST}\r\n".encode()
+            long_field = b"X-Long: " + b"x" * 9000 + b"\r\n\r\n"
+            large = b"Content-Length: 70000\r\n\r\n" + b"x" * 70000
+            both = (
+                b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"0\r\n\r\n"
+            )
+            assert await raw(gateway, b"\x00\x01 nonsense\r\n\r\n") == 400
+            assert await raw(gateway, head + long_field) == 431
+            assert await raw(gateway, b"POST" + head[3:] + large) == 413
+            assert await raw(gateway, b"POST" + head[3:] + both) == 400
+            assert await raw(gateway, b"GET /o/x HTTP/1.1\r\n\r\n") == 400
+            assert not any(leaf.arrivals for leaf in leafs)
+
+        async def raw(gateway, data: bytes) -> int:
+            host, port = gateway.front.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(data)
+            async with asyncio.timeout(5):
+                line = await reader.readline()
+            writer.close()
+            return int(line.split()[1])
+
+        run(scenario, tmp_path)
+
+    def test_a_slow_request_is_cut_off(self, tmp_path):
+        async def scenario(fleet):
+            await one_fleet(fleet)
+            gateway = await ready_gateway(fleet)
+            host, port = gateway.front.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"GET /o/x HT")
+            async with asyncio.timeout(4):
+                assert b" 408 " in await reader.readline()
+            writer.close()
+
+        run(scenario, tmp_path)
+
+    def test_bad_settings_name_field_and_path(self, tmp_path):
+        path = tmp_path / "settings.toml"
+        path.write_text('node-name = "a"\nzone = 7\n')
+        finished = subprocess.run(
+            [sys.executable, "-m", "heatherdyke.gateway"],
+            env={**os.environ, "HEATHERDYKE_BOOT": str(path)},
+            capture_output=True,
+            text=True,
+            timeout=20,
+        )
+        assert finished.returncode == 2
+        assert str(path) in finished.stderr
+        assert len(finished.stderr.splitlines()) == 1
