--- /dev/null
+++ b/heatherdyke/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' API, its client and their keys."""
--- a/heatherdyke/caller_api.py
+++ b/heatherdyke/callers/api.py
@@ -6,17 +6,17 @@
 from blacksheep import Request
 from blacksheep import Response
 
-from heatherdyke.caller_keys import CallerDirectory
+from heatherdyke.callers.keys import CallerDirectory
 from heatherdyke.component import ConfigView
-from heatherdyke.entry import Entry
 from heatherdyke.errors import HeatherdykeError
-from heatherdyke.http_routes import add_route
-from heatherdyke.http_support import json_response
-from heatherdyke.http_support import problem_response
-from heatherdyke.http_support import read_message
 from heatherdyke.messages import SearchRequest
-from heatherdyke.request_gate import RequestGate
-from heatherdyke.search_observer import SearchObserver
+from heatherdyke.net.http_routes import add_route
+from heatherdyke.net.http_support import json_response
+from heatherdyke.net.http_support import problem_response
+from heatherdyke.net.http_support import read_message
+from heatherdyke.search.entry import Entry
+from heatherdyke.search.observer import SearchObserver
+from heatherdyke.search.request_gate import RequestGate
 
 
 class CallerApi:
--- a/heatherdyke/caller_client.py
+++ b/heatherdyke/callers/client.py
@@ -5,10 +5,10 @@
 from heatherdyke.codec import decode
 from heatherdyke.codec import encode
 from heatherdyke.errors import HeatherdykeError
-from heatherdyke.http_connection import HttpConnection
-from heatherdyke.http_support import Problem
 from heatherdyke.messages import SearchAnswer
 from heatherdyke.messages import SearchRequest
+from heatherdyke.net.http_connection import HttpConnection
+from heatherdyke.net.http_support import Problem
 
 STATUS_OK = 200
 DEFAULT_TIMEOUT_S = 60.0
--- a/heatherdyke/caller_keys.py
+++ b/heatherdyke/callers/keys.py
@@ -10,8 +10,8 @@
 from blacksheep import Request
 
 from heatherdyke.component import ConfigView
-from heatherdyke.config_model import ConfigDocument
-from heatherdyke.config_model import SectionConfig
+from heatherdyke.config.model import ConfigDocument
+from heatherdyke.config.model import SectionConfig
 from heatherdyke.errors import Forbidden
 from heatherdyke.errors import UnknownKey
 from heatherdyke.errors import UnknownService
--- /dev/null
+++ b/heatherdyke/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- a/heatherdyke/cli.py
+++ b/heatherdyke/cli/app.py
@@ -7,12 +7,12 @@
 import typer
 
 from heatherdyke import __version__
-from heatherdyke.cli_config import config_app
-from heatherdyke.cli_observe import stats
-from heatherdyke.cli_observe import timeline
-from heatherdyke.cli_standin import app as standin
-from heatherdyke.cli_usage import usage
-from heatherdyke.cli_zone import zone_app
+from heatherdyke.cli.config import config_app
+from heatherdyke.cli.observe import stats
+from heatherdyke.cli.observe import timeline
+from heatherdyke.cli.standin import app as standin
+from heatherdyke.cli.usage import usage
+from heatherdyke.cli.zone import zone_app
 from heatherdyke.errors import HeatherdykeError
 from heatherdyke.settings import Settings
 
@@ -91,9 +91,9 @@
         log_level=log_level,
         extra_load_share=extra_load_share,
     )
-    from heatherdyke.http_connection import set_source_host
     from heatherdyke.instance import Instance
-    from heatherdyke.log_output import configure_logging
+    from heatherdyke.net.http_connection import set_source_host
+    from heatherdyke.observe.log_output import configure_logging
 
     configure_logging(settings.log_level)
     set_source_host(settings.source)
@@ -124,8 +124,8 @@
     as_json: Annotated[bool, typer.Option("--json")] = False,
 ) -> None:
     """Search services and print the answer with its coverage."""
-    from heatherdyke.caller_client import CallerClient
-    from heatherdyke.caller_client import describe_answer
+    from heatherdyke.callers.client import CallerClient
+    from heatherdyke.callers.client import describe_answer
     from heatherdyke.codec import encode
     from heatherdyke.messages import SearchRequest
 
@@ -139,7 +139,7 @@
 @app.command()
 def demo() -> None:
     """Run searches and an archive pull over embedded stand-ins."""
-    from heatherdyke.demo import run_demo
+    from heatherdyke.standin.demo import run_demo
 
     asyncio.run(run_demo(typer.echo))
 
--- a/heatherdyke/cli_config.py
+++ b/heatherdyke/cli/config.py
@@ -12,24 +12,24 @@
 
 import typer
 
-from heatherdyke import config_commands as commands
-from heatherdyke.cli_options import EditOption
-from heatherdyke.cli_options import EditorOption
-from heatherdyke.cli_options import JsonOption
-from heatherdyke.cli_options import PlatformOption
-from heatherdyke.cli_options import WaitOption
-from heatherdyke.cli_options import WaitSecondsOption
-from heatherdyke.cli_options import editor_name
-from heatherdyke.cli_options import open_platform
-from heatherdyke.cli_options import print_json
-from heatherdyke.cli_options import print_progress
-from heatherdyke.config_apply import Acceptance
-from heatherdyke.config_collect import collect_sections
-from heatherdyke.config_file import load_valid_section
-from heatherdyke.config_wait import judge_section
-from heatherdyke.config_wait import require_in_force
+from heatherdyke.cli.options import EditOption
+from heatherdyke.cli.options import EditorOption
+from heatherdyke.cli.options import JsonOption
+from heatherdyke.cli.options import PlatformOption
+from heatherdyke.cli.options import WaitOption
+from heatherdyke.cli.options import WaitSecondsOption
+from heatherdyke.cli.options import editor_name
+from heatherdyke.cli.options import open_platform
+from heatherdyke.cli.options import print_json
+from heatherdyke.cli.options import print_progress
+from heatherdyke.config import commands
+from heatherdyke.config.apply import Acceptance
+from heatherdyke.config.collect import collect_sections
+from heatherdyke.config.file import load_valid_section
+from heatherdyke.config.wait import judge_section
+from heatherdyke.config.wait import require_in_force
 from heatherdyke.errors import ConfigInvalid
-from heatherdyke.platform_client import PlatformClient
+from heatherdyke.objects.client import PlatformClient
 
 config_app = typer.Typer(
     name="config",
--- a/heatherdyke/cli_observe.py
+++ b/heatherdyke/cli/observe.py
@@ -9,16 +9,16 @@
 
 from heatherdyke.codec import encode
 from heatherdyke.errors import SettingsError
-from heatherdyke.hybrid_clock import HybridTimestamp
-from heatherdyke.journal import Event
-from heatherdyke.observe_client import Unreachable
-from heatherdyke.observe_report import StatsReport
-from heatherdyke.observe_report import describe_unreachable
-from heatherdyke.observe_report import follow_timeline
-from heatherdyke.observe_report import read_stats
-from heatherdyke.observe_report import read_timeline
+from heatherdyke.observe.client import Unreachable
+from heatherdyke.observe.hybrid_clock import HybridTimestamp
+from heatherdyke.observe.journal import Event
+from heatherdyke.observe.report import StatsReport
+from heatherdyke.observe.report import describe_unreachable
+from heatherdyke.observe.report import follow_timeline
+from heatherdyke.observe.report import read_stats
+from heatherdyke.observe.report import read_timeline
+from heatherdyke.observe.timeline import EventFilter
 from heatherdyke.settings import split_address
-from heatherdyke.timeline import EventFilter
 
 InstanceOption = Annotated[
     str,
--- a/heatherdyke/cli_options.py
+++ b/heatherdyke/cli/options.py
@@ -7,9 +7,9 @@
 import typer
 
 from heatherdyke.codec import encode
-from heatherdyke.config_wait import InstanceProgress
+from heatherdyke.config.wait import InstanceProgress
 from heatherdyke.errors import SettingsError
-from heatherdyke.platform_client import PlatformClient
+from heatherdyke.objects.client import PlatformClient
 from heatherdyke.settings import split_address
 
 PlatformOption = Annotated[
--- a/heatherdyke/cli_standin.py
+++ b/heatherdyke/cli/standin.py
@@ -10,11 +10,11 @@
 
 from heatherdyke.codec import decode
 from heatherdyke.errors import SettingsError
-from heatherdyke.fault_proxy import FaultProxy
-from heatherdyke.fault_proxy_model import ProxyConfig
-from heatherdyke.standin_leaf import LeafStandin
-from heatherdyke.standin_leaf_model import LeafProfile
-from heatherdyke.standin_platform import PlatformStandin
+from heatherdyke.standin.fault_proxy import FaultProxy
+from heatherdyke.standin.fault_proxy_model import ProxyConfig
+from heatherdyke.standin.leaf import LeafStandin
+from heatherdyke.standin.leaf_model import LeafProfile
+from heatherdyke.standin.platform import PlatformStandin
 
 app = typer.Typer(
     name="standin",
--- a/heatherdyke/cli_usage.py
+++ b/heatherdyke/cli/usage.py
@@ -5,13 +5,13 @@
 
 import typer
 
-from heatherdyke.cli_observe import InstanceOption
-from heatherdyke.cli_observe import JsonOption
-from heatherdyke.cli_observe import PlatformOption
-from heatherdyke.cli_observe import check_addresses
+from heatherdyke.cli.observe import InstanceOption
+from heatherdyke.cli.observe import JsonOption
+from heatherdyke.cli.observe import PlatformOption
+from heatherdyke.cli.observe import check_addresses
 from heatherdyke.codec import encode
-from heatherdyke.usage_report import describe_usage
-from heatherdyke.usage_report import read_usage
+from heatherdyke.usage.report import describe_usage
+from heatherdyke.usage.report import read_usage
 
 
 def usage(
--- a/heatherdyke/cli_zone.py
+++ b/heatherdyke/cli/zone.py
@@ -5,22 +5,22 @@
 
 import typer
 
-from heatherdyke import config_commands as commands
-from heatherdyke.cli_options import EditOption
-from heatherdyke.cli_options import EditorOption
-from heatherdyke.cli_options import JsonOption
-from heatherdyke.cli_options import PlatformOption
-from heatherdyke.cli_options import WaitOption
-from heatherdyke.cli_options import WaitSecondsOption
-from heatherdyke.cli_options import editor_name
-from heatherdyke.cli_options import open_platform
-from heatherdyke.cli_options import print_json
-from heatherdyke.cli_options import print_progress
-from heatherdyke.config_wait import judge_zones
-from heatherdyke.config_wait import require_in_force
-from heatherdyke.platform_client import PlatformClient
-from heatherdyke.zone_state import ZoneService
-from heatherdyke.zone_state import ZonesObject
+from heatherdyke.cli.options import EditOption
+from heatherdyke.cli.options import EditorOption
+from heatherdyke.cli.options import JsonOption
+from heatherdyke.cli.options import PlatformOption
+from heatherdyke.cli.options import WaitOption
+from heatherdyke.cli.options import WaitSecondsOption
+from heatherdyke.cli.options import editor_name
+from heatherdyke.cli.options import open_platform
+from heatherdyke.cli.options import print_json
+from heatherdyke.cli.options import print_progress
+from heatherdyke.config import commands
+from heatherdyke.config.wait import judge_zones
+from heatherdyke.config.wait import require_in_force
+from heatherdyke.config.zone_state import ZoneService
+from heatherdyke.config.zone_state import ZonesObject
+from heatherdyke.objects.client import PlatformClient
 
 zone_app = typer.Typer(
     name="zone",
--- a/heatherdyke/component.py
+++ b/heatherdyke/component.py
@@ -4,8 +4,8 @@
 
 from blacksheep import Application
 
-from heatherdyke.config_model import ConfigDocument
-from heatherdyke.member_messages import Member
+from heatherdyke.config.model import ConfigDocument
+from heatherdyke.membership.messages import Member
 
 
 class Component(Protocol):
--- /dev/null
+++ b/heatherdyke/config/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration: format, checks, edits, and what is in force."""
--- a/heatherdyke/config_api.py
+++ b/heatherdyke/config/api.py
@@ -8,11 +8,11 @@
 from blacksheep import Request
 from blacksheep import Response
 
-from heatherdyke.config_state import ConfigDelta
-from heatherdyke.config_state import ConfigDigest
-from heatherdyke.config_state import UnreadableSection
-from heatherdyke.http_routes import add_route
-from heatherdyke.http_support import json_response
+from heatherdyke.config.state import ConfigDelta
+from heatherdyke.config.state import ConfigDigest
+from heatherdyke.config.state import UnreadableSection
+from heatherdyke.net.http_routes import add_route
+from heatherdyke.net.http_support import json_response
 from heatherdyke.settings import split_address
 
 
--- a/heatherdyke/config_apply.py
+++ b/heatherdyke/config/apply.py
@@ -14,17 +14,17 @@
 
 from heatherdyke.codec import decode
 from heatherdyke.codec import encode
-from heatherdyke.config_check import check_document
-from heatherdyke.config_check import check_rules
-from heatherdyke.config_document import DocumentReader
-from heatherdyke.config_document import StoredHead
-from heatherdyke.config_model import HEAD_KEY
-from heatherdyke.config_model import ConfigDocument
-from heatherdyke.config_model import SectionConfig
-from heatherdyke.config_model import SectionPointer
-from heatherdyke.config_model import StoredSection
-from heatherdyke.config_model import section_key
-from heatherdyke.edit_retry import EditRetry
+from heatherdyke.config.check import check_document
+from heatherdyke.config.check import check_rules
+from heatherdyke.config.document import DocumentReader
+from heatherdyke.config.document import StoredHead
+from heatherdyke.config.edit_retry import EditRetry
+from heatherdyke.config.model import HEAD_KEY
+from heatherdyke.config.model import ConfigDocument
+from heatherdyke.config.model import SectionConfig
+from heatherdyke.config.model import SectionPointer
+from heatherdyke.config.model import StoredSection
+from heatherdyke.config.model import section_key
 from heatherdyke.errors import ConfigInvalid
 from heatherdyke.errors import EditConflict
 from heatherdyke.errors import EditExpired
@@ -33,8 +33,8 @@
 from heatherdyke.errors import LaggingRead
 from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.errors import VersionConflict
-from heatherdyke.object_store import ObjectStore
-from heatherdyke.platform_client import ABSENT_VERSION
+from heatherdyke.objects.client import ABSENT_VERSION
+from heatherdyke.objects.store import ObjectStore
 
 MAX_EDIT_S = 600.0
 NO_SECTION = SectionPointer(0, "", "")
--- a/heatherdyke/config_check.py
+++ b/heatherdyke/config/check.py
@@ -2,13 +2,13 @@
 
 from typing import Any
 
-from heatherdyke.config_fault import Fault
-from heatherdyke.config_model import ConfigDocument
-from heatherdyke.config_model import SectionConfig
-from heatherdyke.config_rules import Breach
-from heatherdyke.config_rules import document_rules
-from heatherdyke.config_rules import section_rules
-from heatherdyke.config_structure import read_section
+from heatherdyke.config.fault import Fault
+from heatherdyke.config.model import ConfigDocument
+from heatherdyke.config.model import SectionConfig
+from heatherdyke.config.rules import Breach
+from heatherdyke.config.rules import document_rules
+from heatherdyke.config.rules import section_rules
+from heatherdyke.config.structure import read_section
 
 
 def check_section(value: Any, team: str = "") -> list[Fault]:
--- a/heatherdyke/config_collect.py
+++ b/heatherdyke/config/collect.py
@@ -6,14 +6,14 @@
 
 from heatherdyke.codec import decode
 from heatherdyke.codec import encode
-from heatherdyke.config_apply import MAX_EDIT_S
-from heatherdyke.config_document import DocumentReader
-from heatherdyke.config_model import HEAD_KEY
-from heatherdyke.config_model import SECTION_PREFIX
-from heatherdyke.config_model import StoredSection
+from heatherdyke.config.apply import MAX_EDIT_S
+from heatherdyke.config.document import DocumentReader
+from heatherdyke.config.model import HEAD_KEY
+from heatherdyke.config.model import SECTION_PREFIX
+from heatherdyke.config.model import StoredSection
 from heatherdyke.errors import ConfigError
 from heatherdyke.messages import PlatformObject
-from heatherdyke.object_store import ObjectStore
+from heatherdyke.objects.store import ObjectStore
 
 MIN_AGE_S = 6 * MAX_EDIT_S
 
--- a/heatherdyke/config_commands.py
+++ b/heatherdyke/config/commands.py
@@ -11,32 +11,32 @@
 import msgspec
 import yaml
 
-from heatherdyke.config_apply import Acceptance
-from heatherdyke.config_apply import SectionEdit
-from heatherdyke.config_apply import SectionEditor
-from heatherdyke.config_check import check_document
-from heatherdyke.config_diff import Change
-from heatherdyke.config_diff import diff_sections
-from heatherdyke.config_document import DocumentReader
-from heatherdyke.config_fault import Fault
-from heatherdyke.config_file import load_section
-from heatherdyke.config_file import load_valid_section
-from heatherdyke.config_model import ConfigDocument
-from heatherdyke.config_model import SectionConfig
-from heatherdyke.config_wait import InstanceProgress
-from heatherdyke.config_wait import Judge
-from heatherdyke.config_wait import wait_in_force
-from heatherdyke.edit_retry import EditRetry
+from heatherdyke.config.apply import Acceptance
+from heatherdyke.config.apply import SectionEdit
+from heatherdyke.config.apply import SectionEditor
+from heatherdyke.config.check import check_document
+from heatherdyke.config.diff import Change
+from heatherdyke.config.diff import diff_sections
+from heatherdyke.config.document import DocumentReader
+from heatherdyke.config.edit_retry import EditRetry
+from heatherdyke.config.fault import Fault
+from heatherdyke.config.file import load_section
+from heatherdyke.config.file import load_valid_section
+from heatherdyke.config.model import ConfigDocument
+from heatherdyke.config.model import SectionConfig
+from heatherdyke.config.wait import InstanceProgress
+from heatherdyke.config.wait import Judge
+from heatherdyke.config.wait import wait_in_force
+from heatherdyke.config.zone_apply import ZoneEdit
+from heatherdyke.config.zone_apply import apply_zone_edit
+from heatherdyke.config.zone_apply import read_zones_object
+from heatherdyke.config.zone_state import ZoneService
+from heatherdyke.config.zone_state import ZonesObject
 from heatherdyke.errors import ConfigError
 from heatherdyke.errors import LaggingRead
 from heatherdyke.errors import PlatformUnavailable
-from heatherdyke.instance_listing import list_instances
-from heatherdyke.platform_client import PlatformClient
-from heatherdyke.zone_apply import ZoneEdit
-from heatherdyke.zone_apply import apply_zone_edit
-from heatherdyke.zone_apply import read_zones_object
-from heatherdyke.zone_state import ZoneService
-from heatherdyke.zone_state import ZonesObject
+from heatherdyke.membership.instance_listing import list_instances
+from heatherdyke.objects.client import PlatformClient
 
 NO_TEAM = ""
 
--- a/heatherdyke/config_diff.py
+++ b/heatherdyke/config/diff.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from heatherdyke.config_fault import join_path
-from heatherdyke.config_model import SectionConfig
+from heatherdyke.config.fault import join_path
+from heatherdyke.config.model import SectionConfig
 
 
 class ChangeKind(Enum):
--- a/heatherdyke/config_document.py
+++ b/heatherdyke/config/document.py
@@ -6,16 +6,16 @@
 
 from heatherdyke.codec import decode
 from heatherdyke.codec import encode
-from heatherdyke.config_model import HEAD_KEY
-from heatherdyke.config_model import ConfigDocument
-from heatherdyke.config_model import ConfigHead
-from heatherdyke.config_model import SectionConfig
-from heatherdyke.config_model import StoredSection
+from heatherdyke.config.model import HEAD_KEY
+from heatherdyke.config.model import ConfigDocument
+from heatherdyke.config.model import ConfigHead
+from heatherdyke.config.model import SectionConfig
+from heatherdyke.config.model import StoredSection
 from heatherdyke.errors import LaggingRead
 from heatherdyke.errors import UnreadableObject
-from heatherdyke.object_store import ObjectStore
-from heatherdyke.platform_client import ABSENT_VERSION
-from heatherdyke.platform_client import convert_value
+from heatherdyke.objects.client import ABSENT_VERSION
+from heatherdyke.objects.client import convert_value
+from heatherdyke.objects.store import ObjectStore
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherdyke/config_events.py
+++ b/heatherdyke/config/events.py
@@ -1,10 +1,10 @@
 """Reports what a merge of configuration changed."""
 
-from heatherdyke.config_state import MergeOutcome
-from heatherdyke.events import CONFIG_APPLIED
-from heatherdyke.events import SECTION_UNREADABLE
-from heatherdyke.events import ZONE_CHANGED
-from heatherdyke.journal import Journal
+from heatherdyke.config.state import MergeOutcome
+from heatherdyke.observe.events import CONFIG_APPLIED
+from heatherdyke.observe.events import SECTION_UNREADABLE
+from heatherdyke.observe.events import ZONE_CHANGED
+from heatherdyke.observe.journal import Journal
 
 
 def record_outcome(
--- a/heatherdyke/config_file.py
+++ b/heatherdyke/config/file.py
@@ -6,10 +6,10 @@
 
 import yaml
 
-from heatherdyke.config_check import check_section
-from heatherdyke.config_fault import Fault
-from heatherdyke.config_model import SectionConfig
-from heatherdyke.config_structure import read_section
+from heatherdyke.config.check import check_section
+from heatherdyke.config.fault import Fault
+from heatherdyke.config.model import SectionConfig
+from heatherdyke.config.structure import read_section
 from heatherdyke.errors import ConfigFileError
 from heatherdyke.errors import ConfigInvalid
 
--- a/heatherdyke/config_index.py
+++ b/heatherdyke/config/index.py
@@ -4,9 +4,9 @@
 from dataclasses import field
 
 from heatherdyke.component import ConfigView
-from heatherdyke.config_model import ConfigDocument
-from heatherdyke.config_model import LeafConfig
-from heatherdyke.config_model import SectionConfig
+from heatherdyke.config.model import ConfigDocument
+from heatherdyke.config.model import LeafConfig
+from heatherdyke.config.model import SectionConfig
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherdyke/config_rules.py
+++ b/heatherdyke/config/rules.py
@@ -12,9 +12,9 @@
 from typing import NamedTuple
 
 from heatherdyke.codec import encode
-from heatherdyke.config_model import ConfigDocument
-from heatherdyke.config_model import RunOnceMode
-from heatherdyke.config_model import SectionConfig
+from heatherdyke.config.model import ConfigDocument
+from heatherdyke.config.model import RunOnceMode
+from heatherdyke.config.model import SectionConfig
 from heatherdyke.registry import Registry
 from heatherdyke.settings import split_address
 
--- a/heatherdyke/config_source.py
+++ b/heatherdyke/config/source.py
@@ -7,21 +7,21 @@
 
 from heatherdyke.codec import decode
 from heatherdyke.codec import encode
-from heatherdyke.config_model import HEAD_KEY
-from heatherdyke.config_model import ZONES_KEY
-from heatherdyke.config_model import ConfigHead
-from heatherdyke.config_model import SectionPointer
-from heatherdyke.config_model import StoredSection
-from heatherdyke.config_state import ConfigDelta
-from heatherdyke.config_state import ConfigDigest
-from heatherdyke.config_state import ConfigState
-from heatherdyke.config_state import SectionUpdate
+from heatherdyke.config.model import HEAD_KEY
+from heatherdyke.config.model import ZONES_KEY
+from heatherdyke.config.model import ConfigHead
+from heatherdyke.config.model import SectionPointer
+from heatherdyke.config.model import StoredSection
+from heatherdyke.config.state import ConfigDelta
+from heatherdyke.config.state import ConfigDigest
+from heatherdyke.config.state import ConfigState
+from heatherdyke.config.state import SectionUpdate
+from heatherdyke.config.zone_state import ZonesObject
 from heatherdyke.errors import UnreadableObject
-from heatherdyke.http_fetch import fetch_if_any
 from heatherdyke.messages import PlatformObject
-from heatherdyke.platform_client import PlatformClient
-from heatherdyke.platform_client import convert_value
-from heatherdyke.zone_state import ZonesObject
+from heatherdyke.net.http_fetch import fetch_if_any
+from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import convert_value
 
 T = TypeVar("T")
 
--- a/heatherdyke/config_state.py
+++ b/heatherdyke/config/state.py
@@ -12,13 +12,13 @@
 import msgspec
 
 from heatherdyke.codec import decode
-from heatherdyke.config_model import ConfigDocument
-from heatherdyke.config_model import ConfigHead
-from heatherdyke.config_model import SectionConfig
-from heatherdyke.config_model import SectionPointer
-from heatherdyke.zone_state import ZoneChange
-from heatherdyke.zone_state import ZonesObject
-from heatherdyke.zone_state import ZoneStates
+from heatherdyke.config.model import ConfigDocument
+from heatherdyke.config.model import ConfigHead
+from heatherdyke.config.model import SectionConfig
+from heatherdyke.config.model import SectionPointer
+from heatherdyke.config.zone_state import ZoneChange
+from heatherdyke.config.zone_state import ZonesObject
+from heatherdyke.config.zone_state import ZoneStates
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherdyke/config_store.py
+++ b/heatherdyke/config/store.py
@@ -5,20 +5,20 @@
 from blacksheep import Application
 
 from heatherdyke.clock import Clock
-from heatherdyke.config_api import ConfigApi
-from heatherdyke.config_api import ConfigStatus
-from heatherdyke.config_events import record_outcome
-from heatherdyke.config_model import ConfigDocument
-from heatherdyke.config_state import ConfigDelta
-from heatherdyke.config_state import ConfigDigest
-from heatherdyke.config_state import ConfigState
-from heatherdyke.config_sync import STALL_S
-from heatherdyke.config_sync import ConfigSync
-from heatherdyke.events import OLDER_CONFIG_IGNORED
-from heatherdyke.journal import Journal
+from heatherdyke.config.api import ConfigApi
+from heatherdyke.config.api import ConfigStatus
+from heatherdyke.config.events import record_outcome
+from heatherdyke.config.model import ConfigDocument
+from heatherdyke.config.state import ConfigDelta
+from heatherdyke.config.state import ConfigDigest
+from heatherdyke.config.state import ConfigState
+from heatherdyke.config.sync import STALL_S
+from heatherdyke.config.sync import ConfigSync
 from heatherdyke.mechanisms import Mechanism
-from heatherdyke.member_messages import Member
-from heatherdyke.platform_client import PlatformClient
+from heatherdyke.membership.messages import Member
+from heatherdyke.objects.client import PlatformClient
+from heatherdyke.observe.events import OLDER_CONFIG_IGNORED
+from heatherdyke.observe.journal import Journal
 from heatherdyke.settings import Settings
 
 
--- a/heatherdyke/config_structure.py
+++ b/heatherdyke/config/structure.py
@@ -16,9 +16,9 @@
 from typing import get_origin
 from typing import get_type_hints
 
-from heatherdyke.config_fault import Fault
-from heatherdyke.config_fault import join_path
-from heatherdyke.config_model import SectionConfig
+from heatherdyke.config.fault import Fault
+from heatherdyke.config.fault import join_path
+from heatherdyke.config.model import SectionConfig
 
 PLACEHOLDER_BY_TYPE = {str: "", int: 1, float: 1.0, bool: False}
 NAME_BY_TYPE = {
--- a/heatherdyke/config_sync.py
+++ b/heatherdyke/config/sync.py
@@ -10,28 +10,28 @@
 from collections.abc import Callable
 
 from heatherdyke.clock import Clock
-from heatherdyke.config_model import HEAD_KEY
-from heatherdyke.config_model import ZONES_KEY
-from heatherdyke.config_source import complete_head
-from heatherdyke.config_source import read_head
-from heatherdyke.config_source import read_peer
-from heatherdyke.config_source import read_platform
-from heatherdyke.config_source import read_zones
-from heatherdyke.config_state import ConfigDelta
-from heatherdyke.config_state import ConfigDigest
-from heatherdyke.config_state import ConfigState
+from heatherdyke.config.model import HEAD_KEY
+from heatherdyke.config.model import ZONES_KEY
+from heatherdyke.config.source import complete_head
+from heatherdyke.config.source import read_head
+from heatherdyke.config.source import read_peer
+from heatherdyke.config.source import read_platform
+from heatherdyke.config.source import read_zones
+from heatherdyke.config.state import ConfigDelta
+from heatherdyke.config.state import ConfigDigest
+from heatherdyke.config.state import ConfigState
 from heatherdyke.errors import PlatformError
 from heatherdyke.errors import TransportError
-from heatherdyke.events import CONFIG_SOURCE_BACK
-from heatherdyke.events import CONFIG_SOURCE_LOST
-from heatherdyke.events import SECTION_MISSING
-from heatherdyke.events import STALL_DETECTED
-from heatherdyke.journal import Journal
-from heatherdyke.member_messages import Member
+from heatherdyke.membership.messages import Member
+from heatherdyke.membership.peer_directory import PeerDirectory
 from heatherdyke.messages import InstanceKind
 from heatherdyke.messages import PlatformObject
-from heatherdyke.peer_directory import PeerDirectory
-from heatherdyke.platform_client import PlatformClient
+from heatherdyke.objects.client import PlatformClient
+from heatherdyke.observe.events import CONFIG_SOURCE_BACK
+from heatherdyke.observe.events import CONFIG_SOURCE_LOST
+from heatherdyke.observe.events import SECTION_MISSING
+from heatherdyke.observe.events import STALL_DETECTED
+from heatherdyke.observe.journal import Journal
 from heatherdyke.settings import Settings
 
 WATCH_WAIT_S = 1.0
--- a/heatherdyke/config_wait.py
+++ b/heatherdyke/config/wait.py
@@ -6,11 +6,11 @@
 from enum import Enum
 from time import monotonic
 
-from heatherdyke.config_api import ConfigStatus
+from heatherdyke.config.api import ConfigStatus
 from heatherdyke.errors import NotInForce
 from heatherdyke.errors import TransportError
-from heatherdyke.http_fetch import fetch
-from heatherdyke.observe_component import KnownInstance
+from heatherdyke.net.http_fetch import fetch
+from heatherdyke.observe.component import KnownInstance
 
 ASK_TIMEOUT_S = 1.0
 ASK_AGAIN_S = 0.05
--- a/heatherdyke/zone_apply.py
+++ b/heatherdyke/config/zone_apply.py
@@ -4,21 +4,21 @@
 
 import msgspec
 
-from heatherdyke.config_model import ZONES_KEY
-from heatherdyke.edit_retry import EditRetry
+from heatherdyke.config.edit_retry import EditRetry
+from heatherdyke.config.model import ZONES_KEY
+from heatherdyke.config.zone_state import ZoneEntry
+from heatherdyke.config.zone_state import ZoneService
+from heatherdyke.config.zone_state import ZonesObject
+from heatherdyke.config.zone_state import change_zone
+from heatherdyke.config.zone_state import has_edit
 from heatherdyke.errors import EditUnresolved
 from heatherdyke.errors import LaggingRead
 from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.errors import UnreadableObject
 from heatherdyke.errors import VersionConflict
-from heatherdyke.object_store import ObjectStore
-from heatherdyke.platform_client import ABSENT_VERSION
-from heatherdyke.platform_client import convert_value
-from heatherdyke.zone_state import ZoneEntry
-from heatherdyke.zone_state import ZoneService
-from heatherdyke.zone_state import ZonesObject
-from heatherdyke.zone_state import change_zone
-from heatherdyke.zone_state import has_edit
+from heatherdyke.objects.client import ABSENT_VERSION
+from heatherdyke.objects.client import convert_value
+from heatherdyke.objects.store import ObjectStore
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherdyke/errors.py
+++ b/heatherdyke/errors.py
@@ -4,7 +4,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from heatherdyke.config_fault import Fault
+    from heatherdyke.config.fault import Fault
 
 
 class RunState(Enum):
--- a/heatherdyke/gateway/core.py
+++ b/heatherdyke/gateway/core.py
@@ -23,7 +23,7 @@
 from heatherdyke.gateway.routing import SplitCounter
 from heatherdyke.gateway.settings import GatewaySettings
 from heatherdyke.gateway.timing import Paces
-from heatherdyke.metrics import Metrics
+from heatherdyke.observe.metrics import Metrics
 
 
 class Core:
--- a/heatherdyke/gateway/decision_log.py
+++ b/heatherdyke/gateway/decision_log.py
@@ -12,9 +12,9 @@
 import msgspec
 from loguru import logger
 
-from heatherdyke.events import EventKind
-from heatherdyke.events import Severity
 from heatherdyke.gateway.events import LOG_LIMITED
+from heatherdyke.observe.events import EventKind
+from heatherdyke.observe.events import Severity
 
 LINES_PER_S = 40.0
 BURST_LINES = 200.0
--- a/heatherdyke/gateway/events.py
+++ b/heatherdyke/gateway/events.py
@@ -1,8 +1,8 @@
 """The events that a gateway logs, in the registry of numbered events."""
 
-from heatherdyke.events import EventKind
-from heatherdyke.events import Severity
-from heatherdyke.events import register
+from heatherdyke.observe.events import EventKind
+from heatherdyke.observe.events import Severity
+from heatherdyke.observe.events import register
 
 STARTED = register(
     EventKind(
--- a/heatherdyke/gateway/process.py
+++ b/heatherdyke/gateway/process.py
@@ -28,8 +28,8 @@
 from heatherdyke.gateway.roster import Roster
 from heatherdyke.gateway.settings import GatewaySettings
 from heatherdyke.gateway.side_api import SideApi
-from heatherdyke.metrics_text import render_metrics
 from heatherdyke.net.address import Address
+from heatherdyke.observe.metrics_text import render_metrics
 from heatherdyke.platform.configuration import KIND as CONFIG_KIND
 from heatherdyke.platform.discovery import LEAF_KIND
 from heatherdyke.platform.discovery import ZONE_OUT_KIND
--- a/heatherdyke/gateway/timing.py
+++ b/heatherdyke/gateway/timing.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from heatherdyke.hedging import LatencyQuantile
+from heatherdyke.search.hedging import LatencyQuantile
 
 # A request that takes longer than this share of its like is a straggler.
 STRAGGLER_QUANTILE = 0.92
--- /dev/null
+++ b/heatherdyke/leaves/__init__.py
@@ -0,0 +1,1 @@
+"""What a home does for its leaves."""
--- a/heatherdyke/leaf_client.py
+++ b/heatherdyke/leaves/client.py
@@ -6,15 +6,15 @@
 from heatherdyke.codec import encode
 from heatherdyke.errors import PartMismatch
 from heatherdyke.errors import TransportError
-from heatherdyke.http_connection import HttpConnection
-from heatherdyke.http_connection import HttpResponse
-from heatherdyke.lease_terms import TRANSIT_S
+from heatherdyke.membership.lease_terms import TRANSIT_S
 from heatherdyke.messages import LeafAnswer
 from heatherdyke.messages import LeafRefusal
 from heatherdyke.messages import LeafRun
 from heatherdyke.messages import LeafRunAnswer
 from heatherdyke.messages import LeafSearch
 from heatherdyke.messages import PeerCancel
+from heatherdyke.net.http_connection import HttpConnection
+from heatherdyke.net.http_connection import HttpResponse
 
 CANCEL_TIMEOUT_S = 0.5
 STATUS_OK = 200
--- a/heatherdyke/leaf_connection_task.py
+++ b/heatherdyke/leaves/connection_task.py
@@ -5,11 +5,11 @@
 
 from heatherdyke.clock import Clock
 from heatherdyke.errors import TransportError
-from heatherdyke.leaf_client import LeafConnection
-from heatherdyke.leaf_work import LeafWork
-from heatherdyke.leaf_work import Outcome
-from heatherdyke.leaf_work import WorkerPolicy
-from heatherdyke.leaf_work import refuse
+from heatherdyke.leaves.client import LeafConnection
+from heatherdyke.leaves.work import LeafWork
+from heatherdyke.leaves.work import Outcome
+from heatherdyke.leaves.work import WorkerPolicy
+from heatherdyke.leaves.work import refuse
 from heatherdyke.messages import LeafRun
 
 ANSWER_GRACE_S = 0.2
--- a/heatherdyke/home.py
+++ b/heatherdyke/leaves/home.py
@@ -7,24 +7,20 @@
 from heatherdyke.clock import Clock
 from heatherdyke.component import ConfigView
 from heatherdyke.component import MemberView
-from heatherdyke.config_index import ConfigIndexCache
-from heatherdyke.config_model import LeafConfig
+from heatherdyke.config.index import ConfigIndexCache
+from heatherdyke.config.model import LeafConfig
 from heatherdyke.errors import TransportError
-from heatherdyke.hedging import LatencyQuantile
-from heatherdyke.leaf_limit import LeafLimit
-from heatherdyke.leaf_work import GiveBack
-from heatherdyke.leaf_work import LeafWork
-from heatherdyke.leaf_work import ListedAs
-from heatherdyke.leaf_work import Submit
-from heatherdyke.leaf_work import Wake
-from heatherdyke.leaf_work import Withdraw
-from heatherdyke.leaf_work import WorkerPolicy
-from heatherdyke.leaf_worker import LeafWorker
-from heatherdyke.lease_terms import SHORT_WORK_S
-from heatherdyke.level_book import LeafLevel
-from heatherdyke.level_book import LevelBook
+from heatherdyke.leaves.limit import LeafLimit
+from heatherdyke.leaves.work import GiveBack
+from heatherdyke.leaves.work import LeafWork
+from heatherdyke.leaves.work import ListedAs
+from heatherdyke.leaves.work import Submit
+from heatherdyke.leaves.work import Wake
+from heatherdyke.leaves.work import Withdraw
+from heatherdyke.leaves.work import WorkerPolicy
+from heatherdyke.leaves.worker import LeafWorker
 from heatherdyke.mechanisms import Mechanism
-from heatherdyke.merge import merge_items
+from heatherdyke.membership.lease_terms import SHORT_WORK_S
 from heatherdyke.messages import Item
 from heatherdyke.messages import LeafAnswer
 from heatherdyke.messages import LeafRefusal
@@ -37,11 +33,15 @@
 from heatherdyke.messages import PeerCancel
 from heatherdyke.messages import PeerParts
 from heatherdyke.messages import PeerSearch
-from heatherdyke.part_collector import PartCollector
-from heatherdyke.part_report import items_of
-from heatherdyke.part_report import to_part
-from heatherdyke.search_observer import SearchObserver
+from heatherdyke.search.hedging import LatencyQuantile
+from heatherdyke.search.merge import merge_items
+from heatherdyke.search.observer import SearchObserver
+from heatherdyke.search.part_collector import PartCollector
+from heatherdyke.search.part_report import items_of
+from heatherdyke.search.part_report import to_part
 from heatherdyke.settings import Settings
+from heatherdyke.usage.level_book import LeafLevel
+from heatherdyke.usage.level_book import LevelBook
 
 REPLACED_CHECK_S = 0.02
 MEDIAN = 0.5
--- a/heatherdyke/leaf_work.py
+++ b/heatherdyke/leaves/work.py
@@ -9,7 +9,7 @@
 from heatherdyke.messages import LeafRun
 from heatherdyke.messages import LeafRunAnswer
 from heatherdyke.messages import LeafSearch
-from heatherdyke.search_observer import SearchObserver
+from heatherdyke.search.observer import SearchObserver
 
 Outcome = LeafAnswer | LeafRefusal | LeafRunAnswer | TransportError
 
--- a/heatherdyke/member_core.py
+++ b/heatherdyke/membership/core.py
@@ -10,15 +10,15 @@
 from dataclasses import dataclass
 from math import ceil
 
-from heatherdyke.home_lease import HomeLease
-from heatherdyke.home_lease import LeaseTerms
-from heatherdyke.member_messages import GoneProof
-from heatherdyke.member_messages import Heartbeat
-from heatherdyke.member_messages import LifecycleState
-from heatherdyke.member_messages import Member
-from heatherdyke.member_messages import VersionedRoster
-from heatherdyke.member_messages import ZoneView
-from heatherdyke.membership import Membership
+from heatherdyke.membership.home_lease import HomeLease
+from heatherdyke.membership.home_lease import LeaseTerms
+from heatherdyke.membership.homes import Membership
+from heatherdyke.membership.messages import GoneProof
+from heatherdyke.membership.messages import Heartbeat
+from heatherdyke.membership.messages import LifecycleState
+from heatherdyke.membership.messages import Member
+from heatherdyke.membership.messages import VersionedRoster
+from heatherdyke.membership.messages import ZoneView
 
 REMEMBERED_SEQUENCES = 64
 ALL_ZONES_EVERY = 4
--- a/heatherdyke/home_lease.py
+++ b/heatherdyke/membership/home_lease.py
@@ -18,14 +18,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from heatherdyke.lease_terms import NEVER
-from heatherdyke.lease_terms import LeaseTerms
-from heatherdyke.lease_terms import reserve_of
-from heatherdyke.member_messages import Generation
-from heatherdyke.member_messages import GoneProof
-from heatherdyke.member_messages import Member
-from heatherdyke.member_messages import Roster
-from heatherdyke.rendezvous import rank
+from heatherdyke.membership.lease_terms import NEVER
+from heatherdyke.membership.lease_terms import LeaseTerms
+from heatherdyke.membership.lease_terms import reserve_of
+from heatherdyke.membership.messages import Generation
+from heatherdyke.membership.messages import GoneProof
+from heatherdyke.membership.messages import Member
+from heatherdyke.membership.messages import Roster
+from heatherdyke.membership.rendezvous import rank
 
 
 @dataclass(slots=True)
--- a/heatherdyke/membership.py
+++ b/heatherdyke/membership/homes.py
@@ -7,13 +7,13 @@
 
 from dataclasses import dataclass
 
-from heatherdyke.home_lease import HomeLease
-from heatherdyke.member_messages import Heartbeat
-from heatherdyke.member_messages import LifecycleState
-from heatherdyke.member_messages import Member
-from heatherdyke.member_messages import Roster
-from heatherdyke.roster import prune_history
-from heatherdyke.roster import replace_members
+from heatherdyke.membership.home_lease import HomeLease
+from heatherdyke.membership.messages import Heartbeat
+from heatherdyke.membership.messages import LifecycleState
+from heatherdyke.membership.messages import Member
+from heatherdyke.membership.messages import Roster
+from heatherdyke.membership.roster import prune_history
+from heatherdyke.membership.roster import replace_members
 
 UNANSWERED_TO_SUSPECT = 3
 FULL_MESH_MEMBERS = 6
--- a/heatherdyke/instance_listing.py
+++ b/heatherdyke/membership/instance_listing.py
@@ -1,12 +1,12 @@
 """Which instances run, as far as the platform can tell."""
 
-from heatherdyke.config_model import ROSTER_PREFIX
-from heatherdyke.member_messages import Roster
+from heatherdyke.config.model import ROSTER_PREFIX
+from heatherdyke.membership.messages import Roster
 from heatherdyke.messages import InstanceKind
 from heatherdyke.messages import InstanceState
-from heatherdyke.observe_component import KnownInstance
-from heatherdyke.platform_client import PlatformClient
-from heatherdyke.platform_client import convert_value
+from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import convert_value
+from heatherdyke.observe.component import KnownInstance
 
 
 async def list_instances(platform: PlatformClient) -> list[KnownInstance]:
--- a/heatherdyke/lease_snapshot.py
+++ b/heatherdyke/membership/lease_snapshot.py
@@ -2,11 +2,11 @@
 
 from dataclasses import dataclass
 
-from heatherdyke.home_lease import HomeLease
-from heatherdyke.lease_terms import LeaseTerms
-from heatherdyke.member_messages import GoneProof
-from heatherdyke.member_messages import Member
-from heatherdyke.member_messages import Roster
+from heatherdyke.membership.home_lease import HomeLease
+from heatherdyke.membership.lease_terms import LeaseTerms
+from heatherdyke.membership.messages import GoneProof
+from heatherdyke.membership.messages import Member
+from heatherdyke.membership.messages import Roster
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherdyke/member_probe.py
+++ b/heatherdyke/membership/probe.py
@@ -5,10 +5,10 @@
 
 from heatherdyke.errors import ConnectionRefused
 from heatherdyke.errors import TransportError
-from heatherdyke.http_fetch import fetch
-from heatherdyke.member_messages import GoneProof
-from heatherdyke.member_messages import Member
-from heatherdyke.member_messages import VersionedRoster
+from heatherdyke.membership.messages import GoneProof
+from heatherdyke.membership.messages import Member
+from heatherdyke.membership.messages import VersionedRoster
+from heatherdyke.net.http_fetch import fetch
 
 FETCH_TIMEOUT_S = 1.0
 
--- a/heatherdyke/rendezvous.py
+++ b/heatherdyke/membership/rendezvous.py
@@ -8,7 +8,7 @@
 
 from xxhash import xxh3_64_intdigest
 
-from heatherdyke.member_messages import Member
+from heatherdyke.membership.messages import Member
 
 
 def weigh(leaf_id: str, member: Member) -> tuple[int, str]:
--- a/heatherdyke/roster.py
+++ b/heatherdyke/membership/roster.py
@@ -8,9 +8,9 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
-from heatherdyke.member_messages import Generation
-from heatherdyke.member_messages import Member
-from heatherdyke.member_messages import Roster
+from heatherdyke.membership.messages import Generation
+from heatherdyke.membership.messages import Member
+from heatherdyke.membership.messages import Roster
 
 MAX_MEMBERS = 256
 
--- a/heatherdyke/roster_task.py
+++ b/heatherdyke/membership/roster_task.py
@@ -6,17 +6,17 @@
 import msgspec
 
 from heatherdyke.clock import Clock
-from heatherdyke.config_model import ROSTER_PREFIX
+from heatherdyke.config.model import ROSTER_PREFIX
 from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.errors import VersionConflict
-from heatherdyke.events import ROSTER_CHANGED
-from heatherdyke.journal import Journal
-from heatherdyke.member_core import MemberCore
-from heatherdyke.member_messages import Roster
-from heatherdyke.member_messages import VersionedRoster
-from heatherdyke.membership import Membership
-from heatherdyke.platform_client import PlatformClient
-from heatherdyke.platform_client import convert_value
+from heatherdyke.membership.core import MemberCore
+from heatherdyke.membership.homes import Membership
+from heatherdyke.membership.messages import Roster
+from heatherdyke.membership.messages import VersionedRoster
+from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import convert_value
+from heatherdyke.observe.events import ROSTER_CHANGED
+from heatherdyke.observe.journal import Journal
 
 CHANGE_INTERVAL_S = 0.5
 LIST_INTERVAL_S = 2.0
--- a/heatherdyke/http_fetch.py
+++ b/heatherdyke/net/http_fetch.py
@@ -6,8 +6,8 @@
 
 from heatherdyke.codec import decode
 from heatherdyke.errors import TransportError
-from heatherdyke.http_connection import CONNECT_TIMEOUT_S
-from heatherdyke.http_connection import HttpConnection
+from heatherdyke.net.http_connection import CONNECT_TIMEOUT_S
+from heatherdyke.net.http_connection import HttpConnection
 
 T = TypeVar("T")
 
--- a/heatherdyke/platform_client.py
+++ b/heatherdyke/objects/client.py
@@ -15,10 +15,10 @@
 from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.errors import TransportError
 from heatherdyke.errors import VersionConflict
-from heatherdyke.http_connection import HttpConnection
-from heatherdyke.http_connection import HttpResponse
 from heatherdyke.messages import ListedInstance
 from heatherdyke.messages import PlatformObject
+from heatherdyke.net.http_connection import HttpConnection
+from heatherdyke.net.http_connection import HttpResponse
 
 T = TypeVar("T")
 
--- a/heatherdyke/platform_view.py
+++ b/heatherdyke/objects/view.py
@@ -14,19 +14,19 @@
 from blacksheep import Request
 from blacksheep import Response
 
-from heatherdyke.config_model import SNAPSHOTS_PREFIX
+from heatherdyke.config.model import SNAPSHOTS_PREFIX
 from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.errors import TransportError
-from heatherdyke.home import Home
-from heatherdyke.http_fetch import fetch_if_any
-from heatherdyke.http_routes import add_route
-from heatherdyke.http_support import json_response
+from heatherdyke.leaves.home import Home
 from heatherdyke.messages import IndexSnapshots
 from heatherdyke.messages import InstanceKind
 from heatherdyke.messages import InstanceState
-from heatherdyke.platform_client import PlatformClient
-from heatherdyke.platform_client import convert_value
-from heatherdyke.snapshot_book import SnapshotBook
+from heatherdyke.net.http_fetch import fetch_if_any
+from heatherdyke.net.http_routes import add_route
+from heatherdyke.net.http_support import json_response
+from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import convert_value
+from heatherdyke.search.snapshot_book import SnapshotBook
 
 READ_INTERVAL_S = 1.0
 LIST_BYTES_PER_S = 5_000
--- /dev/null
+++ b/heatherdyke/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Events, logs, metrics, the time line and health."""
--- a/heatherdyke/observe_client.py
+++ b/heatherdyke/observe/client.py
@@ -12,10 +12,10 @@
 from heatherdyke.errors import HeatherdykeError
 from heatherdyke.errors import NoInstanceReachable
 from heatherdyke.errors import TransportError
-from heatherdyke.http_fetch import fetch
-from heatherdyke.instance_listing import list_instances
-from heatherdyke.observe_component import KnownInstance
-from heatherdyke.platform_client import PlatformClient
+from heatherdyke.membership.instance_listing import list_instances
+from heatherdyke.net.http_fetch import fetch
+from heatherdyke.objects.client import PlatformClient
+from heatherdyke.observe.component import KnownInstance
 
 T = TypeVar("T")
 
--- a/heatherdyke/observe_component.py
+++ b/heatherdyke/observe/component.py
@@ -17,19 +17,19 @@
 
 from heatherdyke.clock import Clock
 from heatherdyke.codec import encode
-from heatherdyke.events import LOOP_STALLED
-from heatherdyke.events import READINESS_CHANGED
-from heatherdyke.health import HealthState
-from heatherdyke.health import Readiness
-from heatherdyke.health import judge_liveness
-from heatherdyke.health import judge_readiness
-from heatherdyke.http_routes import add_route
-from heatherdyke.journal import RING_EVENTS
-from heatherdyke.journal import Journal
-from heatherdyke.metrics import Metrics
-from heatherdyke.metrics import StatsPage
-from heatherdyke.metrics_text import CONTENT_TYPE
-from heatherdyke.metrics_text import render_metrics
+from heatherdyke.net.http_routes import add_route
+from heatherdyke.observe.events import LOOP_STALLED
+from heatherdyke.observe.events import READINESS_CHANGED
+from heatherdyke.observe.health import HealthState
+from heatherdyke.observe.health import Readiness
+from heatherdyke.observe.health import judge_liveness
+from heatherdyke.observe.health import judge_readiness
+from heatherdyke.observe.journal import RING_EVENTS
+from heatherdyke.observe.journal import Journal
+from heatherdyke.observe.metrics import Metrics
+from heatherdyke.observe.metrics import StatsPage
+from heatherdyke.observe.metrics_text import CONTENT_TYPE
+from heatherdyke.observe.metrics_text import render_metrics
 
 TURN_INTERVAL_S = 0.25
 STALL_S = 1.0
--- a/heatherdyke/event_catalogue.py
+++ b/heatherdyke/observe/event_catalogue.py
@@ -1,14 +1,14 @@
 """Writes docs/EVENTS.md from the registry of events.
 
-Usage: ``python -m heatherdyke.event_catalogue > docs/EVENTS.md``.
+Usage: ``python -m heatherdyke.observe.event_catalogue > docs/EVENTS.md``.
 """
 
 from importlib import import_module
-from pkgutil import iter_modules
+from pkgutil import walk_packages
 
 import heatherdyke
-from heatherdyke.events import EventKind
-from heatherdyke.events import kind_by_number
+from heatherdyke.observe.events import EventKind
+from heatherdyke.observe.events import kind_by_number
 
 SECTION_BY_THOUSAND = {
     1: "Instance",
@@ -17,21 +17,22 @@
     4: "Search path and leaves",
     5: "Run-once, admission and spending",
     6: "Platform",
+    7: "Gateway",
 }
 HEADER = """\
 # Events
 
 Every event has a number that never changes meaning. The same numbers stand
 in the logs (field `event.number`) and in `heatherdyke timeline`. This page
-is made from the registry: `python -m heatherdyke.event_catalogue`.
+is made from the registry: `python -m heatherdyke.observe.event_catalogue`.
 """
 
 
 def load_all_kinds() -> list[EventKind]:
     """Import every module, so that each kind registers; return all kinds."""
-    for module in iter_modules(heatherdyke.__path__):
-        if module.name != "__main__":
-            import_module(f"heatherdyke.{module.name}")
+    for module in walk_packages(heatherdyke.__path__, "heatherdyke."):
+        if not module.name.endswith(".__main__"):
+            import_module(module.name)
     return [kind_by_number[number] for number in sorted(kind_by_number)]
 
 
--- a/heatherdyke/events.py
+++ b/heatherdyke/observe/events.py
@@ -2,7 +2,7 @@
 
 Numbers stand in ranges: 1xxx instance, 2xxx configuration and zones, 3xxx
 membership and homes, 4xxx search path and leaves, 5xxx run-once, admission
-and spending, 6xxx platform.
+and spending, 6xxx platform, 7xxx gateway.
 """
 
 from dataclasses import dataclass
--- a/heatherdyke/follow.py
+++ b/heatherdyke/observe/follow.py
@@ -1,9 +1,9 @@
 """Orders events that arrive while instances are being followed; pure."""
 
-from heatherdyke.hybrid_clock import HybridTimestamp
-from heatherdyke.journal import Event
-from heatherdyke.timeline import EventFilter
-from heatherdyke.timeline import merge_events
+from heatherdyke.observe.hybrid_clock import HybridTimestamp
+from heatherdyke.observe.journal import Event
+from heatherdyke.observe.timeline import EventFilter
+from heatherdyke.observe.timeline import merge_events
 
 SETTLE_MS = 1500
 
--- a/heatherdyke/journal.py
+++ b/heatherdyke/observe/journal.py
@@ -15,13 +15,13 @@
 from loguru import logger
 
 from heatherdyke.clock import Clock
-from heatherdyke.events import CLOCK_REJECTED
-from heatherdyke.events import FIELDS_MISMATCHED
-from heatherdyke.events import EventKind
-from heatherdyke.events import Severity
-from heatherdyke.hybrid_clock import HybridTimestamp
-from heatherdyke.hybrid_clock import receive
-from heatherdyke.hybrid_clock import tick
+from heatherdyke.observe.events import CLOCK_REJECTED
+from heatherdyke.observe.events import FIELDS_MISMATCHED
+from heatherdyke.observe.events import EventKind
+from heatherdyke.observe.events import Severity
+from heatherdyke.observe.hybrid_clock import HybridTimestamp
+from heatherdyke.observe.hybrid_clock import receive
+from heatherdyke.observe.hybrid_clock import tick
 
 RING_EVENTS = 4096
 
--- a/heatherdyke/log_output.py
+++ b/heatherdyke/observe/log_output.py
@@ -7,7 +7,7 @@
 import msgspec
 from loguru import logger
 
-from heatherdyke.journal import Event
+from heatherdyke.observe.journal import Event
 
 if TYPE_CHECKING:
     from loguru import Message
--- a/heatherdyke/metrics_text.py
+++ b/heatherdyke/observe/metrics_text.py
@@ -2,9 +2,9 @@
 
 import re
 
-from heatherdyke.metrics import LatencySeries
-from heatherdyke.metrics import StatsPage
-from heatherdyke.metrics import summarise
+from heatherdyke.observe.metrics import LatencySeries
+from heatherdyke.observe.metrics import StatsPage
+from heatherdyke.observe.metrics import summarise
 
 CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 PREFIX = "heatherdyke_"
--- a/heatherdyke/observe_report.py
+++ b/heatherdyke/observe/report.py
@@ -7,21 +7,21 @@
 
 from heatherdyke.clock import Clock
 from heatherdyke.errors import NoInstanceReachable
-from heatherdyke.follow import SettlingMerge
-from heatherdyke.journal import Event
-from heatherdyke.journal import EventPage
-from heatherdyke.metrics import CounterSeries
-from heatherdyke.metrics import LatencySummary
-from heatherdyke.metrics import StatsPage
-from heatherdyke.metrics import merge_stats
-from heatherdyke.metrics import summarise
-from heatherdyke.observe_client import Collected
-from heatherdyke.observe_client import Unreachable
-from heatherdyke.observe_client import collect
-from heatherdyke.observe_client import discover
-from heatherdyke.observe_component import KnownInstance
-from heatherdyke.timeline import EventFilter
-from heatherdyke.timeline import merge_events
+from heatherdyke.observe.client import Collected
+from heatherdyke.observe.client import Unreachable
+from heatherdyke.observe.client import collect
+from heatherdyke.observe.client import discover
+from heatherdyke.observe.component import KnownInstance
+from heatherdyke.observe.follow import SettlingMerge
+from heatherdyke.observe.journal import Event
+from heatherdyke.observe.journal import EventPage
+from heatherdyke.observe.metrics import CounterSeries
+from heatherdyke.observe.metrics import LatencySummary
+from heatherdyke.observe.metrics import StatsPage
+from heatherdyke.observe.metrics import merge_stats
+from heatherdyke.observe.metrics import summarise
+from heatherdyke.observe.timeline import EventFilter
+from heatherdyke.observe.timeline import merge_events
 
 POLL_INTERVAL_S = 0.5
 
--- a/heatherdyke/timeline.py
+++ b/heatherdyke/observe/timeline.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from heatherdyke.journal import Event
+from heatherdyke.observe.journal import Event
 
 REQUEST_FIELDS = ("request_id", "key")
 TEAM_FIELDS = ("team",)
--- /dev/null
+++ b/heatherdyke/peers/__init__.py
@@ -0,0 +1,1 @@
+"""What instances ask of one another."""
--- a/heatherdyke/peer_api.py
+++ b/heatherdyke/peers/api.py
@@ -10,16 +10,16 @@
 from heatherdyke.codec import encode
 from heatherdyke.errors import InvalidRequest
 from heatherdyke.errors import TransportError
-from heatherdyke.home import Home
-from heatherdyke.http_routes import add_route
-from heatherdyke.http_support import json_response
-from heatherdyke.http_support import problem_response
-from heatherdyke.http_support import read_message
+from heatherdyke.leaves.home import Home
 from heatherdyke.messages import LeafRunAnswer
 from heatherdyke.messages import PeerCancel
 from heatherdyke.messages import PeerRun
 from heatherdyke.messages import PeerRunOutcome
 from heatherdyke.messages import PeerSearch
+from heatherdyke.net.http_routes import add_route
+from heatherdyke.net.http_support import json_response
+from heatherdyke.net.http_support import problem_response
+from heatherdyke.net.http_support import read_message
 
 LINES_TYPE = b"application/x-ndjson"
 NO_CONTENT = 204
--- a/heatherdyke/peer_client.py
+++ b/heatherdyke/peers/client.py
@@ -9,7 +9,6 @@
 from heatherdyke.codec import encode
 from heatherdyke.errors import ConnectionSilent
 from heatherdyke.errors import TransportError
-from heatherdyke.http_connection import HttpConnection
 from heatherdyke.messages import LeafRefusal
 from heatherdyke.messages import LeafRunAnswer
 from heatherdyke.messages import PeerCancel
@@ -17,6 +16,7 @@
 from heatherdyke.messages import PeerRun
 from heatherdyke.messages import PeerRunOutcome
 from heatherdyke.messages import PeerSearch
+from heatherdyke.net.http_connection import HttpConnection
 
 MAX_IDLE_PER_PEER = 64
 CONNECT_TIMEOUT_S = 0.5
--- a/heatherdyke/platform/store.py
+++ b/heatherdyke/platform/store.py
@@ -7,9 +7,9 @@
 
 from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.errors import TransportError
-from heatherdyke.http_connection import HttpConnection
-from heatherdyke.http_connection import HttpResponse
 from heatherdyke.net.address import Address
+from heatherdyke.net.http_connection import HttpConnection
+from heatherdyke.net.http_connection import HttpResponse
 from heatherdyke.net.keepalive import KeepAlive
 
 CONNECT_TIMEOUT_S = 1.0
--- /dev/null
+++ b/heatherdyke/run_once/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that run at most once."""
--- a/heatherdyke/run_assembly.py
+++ b/heatherdyke/run_once/assembly.py
@@ -5,23 +5,23 @@
 from heatherdyke.clock import Clock
 from heatherdyke.component import Component
 from heatherdyke.component import ConfigView
-from heatherdyke.entry import Entry
-from heatherdyke.journal import Journal
 from heatherdyke.mechanisms import Mechanism
-from heatherdyke.member_task import MemberTask
-from heatherdyke.platform_client import PlatformClient
-from heatherdyke.rendezvous import rank
-from heatherdyke.request_gate import RequestGate
-from heatherdyke.run_book import RunBook
-from heatherdyke.run_driver import Identity
-from heatherdyke.run_driver import RunDriver
-from heatherdyke.run_once_task import RunOnceTask
-from heatherdyke.run_peers import RunPeers
-from heatherdyke.run_store import RunStore
-from heatherdyke.run_sweeper import RunSweeper
-from heatherdyke.run_tickets import TicketBook
+from heatherdyke.membership.rendezvous import rank
+from heatherdyke.membership.task import MemberTask
+from heatherdyke.objects.client import PlatformClient
+from heatherdyke.observe.journal import Journal
+from heatherdyke.run_once.book import RunBook
+from heatherdyke.run_once.driver import Identity
+from heatherdyke.run_once.driver import RunDriver
+from heatherdyke.run_once.peers import RunPeers
+from heatherdyke.run_once.store import RunStore
+from heatherdyke.run_once.sweeper import RunSweeper
+from heatherdyke.run_once.task import RunOnceTask
+from heatherdyke.run_once.tickets import TicketBook
+from heatherdyke.search.entry import Entry
+from heatherdyke.search.request_gate import RequestGate
 from heatherdyke.settings import Settings
-from heatherdyke.usage import UsageCounters
+from heatherdyke.usage.book import UsageCounters
 
 SWEEPER_ID = "run-sweeper"
 
--- a/heatherdyke/run_book.py
+++ b/heatherdyke/run_once/book.py
@@ -4,19 +4,19 @@
 from collections.abc import Iterator
 
 from heatherdyke.clock import Clock
-from heatherdyke.config_model import RunOnceMode
-from heatherdyke.events import RUN_ENDED
-from heatherdyke.events import RUN_RESULT_PARKED
-from heatherdyke.journal import Journal
+from heatherdyke.config.model import RunOnceMode
 from heatherdyke.messages import RunRequest
-from heatherdyke.run_driver import HeldRun
-from heatherdyke.run_driver import RunDriver
-from heatherdyke.run_once import RunIntent
-from heatherdyke.run_once import RunPhase
-from heatherdyke.run_once import RunProgress
-from heatherdyke.run_once import resume
-from heatherdyke.run_tickets import Ticket
-from heatherdyke.run_tickets import TicketBook
+from heatherdyke.observe.events import RUN_ENDED
+from heatherdyke.observe.events import RUN_RESULT_PARKED
+from heatherdyke.observe.journal import Journal
+from heatherdyke.run_once.decisions import RunIntent
+from heatherdyke.run_once.decisions import RunPhase
+from heatherdyke.run_once.decisions import RunProgress
+from heatherdyke.run_once.decisions import resume
+from heatherdyke.run_once.driver import HeldRun
+from heatherdyke.run_once.driver import RunDriver
+from heatherdyke.run_once.tickets import Ticket
+from heatherdyke.run_once.tickets import TicketBook
 
 MAX_TICKET_RUNS = 20_000
 MAX_RECORDED_RUNS = 20_000
--- a/heatherdyke/run_client.py
+++ b/heatherdyke/run_once/client.py
@@ -4,15 +4,15 @@
 
 import msgspec
 
-from heatherdyke.caller_client import RequestRefused
+from heatherdyke.callers.client import RequestRefused
 from heatherdyke.codec import decode
 from heatherdyke.codec import encode
 from heatherdyke.errors import TransportError
-from heatherdyke.http_connection import HttpConnection
-from heatherdyke.http_support import Problem
 from heatherdyke.messages import RunOutcome
 from heatherdyke.messages import RunRequest
 from heatherdyke.messages import RunTickets
+from heatherdyke.net.http_connection import HttpConnection
+from heatherdyke.net.http_support import Problem
 
 TIMEOUT_S = 35.0
 FIRST_ERROR_STATUS = 400
--- a/heatherdyke/run_once.py
+++ b/heatherdyke/run_once/decisions.py
@@ -11,7 +11,7 @@
 from dataclasses import replace
 from enum import Enum
 
-from heatherdyke.config_model import RunOnceMode
+from heatherdyke.config.model import RunOnceMode
 
 
 class RunIntent(Enum):
--- a/heatherdyke/run_driver.py
+++ b/heatherdyke/run_once/driver.py
@@ -15,15 +15,15 @@
 from heatherdyke.messages import PeerRunOnce
 from heatherdyke.messages import PeerRunOnceOutcome
 from heatherdyke.messages import RunRequest
-from heatherdyke.run_once import RunEvent
-from heatherdyke.run_once import RunIntent
-from heatherdyke.run_once import RunPhase
-from heatherdyke.run_once import RunProgress
-from heatherdyke.run_once import step
-from heatherdyke.run_store import RecordState
-from heatherdyke.run_store import RunRecord
-from heatherdyke.run_store import RunStore
-from heatherdyke.run_store import StoredRecord
+from heatherdyke.run_once.decisions import RunEvent
+from heatherdyke.run_once.decisions import RunIntent
+from heatherdyke.run_once.decisions import RunPhase
+from heatherdyke.run_once.decisions import RunProgress
+from heatherdyke.run_once.decisions import step
+from heatherdyke.run_once.store import RecordState
+from heatherdyke.run_once.store import RunRecord
+from heatherdyke.run_once.store import RunStore
+from heatherdyke.run_once.store import StoredRecord
 
 FIRST_PAUSE_S = 0.02
 LAST_PAUSE_S = 0.5
--- a/heatherdyke/run_peers.py
+++ b/heatherdyke/run_once/peers.py
@@ -4,22 +4,22 @@
 from heatherdyke.codec import encode
 from heatherdyke.component import ConfigView
 from heatherdyke.component import MemberView
-from heatherdyke.config_index import ConfigIndexCache
-from heatherdyke.entry import Entry
-from heatherdyke.entry import Route
+from heatherdyke.config.index import ConfigIndexCache
 from heatherdyke.errors import TransportError
-from heatherdyke.events import RUN_SENT
-from heatherdyke.http_fetch import fetch
-from heatherdyke.journal import Journal
 from heatherdyke.messages import LeafRefusal
 from heatherdyke.messages import LeafRun
 from heatherdyke.messages import LeafRunAnswer
 from heatherdyke.messages import PeerRun
 from heatherdyke.messages import PeerRunOnceOutcome
-from heatherdyke.run_driver import HeldRun
-from heatherdyke.run_driver import to_question
-from heatherdyke.run_tickets import Ticket
-from heatherdyke.usage import UsageCounters
+from heatherdyke.net.http_fetch import fetch
+from heatherdyke.observe.events import RUN_SENT
+from heatherdyke.observe.journal import Journal
+from heatherdyke.run_once.driver import HeldRun
+from heatherdyke.run_once.driver import to_question
+from heatherdyke.run_once.tickets import Ticket
+from heatherdyke.search.entry import Entry
+from heatherdyke.search.entry import Route
+from heatherdyke.usage.book import UsageCounters
 
 REPLY_GRACE_S = 0.2
 
--- a/heatherdyke/run_store.py
+++ b/heatherdyke/run_once/store.py
@@ -4,14 +4,14 @@
 from dataclasses import replace
 from enum import Enum
 
-from heatherdyke.config_model import RESULT_PREFIX
-from heatherdyke.config_model import TICKET_PREFIX
+from heatherdyke.config.model import RESULT_PREFIX
+from heatherdyke.config.model import TICKET_PREFIX
 from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.errors import VersionConflict
-from heatherdyke.platform_client import ABSENT_VERSION
-from heatherdyke.platform_client import PlatformClient
-from heatherdyke.platform_client import convert_value
-from heatherdyke.run_once import RunEvent
+from heatherdyke.objects.client import ABSENT_VERSION
+from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import convert_value
+from heatherdyke.run_once.decisions import RunEvent
 
 CHUNK_CHARACTERS = 170_000
 """A character takes at most 6 bytes of JSON; a value holds 1 MiB."""
--- a/heatherdyke/run_sweeper.py
+++ b/heatherdyke/run_once/sweeper.py
@@ -11,16 +11,16 @@
 
 from heatherdyke.clock import Clock
 from heatherdyke.component import ConfigView
-from heatherdyke.config_model import RESULT_PREFIX
-from heatherdyke.config_model import TICKET_PREFIX
+from heatherdyke.config.model import RESULT_PREFIX
+from heatherdyke.config.model import TICKET_PREFIX
 from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.errors import VersionConflict
-from heatherdyke.events import RUN_RECORDS_REMOVED
-from heatherdyke.journal import Journal
 from heatherdyke.messages import PlatformObject
-from heatherdyke.platform_client import PlatformClient
-from heatherdyke.platform_client import convert_value
-from heatherdyke.run_store import RunRecord
+from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import convert_value
+from heatherdyke.observe.events import RUN_RECORDS_REMOVED
+from heatherdyke.observe.journal import Journal
+from heatherdyke.run_once.store import RunRecord
 
 RETENTION_S = 7 * 86400.0
 SWEEP_INTERVAL_S = 600.0
--- a/heatherdyke/run_once_task.py
+++ b/heatherdyke/run_once/task.py
@@ -11,37 +11,37 @@
 from blacksheep import Response
 from xxhash import xxh3_64_intdigest
 
-from heatherdyke.caller_keys import CallerDirectory
+from heatherdyke.callers.keys import CallerDirectory
 from heatherdyke.clock import Clock
 from heatherdyke.codec import encode
 from heatherdyke.component import ConfigView
-from heatherdyke.config_model import RunOnceMode
-from heatherdyke.config_model import SectionConfig
-from heatherdyke.config_model import ServiceConfig
+from heatherdyke.config.model import RunOnceMode
+from heatherdyke.config.model import SectionConfig
+from heatherdyke.config.model import ServiceConfig
 from heatherdyke.errors import HeatherdykeError
 from heatherdyke.errors import InvalidRequest
 from heatherdyke.errors import RequestError
 from heatherdyke.errors import RunRefused
 from heatherdyke.errors import RunState
-from heatherdyke.http_routes import add_route
-from heatherdyke.http_support import json_response
-from heatherdyke.http_support import problem_response
-from heatherdyke.http_support import read_message
 from heatherdyke.messages import PeerRunOnce
 from heatherdyke.messages import PeerRunOnceOutcome
 from heatherdyke.messages import RunOutcome
 from heatherdyke.messages import RunOutcomeState
 from heatherdyke.messages import RunRequest
 from heatherdyke.messages import RunTickets
-from heatherdyke.request_gate import RequestGate
-from heatherdyke.run_book import RunBook
-from heatherdyke.run_once import RunIntent
-from heatherdyke.run_once import RunPhase
-from heatherdyke.run_outcome import raise_unless_known
-from heatherdyke.run_outcome import reused
-from heatherdyke.run_outcome import to_outcome
-from heatherdyke.run_tickets import MAX_TICKETS_PER_CALL
-from heatherdyke.run_tickets import Ticket
+from heatherdyke.net.http_routes import add_route
+from heatherdyke.net.http_support import json_response
+from heatherdyke.net.http_support import problem_response
+from heatherdyke.net.http_support import read_message
+from heatherdyke.run_once.book import RunBook
+from heatherdyke.run_once.decisions import RunIntent
+from heatherdyke.run_once.decisions import RunPhase
+from heatherdyke.run_once.outcome import raise_unless_known
+from heatherdyke.run_once.outcome import reused
+from heatherdyke.run_once.outcome import to_outcome
+from heatherdyke.run_once.tickets import MAX_TICKETS_PER_CALL
+from heatherdyke.run_once.tickets import Ticket
+from heatherdyke.search.request_gate import RequestGate
 
 KEY_PATTERN = re.compile(r"[A-Za-z0-9._~:-]{1,200}")
 LOOK_TIMEOUT_S = 5.0
--- /dev/null
+++ b/heatherdyke/search/__init__.py
@@ -0,0 +1,1 @@
+"""The way of one search at the instance that took it."""
--- a/heatherdyke/entry.py
+++ b/heatherdyke/search/entry.py
@@ -7,27 +7,27 @@
 from heatherdyke.clock import Clock
 from heatherdyke.component import ConfigView
 from heatherdyke.component import MemberView
-from heatherdyke.config_index import ConfigIndexCache
+from heatherdyke.config.index import ConfigIndexCache
 from heatherdyke.errors import SnapshotUnavailable
-from heatherdyke.hedging import ExtraLoadBudget
-from heatherdyke.hedging import HedgePolicy
-from heatherdyke.home import Home
-from heatherdyke.level_book import LevelBook
+from heatherdyke.leaves.home import Home
 from heatherdyke.mechanisms import Mechanism
+from heatherdyke.membership.peer_health import PeerHealth
 from heatherdyke.messages import SearchAnswer
 from heatherdyke.messages import SearchRequest
-from heatherdyke.peer_client import PeerClient
-from heatherdyke.peer_health import PeerHealth
-from heatherdyke.replica_choice import ReplicaViews
-from heatherdyke.replica_choice import replica_choices
-from heatherdyke.search_admission import SearchAdmission
-from heatherdyke.search_observer import SearchObserver
-from heatherdyke.search_plan import SearchPlan
-from heatherdyke.search_plan import plan_search
-from heatherdyke.search_plan import usable_leaves
-from heatherdyke.search_run import SearchRun
+from heatherdyke.peers.client import PeerClient
+from heatherdyke.search.hedging import ExtraLoadBudget
+from heatherdyke.search.hedging import HedgePolicy
+from heatherdyke.search.observer import SearchObserver
+from heatherdyke.search.plan import SearchPlan
+from heatherdyke.search.plan import plan_search
+from heatherdyke.search.plan import usable_leaves
+from heatherdyke.search.replica_choice import ReplicaViews
+from heatherdyke.search.replica_choice import replica_choices
+from heatherdyke.search.run import SearchRun
+from heatherdyke.search.search_admission import SearchAdmission
+from heatherdyke.search.snapshot_book import SnapshotBook
 from heatherdyke.settings import Settings
-from heatherdyke.snapshot_book import SnapshotBook
+from heatherdyke.usage.level_book import LevelBook
 
 SNAPSHOT_RETRY_S = 1.0
 EARLY_FACTOR = 3.0
--- a/heatherdyke/search_observer.py
+++ b/heatherdyke/search/observer.py
@@ -5,19 +5,19 @@
 from heatherdyke.errors import HeatherdykeError
 from heatherdyke.errors import RequestError
 from heatherdyke.errors import RunState
-from heatherdyke.events import CONNECTION_SILENT
-from heatherdyke.events import LEAF_COLD
-from heatherdyke.events import LEAF_DRAINING
-from heatherdyke.events import LEAF_SHED
-from heatherdyke.events import PARTS_SENT
-from heatherdyke.events import PARTS_TAKEN
-from heatherdyke.events import SEARCH_ANSWERED
-from heatherdyke.events import SEARCH_REFUSED
-from heatherdyke.events import SNAPSHOT_RESTARTED
-from heatherdyke.journal import Journal
 from heatherdyke.messages import PeerSearch
 from heatherdyke.messages import SearchAnswer
-from heatherdyke.metrics import Metrics
+from heatherdyke.observe.events import CONNECTION_SILENT
+from heatherdyke.observe.events import LEAF_COLD
+from heatherdyke.observe.events import LEAF_DRAINING
+from heatherdyke.observe.events import LEAF_SHED
+from heatherdyke.observe.events import PARTS_SENT
+from heatherdyke.observe.events import PARTS_TAKEN
+from heatherdyke.observe.events import SEARCH_ANSWERED
+from heatherdyke.observe.events import SEARCH_REFUSED
+from heatherdyke.observe.events import SNAPSHOT_RESTARTED
+from heatherdyke.observe.journal import Journal
+from heatherdyke.observe.metrics import Metrics
 
 
 class SearchObserver:
--- a/heatherdyke/part_collector.py
+++ b/heatherdyke/search/part_collector.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from heatherdyke.clock import Clock
-from heatherdyke.leaf_work import LeafWork
+from heatherdyke.leaves.work import LeafWork
 
 
 class PartCollector:
--- a/heatherdyke/part_report.py
+++ b/heatherdyke/search/part_report.py
@@ -1,6 +1,6 @@
 """Turns finished works into the parts that a home reports (pure)."""
 
-from heatherdyke.leaf_work import LeafWork
+from heatherdyke.leaves.work import LeafWork
 from heatherdyke.messages import Item
 from heatherdyke.messages import LeafAnswer
 from heatherdyke.messages import LeafRefusal
--- a/heatherdyke/search_plan.py
+++ b/heatherdyke/search/plan.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from heatherdyke.config_index import ConfigIndex
-from heatherdyke.config_model import SectionConfig
-from heatherdyke.config_model import UrgencyConfig
+from heatherdyke.config.index import ConfigIndex
+from heatherdyke.config.model import SectionConfig
+from heatherdyke.config.model import UrgencyConfig
 from heatherdyke.errors import Forbidden
 from heatherdyke.errors import InvalidRequest
 from heatherdyke.errors import UnknownService
--- a/heatherdyke/search_run.py
+++ b/heatherdyke/search/run.py
@@ -4,14 +4,11 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from heatherdyke.coverage import CoverageCount
 from heatherdyke.errors import ConnectionRefused
 from heatherdyke.errors import DeadlineExceeded
 from heatherdyke.errors import RunState
 from heatherdyke.errors import TransportError
-from heatherdyke.level_book import LeafLevel
 from heatherdyke.mechanisms import Mechanism
-from heatherdyke.merge import merge_items
 from heatherdyke.messages import Item
 from heatherdyke.messages import Part
 from heatherdyke.messages import PartRequest
@@ -20,12 +17,15 @@
 from heatherdyke.messages import PeerParts
 from heatherdyke.messages import PeerSearch
 from heatherdyke.messages import SearchRequest
-from heatherdyke.search_plan import SearchPlan
-from heatherdyke.search_plan import find_child_leaves
-from heatherdyke.shard_tries import ShardTries
+from heatherdyke.search.coverage import CoverageCount
+from heatherdyke.search.merge import merge_items
+from heatherdyke.search.plan import SearchPlan
+from heatherdyke.search.plan import find_child_leaves
+from heatherdyke.search.shard_tries import ShardTries
+from heatherdyke.usage.level_book import LeafLevel
 
 if TYPE_CHECKING:
-    from heatherdyke.entry import Entry
+    from heatherdyke.search.entry import Entry
 
 RETURN_MARGIN_S = 0.004
 MAX_SNAPSHOT_RESTARTS = 2
--- a/heatherdyke/search_admission.py
+++ b/heatherdyke/search/search_admission.py
@@ -5,13 +5,13 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 
-from heatherdyke.admission import Admission
 from heatherdyke.clock import Clock
-from heatherdyke.config_model import SpendingConfig
+from heatherdyke.config.model import SpendingConfig
 from heatherdyke.errors import Overloaded
 from heatherdyke.errors import SpendingLimitReached
-from heatherdyke.spending import Spending
-from heatherdyke.usage import UsageCounters
+from heatherdyke.search.admission import Admission
+from heatherdyke.usage.book import UsageCounters
+from heatherdyke.usage.spending import Spending
 
 
 @dataclass(slots=True)
--- a/heatherdyke/settings.py
+++ b/heatherdyke/settings.py
@@ -5,8 +5,8 @@
 from ipaddress import ip_address
 
 from heatherdyke.errors import SettingsError
-from heatherdyke.events import Severity
 from heatherdyke.mechanisms import Mechanism
+from heatherdyke.observe.events import Severity
 
 LOG_LEVELS = tuple(severity.value for severity in Severity)
 
--- /dev/null
+++ b/heatherdyke/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, leaves and the network."""
--- a/heatherdyke/standin_announcer.py
+++ b/heatherdyke/standin/announcer.py
@@ -5,7 +5,7 @@
 
 from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.messages import ListedInstance
-from heatherdyke.platform_client import PlatformClient
+from heatherdyke.objects.client import PlatformClient
 
 ANNOUNCE_INTERVAL_S = 1.0
 
--- a/heatherdyke/demo.py
+++ b/heatherdyke/standin/demo.py
@@ -9,32 +9,32 @@
 import msgspec
 from loguru import logger
 
-from heatherdyke.caller_client import CallerClient
-from heatherdyke.caller_client import describe_answer
-from heatherdyke.caller_keys import hash_key
+from heatherdyke.callers.client import CallerClient
+from heatherdyke.callers.client import describe_answer
+from heatherdyke.callers.keys import hash_key
 from heatherdyke.codec import encode
-from heatherdyke.config_model import HEAD_KEY
-from heatherdyke.config_model import SNAPSHOTS_PREFIX
-from heatherdyke.config_model import ConfigHead
-from heatherdyke.config_model import LeafConfig
-from heatherdyke.config_model import RunOnceMode
-from heatherdyke.config_model import SectionConfig
-from heatherdyke.config_model import SectionPointer
-from heatherdyke.config_model import ServiceConfig
-from heatherdyke.config_model import ShardConfig
-from heatherdyke.config_model import StoredSection
-from heatherdyke.config_model import UrgencyConfig
+from heatherdyke.config.model import HEAD_KEY
+from heatherdyke.config.model import SNAPSHOTS_PREFIX
+from heatherdyke.config.model import ConfigHead
+from heatherdyke.config.model import LeafConfig
+from heatherdyke.config.model import RunOnceMode
+from heatherdyke.config.model import SectionConfig
+from heatherdyke.config.model import SectionPointer
+from heatherdyke.config.model import ServiceConfig
+from heatherdyke.config.model import ShardConfig
+from heatherdyke.config.model import StoredSection
+from heatherdyke.config.model import UrgencyConfig
 from heatherdyke.instance import Instance
 from heatherdyke.messages import IndexSnapshots
 from heatherdyke.messages import RunRequest
 from heatherdyke.messages import SearchRequest
-from heatherdyke.platform_client import ABSENT_VERSION
-from heatherdyke.platform_client import PlatformClient
-from heatherdyke.run_client import RunClient
+from heatherdyke.objects.client import ABSENT_VERSION
+from heatherdyke.objects.client import PlatformClient
+from heatherdyke.run_once.client import RunClient
 from heatherdyke.settings import Settings
-from heatherdyke.standin_leaf import LeafStandin
-from heatherdyke.standin_leaf_model import LeafProfile
-from heatherdyke.standin_platform import PlatformStandin
+from heatherdyke.standin.leaf import LeafStandin
+from heatherdyke.standin.leaf_model import LeafProfile
+from heatherdyke.standin.platform import PlatformStandin
 
 ZONES = ("brescia", "bergamo", "verona")
 TEAM = "demo"
--- a/heatherdyke/fault_proxy.py
+++ b/heatherdyke/standin/fault_proxy.py
@@ -8,17 +8,17 @@
 
 from heatherdyke.codec import decode
 from heatherdyke.errors import SettingsError
-from heatherdyke.fault_proxy_model import Direction
-from heatherdyke.fault_proxy_model import ProxyConfig
-from heatherdyke.fault_proxy_model import ProxyFaults
-from heatherdyke.fault_proxy_model import ProxyRecord
-from heatherdyke.fault_proxy_model import RouteConfig
-from heatherdyke.fault_proxy_model import RouteFaults
-from heatherdyke.fault_proxy_tcp import TcpRoute
-from heatherdyke.fault_proxy_udp import UdpRoute
-from heatherdyke.standin_http import HttpReply
-from heatherdyke.standin_http import HttpRequest
-from heatherdyke.standin_http import HttpServer
+from heatherdyke.standin.fault_proxy_model import Direction
+from heatherdyke.standin.fault_proxy_model import ProxyConfig
+from heatherdyke.standin.fault_proxy_model import ProxyFaults
+from heatherdyke.standin.fault_proxy_model import ProxyRecord
+from heatherdyke.standin.fault_proxy_model import RouteConfig
+from heatherdyke.standin.fault_proxy_model import RouteFaults
+from heatherdyke.standin.fault_proxy_tcp import TcpRoute
+from heatherdyke.standin.fault_proxy_udp import UdpRoute
+from heatherdyke.standin.http import HttpReply
+from heatherdyke.standin.http import HttpRequest
+from heatherdyke.standin.http import HttpServer
 
 __all__ = [
     "Direction",
--- a/heatherdyke/fault_proxy_tcp.py
+++ b/heatherdyke/standin/fault_proxy_tcp.py
@@ -3,11 +3,11 @@
 import asyncio
 from collections.abc import Callable
 
-from heatherdyke.fault_proxy_model import Direction
-from heatherdyke.fault_proxy_model import RouteConfig
-from heatherdyke.fault_proxy_model import RouteFaults
-from heatherdyke.fault_proxy_model import RouteRecord
 from heatherdyke.settings import split_address
+from heatherdyke.standin.fault_proxy_model import Direction
+from heatherdyke.standin.fault_proxy_model import RouteConfig
+from heatherdyke.standin.fault_proxy_model import RouteFaults
+from heatherdyke.standin.fault_proxy_model import RouteRecord
 
 READ_BYTES = 65536
 
--- a/heatherdyke/standin_leaf.py
+++ b/heatherdyke/standin/leaf.py
@@ -1,7 +1,7 @@
 """A stand-in leaf: slots, cold start, faults, and a record of arrivals.
 
 It serves the leaf API with httptools' parser on an asyncio.Protocol (see
-heatherdyke.standin_http): a web framework would cost a hundred leaf
+heatherdyke.standin.http): a web framework would cost a hundred leaf
 processes much memory and processor time, and would hide the connection.
 """
 
@@ -25,20 +25,20 @@
 from heatherdyke.messages import ListedInstance
 from heatherdyke.messages import PeerCancel
 from heatherdyke.registry import Registry
-from heatherdyke.standin_announcer import announce_forever
-from heatherdyke.standin_content import items_for
-from heatherdyke.standin_content import result_for
-from heatherdyke.standin_http import HttpReply
-from heatherdyke.standin_http import HttpRequest
-from heatherdyke.standin_http import HttpServer
-from heatherdyke.standin_leaf_model import LeafFaults
-from heatherdyke.standin_leaf_model import LeafHealth
-from heatherdyke.standin_leaf_model import LeafIncarnationRecord
-from heatherdyke.standin_leaf_model import LeafProfile
-from heatherdyke.standin_leaf_model import LeafRecord
-from heatherdyke.standin_leaf_state import LeafState
-from heatherdyke.standin_slots import LeafSlots
-from heatherdyke.standin_slots import Shed
+from heatherdyke.standin.announcer import announce_forever
+from heatherdyke.standin.content import items_for
+from heatherdyke.standin.content import result_for
+from heatherdyke.standin.http import HttpReply
+from heatherdyke.standin.http import HttpRequest
+from heatherdyke.standin.http import HttpServer
+from heatherdyke.standin.leaf_model import LeafFaults
+from heatherdyke.standin.leaf_model import LeafHealth
+from heatherdyke.standin.leaf_model import LeafIncarnationRecord
+from heatherdyke.standin.leaf_model import LeafProfile
+from heatherdyke.standin.leaf_model import LeafRecord
+from heatherdyke.standin.leaf_state import LeafState
+from heatherdyke.standin.slots import LeafSlots
+from heatherdyke.standin.slots import Shed
 
 STATUS_BY_REFUSAL = {
     "shed": 429,
--- a/heatherdyke/standin_leaf_state.py
+++ b/heatherdyke/standin/leaf_state.py
@@ -6,8 +6,8 @@
 
 from heatherdyke.messages import LeafAnswer
 from heatherdyke.messages import LeafSearch
-from heatherdyke.standin_leaf_model import LeafFaults
-from heatherdyke.standin_leaf_model import LeafProfile
+from heatherdyke.standin.leaf_model import LeafFaults
+from heatherdyke.standin.leaf_model import LeafProfile
 
 COUNTED_FAULTS = ("cross_answers", "truncate_answers", "cut_answers")
 PROFILE_FAULTS = ("service_ms", "straggler_share", "straggler_factor")
--- a/heatherdyke/standin_platform.py
+++ b/heatherdyke/standin/platform.py
@@ -1,6 +1,6 @@
 """A stand-in for the platform: objects, watches, and the lagging list.
 
-Its API is the one that heatherdyke.platform_client calls.  ``POST
+Its API is the one that heatherdyke.objects.client calls.  ``POST
 /admin/faults`` sets faults and ``GET /admin/record`` counts the calls.
 """
 
@@ -19,9 +19,9 @@
 from heatherdyke.messages import ListedInstance
 from heatherdyke.messages import PlatformObject
 from heatherdyke.registry import Registry
-from heatherdyke.standin_http import HttpReply
-from heatherdyke.standin_http import HttpRequest
-from heatherdyke.standin_http import HttpServer
+from heatherdyke.standin.http import HttpReply
+from heatherdyke.standin.http import HttpRequest
+from heatherdyke.standin.http import HttpServer
 
 MAX_VALUE_BYTES = 1024 * 1024
 ROW_LIFETIME_S = 3.0
--- a/heatherdyke/standin_slots.py
+++ b/heatherdyke/standin/slots.py
@@ -5,8 +5,8 @@
 from random import Random
 from time import monotonic
 
-from heatherdyke.standin_leaf_model import LeafIncarnationRecord
-from heatherdyke.standin_leaf_model import LeafProfile
+from heatherdyke.standin.leaf_model import LeafIncarnationRecord
+from heatherdyke.standin.leaf_model import LeafProfile
 
 COLLAPSE_EXPONENT = 2
 
--- /dev/null
+++ b/heatherdyke/usage/__init__.py
@@ -0,0 +1,1 @@
+"""What teams use, and their spending limits."""
--- a/heatherdyke/level_sync.py
+++ b/heatherdyke/usage/level_sync.py
@@ -9,12 +9,12 @@
 
 from heatherdyke.clock import Clock
 from heatherdyke.errors import TransportError
-from heatherdyke.home import Home
-from heatherdyke.http_fetch import fetch
-from heatherdyke.http_routes import add_route
-from heatherdyke.http_support import json_response
-from heatherdyke.level_book import LeafLevel
-from heatherdyke.level_book import LevelBook
+from heatherdyke.leaves.home import Home
+from heatherdyke.net.http_fetch import fetch
+from heatherdyke.net.http_routes import add_route
+from heatherdyke.net.http_support import json_response
+from heatherdyke.usage.level_book import LeafLevel
+from heatherdyke.usage.level_book import LevelBook
 
 ROUNDS = 4
 ROUND_S = 1.0
--- a/heatherdyke/usage_report.py
+++ b/heatherdyke/usage/report.py
@@ -3,16 +3,16 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from heatherdyke.config_model import USAGE_PREFIX
+from heatherdyke.config.model import USAGE_PREFIX
 from heatherdyke.errors import HeatherdykeError
 from heatherdyke.errors import PlatformUnavailable
-from heatherdyke.observe_client import collect
-from heatherdyke.observe_client import discover
-from heatherdyke.platform_client import PlatformClient
-from heatherdyke.platform_client import convert_value
-from heatherdyke.usage import TeamUsage
-from heatherdyke.usage import UsagePage
-from heatherdyke.usage import total_by_team
+from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import convert_value
+from heatherdyke.observe.client import collect
+from heatherdyke.observe.client import discover
+from heatherdyke.usage.book import TeamUsage
+from heatherdyke.usage.book import UsagePage
+from heatherdyke.usage.book import total_by_team
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherdyke/spending.py
+++ b/heatherdyke/usage/spending.py
@@ -13,7 +13,7 @@
 
 from dataclasses import dataclass
 
-from heatherdyke.config_model import SpendingConfig
+from heatherdyke.config.model import SpendingConfig
 
 
 @dataclass(slots=True)
--- a/heatherdyke/usage_task.py
+++ b/heatherdyke/usage/task.py
@@ -10,17 +10,17 @@
 from blacksheep import Request
 from blacksheep import Response
 
-from heatherdyke.config_model import USAGE_PREFIX
+from heatherdyke.config.model import USAGE_PREFIX
 from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.errors import VersionConflict
-from heatherdyke.events import USAGE_NOT_STORED
-from heatherdyke.http_routes import add_route
-from heatherdyke.http_support import json_response
-from heatherdyke.journal import Journal
-from heatherdyke.platform_client import ABSENT_VERSION
-from heatherdyke.platform_client import PlatformClient
-from heatherdyke.usage import UsageCounters
-from heatherdyke.usage import UsagePage
+from heatherdyke.net.http_routes import add_route
+from heatherdyke.net.http_support import json_response
+from heatherdyke.objects.client import ABSENT_VERSION
+from heatherdyke.objects.client import PlatformClient
+from heatherdyke.observe.events import USAGE_NOT_STORED
+from heatherdyke.observe.journal import Journal
+from heatherdyke.usage.book import UsageCounters
+from heatherdyke.usage.book import UsagePage
 
 STORE_INTERVAL_S = 10.0
 STORE_TRIES = 3
--- a/heatherdyke_bench/actions.py
+++ b/heatherdyke_bench/actions.py
@@ -8,14 +8,14 @@
 
 import msgspec
 
-from heatherdyke.config_model import ZONES_KEY
-from heatherdyke.platform_client import convert_value
+from heatherdyke.config.model import ZONES_KEY
+from heatherdyke.config.zone_state import ZoneEntry
+from heatherdyke.config.zone_state import ZoneService
+from heatherdyke.config.zone_state import ZonesObject
+from heatherdyke.objects.client import convert_value
 from heatherdyke.registry import Registry
-from heatherdyke.standin_leaf_model import LeafFaults
-from heatherdyke.standin_platform import PlatformFaults
-from heatherdyke.zone_state import ZoneEntry
-from heatherdyke.zone_state import ZoneService
-from heatherdyke.zone_state import ZonesObject
+from heatherdyke.standin.leaf_model import LeafFaults
+from heatherdyke.standin.platform import PlatformFaults
 from heatherdyke_bench.admin import set_faults
 from heatherdyke_bench.errors import ScenarioError
 from heatherdyke_bench.fleet import Fleet
--- a/heatherdyke_bench/admin.py
+++ b/heatherdyke_bench/admin.py
@@ -7,7 +7,7 @@
 from heatherdyke.codec import decode
 from heatherdyke.codec import encode
 from heatherdyke.errors import TransportError
-from heatherdyke.http_connection import HttpConnection
+from heatherdyke.net.http_connection import HttpConnection
 from heatherdyke_bench.errors import FleetError
 
 T = TypeVar("T")
--- a/heatherdyke_bench/capacity_rows.py
+++ b/heatherdyke_bench/capacity_rows.py
@@ -5,13 +5,13 @@
 from math import ceil
 from math import log
 
-from heatherdyke import config_sync
-from heatherdyke import platform_view
-from heatherdyke import usage_task
-from heatherdyke.journal import RING_EVENTS
-from heatherdyke.membership import TREE_FANOUT
-from heatherdyke.metrics import MAX_SERIES
+from heatherdyke.config import sync as config_sync
+from heatherdyke.membership.homes import TREE_FANOUT
+from heatherdyke.objects import view as platform_view
+from heatherdyke.observe.journal import RING_EVENTS
+from heatherdyke.observe.metrics import MAX_SERIES
 from heatherdyke.settings import Settings
+from heatherdyke.usage import task as usage_task
 from heatherdyke_bench.capacity_target import TARGET
 from heatherdyke_bench.measure_decisions import LEAVES_PER_SECTION
 from heatherdyke_bench.slopes import Slope
--- a/heatherdyke_bench/config_delay.py
+++ b/heatherdyke_bench/config_delay.py
@@ -19,16 +19,16 @@
 
 import typer
 
-from heatherdyke.caller_client import CallerClient
-from heatherdyke.config_api import ConfigStatus
-from heatherdyke.config_commands import apply_section
-from heatherdyke.config_commands import change_zone_state
-from heatherdyke.config_commands import show_document
-from heatherdyke.config_model import UrgencyConfig
-from heatherdyke.config_wait import ask_status
+from heatherdyke.callers.client import CallerClient
+from heatherdyke.config.api import ConfigStatus
+from heatherdyke.config.commands import apply_section
+from heatherdyke.config.commands import change_zone_state
+from heatherdyke.config.commands import show_document
+from heatherdyke.config.model import UrgencyConfig
+from heatherdyke.config.wait import ask_status
+from heatherdyke.config.zone_state import ZoneService
 from heatherdyke.errors import HeatherdykeError
 from heatherdyke.messages import SearchRequest
-from heatherdyke.zone_state import ZoneService
 from heatherdyke_bench.deployments import Deployment
 from heatherdyke_bench.deployments import LeafKind
 from heatherdyke_bench.deployments import LoadClass
--- a/heatherdyke_bench/deployments.py
+++ b/heatherdyke_bench/deployments.py
@@ -9,14 +9,14 @@
 from dataclasses import field
 from hashlib import sha256
 
-from heatherdyke.config_model import LeafConfig
-from heatherdyke.config_model import RunOnceMode
-from heatherdyke.config_model import SectionConfig
-from heatherdyke.config_model import ServiceConfig
-from heatherdyke.config_model import ShardConfig
-from heatherdyke.config_model import UrgencyConfig
+from heatherdyke.config.model import LeafConfig
+from heatherdyke.config.model import RunOnceMode
+from heatherdyke.config.model import SectionConfig
+from heatherdyke.config.model import ServiceConfig
+from heatherdyke.config.model import ShardConfig
+from heatherdyke.config.model import UrgencyConfig
 from heatherdyke.registry import Registry
-from heatherdyke.standin_leaf_model import LeafProfile
+from heatherdyke.standin.leaf_model import LeafProfile
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherdyke_bench/fleet.py
+++ b/heatherdyke_bench/fleet.py
@@ -9,23 +9,23 @@
 import msgspec
 
 from heatherdyke.codec import encode
-from heatherdyke.config_model import HEAD_KEY
-from heatherdyke.config_model import SECTION_PREFIX
-from heatherdyke.config_model import SNAPSHOTS_PREFIX
-from heatherdyke.config_model import ConfigHead
-from heatherdyke.config_model import SectionConfig
-from heatherdyke.config_model import SectionPointer
-from heatherdyke.config_model import StoredSection
+from heatherdyke.config.model import HEAD_KEY
+from heatherdyke.config.model import SECTION_PREFIX
+from heatherdyke.config.model import SNAPSHOTS_PREFIX
+from heatherdyke.config.model import ConfigHead
+from heatherdyke.config.model import SectionConfig
+from heatherdyke.config.model import SectionPointer
+from heatherdyke.config.model import StoredSection
 from heatherdyke.errors import TransportError
 from heatherdyke.messages import IndexSnapshots
 from heatherdyke.messages import InstanceKind
 from heatherdyke.messages import ListedInstance
-from heatherdyke.platform_client import PlatformClient
-from heatherdyke.standin_announcer import ANNOUNCE_INTERVAL_S
-from heatherdyke.standin_announcer import announce_once
-from heatherdyke.standin_leaf_model import LeafProfile
-from heatherdyke.standin_leaf_model import LeafRecord
-from heatherdyke.standin_platform import PlatformRecord
+from heatherdyke.objects.client import PlatformClient
+from heatherdyke.standin.announcer import ANNOUNCE_INTERVAL_S
+from heatherdyke.standin.announcer import announce_once
+from heatherdyke.standin.leaf_model import LeafProfile
+from heatherdyke.standin.leaf_model import LeafRecord
+from heatherdyke.standin.platform import PlatformRecord
 from heatherdyke_bench.admin import is_ready
 from heatherdyke_bench.admin import read_record
 from heatherdyke_bench.admin import set_faults
@@ -74,7 +74,7 @@
         self._announcer: asyncio.Task | None = None
         self.platform = self._process(
             "platform",
-            ["heatherdyke.cli_standin", "platform", "--listen=127.0.0.1:0"],
+            ["heatherdyke.cli.standin", "platform", "--listen=127.0.0.1:0"],
         )
 
     async def start(self) -> None:
@@ -209,7 +209,7 @@
         path = self._directory / "network.json"
         path.write_text(config)
         self.network_process = self._process(
-            "network", ["heatherdyke.cli_standin", "proxy", f"@{path}"]
+            "network", ["heatherdyke.cli.standin", "proxy", f"@{path}"]
         )
         await self._start_standin(self.network_process)
 
@@ -217,7 +217,7 @@
         profile = replace(profile, platform=self.platform.address)
         process = self._process(
             profile.leaf,
-            ["heatherdyke.cli_standin", "leaf", encode(profile).decode()],
+            ["heatherdyke.cli.standin", "leaf", encode(profile).decode()],
         )
         self.leaf_by_name[profile.leaf] = process
         await self._start_standin(process)
--- a/heatherdyke_bench/load.py
+++ b/heatherdyke_bench/load.py
@@ -21,10 +21,10 @@
 from heatherdyke.codec import encode
 from heatherdyke.errors import RunState
 from heatherdyke.errors import TransportError
-from heatherdyke.http_connection import HttpConnection
 from heatherdyke.messages import SearchAnswer
 from heatherdyke.messages import SearchRequest
-from heatherdyke.standin_content import items_for
+from heatherdyke.net.http_connection import HttpConnection
+from heatherdyke.standin.content import items_for
 from heatherdyke_bench.admin import is_ready
 from heatherdyke_bench.deployments import LoadClass
 from heatherdyke_bench.deployments import key_of
--- a/heatherdyke_bench/measure_fleet.py
+++ b/heatherdyke_bench/measure_fleet.py
@@ -7,15 +7,15 @@
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
-from heatherdyke.caller_client import CallerClient
-from heatherdyke.caller_keys import hash_key
-from heatherdyke.config_model import LeafConfig
-from heatherdyke.config_model import SectionConfig
-from heatherdyke.config_model import ServiceConfig
-from heatherdyke.config_model import ShardConfig
-from heatherdyke.config_model import UrgencyConfig
+from heatherdyke.callers.client import CallerClient
+from heatherdyke.callers.keys import hash_key
+from heatherdyke.config.model import LeafConfig
+from heatherdyke.config.model import SectionConfig
+from heatherdyke.config.model import ServiceConfig
+from heatherdyke.config.model import ShardConfig
+from heatherdyke.config.model import UrgencyConfig
 from heatherdyke.messages import SearchRequest
-from heatherdyke.standin_leaf_model import LeafProfile
+from heatherdyke.standin.leaf_model import LeafProfile
 from heatherdyke_bench.fleet import Fleet
 from heatherdyke_bench.fleet import Policy
 from heatherdyke_bench.slopes import Point
--- a/heatherdyke_bench/member_slopes.py
+++ b/heatherdyke_bench/member_slopes.py
@@ -19,16 +19,16 @@
 from loguru import logger
 
 from heatherdyke.clock import Clock
-from heatherdyke.config_model import ROSTER_PREFIX
-from heatherdyke.http_routes import new_application
-from heatherdyke.journal import Journal
-from heatherdyke.member_messages import Member
-from heatherdyke.member_messages import Roster
-from heatherdyke.member_task import MemberTask
-from heatherdyke.platform_client import PlatformClient
-from heatherdyke.server import HttpServer
+from heatherdyke.config.model import ROSTER_PREFIX
+from heatherdyke.membership.messages import Member
+from heatherdyke.membership.messages import Roster
+from heatherdyke.membership.task import MemberTask
+from heatherdyke.net.http_routes import new_application
+from heatherdyke.net.server import HttpServer
+from heatherdyke.objects.client import PlatformClient
+from heatherdyke.observe.journal import Journal
 from heatherdyke.settings import Settings
-from heatherdyke.standin_platform import PlatformStandin
+from heatherdyke.standin.platform import PlatformStandin
 from heatherdyke_bench.process import free_address
 
 SIZES = (2, 8, 16, 32, 55)
--- a/heatherdyke_bench/network.py
+++ b/heatherdyke_bench/network.py
@@ -4,11 +4,11 @@
 zone, so that the proxy can tell on which side of a cut a client is.
 """
 
-from heatherdyke.fault_proxy_model import Direction
-from heatherdyke.fault_proxy_model import ProxyConfig
-from heatherdyke.fault_proxy_model import ProxyFaults
-from heatherdyke.fault_proxy_model import RouteConfig
-from heatherdyke.fault_proxy_model import RouteFaults
+from heatherdyke.standin.fault_proxy_model import Direction
+from heatherdyke.standin.fault_proxy_model import ProxyConfig
+from heatherdyke.standin.fault_proxy_model import ProxyFaults
+from heatherdyke.standin.fault_proxy_model import RouteConfig
+from heatherdyke.standin.fault_proxy_model import RouteFaults
 from heatherdyke_bench.deployments import Deployment
 from heatherdyke_bench.process import free_address
 
--- a/heatherdyke_bench/report.py
+++ b/heatherdyke_bench/report.py
@@ -9,7 +9,7 @@
 from hdrh.histogram import HdrHistogram
 
 from heatherdyke.errors import RunState
-from heatherdyke.standin_leaf_model import LeafRecord
+from heatherdyke.standin.leaf_model import LeafRecord
 from heatherdyke_bench.load import HIGHEST_US
 from heatherdyke_bench.load import SIGNIFICANT_DIGITS
 from heatherdyke_bench.load import ClassResult
--- a/heatherdyke_bench/run_cost.py
+++ b/heatherdyke_bench/run_cost.py
@@ -12,9 +12,9 @@
 from tempfile import TemporaryDirectory
 from time import perf_counter
 
-from heatherdyke.config_model import RunOnceMode
+from heatherdyke.config.model import RunOnceMode
 from heatherdyke.messages import RunRequest
-from heatherdyke.run_client import RunClient
+from heatherdyke.run_once.client import RunClient
 from heatherdyke_bench.deployments import deployments
 from heatherdyke_bench.deployments import key_of
 from heatherdyke_bench.fleet import Fleet
--- a/heatherdyke_bench/scenario.py
+++ b/heatherdyke_bench/scenario.py
@@ -9,7 +9,7 @@
 import msgspec
 import yaml
 
-from heatherdyke.standin_leaf_model import LeafProfile
+from heatherdyke.standin.leaf_model import LeafProfile
 from heatherdyke_bench.deployments import Deployment
 from heatherdyke_bench.errors import ScenarioError
 
--- a/heatherdyke_models/handover.py
+++ b/heatherdyke_models/handover.py
@@ -24,15 +24,15 @@
 from minicheck import Protocol
 from minicheck import check_safety
 
-from heatherdyke.home_lease import HomeLease
-from heatherdyke.lease_snapshot import LeaseSnapshot
-from heatherdyke.lease_terms import LeaseTerms
-from heatherdyke.member_messages import GoneProof
-from heatherdyke.member_messages import Member
-from heatherdyke.member_messages import Roster
-from heatherdyke.rendezvous import rank
-from heatherdyke.roster import prune_history
-from heatherdyke.roster import replace_members
+from heatherdyke.membership.home_lease import HomeLease
+from heatherdyke.membership.lease_snapshot import LeaseSnapshot
+from heatherdyke.membership.lease_terms import LeaseTerms
+from heatherdyke.membership.messages import GoneProof
+from heatherdyke.membership.messages import Member
+from heatherdyke.membership.messages import Roster
+from heatherdyke.membership.rendezvous import rank
+from heatherdyke.membership.roster import prune_history
+from heatherdyke.membership.roster import replace_members
 
 ZONE = "zone"
 LEAF = "leaf"
--- a/scripts/build_dist.py
+++ b/scripts/build_dist.py
@@ -66,7 +66,7 @@
     environment = Environment(
         built_at=BUILT_AT,
         shiv_version=version("shiv"),
-        entry_point="heatherdyke.cli:main",
+        entry_point="heatherdyke.cli.app:main",
         # Compiling when unpacking would start a pool of processes.
         compile_pyc=False,
     )
--- a/tests/config_platform.py
+++ b/tests/config_platform.py
@@ -4,7 +4,7 @@
 
 from heatherdyke.codec import decode
 from heatherdyke.codec import encode
-from heatherdyke.edit_retry import EditRetry
+from heatherdyke.config.edit_retry import EditRetry
 from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.errors import VersionConflict
 from heatherdyke.messages import PlatformObject
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from heatherdyke.errors import TransportError
-from heatherdyke.http_connection import HttpConnection
+from heatherdyke.net.http_connection import HttpConnection
 from heatherdyke.platform_standin.leaf import StandinLeaf
 from heatherdyke.platform_standin.store import StandinStore
 
--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -8,17 +8,17 @@
 from dataclasses import replace
 from pathlib import Path
 
-from heatherdyke.caller_client import CallerClient
-from heatherdyke.caller_client import RequestRefused
+from heatherdyke.callers.client import CallerClient
+from heatherdyke.callers.client import RequestRefused
 from heatherdyke.errors import HeatherdykeError
-from heatherdyke.fault_proxy import FaultProxy
-from heatherdyke.fault_proxy import ProxyConfig
-from heatherdyke.fault_proxy import RouteConfig
 from heatherdyke.messages import SearchAnswer
 from heatherdyke.messages import SearchRequest
-from heatherdyke.standin_content import items_for
-from heatherdyke.standin_leaf_model import LeafIncarnationRecord
-from heatherdyke.standin_leaf_model import LeafProfile
+from heatherdyke.standin.content import items_for
+from heatherdyke.standin.fault_proxy import FaultProxy
+from heatherdyke.standin.fault_proxy import ProxyConfig
+from heatherdyke.standin.fault_proxy import RouteConfig
+from heatherdyke.standin.leaf_model import LeafIncarnationRecord
+from heatherdyke.standin.leaf_model import LeafProfile
 from heatherdyke_bench.admin import is_ready
 from heatherdyke_bench.deployments import Deployment
 from heatherdyke_bench.deployments import LeafKind
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -4,12 +4,12 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from heatherdyke.admission import Admission
-from heatherdyke.config_model import SpendingConfig
-from heatherdyke.spending import Spending
-from heatherdyke.usage import TeamUsage
-from heatherdyke.usage import UsageCounters
-from heatherdyke.usage import total_by_team
+from heatherdyke.config.model import SpendingConfig
+from heatherdyke.search.admission import Admission
+from heatherdyke.usage.book import TeamUsage
+from heatherdyke.usage.book import UsageCounters
+from heatherdyke.usage.book import total_by_team
+from heatherdyke.usage.spending import Spending
 
 URGENT, PLANNER, ARCHIVE = 1, 3, 9
 FAN_OUT = 50
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -4,8 +4,8 @@
 from hdrh.histogram import HdrHistogram
 
 from heatherdyke.errors import RunState
-from heatherdyke.standin_leaf_model import LeafIncarnationRecord
-from heatherdyke.standin_leaf_model import LeafRecord
+from heatherdyke.standin.leaf_model import LeafIncarnationRecord
+from heatherdyke.standin.leaf_model import LeafRecord
 from heatherdyke_bench.actions import actions
 from heatherdyke_bench.actions import fill_in_zones
 from heatherdyke_bench.deployments import deployments
--- a/tests/test_caller_keys.py
+++ b/tests/test_caller_keys.py
@@ -2,11 +2,11 @@
 
 import pytest
 
-from heatherdyke.caller_keys import CallerKeys
-from heatherdyke.caller_keys import hash_key
-from heatherdyke.config_model import ConfigDocument
-from heatherdyke.config_model import SectionConfig
-from heatherdyke.config_model import ServiceConfig
+from heatherdyke.callers.keys import CallerKeys
+from heatherdyke.callers.keys import hash_key
+from heatherdyke.config.model import ConfigDocument
+from heatherdyke.config.model import SectionConfig
+from heatherdyke.config.model import ServiceConfig
 from heatherdyke.errors import Forbidden
 from heatherdyke.errors import UnknownKey
 from heatherdyke.errors import UnknownService
--- a/tests/test_cli_config.py
+++ b/tests/test_cli_config.py
@@ -9,10 +9,10 @@
 import pytest
 from typer.testing import CliRunner
 
-from heatherdyke.cli import app
+from heatherdyke.cli.app import app
 from heatherdyke.errors import HeatherdykeError
-from heatherdyke.standin_platform import PlatformFaults
-from heatherdyke.standin_platform import PlatformStandin
+from heatherdyke.standin.platform import PlatformFaults
+from heatherdyke.standin.platform import PlatformStandin
 
 EXAMPLES = Path(__file__).parent.parent / "docs" / "examples"
 ROSTER = EXAMPLES / "roster.yaml"
--- a/tests/test_cli_observe.py
+++ b/tests/test_cli_observe.py
@@ -6,29 +6,29 @@
 import pytest
 import uvicorn
 
-from heatherdyke.cli_observe import check_addresses
-from heatherdyke.cli_observe import render_event
-from heatherdyke.cli_observe import render_stats
-from heatherdyke.config_model import ROSTER_PREFIX
+from heatherdyke.cli.observe import check_addresses
+from heatherdyke.cli.observe import render_event
+from heatherdyke.cli.observe import render_stats
+from heatherdyke.config.model import ROSTER_PREFIX
 from heatherdyke.errors import NoInstanceReachable
 from heatherdyke.errors import SettingsError
-from heatherdyke.events import STARTED
-from heatherdyke.events import STOPPING
-from heatherdyke.health import HealthState
-from heatherdyke.http_routes import new_application
-from heatherdyke.journal import Journal
-from heatherdyke.member_messages import Member
-from heatherdyke.member_messages import Roster
-from heatherdyke.metrics import Metrics
-from heatherdyke.observe_client import discover
-from heatherdyke.observe_component import KnownInstance
-from heatherdyke.observe_component import ObserveComponent
-from heatherdyke.observe_report import follow_timeline
-from heatherdyke.observe_report import read_stats
-from heatherdyke.observe_report import read_timeline
-from heatherdyke.platform_client import PlatformClient
-from heatherdyke.standin_platform import PlatformStandin
-from heatherdyke.timeline import EventFilter
+from heatherdyke.membership.messages import Member
+from heatherdyke.membership.messages import Roster
+from heatherdyke.net.http_routes import new_application
+from heatherdyke.objects.client import PlatformClient
+from heatherdyke.observe.client import discover
+from heatherdyke.observe.component import KnownInstance
+from heatherdyke.observe.component import ObserveComponent
+from heatherdyke.observe.events import STARTED
+from heatherdyke.observe.events import STOPPING
+from heatherdyke.observe.health import HealthState
+from heatherdyke.observe.journal import Journal
+from heatherdyke.observe.metrics import Metrics
+from heatherdyke.observe.report import follow_timeline
+from heatherdyke.observe.report import read_stats
+from heatherdyke.observe.report import read_timeline
+from heatherdyke.observe.timeline import EventFilter
+from heatherdyke.standin.platform import PlatformStandin
 
 GONE = KnownInstance("gone", "verona", "127.0.0.1:1")
 
--- a/tests/test_config_state.py
+++ b/tests/test_config_state.py
@@ -3,19 +3,19 @@
 import msgspec
 
 from heatherdyke.codec import encode
-from heatherdyke.config_model import ConfigHead
-from heatherdyke.config_model import SectionConfig
-from heatherdyke.config_model import SectionPointer
-from heatherdyke.config_state import ConfigDelta
-from heatherdyke.config_state import ConfigDigest
-from heatherdyke.config_state import ConfigState
-from heatherdyke.config_state import SectionUpdate
-from heatherdyke.zone_state import ZoneEntry
-from heatherdyke.zone_state import ZoneService
-from heatherdyke.zone_state import ZonesObject
-from heatherdyke.zone_state import ZoneStates
-from heatherdyke.zone_state import change_zone
-from heatherdyke.zone_state import has_edit
+from heatherdyke.config.model import ConfigHead
+from heatherdyke.config.model import SectionConfig
+from heatherdyke.config.model import SectionPointer
+from heatherdyke.config.state import ConfigDelta
+from heatherdyke.config.state import ConfigDigest
+from heatherdyke.config.state import ConfigState
+from heatherdyke.config.state import SectionUpdate
+from heatherdyke.config.zone_state import ZoneEntry
+from heatherdyke.config.zone_state import ZoneService
+from heatherdyke.config.zone_state import ZonesObject
+from heatherdyke.config.zone_state import ZoneStates
+from heatherdyke.config.zone_state import change_zone
+from heatherdyke.config.zone_state import has_edit
 
 
 def update(team, version, reader="", text=None):
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from heatherdyke.demo import run_demo
+from heatherdyke.standin.demo import run_demo
 
 
 class TestDemo:
--- a/tests/test_event_catalogue.py
+++ b/tests/test_event_catalogue.py
@@ -5,9 +5,9 @@
 from pathlib import Path
 
 import heatherdyke
-from heatherdyke.event_catalogue import load_all_kinds
-from heatherdyke.event_catalogue import render_catalogue
-from heatherdyke.events import EventKind
+from heatherdyke.observe.event_catalogue import load_all_kinds
+from heatherdyke.observe.event_catalogue import render_catalogue
+from heatherdyke.observe.events import EventKind
 
 PACKAGE = Path(heatherdyke.__file__).parent
 PAGE = PACKAGE.parent / "docs" / "EVENTS.md"
@@ -16,14 +16,14 @@
 class TestCatalogue:
     def test_page_matches_the_registry(self):
         assert PAGE.read_text() == render_catalogue(load_all_kinds()), (
-            "run python -m heatherdyke.event_catalogue > docs/EVENTS.md"
+            "run python -m heatherdyke.observe.event_catalogue"
         )
 
 
 class TestRecordedFields:
     def test_each_call_names_the_fields_of_its_kind(self):
         faults = []
-        for path in sorted(PACKAGE.glob("*.py")):
+        for path in sorted(PACKAGE.rglob("*.py")):
             for call in _record_calls(path):
                 faults.extend(_faults(path, call))
         assert faults == []
@@ -44,7 +44,8 @@
 
 
 def _faults(path: Path, call: ast.Call) -> list[str]:
-    module = import_module(f"heatherdyke.{path.stem}")
+    parts = path.relative_to(PACKAGE.parent).with_suffix("").parts
+    module = import_module(".".join(parts))
     kind = getattr(module, call.args[0].id)
     names = [keyword.arg for keyword in call.keywords]
     if not isinstance(kind, EventKind) or None in names:
--- a/tests/test_fault_proxy.py
+++ b/tests/test_fault_proxy.py
@@ -7,16 +7,16 @@
 from heatherdyke.codec import encode
 from heatherdyke.errors import ConnectionSilent
 from heatherdyke.errors import TransportError
-from heatherdyke.fault_proxy import FaultProxy
-from heatherdyke.fault_proxy_model import Direction
-from heatherdyke.fault_proxy_model import ProxyConfig
-from heatherdyke.fault_proxy_model import ProxyFaults
-from heatherdyke.fault_proxy_model import RouteConfig
-from heatherdyke.fault_proxy_model import RouteFaults
-from heatherdyke.http_connection import HttpConnection
-from heatherdyke.http_connection import set_source_host
-from heatherdyke.standin_http import HttpReply
-from heatherdyke.standin_http import HttpServer
+from heatherdyke.net.http_connection import HttpConnection
+from heatherdyke.net.http_connection import set_source_host
+from heatherdyke.standin.fault_proxy import FaultProxy
+from heatherdyke.standin.fault_proxy_model import Direction
+from heatherdyke.standin.fault_proxy_model import ProxyConfig
+from heatherdyke.standin.fault_proxy_model import ProxyFaults
+from heatherdyke.standin.fault_proxy_model import RouteConfig
+from heatherdyke.standin.fault_proxy_model import RouteFaults
+from heatherdyke.standin.http import HttpReply
+from heatherdyke.standin.http import HttpServer
 
 
 async def _echo(request):
--- a/tests/test_home_lease.py
+++ b/tests/test_home_lease.py
@@ -10,16 +10,16 @@
 from hypothesis.stateful import rule
 from hypothesis.stateful import run_state_machine_as_test
 
-from heatherdyke.lease_terms import LeaseTerms
-from heatherdyke.member_core import ConfigVersions
-from heatherdyke.member_core import MemberCore
-from heatherdyke.member_messages import GoneProof
-from heatherdyke.member_messages import Heartbeat
-from heatherdyke.member_messages import Member
-from heatherdyke.member_messages import Roster
-from heatherdyke.member_messages import VersionedRoster
-from heatherdyke.rendezvous import rank
-from heatherdyke.roster import replace_members
+from heatherdyke.membership.core import ConfigVersions
+from heatherdyke.membership.core import MemberCore
+from heatherdyke.membership.lease_terms import LeaseTerms
+from heatherdyke.membership.messages import GoneProof
+from heatherdyke.membership.messages import Heartbeat
+from heatherdyke.membership.messages import Member
+from heatherdyke.membership.messages import Roster
+from heatherdyke.membership.messages import VersionedRoster
+from heatherdyke.membership.rendezvous import rank
+from heatherdyke.membership.roster import replace_members
 from heatherdyke_models.handover import Bounds
 from heatherdyke_models.handover import check
 
--- a/tests/test_http_routes.py
+++ b/tests/test_http_routes.py
@@ -3,13 +3,13 @@
 import asyncio
 
 from heatherdyke.codec import decode
-from heatherdyke.demo import find_free_port
 from heatherdyke.errors import RunState
-from heatherdyke.http_connection import HttpConnection
-from heatherdyke.http_routes import add_route
-from heatherdyke.http_routes import new_application
-from heatherdyke.http_support import Problem
-from heatherdyke.server import HttpServer
+from heatherdyke.net.http_connection import HttpConnection
+from heatherdyke.net.http_routes import add_route
+from heatherdyke.net.http_routes import new_application
+from heatherdyke.net.http_support import Problem
+from heatherdyke.net.server import HttpServer
+from heatherdyke.standin.demo import find_free_port
 
 
 class TestFailingHandler:
--- a/tests/test_leaf_limit.py
+++ b/tests/test_leaf_limit.py
@@ -8,10 +8,10 @@
 from hypothesis.stateful import rule
 from hypothesis.stateful import run_state_machine_as_test
 
-from heatherdyke.leaf_limit import SHED_PAUSE_S
-from heatherdyke.leaf_limit import SLOW_PATIENCE
-from heatherdyke.leaf_limit import SUCCESSES_PER_STEP
-from heatherdyke.leaf_limit import LeafLimit
+from heatherdyke.leaves.limit import SHED_PAUSE_S
+from heatherdyke.leaves.limit import SLOW_PATIENCE
+from heatherdyke.leaves.limit import SUCCESSES_PER_STEP
+from heatherdyke.leaves.limit import LeafLimit
 
 SLOTS = 4
 COLD_SLOTS = 1
--- a/tests/test_observe.py
+++ b/tests/test_observe.py
@@ -5,20 +5,20 @@
 from blacksheep.testing import TestClient
 
 from heatherdyke.codec import decode
-from heatherdyke.events import STOPPING
-from heatherdyke.health import HealthState
-from heatherdyke.health import judge_liveness
-from heatherdyke.health import judge_readiness
-from heatherdyke.http_routes import new_application
-from heatherdyke.journal import EventPage
-from heatherdyke.journal import Journal
-from heatherdyke.metrics import MAX_SERIES
-from heatherdyke.metrics import Metrics
-from heatherdyke.metrics import StatsPage
-from heatherdyke.metrics import merge_stats
-from heatherdyke.metrics import summarise
-from heatherdyke.metrics_text import render_metrics
-from heatherdyke.observe_component import ObserveComponent
+from heatherdyke.net.http_routes import new_application
+from heatherdyke.observe.component import ObserveComponent
+from heatherdyke.observe.events import STOPPING
+from heatherdyke.observe.health import HealthState
+from heatherdyke.observe.health import judge_liveness
+from heatherdyke.observe.health import judge_readiness
+from heatherdyke.observe.journal import EventPage
+from heatherdyke.observe.journal import Journal
+from heatherdyke.observe.metrics import MAX_SERIES
+from heatherdyke.observe.metrics import Metrics
+from heatherdyke.observe.metrics import StatsPage
+from heatherdyke.observe.metrics import merge_stats
+from heatherdyke.observe.metrics import summarise
+from heatherdyke.observe.metrics_text import render_metrics
 
 READY = HealthState(
     config_known=True, members_known=True, leaving=False, zone_out=False
--- a/tests/test_peer_health.py
+++ b/tests/test_peer_health.py
@@ -1,7 +1,7 @@
 """Homes that do not answer are avoided for a while."""
 
-from heatherdyke.peer_health import SUSPECT_S
-from heatherdyke.peer_health import PeerHealth
+from heatherdyke.membership.peer_health import SUSPECT_S
+from heatherdyke.membership.peer_health import PeerHealth
 
 
 class TestPeerHealth:
--- a/tests/test_proof_answers.py
+++ b/tests/test_proof_answers.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from heatherdyke.fault_proxy import ProxyFaults
-from heatherdyke.fault_proxy import RouteFaults
-from heatherdyke.standin_leaf_model import LeafFaults
+from heatherdyke.standin.fault_proxy import ProxyFaults
+from heatherdyke.standin.fault_proxy import RouteFaults
+from heatherdyke.standin.leaf_model import LeafFaults
 from heatherdyke_bench.admin import set_faults
 from tests.small_fleet import Callers
 from tests.small_fleet import start_fleet
--- a/tests/test_proof_config.py
+++ b/tests/test_proof_config.py
@@ -8,15 +8,15 @@
 import signal
 from dataclasses import replace
 
-from heatherdyke.config_commands import apply_section
-from heatherdyke.config_commands import change_zone_state
-from heatherdyke.config_commands import show_document
-from heatherdyke.config_model import UrgencyConfig
-from heatherdyke.config_wait import ask_status
+from heatherdyke.config.commands import apply_section
+from heatherdyke.config.commands import change_zone_state
+from heatherdyke.config.commands import show_document
+from heatherdyke.config.model import UrgencyConfig
+from heatherdyke.config.wait import ask_status
+from heatherdyke.config.zone_state import ZoneService
 from heatherdyke.errors import EditConflict
 from heatherdyke.errors import TransportError
-from heatherdyke.standin_platform import PlatformFaults
-from heatherdyke.zone_state import ZoneService
+from heatherdyke.standin.platform import PlatformFaults
 from heatherdyke_bench.admin import set_faults
 from heatherdyke_bench.config_delay import TEAM
 from heatherdyke_bench.config_delay import ZONES
--- a/tests/test_proof_homes.py
+++ b/tests/test_proof_homes.py
@@ -17,21 +17,21 @@
 import pytest
 
 from heatherdyke.codec import encode
-from heatherdyke.config_model import HEAD_KEY
-from heatherdyke.config_model import SECTION_PREFIX
-from heatherdyke.config_model import ConfigHead
-from heatherdyke.config_model import SectionPointer
-from heatherdyke.config_model import StoredSection
-from heatherdyke.fault_proxy import FaultProxy
-from heatherdyke.fault_proxy import ProxyConfig
-from heatherdyke.fault_proxy import ProxyFaults
-from heatherdyke.fault_proxy import RouteConfig
-from heatherdyke.fault_proxy import RouteFaults
-from heatherdyke.member_messages import Roster
+from heatherdyke.config.model import HEAD_KEY
+from heatherdyke.config.model import SECTION_PREFIX
+from heatherdyke.config.model import ConfigHead
+from heatherdyke.config.model import SectionPointer
+from heatherdyke.config.model import StoredSection
+from heatherdyke.membership.messages import Roster
 from heatherdyke.messages import InstanceKind
 from heatherdyke.messages import ListedInstance
-from heatherdyke.platform_client import convert_value
-from heatherdyke.standin_platform import PlatformFaults
+from heatherdyke.objects.client import convert_value
+from heatherdyke.standin.fault_proxy import FaultProxy
+from heatherdyke.standin.fault_proxy import ProxyConfig
+from heatherdyke.standin.fault_proxy import ProxyFaults
+from heatherdyke.standin.fault_proxy import RouteConfig
+from heatherdyke.standin.fault_proxy import RouteFaults
+from heatherdyke.standin.platform import PlatformFaults
 from heatherdyke_bench.admin import set_faults
 from heatherdyke_bench.deployments import Deployment
 from heatherdyke_bench.deployments import LeafKind
--- a/tests/test_proof_run_once.py
+++ b/tests/test_proof_run_once.py
@@ -11,17 +11,17 @@
 
 import pytest
 
-from heatherdyke.caller_client import RequestRefused
-from heatherdyke.config_model import RunOnceMode
+from heatherdyke.callers.client import RequestRefused
+from heatherdyke.config.model import RunOnceMode
 from heatherdyke.errors import HeatherdykeError
 from heatherdyke.errors import RunState
 from heatherdyke.errors import TransportError
-from heatherdyke.fault_proxy import ProxyFaults
-from heatherdyke.fault_proxy import RouteFaults
 from heatherdyke.messages import RunOutcomeState
 from heatherdyke.messages import RunRequest
-from heatherdyke.run_client import RunClient
-from heatherdyke.standin_platform import PlatformFaults
+from heatherdyke.run_once.client import RunClient
+from heatherdyke.standin.fault_proxy import ProxyFaults
+from heatherdyke.standin.fault_proxy import RouteFaults
+from heatherdyke.standin.platform import PlatformFaults
 from heatherdyke_bench.admin import set_faults
 from heatherdyke_bench.deployments import key_of
 from tests.small_fleet import TEAM
--- a/tests/test_proof_spending.py
+++ b/tests/test_proof_spending.py
@@ -8,12 +8,12 @@
 from dataclasses import replace
 from time import monotonic
 
-from heatherdyke.caller_client import CallerClient
-from heatherdyke.caller_client import RequestRefused
-from heatherdyke.config_model import SpendingConfig
+from heatherdyke.callers.client import CallerClient
+from heatherdyke.callers.client import RequestRefused
+from heatherdyke.config.model import SpendingConfig
 from heatherdyke.errors import RunState
 from heatherdyke.messages import SearchRequest
-from heatherdyke.standin_platform import PlatformFaults
+from heatherdyke.standin.platform import PlatformFaults
 from heatherdyke_bench.admin import set_faults
 from heatherdyke_bench.deployments import Deployment
 from heatherdyke_bench.deployments import key_of
--- a/tests/test_run_once_model.py
+++ b/tests/test_run_once_model.py
@@ -15,14 +15,14 @@
 from minicheck import Protocol
 from minicheck import check_safety
 
-from heatherdyke.config_model import RunOnceMode
-from heatherdyke.run_once import FINAL_PHASES
-from heatherdyke.run_once import RunEvent
-from heatherdyke.run_once import RunIntent
-from heatherdyke.run_once import RunPhase
-from heatherdyke.run_once import RunProgress
-from heatherdyke.run_once import resume
-from heatherdyke.run_once import step
+from heatherdyke.config.model import RunOnceMode
+from heatherdyke.run_once.decisions import FINAL_PHASES
+from heatherdyke.run_once.decisions import RunEvent
+from heatherdyke.run_once.decisions import RunIntent
+from heatherdyke.run_once.decisions import RunPhase
+from heatherdyke.run_once.decisions import RunProgress
+from heatherdyke.run_once.decisions import resume
+from heatherdyke.run_once.decisions import step
 
 MAX_STATES = 2_000_000
 SENDING, DONE, NOT_RUN = "sending", "done", "not_run"
--- a/tests/test_run_once_states.py
+++ b/tests/test_run_once_states.py
@@ -15,28 +15,28 @@
 from hypothesis.stateful import rule
 from hypothesis.stateful import run_state_machine_as_test
 
-from heatherdyke import run_driver
 from heatherdyke.clock import Clock
-from heatherdyke.config_model import ConfigDocument
+from heatherdyke.config.model import ConfigDocument
 from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.errors import TransportError
 from heatherdyke.errors import VersionConflict
-from heatherdyke.journal import Journal
 from heatherdyke.messages import LeafRefusal
 from heatherdyke.messages import LeafRunAnswer
 from heatherdyke.messages import PlatformObject
 from heatherdyke.messages import RunRequest
-from heatherdyke.request_gate import RequestGate
-from heatherdyke.run_book import RunBook
-from heatherdyke.run_driver import Identity
-from heatherdyke.run_driver import RunDriver
-from heatherdyke.run_driver import to_question
-from heatherdyke.run_once import FINAL_PHASES
-from heatherdyke.run_once import RunIntent
-from heatherdyke.run_once import RunPhase
-from heatherdyke.run_once_task import RunOnceTask
-from heatherdyke.run_store import RunStore
-from heatherdyke.run_tickets import TicketBook
+from heatherdyke.observe.journal import Journal
+from heatherdyke.run_once import driver as run_driver
+from heatherdyke.run_once.book import RunBook
+from heatherdyke.run_once.decisions import FINAL_PHASES
+from heatherdyke.run_once.decisions import RunIntent
+from heatherdyke.run_once.decisions import RunPhase
+from heatherdyke.run_once.driver import Identity
+from heatherdyke.run_once.driver import RunDriver
+from heatherdyke.run_once.driver import to_question
+from heatherdyke.run_once.store import RunStore
+from heatherdyke.run_once.task import RunOnceTask
+from heatherdyke.run_once.tickets import TicketBook
+from heatherdyke.search.request_gate import RequestGate
 
 NAMES = ["a", "b", "c"]
 REQUEST = RunRequest("archive", "pull", "dossier", "0")
--- a/tests/test_run_store.py
+++ b/tests/test_run_store.py
@@ -2,18 +2,18 @@
 
 import asyncio
 
-from heatherdyke.config_model import ConfigDocument
-from heatherdyke.config_model import SectionConfig
-from heatherdyke.journal import Journal
-from heatherdyke.platform_client import PlatformClient
-from heatherdyke.run_once import RunEvent
-from heatherdyke.run_store import RecordState
-from heatherdyke.run_store import RunRecord
-from heatherdyke.run_store import RunStore
-from heatherdyke.run_store import StoredRecord
-from heatherdyke.run_sweeper import RETENTION_S
-from heatherdyke.run_sweeper import RunSweeper
-from heatherdyke.standin_platform import PlatformStandin
+from heatherdyke.config.model import ConfigDocument
+from heatherdyke.config.model import SectionConfig
+from heatherdyke.objects.client import PlatformClient
+from heatherdyke.observe.journal import Journal
+from heatherdyke.run_once.decisions import RunEvent
+from heatherdyke.run_once.store import RecordState
+from heatherdyke.run_once.store import RunRecord
+from heatherdyke.run_once.store import RunStore
+from heatherdyke.run_once.store import StoredRecord
+from heatherdyke.run_once.sweeper import RETENTION_S
+from heatherdyke.run_once.sweeper import RunSweeper
+from heatherdyke.standin.platform import PlatformStandin
 
 LARGE = "\u20ac\x01" * 400_000
 
--- a/tests/test_search_decisions.py
+++ b/tests/test_search_decisions.py
@@ -7,15 +7,15 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from heatherdyke.coverage import CoverageCount
-from heatherdyke.hedging import ExtraLoadBudget
-from heatherdyke.hedging import LatencyQuantile
-from heatherdyke.merge import merge_items
 from heatherdyke.messages import Item
 from heatherdyke.messages import Part
 from heatherdyke.messages import PartState
-from heatherdyke.replica_choice import ReplicaViews
-from heatherdyke.replica_choice import choose_least_loaded
+from heatherdyke.search.coverage import CoverageCount
+from heatherdyke.search.hedging import ExtraLoadBudget
+from heatherdyke.search.hedging import LatencyQuantile
+from heatherdyke.search.merge import merge_items
+from heatherdyke.search.replica_choice import ReplicaViews
+from heatherdyke.search.replica_choice import choose_least_loaded
 
 SHARDS = ("a", "b", "c", "d")
 CHILDREN = ("a.0", "a.1")
--- a/tests/test_shard_tries.py
+++ b/tests/test_shard_tries.py
@@ -1,9 +1,9 @@
 """A shard is asked on each replica once, and a few times in all."""
 
-from heatherdyke.shard_tries import MAX_MOVES_PER_SHARD
-from heatherdyke.shard_tries import MOVE_PAUSE_S
-from heatherdyke.shard_tries import RETRY_PAUSE_S
-from heatherdyke.shard_tries import ShardTries
+from heatherdyke.search.shard_tries import MAX_MOVES_PER_SHARD
+from heatherdyke.search.shard_tries import MOVE_PAUSE_S
+from heatherdyke.search.shard_tries import RETRY_PAUSE_S
+from heatherdyke.search.shard_tries import ShardTries
 
 
 class TestShardTries:
--- a/tests/test_standin_leaf.py
+++ b/tests/test_standin_leaf.py
@@ -6,18 +6,18 @@
 from heatherdyke.codec import decode
 from heatherdyke.codec import encode
 from heatherdyke.errors import TransportError
-from heatherdyke.http_connection import HttpConnection
 from heatherdyke.messages import LeafAnswer
 from heatherdyke.messages import LeafRefusal
 from heatherdyke.messages import LeafRun
 from heatherdyke.messages import LeafRunAnswer
 from heatherdyke.messages import LeafSearch
 from heatherdyke.messages import PeerCancel
-from heatherdyke.standin_content import items_for
-from heatherdyke.standin_content import result_for
-from heatherdyke.standin_leaf import LeafStandin
-from heatherdyke.standin_leaf_model import LeafFaults
-from heatherdyke.standin_leaf_model import LeafProfile
+from heatherdyke.net.http_connection import HttpConnection
+from heatherdyke.standin.content import items_for
+from heatherdyke.standin.content import result_for
+from heatherdyke.standin.leaf import LeafStandin
+from heatherdyke.standin.leaf_model import LeafFaults
+from heatherdyke.standin.leaf_model import LeafProfile
 
 SEARCH = LeafSearch("r1", "s1", 1, "via milano", 5, 1000.0)
 RUN = LeafRun("r1", "k1", "s1", "pull", "dossier-7", 1000.0)
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -8,10 +8,10 @@
 from heatherdyke.errors import VersionConflict
 from heatherdyke.messages import InstanceKind
 from heatherdyke.messages import ListedInstance
-from heatherdyke.platform_client import PlatformClient
-from heatherdyke.standin_platform import InstanceList
-from heatherdyke.standin_platform import PlatformFaults
-from heatherdyke.standin_platform import PlatformStandin
+from heatherdyke.objects.client import PlatformClient
+from heatherdyke.standin.platform import InstanceList
+from heatherdyke.standin.platform import PlatformFaults
+from heatherdyke.standin.platform import PlatformStandin
 
 ROW = ListedInstance("i1", InstanceKind.ENTRY, "z1", "127.0.0.1:1", "x")
 
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -6,20 +6,20 @@
 from hypothesis import strategies as st
 
 from heatherdyke.clock import Clock
-from heatherdyke.event_catalogue import load_all_kinds
-from heatherdyke.events import CLOCK_REJECTED
-from heatherdyke.events import FIELDS_MISMATCHED
-from heatherdyke.events import LOOP_STALLED
-from heatherdyke.events import PARTS_TAKEN
-from heatherdyke.events import STARTED
-from heatherdyke.events import STOPPING
-from heatherdyke.hybrid_clock import MAX_AHEAD_MS
-from heatherdyke.hybrid_clock import HybridTimestamp
-from heatherdyke.hybrid_clock import receive
-from heatherdyke.hybrid_clock import tick
-from heatherdyke.journal import Journal
-from heatherdyke.timeline import EventFilter
-from heatherdyke.timeline import merge_events
+from heatherdyke.observe.event_catalogue import load_all_kinds
+from heatherdyke.observe.events import CLOCK_REJECTED
+from heatherdyke.observe.events import FIELDS_MISMATCHED
+from heatherdyke.observe.events import LOOP_STALLED
+from heatherdyke.observe.events import PARTS_TAKEN
+from heatherdyke.observe.events import STARTED
+from heatherdyke.observe.events import STOPPING
+from heatherdyke.observe.hybrid_clock import MAX_AHEAD_MS
+from heatherdyke.observe.hybrid_clock import HybridTimestamp
+from heatherdyke.observe.hybrid_clock import receive
+from heatherdyke.observe.hybrid_clock import tick
+from heatherdyke.observe.journal import Journal
+from heatherdyke.observe.timeline import EventFilter
+from heatherdyke.observe.timeline import merge_events
 
 KEEP_ALL = EventFilter()
 
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -5,17 +5,17 @@
 import pytest
 from typer.testing import CliRunner
 
-from heatherdyke.cli import app
+from heatherdyke.cli.app import app
 from heatherdyke.errors import PlatformUnavailable
-from heatherdyke.journal import Journal
-from heatherdyke.platform_client import PlatformClient
-from heatherdyke.standin_platform import PlatformFaults
-from heatherdyke.standin_platform import PlatformStandin
-from heatherdyke.usage import TeamUsage
-from heatherdyke.usage import UsageCounters
-from heatherdyke.usage_report import describe_usage
-from heatherdyke.usage_report import read_usage
-from heatherdyke.usage_task import UsageTask
+from heatherdyke.objects.client import PlatformClient
+from heatherdyke.observe.journal import Journal
+from heatherdyke.standin.platform import PlatformFaults
+from heatherdyke.standin.platform import PlatformStandin
+from heatherdyke.usage.book import TeamUsage
+from heatherdyke.usage.book import UsageCounters
+from heatherdyke.usage.report import describe_usage
+from heatherdyke.usage.report import read_usage
+from heatherdyke.usage.task import UsageTask
 
 
 class TestUsageTask:
