Ask for the rest of a group while its search still waits

Cause: a small group answered when due with what it had, and a search that lacked shards then failed though they came a little later.

--- a/heatherdyke/gateway/forward.py
+++ b/heatherdyke/gateway/forward.py
@@ -60,7 +60,10 @@
             request.arrived_at, request.wait_s, route.timeout_s
         )
         self._due_at = answer_due(
-            request.arrived_at, route.objective_s, request.first_on_connection
+            request.arrived_at,
+            route.objective_s,
+            request.first_on_connection,
+            core.settings.cores,
         )
         self._sender = Sender(
             core, request, self._pace, self._limit_at, self._on_end
--- a/heatherdyke/gateway/gathering.py
+++ b/heatherdyke/gateway/gathering.py
@@ -12,14 +12,19 @@
 
 
 class Gathering:
-    """Parts by shard; ``on_verdict`` is called once, when to end."""
+    """Parts by shard; ``on_verdict`` is called when to answer or give up.
+
+    Parts are taken in until ``close``; after a verdict ``resume`` waits for
+    the next one.
+    """
 
     __slots__ = (
         "progress",
         "answered_shards",
         "signatures",
         "bodies",
-        "ended",
+        "closed",
+        "decided",
         "_loop",
         "_on_verdict",
         "_timer",
@@ -35,26 +40,37 @@
         self.answered_shards: list[str] = []
         self.signatures: list[bytes] = []
         self.bodies: list[bytes] = []
-        self.ended = False
+        self.closed = False
+        self.decided = False
         self._loop = loop
         self._on_verdict = on_verdict
         self._timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
         """Begin to wait; everything has been asked for."""
-        self._set_timer()
         self.decide()
+        if not self.decided and not self.closed:
+            self._set_timer()
 
-    def stop(self) -> None:
+    def resume(self, answer_at: float) -> None:
+        """Wait for what is still open, until ``answer_at``."""
+        self.decided = False
+        self.progress.answer_at = answer_at
+        self.start()
+
+    def close(self) -> None:
         """Take in nothing more."""
-        self.ended = True
+        self.closed = True
+        self._stop_timer()
+
+    def _stop_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
     def add_part(self, shard: str, signature: bytes, body: bytes) -> None:
         """Take in one shard's part; a second one counts for nothing."""
-        if not self.ended and self.progress.add_answer(shard):
+        if not self.closed and self.progress.add_answer(shard):
             self.answered_shards.append(shard)
             self.signatures.append(signature)
             self.bodies.append(body)
@@ -69,7 +85,7 @@
         """
         known = self.progress.answered
         batch = list(parts)
-        if self.ended or any(shard in known for shard, _ in batch):
+        if self.closed or any(shard in known for shard, _ in batch):
             return
         for shard, signature in batch:
             self.progress.add_answer(shard)
@@ -83,11 +99,12 @@
 
     def decide(self) -> None:
         """End the search if it is time to."""
-        if self.ended:
+        if self.closed or self.decided:
             return
         verdict = self.progress.verdict(self._loop.time())
         if verdict is not Verdict.WAIT:
-            self.stop()
+            self.decided = True
+            self._stop_timer()
             self._on_verdict(verdict)
 
     def _set_timer(self) -> None:
@@ -102,5 +119,5 @@
     def _on_timer(self) -> None:
         self._timer = None
         self.decide()
-        if not self.ended:
+        if not self.decided and not self.closed:
             self._set_timer()
--- a/heatherdyke/gateway/peer_api.py
+++ b/heatherdyke/gateway/peer_api.py
@@ -1,5 +1,8 @@
 """Serves other instances: asks for a group of shards and merges the parts."""
 
+import asyncio
+from collections.abc import Callable
+
 import msgspec
 
 from heatherdyke.gateway.client_connection import ClientConnection
@@ -10,9 +13,11 @@
 from heatherdyke.gateway.messages import ClientRequest
 from heatherdyke.gateway.peer_messages import HEALTH_PATH
 from heatherdyke.gateway.peer_messages import PATH
+from heatherdyke.gateway.peer_messages import REST_PATH
 from heatherdyke.gateway.peer_messages import GroupRequest
 from heatherdyke.gateway.peer_messages import GroupResult
 from heatherdyke.gateway.peer_messages import decode_request
+from heatherdyke.gateway.peer_messages import decode_rest
 from heatherdyke.gateway.peer_messages import encode_message
 from heatherdyke.gateway.peer_messages import route_of
 from heatherdyke.gateway.records import greatest_records
@@ -27,16 +32,38 @@
 )
 
 
+# How long an open search waits to be asked for its rest.
+REST_WAIT_S = 0.1
+
+
 class GroupSearch:
     """One group's search, for another instance."""
 
-    __slots__ = ("_core", "_exchange", "_message", "_gathering", "_search")
+    __slots__ = (
+        "key",
+        "_core",
+        "_exchange",
+        "_message",
+        "_gathering",
+        "_search",
+        "_reported",
+        "_on_open",
+        "_timer",
+    )
 
     def __init__(
-        self, core: Core, exchange: Exchange, message: GroupRequest
+        self,
+        core: Core,
+        exchange: Exchange,
+        message: GroupRequest,
+        on_open: Callable[["GroupSearch", bool], None],
     ) -> None:
+        self.key = (message.request_id, message.shards[0])
         self._core = core
-        self._exchange = exchange
+        self._exchange: Exchange | None = exchange
+        self._reported = 0
+        self._on_open = on_open
+        self._timer: asyncio.TimerHandle | None = None
         self._message = message
         now = core.loop.time()
         progress = SearchProgress(
@@ -67,39 +94,80 @@
         self._search.start(self._search.choose_first())
         self._gathering.start()
 
+    def resume(self, exchange: Exchange, due_s: float) -> None:
+        """Answer with what comes further, within ``due_s``."""
+        self._stop_timer()
+        self._exchange = exchange
+        exchange.on_left(self._asker_left)
+        self._gathering.resume(self._core.loop.time() + due_s)
+
     def _end(self, verdict: Verdict) -> None:
-        """Answer with what is there, also if it is not enough."""
+        """Answer with what is new, also if it is not enough."""
         progress = self._gathering.progress
-        shards = self._gathering.answered_shards
-        result = GroupResult(
-            parts=list(zip(shards, self._gathering.signatures, strict=True)),
+        is_open = verdict is Verdict.ANSWER and not progress.is_settled
+        exchange, self._exchange = self._exchange, None
+        self._core.metrics.count(
+            "groups_served", "open" if is_open else "whole"
+        )
+        exchange.answer(Answer(200, [], encode_message(self._result(is_open))))
+        if is_open:
+            self._on_open(self, True)
+            self._timer = self._core.loop.call_later(REST_WAIT_S, self._close)
+        else:
+            self._close()
+
+    def _result(self, is_open: bool) -> GroupResult:
+        """Return what came since the last result."""
+        gathering = self._gathering
+        start = self._reported
+        self._reported = len(gathering.signatures)
+        missing = gathering.progress.missing
+        return GroupResult(
+            parts=list(
+                zip(
+                    gathering.answered_shards[start:],
+                    gathering.signatures[start:],
+                    strict=True,
+                )
+            ),
             records=greatest_records(
-                self._gathering.bodies, self._message.record_limit
+                gathering.bodies[start:], self._message.record_limit
             ),
-            missing=self._search.describe_missing()
-            if progress.missing
-            else [],
+            missing=self._search.describe_missing() if missing else [],
             sent=self._search.sent,
             extra_sends=self._search.extra_sends,
+            is_open=is_open,
         )
-        self._core.metrics.count("groups_served", verdict.value)
-        self._exchange.answer(Answer(200, [], encode_message(result)))
+
+    def _close(self) -> None:
+        """End a search for which nobody waits any more."""
+        self._stop_timer()
+        self._on_open(self, False)
+        self._gathering.close()
         self._search.finish()
 
     def _asker_left(self) -> None:
-        self._gathering.stop()
+        self._stop_timer()
+        self._on_open(self, False)
+        self._gathering.close()
         self._search.abandon()
 
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
 
 class PeerApi:
     """Owns the connections of other instances."""
 
-    __slots__ = ("stopping", "_core", "_connections")
+    __slots__ = ("stopping", "_core", "_connections", "_open_by_key")
 
     def __init__(self, core: Core) -> None:
         self.stopping = False
         self._core = core
         self._connections: set[ClientConnection] = set()
+        self._open_by_key: dict[tuple[bytes, str], GroupSearch] = {}
 
     @property
     def limits(self) -> ClientLimits:
@@ -133,6 +201,8 @@
         target = exchange.request.target
         if target == PATH:
             self._search(exchange)
+        elif target == REST_PATH:
+            self._rest(exchange)
         elif target == HEALTH_PATH.encode():
             name = self._core.settings.name.encode()
             status = 503 if self.stopping else 200
@@ -150,4 +220,26 @@
         if self._core.config is None:
             exchange.answer(Answer(503))
             return
-        GroupSearch(self._core, exchange, message).start()
+        if not message.shards:
+            exchange.answer(Answer(400))
+            return
+        GroupSearch(self._core, exchange, message, self._note_open).start()
+
+    def _rest(self, exchange: Exchange) -> None:
+        try:
+            message = decode_rest(exchange.request.body)
+        except msgspec.MsgspecError:
+            exchange.answer(Answer(400))
+            return
+        key = (message.request_id, message.first_shard)
+        search = self._open_by_key.pop(key, None)
+        if search is None:
+            exchange.answer(Answer(404))
+            return
+        search.resume(exchange, message.due_s)
+
+    def _note_open(self, search: GroupSearch, is_open: bool) -> None:
+        if is_open:
+            self._open_by_key[search.key] = search
+        elif self._open_by_key.get(search.key) is search:
+            del self._open_by_key[search.key]
--- a/heatherdyke/gateway/peer_call.py
+++ b/heatherdyke/gateway/peer_call.py
@@ -17,8 +17,10 @@
 from heatherdyke.gateway.leaf_table import Leaf
 from heatherdyke.gateway.messages import Outcome
 from heatherdyke.gateway.peer_messages import PATH
+from heatherdyke.gateway.peer_messages import REST_PATH
 from heatherdyke.gateway.peer_messages import GroupRequest
 from heatherdyke.gateway.peer_messages import GroupResult
+from heatherdyke.gateway.peer_messages import RestRequest
 from heatherdyke.gateway.peer_messages import decode_result
 from heatherdyke.gateway.peer_messages import encode_message
 from heatherdyke.gateway.timing import GROUP_RETURN_S
@@ -28,6 +30,10 @@
 CONTINUE_MIN_S = 0.015
 
 
+# How long a request for the rest of a group waits at the other.
+REST_DUE_S = 0.05
+
+
 class PeerCall:
     """One group's request; ``on_end`` hears the result, or None.
 
@@ -105,6 +111,26 @@
         self._set_times()
         return encode_message(self._message)
 
+    def ask_rest(self) -> None:
+        """Ask for what came after an open result."""
+        message = self._message
+        due_s = min(
+            REST_DUE_S, max(0.0, self._limit_at - self._core.loop.time())
+        )
+        body = encode_message(
+            RestRequest(message.request_id, message.shards[0], due_s)
+        )
+        pool = self._core.peers.pools.of(self._peer)
+        self._attempt = Attempt(
+            number=self._core.peers.pools.number(),
+            request_id=b"",
+            message=_rest_head(self._peer, len(body)) + body,
+            is_head=False,
+            pool=pool,
+            on_end=self._ended,
+        )
+        pool.send(self._attempt)
+
     def abandon(self) -> None:
         """Stop; the other stops its attempts when the connection ends."""
         self._stop_timer()
@@ -128,7 +154,7 @@
     def _ended(self, attempt: Attempt, outcome: Outcome) -> None:
         self._stop_timer()
         self._attempt = None
-        self.begun = attempt.continued
+        self.begun = self.begun or attempt.continued
         now = self._core.loop.time()
         self._peer.finish(attempt.number)
         response = outcome.response
@@ -142,6 +168,9 @@
         except msgspec.MsgspecError as error:
             self._fail(str(error))
             return
+        if attempt.continuation is None:
+            self._on_end(self, result)
+            return
         took_s = now - attempt.sent_at
         message = self._message
         pace = self._core.paces.of(message.route, "group", message.objective_s)
@@ -167,6 +196,14 @@
             self._timer = None
 
 
+def _rest_head(peer: Leaf, length: int) -> bytes:
+    return b"POST %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n" % (
+        REST_PATH,
+        str(peer.entry.address).encode(),
+        length,
+    )
+
+
 def _head(peer: Leaf, length: int) -> bytes:
     return b"POST %s HTTP/1.1\r\nHost: %s\r\n" % (
         PATH,
--- a/heatherdyke/gateway/peer_messages.py
+++ b/heatherdyke/gateway/peer_messages.py
@@ -9,8 +9,8 @@
 from heatherdyke.gateway.routing import Route
 
 PATH = b"/peer/search"
+REST_PATH = b"/peer/search/rest"
 HEALTH_PATH = "/peer/health"
-LEAST_HELD_SHARDS = 20
 
 
 class GroupRequest(msgspec.Struct, array_like=True):
@@ -38,10 +38,11 @@
 
 
 class GroupResult(msgspec.Struct, array_like=True):
-    """The greatest records of the shards that answered.
+    """The greatest records of the shards that have answered since the last.
 
     ``parts`` holds shards and signatures, ``missing`` the other shards with
-    the leafs that were asked.
+    the leafs that were asked.  While ``is_open`` they may still answer; a
+    RestRequest brings them.
     """
 
     parts: list[tuple[str, bytes]]
@@ -49,14 +50,26 @@
     missing: list[str]
     sent: int
     extra_sends: int
+    is_open: bool
+
+
+class RestRequest(msgspec.Struct, array_like=True):
+    """Asks for what came after an open result, within ``due_s``."""
+
+    request_id: bytes
+    first_shard: str
+    due_s: float
 
 
 _encoder = msgspec.msgpack.Encoder()
 _request_decoder = msgspec.msgpack.Decoder(GroupRequest)
+_rest_decoder = msgspec.msgpack.Decoder(RestRequest)
 _result_decoder = msgspec.msgpack.Decoder(GroupResult)
 
 
-def encode_message(message: GroupRequest | GroupResult) -> bytes:
+def encode_message(
+    message: GroupRequest | GroupResult | RestRequest,
+) -> bytes:
     """Return a message's bytes."""
     return _encoder.encode(message)
 
@@ -66,6 +79,11 @@
     return _request_decoder.decode(body)
 
 
+def decode_rest(body: bytes) -> RestRequest:
+    """Return a request for the rest; raises msgspec.MsgspecError."""
+    return _rest_decoder.decode(body)
+
+
 def decode_result(body: bytes) -> GroupResult:
     """Return a result; raises msgspec.MsgspecError if it is none."""
     return _result_decoder.decode(body)
@@ -88,21 +106,12 @@
         record_limit=route.record_limit,
         rank=route.rank,
         max_attempts=route.max_attempts,
-        min_share=group_share(len(shards), route.min_share),
+        min_share=0.0,
         objective_s=route.objective_s,
         home_regions=sorted(route.home_regions),
     )
 
 
-def group_share(shard_count: int, min_share: float) -> float:
-    """Return the share for which a group is waited for beyond its due time.
-
-    One missing shard is a large share of a small group and says little of
-    the whole search, so that a small group's result is not held.
-    """
-    return min_share if shard_count >= LEAST_HELD_SHARDS else 0.0
-
-
 def route_of(message: GroupRequest) -> Route:
     """Return the route that the message describes."""
     return Route(
--- a/heatherdyke/gateway/search.py
+++ b/heatherdyke/gateway/search.py
@@ -27,6 +27,9 @@
 from heatherdyke.gateway.timing import last_moment
 from heatherdyke.platform.headers import merged_headers
 
+# An answer that is due goes out before more is asked for.
+REST_DELAY_S = 0.002
+
 
 class Search:
     """One search from its arrival to its answer."""
@@ -38,6 +41,7 @@
         "_gathering",
         "_own",
         "_calls",
+        "_open_calls",
         "_missing",
         "_sent",
         "_extra_sends",
@@ -53,6 +57,7 @@
             request.arrived_at,
             route.objective_s,
             request.first_on_connection,
+            core.settings.cores,
         )
         progress = SearchProgress(
             shard_count=len(route.shards),
@@ -66,6 +71,7 @@
         self._gathering = Gathering(core.loop, progress, self._end)
         self._own: list[ShardSearch] = []
         self._calls: set[PeerCall] = set()
+        self._open_calls: dict[PeerCall, GroupResult] = {}
         self._missing: list[str] = []
         self._sent = 0
         self._extra_sends = 0
@@ -130,10 +136,10 @@
 
     def _group_ended(self, call: PeerCall, result: GroupResult | None) -> None:
         self._calls.discard(call)
-        if self._gathering.ended:
+        if self._gathering.closed:
             return
         if result is not None:
-            self._take_result(call.group, result)
+            self._take_result(call, result)
         elif call.begun:
             self._may_have_run = True
             for shard in call.group.shards:
@@ -142,16 +148,37 @@
             self._ask_leafs(call.group.shards)
         self._gathering.decide()
 
-    def _take_result(self, group: Group, result: GroupResult) -> None:
-        self._sent += result.sent
-        self._extra_sends += result.extra_sends
-        self._missing += result.missing
+    def _take_result(self, call: PeerCall, result: GroupResult) -> None:
         self._may_have_run = True
         self._gathering.add_merged(result.parts, result.records)
-        for shard in group.shards:
+        if result.is_open:
+            self._open_calls[call] = result
+            loop = self._core.loop
+            at = max(loop.time(), self._gathering.progress.answer_at)
+            loop.call_at(at + REST_DELAY_S, self._ask_rest, call)
+            return
+        self._note_missing(result)
+        for shard in call.group.shards:
             self._gathering.add_loss(shard)
 
+    def _ask_rest(self, call: PeerCall) -> None:
+        """Ask for the rest of a group if the search still waits."""
+        if self._open_calls.pop(call, None) is None:
+            return
+        if not self._gathering.closed:
+            self._calls.add(call)
+            call.ask_rest()
+
+    def _note_missing(self, result: GroupResult) -> None:
+        self._sent += result.sent
+        self._extra_sends += result.extra_sends
+        self._missing += result.missing
+
     def _end(self, verdict: Verdict) -> None:
+        self._gathering.close()
+        for result in self._open_calls.values():
+            self._note_missing(result)
+        self._open_calls.clear()
         if verdict is Verdict.ANSWER:
             self._answer()
         else:
@@ -255,7 +282,8 @@
         )
 
     def _client_left(self) -> None:
-        self._gathering.stop()
+        self._gathering.close()
+        self._open_calls.clear()
         self._abandon()
         self._core.metrics.count("clients_left", self._route.name)
         self._core.log.record(
--- a/heatherdyke/gateway/search_progress.py
+++ b/heatherdyke/gateway/search_progress.py
@@ -36,6 +36,11 @@
     answered: set[str] = field(default_factory=set)
     lost: set[str] = field(default_factory=set)
 
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether each shard has answered or is lost."""
+        return len(self.answered) + len(self.lost) >= self.shard_count
+
     def add_answer(self, shard: str) -> bool:
         """Count a shard's part; return False if it is there already."""
         if shard in self.answered:
@@ -67,7 +72,7 @@
 
     def verdict(self, now: float) -> Verdict:
         """Return what to do at ``now``."""
-        settled = len(self.answered) + len(self.lost) >= self.shard_count
+        settled = self.is_settled
         if self.is_group and settled:
             return Verdict.ANSWER
         if not self.is_group and not self.can_be_enough:
--- a/heatherdyke/gateway/settings.py
+++ b/heatherdyke/gateway/settings.py
@@ -47,6 +47,7 @@
     store: StoreSettings
     region_by_zone: dict[str, str]
     max_descriptors: int
+    cores: float
     heartbeat_s: float
     bounds: Bounds
 
--- a/heatherdyke/gateway/timing.py
+++ b/heatherdyke/gateway/timing.py
@@ -14,7 +14,9 @@
 # The share of the objective that is usual before anything was measured.
 FIRST_SHARE = 0.2
 # The way to the client and back, which its objective counts.
-RETURN_S = 0.012
+RETURN_S = 0.008
+# Taking in the last parts, the merge and the answer, on one whole core.
+ANSWER_CORE_S = 0.003
 # Opening a connection is one more round trip for the client.
 CONNECT_S = 0.006
 # The way of a group's result from another instance, and its merge.
@@ -79,10 +81,18 @@
 
 
 def answer_due(
-    arrived_at: float, objective_s: float, first_on_connection: bool
+    arrived_at: float,
+    objective_s: float,
+    first_on_connection: bool,
+    cores: float,
 ) -> float:
-    """Return when an answer must leave to be within the objective."""
-    way_s = RETURN_S + (CONNECT_S if first_on_connection else 0.0)
+    """Return when an answer must begin to be within the objective.
+
+    ``cores`` is this instance's share of a processor.
+    """
+    way_s = RETURN_S + ANSWER_CORE_S / cores
+    if first_on_connection:
+        way_s += CONNECT_S
     return arrived_at + max(0.5 * objective_s, objective_s - way_s)
 
 
--- a/heatherdyke/platform/settings.py
+++ b/heatherdyke/platform/settings.py
@@ -14,6 +14,8 @@
 
 PATH_VARIABLE = "HEATHERDYKE_BOOT"
 MS = 1e-3
+# Guards the division by a share of zero.
+LEAST_CORES = 0.05
 
 
 class _Listen(msgspec.Struct, rename="kebab"):
@@ -23,6 +25,9 @@
 
 class _Limits(msgspec.Struct, rename="kebab"):
     file_descriptors: int = 1024
+    # The share of a core, each core so many times as fast as another.
+    cpu_share: float = 1.0
+    cpu_cores: float = 1.0
 
 
 class _Bounds(msgspec.Struct, rename="kebab"):
@@ -90,6 +95,7 @@
         peer_ports=wire.internal_port_range,
         store=StoreSettings(Address.parse(wire.platform.address)),
         region_by_zone=wire.zones,
+        cores=max(LEAST_CORES, wire.limits.cpu_share * wire.limits.cpu_cores),
         max_descriptors=wire.limits.file_descriptors,
         heartbeat_s=wire.heartbeat_ms * MS,
         bounds=Bounds(
