--- a/heatherdyke/cli/app.py
+++ b/heatherdyke/cli/app.py
@@ -8,6 +8,8 @@
 
 from heatherdyke import __version__
 from heatherdyke.cli.config import config_app
+from heatherdyke.cli.gateway import check_settings
+from heatherdyke.cli.gateway import explain
 from heatherdyke.cli.observe import stats
 from heatherdyke.cli.observe import timeline
 from heatherdyke.cli.standin import app as standin
@@ -146,6 +148,8 @@
 
 app.command()(timeline)
 app.command()(stats)
+app.command()(explain)
+app.command()(check_settings)
 app.command()(usage)
 app.add_typer(standin)
 app.add_typer(config_app)
--- a/heatherdyke/gateway/decision_log.py
+++ b/heatherdyke/gateway/decision_log.py
@@ -83,14 +83,18 @@
 
 
 class _Output:
-    """Writes encoded lines to a descriptor that never blocks."""
+    """Writes encoded lines to a descriptor that never blocks.
 
-    __slots__ = ("_descriptor", "_name", "_encoder")
+    Lines lost to a slow reader are counted in the next one's ``lost``.
+    """
+
+    __slots__ = ("_descriptor", "_name", "_encoder", "_lost")
 
     def __init__(self, descriptor: int, name: str) -> None:
         os.set_blocking(descriptor, False)
         self._descriptor = descriptor
         self._name = name
+        self._lost = 0
         self._encoder = msgspec.json.Encoder(enc_hook=str)
 
     def write(self, message: Any) -> None:
@@ -103,12 +107,16 @@
             "event": record["message"],
             **record["extra"].get("fields", {}),
         }
+        if self._lost:
+            line["lost"] = self._lost
         data = self._encoder.encode(line) + b"\n"
         try:
             os.write(self._descriptor, data)
         except BlockingIOError:
             # The reader is slow: the line is lost rather than the request.
-            return
+            self._lost += 1
+        else:
+            self._lost = 0
 
 
 def write_decisions_to_stdout(name: str, level: str = "DEBUG") -> None:
