--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from heatherdyke.clock import Clock
+from heatherdyke.observe.event_catalogue import SECTION_BY_THOUSAND
 from heatherdyke.observe.event_catalogue import load_all_kinds
 from heatherdyke.observe.events import CLOCK_REJECTED
 from heatherdyke.observe.events import FIELDS_MISMATCHED
@@ -160,6 +161,8 @@
 class TestRegistry:
     def test_every_number_is_in_a_known_range(self):
         kinds = load_all_kinds()
-        assert all(1000 < kind.number < 7000 for kind in kinds)
+        thousands = {kind.number // 1000 for kind in kinds}
+        assert thousands == set(SECTION_BY_THOUSAND) == set(range(1, 8))
+        assert all(kind.number % 1000 > 0 for kind in kinds)
         names = [kind.name for kind in kinds]
         assert len(names) == len(set(names))
