--- a/heatherdyke/gateway/search.py
+++ b/heatherdyke/gateway/search.py
@@ -241,7 +241,7 @@
         core = self._core
         late = core.loop.time() >= self._gathering.progress.limit_at
         why = Why.TIMEOUT if late else Why.SHARE
-        not_run = not self._may_have_run and not self._is_running()
+        not_run = not self._may_have_run and not self._has_reached_leafs()
         answer = fail(why, not_run, core.random)
         core.metrics.count("answers", str(answer.status))
         core.isolation.hear_request(refused=True)
@@ -257,8 +257,8 @@
         )
         self._abandon()
 
-    def _is_running(self) -> bool:
-        """Tell whether a leaf has run this request, or may yet."""
+    def _has_reached_leafs(self) -> bool:
+        """Tell whether a leaf has run the request, or may yet run it."""
         own = any(
             search.may_have_run or search.running for search in self._own
         )
