Let a restarted stand-in leaf forget what it had not begun

Cause: the stand-in's restart closes its connections and begins a new incarnation, but a request that had been read and not yet begun was handled after it, on the new incarnation's record. The home saw its connection break, took the leaf for cold and sent one search, which is all that a cold leaf bears, so that the ghost made two. A process that ends cannot do that.

Ruled out: the home's limit (a broken connection turns it cold before the next send), silent connections, cancellations (the slot stays taken until the connection answers).

The new test fails without the change.

--- a/heatherdyke/standin/http.py
+++ b/heatherdyke/standin/http.py
@@ -138,13 +138,14 @@
             self._transport.write(data)
 
     def abort(self) -> None:
-        """Close the connection at once."""
+        """Close the connection at once and drop what waits on it."""
+        self.closed = True
         self._transport.abort()
 
     async def _serve(self) -> None:
         while True:
             request = await self._requests.get()
-            if request is None:
+            if request is None or self.closed:
                 return
             self.is_admin = self.is_admin or request.is_admin
             try:
--- a/heatherdyke/standin/leaf.py
+++ b/heatherdyke/standin/leaf.py
@@ -31,6 +31,7 @@
 from heatherdyke.standin.http import HttpReply
 from heatherdyke.standin.http import HttpRequest
 from heatherdyke.standin.http import HttpServer
+from heatherdyke.standin.http import ServerConnection
 from heatherdyke.standin.leaf_model import LeafFaults
 from heatherdyke.standin.leaf_model import LeafHealth
 from heatherdyke.standin.leaf_model import LeafIncarnationRecord
@@ -75,6 +76,11 @@
         """Return ``host:port``."""
         return self._server.address
 
+    @property
+    def connections(self) -> set[ServerConnection]:
+        """Return the open connections."""
+        return self._server.connections
+
     @property
     def incarnation(self) -> str:
         """Return the identity that a restart changes."""
@@ -141,6 +147,8 @@
         if call not in _operations.by_name:
             return HttpReply(404)
         await self._finish_setup(request)
+        if request.connection.closed:
+            return None
         try:
             return await _operations.find(call)(self, request)
         except msgspec.DecodeError as error:
--- a/tests/test_standin_leaf.py
+++ b/tests/test_standin_leaf.py
@@ -223,3 +223,30 @@
             connection.close()
 
         _with_leaf(test)
+
+
+class TestRestart:
+    def test_forgets_requests_that_it_has_not_begun(self):
+        """A process that ends takes along what waits in its buffers."""
+
+        async def test(leaf):
+            await _post(leaf.address, "/search", SEARCH)
+            connection = await HttpConnection.open(leaf.address)
+            await connection.request(
+                "POST", "/search", encode(SEARCH), timeout_s=2.0
+            )
+            (served,) = [c for c in leaf.connections if c.served]
+            body = encode(replace(SEARCH, request_id="r2"))
+            served.data_received(
+                b"POST /search HTTP/1.1\r\nContent-Length: %d\r\n\r\n"
+                % len(body)
+                + body
+            )
+            leaf.set_faults(LeafFaults(restart=True))
+            await asyncio.sleep(0.05)
+            connection.close()
+            record = leaf.record().incarnations[-1]
+            assert record.searches == 0
+            assert record.cold_arrivals == 0
+
+        _with_leaf(test)
