--- a/heatherdyke/leaves/worker.py
+++ b/heatherdyke/leaves/worker.py
@@ -1,15 +1,12 @@
 """The task that owns all work on one leaf, at the leaf's home.
 
-Other tasks send it messages; it owns the queue by urgency, the connections
-and the limit.  Each connection is a task that owns its socket.
+Other tasks send it messages; it decides what is sent when, by the queue, the
+limit and the connections.
 """
 
 import asyncio
 from collections.abc import Coroutine
 from dataclasses import replace
-from heapq import heapify
-from heapq import heappop
-from heapq import heappush
 
 from heatherdyke.clock import Clock
 from heatherdyke.config.model import LeafConfig
@@ -21,7 +18,9 @@
 from heatherdyke.leaves.connection_task import ConnectionTask
 from heatherdyke.leaves.connection_task import Finished
 from heatherdyke.leaves.connection_task import Opened
+from heatherdyke.leaves.connections import LeafConnections
 from heatherdyke.leaves.limit import LeafLimit
+from heatherdyke.leaves.queue import LeafQueue
 from heatherdyke.leaves.work import GiveBack
 from heatherdyke.leaves.work import LeafWork
 from heatherdyke.leaves.work import ListedAs
@@ -37,22 +36,16 @@
 from heatherdyke.messages import LeafRunAnswer
 from heatherdyke.messages import LeafSearch
 
-SPARE_CONNECTIONS = 1
-MAX_OPENING = 2
-REOPEN_DELAY_S = 0.2
 LEAST_SHARE_OF_USUAL = 0.5
 MOVE_LOAD = 2.0
 MIN_CANCEL_S = 0.1
-PRIORITY_STEP_S = 0.1
+# A limit or a lease may have changed meanwhile.
+RECHECK_S = 0.02
+LEAST_WAKE_S = 0.001
 
 
 class LeafWorker:
-    """Sends work to one leaf within its limit, most urgent first.
-
-    Work goes by its deadline, and a step of priority counts as a deadline
-    PRIORITY_STEP_S later: urgent classes have short deadlines, and what may
-    wait is overtaken until its own deadline is near.
-    """
+    """Sends work to one leaf within its limit, most urgent first."""
 
     __slots__ = (
         "leaf_id",
@@ -62,14 +55,10 @@
         "_policy",
         "_clock",
         "_queue",
-        "_sequence",
+        "_connections",
         "_connection_by_work",
         "_cancels",
-        "_idle",
-        "_opening",
-        "_tasks",
         "_draining",
-        "_reopen_at",
         "_answered_at",
         "_drained_incarnation",
         "_cold_starts_reported",
@@ -89,15 +78,11 @@
         self.inbox: asyncio.Queue = asyncio.Queue()
         self._policy = policy
         self._clock = clock
-        self._queue: list[tuple[float, int, LeafWork]] = []
-        self._sequence = 0
+        self._queue = LeafQueue()
+        self._connections = LeafConnections(config, policy, self.inbox, clock)
         self._connection_by_work: dict[LeafWork, ConnectionTask] = {}
         self._cancels: set[asyncio.Task] = set()
-        self._idle: list[ConnectionTask] = []
-        self._opening: set[ConnectionTask] = set()
-        self._tasks: dict[ConnectionTask, asyncio.Task] = {}
         self._draining = False
-        self._reopen_at = 0.0
         self._answered_at = 0.0
         self._drained_incarnation = ""
         self._cold_starts_reported = 0
@@ -116,7 +101,7 @@
     @property
     def connections(self) -> int:
         """Return how many connections are open or being opened."""
-        return len(self._tasks)
+        return len(self._connections)
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
@@ -127,8 +112,7 @@
                     self._handle(self.inbox.get_nowait())
                 self._pump()
         finally:
-            for task in self._tasks.values():
-                task.cancel()
+            self._connections.close_all()
 
     def _handle(self, message: object) -> None:
         match message:
@@ -141,8 +125,7 @@
             case Finished(connection, work):
                 self._finish(connection, work)
             case Opened(connection):
-                self._opening.discard(connection)
-                self._idle.append(connection)
+                self._connections.give_back(connection)
             case Closed(connection, refused):
                 self._drop(connection, refused)
             case ListedAs(leaving, incarnation):
@@ -152,9 +135,7 @@
         if self._draining:
             self._refuse(work, "draining")
             return
-        self._sequence += 1
-        place = work.expires_at + work.priority * PRIORITY_STEP_S
-        heappush(self._queue, (place, self._sequence, work))
+        self._queue.push(work)
 
     def _withdraw(self, work: LeafWork) -> None:
         """Drop the work.
@@ -180,15 +161,14 @@
         await asyncio.sleep(ANSWER_GRACE_S)
         connection = self._connection_by_work.get(work)
         if connection is not None and self._policy.silence_timeout:
-            self._tasks[connection].cancel()
+            self._connections.close(connection)
             self._free_slot(work)
             self._distrust_idle(work)
 
     def _give_back(self, work: LeafWork) -> None:
         if work.sent or work.outcome is not None or self.load < MOVE_LOAD:
             return
-        self._queue = [entry for entry in self._queue if entry[2] is not work]
-        heapify(self._queue)
+        self._queue.remove(work)
         self._refuse(work, "busy")
 
     async def _cancel_at_leaf(self, work: LeafWork) -> bool:
@@ -214,9 +194,7 @@
         """
         if self._answered_at > silent.started_at:
             return
-        for connection in self._idle:
-            self._tasks[connection].cancel()
-        self._idle.clear()
+        self._connections.close_idle()
 
     def _free_slot(self, work: LeafWork) -> None:
         self._connection_by_work.pop(work, None)
@@ -231,12 +209,12 @@
         now = self._clock.now()
         if self._queue and not self._policy.is_home():
             self._refuse_queued("not_home")
-        self._ensure_connections(now)
+        self._connections.ensure(self.running, len(self._queue))
         limit = self.limit.allowed(now)
         while self._queue:
-            work = self._queue[0][2]
+            work = self._queue.first()
             if self._is_too_late(work, now):
-                heappop(self._queue)
+                self._queue.pop()
                 self._refuse(work, "deadline")
                 continue
             allowed = self._policy.slots_allowed(_work_s(work, now))
@@ -245,10 +223,10 @@
                 break
             if (
                 len(self._connection_by_work) >= min(limit, allowed)
-                or not self._idle
+                or not self._connections.has_idle
             ):
                 break
-            heappop(self._queue)
+            self._queue.pop()
             self._send(work, now)
         self._wake_later(now)
 
@@ -264,7 +242,7 @@
         work.question = _with_remaining(work.question, remaining_ms)
         work.sent = True
         work.started_at = now
-        connection = self._idle.pop()
+        connection = self._connections.take()
         self._connection_by_work[work] = connection
         connection.give(work)
 
@@ -273,7 +251,7 @@
         outcome = work.outcome
         if not isinstance(outcome, TransportError):
             self._answered_at = now
-            self._idle.append(connection)
+            self._connections.give_back(connection)
             self._connection_by_work.pop(work, None)
         else:
             self._count_failure(work, outcome)
@@ -349,8 +327,7 @@
             self._refuse_queued("draining")
 
     def _refuse_queued(self, kind: str) -> None:
-        queued, self._queue = self._queue, []
-        for _, _, work in queued:
+        for work in self._queue.take_all():
             self._refuse(work, kind)
 
     def _refuse(self, work: LeafWork, kind: str) -> None:
@@ -366,39 +343,16 @@
         work.deliver(work)
 
     def _drop(self, connection: ConnectionTask, refused: bool) -> None:
-        self._tasks.pop(connection, None)
-        self._opening.discard(connection)
-        if connection in self._idle:
-            self._idle.remove(connection)
+        self._connections.forget(connection, refused)
         if refused:
-            self._reopen_at = self._clock.now() + REOPEN_DELAY_S
             self.limit.turn_cold()
             self._report_cold("it refused a connection")
 
-    def _ensure_connections(self, now: float) -> None:
-        if now < self._reopen_at:
-            return
-        busy = len(self._connection_by_work)
-        wanted = min(
-            max(1, self.config.connections // 2),
-            busy + len(self._queue) + SPARE_CONNECTIONS,
-            self.config.slots + SPARE_CONNECTIONS,
-        )
-        while len(self._tasks) < wanted and len(self._opening) < MAX_OPENING:
-            self._open()
-
-    def _open(self) -> None:
-        connection = ConnectionTask(
-            self.config.address, self._policy, self.inbox, self._clock
-        )
-        self._opening.add(connection)
-        self._tasks[connection] = asyncio.create_task(connection.run())
-
     def _wake_later(self, now: float) -> None:
         if not self._queue:
             return
-        times = [self._queue[0][2].expires_at, now + 0.02]
-        delay_s = max(0.001, min(times) - now)
+        due_at = min(self._queue.first().expires_at, now + RECHECK_S)
+        delay_s = max(LEAST_WAKE_S, due_at - now)
         asyncio.get_running_loop().call_later(
             delay_s, self.inbox.put_nowait, Wake()
         )
