--- a/heatherdyke/cli/app.py
+++ b/heatherdyke/cli/app.py
@@ -42,13 +42,23 @@
     name: Annotated[str, _option("--name", "Name, kept over restarts.")] = "",
     zone: Annotated[str, _option("--zone", "Availability zone.")] = "",
     listen: Annotated[
-        str, _option("--listen", "IP number and port to serve on.")
+        str, _option("--listen", "IP number and port for callers.")
+    ] = "",
+    internal_listen: Annotated[
+        str,
+        _option(
+            "--internal-listen", "IP number and port for peers and operators."
+        ),
     ] = "",
     platform: Annotated[
         str, _option("--platform", "IP number and port of the object API.")
     ] = "",
     advertise: Annotated[
-        str, _option("--advertise", "Address that others use, if not LISTEN.")
+        str,
+        _option("--advertise", "Address for peers, if not INTERNAL-LISTEN."),
+    ] = "",
+    peer_key: Annotated[
+        str, _option("--peer-key", "Secret that all instances share.")
     ] = "",
     peers: Annotated[
         str,
@@ -84,6 +94,8 @@
         name=name,
         zone=zone,
         listen=listen,
+        internal_listen=internal_listen,
+        peer_key=peer_key,
         platform=platform,
         advertise=advertise,
         source=source,
--- a/heatherdyke/component.py
+++ b/heatherdyke/component.py
@@ -2,17 +2,16 @@
 
 from typing import Protocol
 
-from blacksheep import Application
-
 from heatherdyke.config.model import ConfigDocument
 from heatherdyke.membership.messages import Member
+from heatherdyke.net.http_routes import Applications
 
 
 class Component(Protocol):
     """A part of an instance with routes and a long-running task."""
 
-    def add_routes(self, app: Application) -> None:
-        """Add the component's HTTP routes to the application."""
+    def add_routes(self, apps: Applications) -> None:
+        """Add the component's HTTP routes to the applications."""
 
     async def run(self) -> None:
         """Work until cancelled."""
--- a/heatherdyke/config/source.py
+++ b/heatherdyke/config/source.py
@@ -19,9 +19,9 @@
 from heatherdyke.config.zone_state import ZonesObject
 from heatherdyke.errors import UnreadableObject
 from heatherdyke.messages import PlatformObject
-from heatherdyke.net.http_fetch import fetch_if_any
 from heatherdyke.objects.client import PlatformClient
 from heatherdyke.objects.client import convert_value
+from heatherdyke.peers.fetch import PeerFetcher
 
 T = TypeVar("T")
 
@@ -86,7 +86,7 @@
 
 
 async def read_peer(
-    address: str, own_address: str, digest: ConfigDigest
+    fetcher: PeerFetcher, address: str, own_address: str, digest: ConfigDigest
 ) -> ConfigDelta | None:
     """Return what the peer at ``address`` has and ``digest`` lacks.
 
@@ -97,7 +97,9 @@
         f"/peer/config?since={digest.config_version}"
         f"&zones={digest.zones_version}&address={own_address}"
     )
-    return await fetch_if_any(address, target, ConfigDelta, PEER_TIMEOUT_S)
+    return await fetcher.fetch_if_any(
+        address, target, ConfigDelta, PEER_TIMEOUT_S
+    )
 
 
 async def _read_section(
--- a/heatherdyke/config/store.py
+++ b/heatherdyke/config/store.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Callable
 
-from blacksheep import Application
-
 from heatherdyke.clock import Clock
 from heatherdyke.config.api import ConfigApi
 from heatherdyke.config.api import ConfigStatus
@@ -16,6 +14,7 @@
 from heatherdyke.config.sync import ConfigSync
 from heatherdyke.mechanisms import Mechanism
 from heatherdyke.membership.messages import Member
+from heatherdyke.net.http_routes import Applications
 from heatherdyke.objects.client import PlatformClient
 from heatherdyke.observe.events import OLDER_CONFIG_IGNORED
 from heatherdyke.observe.journal import Journal
@@ -136,9 +135,9 @@
         """Add a peer that may be asked for configuration."""
         self._sync.peers.learn(address, zone)
 
-    def add_routes(self, app: Application) -> None:
+    def add_routes(self, apps: Applications) -> None:
         """Serve configuration to peers and the status to operators."""
-        self._api.add_routes(app)
+        self._api.add_routes(apps.internal)
 
     async def run(self) -> None:
         """Keep the configuration current until cancelled."""
--- a/heatherdyke/config/sync.py
+++ b/heatherdyke/config/sync.py
@@ -32,6 +32,7 @@
 from heatherdyke.observe.events import SECTION_MISSING
 from heatherdyke.observe.events import STALL_DETECTED
 from heatherdyke.observe.journal import Journal
+from heatherdyke.peers.fetch import PeerFetcher
 from heatherdyke.settings import Settings
 
 WATCH_WAIT_S = 1.0
@@ -58,6 +59,7 @@
         "has_asked",
         "has_heard",
         "_address",
+        "_fetcher",
         "_platform",
         "_journal",
         "_clock",
@@ -86,6 +88,7 @@
         self.has_asked = False
         self.has_heard = False
         self._address = settings.address
+        self._fetcher = PeerFetcher(settings.peer_key)
         self._platform = platform
         self._journal = journal
         self._clock = clock
@@ -192,7 +195,9 @@
     async def _ask_peer(self, address: str) -> None:
         digest = self._state.digest
         try:
-            delta = await read_peer(address, self._address, digest)
+            delta = await read_peer(
+                self._fetcher, address, self._address, digest
+            )
         except TransportError:
             self.peers.note(address, answered=False)
             return
--- a/heatherdyke/errors.py
+++ b/heatherdyke/errors.py
@@ -156,6 +156,12 @@
     kind = "connection_silent"
 
 
+class ForgedMessage(HeatherdykeError):
+    """A message between instances lacks the proof of the peer key."""
+
+    kind = "forged_message"
+
+
 class PartMismatch(TransportError):
     """An answer names another request, shard or snapshot than was asked."""
 
@@ -254,6 +260,27 @@
     status = 400
 
 
+class HeadersTooLarge(RequestError):
+    """The request's headers exceed the limit."""
+
+    kind = "headers_too_large"
+    status = 431
+
+
+class BodyTooLarge(RequestError):
+    """The request's body exceeds the limit."""
+
+    kind = "body_too_large"
+    status = 413
+
+
+class RequestTooSlow(RequestError):
+    """The request was not sent within its time."""
+
+    kind = "request_too_slow"
+    status = 408
+
+
 class UnknownKey(RequestError):
     """The team's key is missing or unknown."""
 
@@ -261,6 +288,13 @@
     status = 401
 
 
+class NotAPeer(RequestError):
+    """A route for instances was asked without the peer key."""
+
+    kind = "not_a_peer"
+    status = 401
+
+
 class Forbidden(RequestError):
     """The key's team may not use what the request names."""
 
--- a/heatherdyke/instance.py
+++ b/heatherdyke/instance.py
@@ -4,8 +4,6 @@
 import signal
 from collections.abc import Callable
 
-from blacksheep import Application
-
 from heatherdyke.callers.api import CallerApi
 from heatherdyke.clock import Clock
 from heatherdyke.component import Component
@@ -13,6 +11,8 @@
 from heatherdyke.leaves.home import Home
 from heatherdyke.mechanisms import Mechanism
 from heatherdyke.membership.task import MemberTask
+from heatherdyke.net.bounded_protocol import CALLER_LIMITS
+from heatherdyke.net.http_routes import Applications
 from heatherdyke.net.http_routes import new_application
 from heatherdyke.net.server import HttpServer
 from heatherdyke.objects.client import PlatformClient
@@ -28,9 +28,12 @@
 from heatherdyke.observe.metrics import Metrics
 from heatherdyke.peers.api import PeerApi
 from heatherdyke.peers.client import PeerClient
+from heatherdyke.peers.fetch import PeerFetcher
+from heatherdyke.peers.guard import guard_peer_routes
 from heatherdyke.run_once.assembly import RunSurroundings
 from heatherdyke.run_once.assembly import build_run_components
 from heatherdyke.search.admission import Admission
+from heatherdyke.search.context import SearchContext
 from heatherdyke.search.entry import Entry
 from heatherdyke.search.observer import SearchObserver
 from heatherdyke.search.request_gate import RequestGate
@@ -56,7 +59,8 @@
         self.journal = Journal(settings.name, settings.zone, clock=clock)
         self.metrics = Metrics()
         self.gate = RequestGate()
-        self.peers = PeerClient()
+        fetcher = PeerFetcher(settings.peer_key)
+        self.peers = PeerClient(settings.peer_key)
         self.platform = PlatformClient(settings.platform)
         self.config = ConfigStore.from_settings(
             settings, self.platform, self.journal, clock
@@ -77,7 +81,7 @@
             self.levels,
             clock,
         )
-        self.entry = Entry(
+        self.context = SearchContext(
             settings,
             self.config,
             self.members,
@@ -86,9 +90,11 @@
             self.snapshots,
             self.observer,
             self.levels,
-            self._build_admission(clock),
             clock,
         )
+        self.entry = Entry(
+            self.context, self.config, self._build_admission(clock)
+        )
         self.components: list[Component] = [
             self.config,
             self.members,
@@ -96,10 +102,13 @@
                 self.platform,
                 self.snapshots,
                 self.home,
+                fetcher,
                 self.members.incarnation,
                 self._find_reader,
             ),
-            LevelSync(self.home, self.levels, self._find_peers, clock),
+            LevelSync(
+                self.home, self.levels, self._find_peers, fetcher, clock
+            ),
             ObserveComponent(
                 self.journal, self.metrics, self._health, self._known, clock
             ),
@@ -107,7 +116,7 @@
         self.components += build_run_components(
             RunSurroundings(
                 settings,
-                self.entry,
+                self.context,
                 self.config,
                 self.members,
                 self.platform,
@@ -122,7 +131,7 @@
         )
         self._clock = clock
         self._started_at = clock.now()
-        self._server: HttpServer | None = None
+        self._servers: list[HttpServer] = []
         self._tasks: list[asyncio.Task] = []
         self._connect()
 
@@ -133,8 +142,13 @@
 
     async def start(self) -> None:
         """Listen and start all parts; raises RuntimeError if it cannot."""
-        self._server = HttpServer(self._build_app(), self.settings.listen)
-        await self._server.start()
+        apps = self._build_apps()
+        self._servers = [
+            HttpServer(apps.internal, self.settings.internal_listen),
+            HttpServer(apps.callers, self.settings.listen, CALLER_LIMITS),
+        ]
+        for server in self._servers:
+            await server.start()
         for component in self.components:
             self._tasks.append(asyncio.create_task(component.run()))
         self.journal.record(
@@ -157,8 +171,8 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.home.stop_workers()
-        if self._server is not None:
-            await self._server.stop(at_once=not graceful)
+        for server in reversed(self._servers):
+            await server.stop(at_once=not graceful)
         self.peers.close()
         self.journal.record(STOPPED)
 
@@ -212,15 +226,16 @@
         except TimeoutError:
             return
 
-    def _build_app(self) -> Application:
-        app = new_application()
+    def _build_apps(self) -> Applications:
+        apps = Applications(new_application(), new_application())
+        guard_peer_routes(apps.internal, self.settings.peer_key)
         CallerApi(
             self.entry, self.config, self.gate, self.observer
-        ).add_routes(app)
-        PeerApi(self.home).add_routes(app)
+        ).add_routes(apps.callers)
+        PeerApi(self.home).add_routes(apps.internal)
         for component in self.components:
-            component.add_routes(app)
-        return app
+            component.add_routes(apps)
+        return apps
 
     def _connect(self) -> None:
         """Let the parts hear of each other."""
@@ -270,7 +285,7 @@
 
     def _zones_in_use(self) -> set[str]:
         """Return the zones that have leaves and are not taken out."""
-        leaf_by_id = self.entry.index.current().leaf_by_id
+        leaf_by_id = self.context.index.current().leaf_by_id
         zones = {leaf.zone for leaf in leaf_by_id.values()}
         return {z for z in zones if not self.config.zone_is_out(z)}
 
--- a/heatherdyke/membership/probe.py
+++ b/heatherdyke/membership/probe.py
@@ -8,7 +8,7 @@
 from heatherdyke.membership.messages import GoneProof
 from heatherdyke.membership.messages import Member
 from heatherdyke.membership.messages import VersionedRoster
-from heatherdyke.net.http_fetch import fetch
+from heatherdyke.peers.fetch import PeerFetcher
 
 FETCH_TIMEOUT_S = 1.0
 
@@ -22,7 +22,9 @@
     detail: str = ""
 
 
-async def probe(member: Member, timeout_s: float) -> ProbeAnswer:
+async def probe(
+    fetcher: PeerFetcher, member: Member, timeout_s: float
+) -> ProbeAnswer:
     """Ask the member's address which incarnation listens there.
 
     A refused connection proves the member gone, because an instance listens
@@ -30,7 +32,7 @@
     the answer of another incarnation, asked now.  No answer proves nothing.
     """
     try:
-        present = await fetch(
+        present = await fetcher.fetch(
             member.address, "/peer/member", Member, timeout_s
         )
     except ConnectionRefused:
@@ -46,10 +48,14 @@
     return ProbeAnswer(alive=True)
 
 
-async def fetch_roster(address: str, zone: str) -> VersionedRoster | None:
+async def fetch_roster(
+    fetcher: PeerFetcher, address: str, zone: str
+) -> VersionedRoster | None:
     """Return the roster that the peer holds of ``zone``, if it answers."""
     target = f"/peer/roster?zone={quote(zone, '')}"
     try:
-        return await fetch(address, target, VersionedRoster, FETCH_TIMEOUT_S)
+        return await fetcher.fetch(
+            address, target, VersionedRoster, FETCH_TIMEOUT_S
+        )
     except TransportError:
         return None
--- a/heatherdyke/membership/task.py
+++ b/heatherdyke/membership/task.py
@@ -11,7 +11,6 @@
 from uuid import uuid4
 
 import msgspec
-from blacksheep import Application
 from blacksheep import Request
 from blacksheep import Response
 
@@ -19,6 +18,7 @@
 from heatherdyke.codec import decode
 from heatherdyke.codec import encode
 from heatherdyke.config.state import ConfigDigest
+from heatherdyke.errors import ForgedMessage
 from heatherdyke.mechanisms import Mechanism
 from heatherdyke.membership.core import ALL_ZONES_EVERY
 from heatherdyke.membership.core import ConfigVersions
@@ -31,6 +31,7 @@
 from heatherdyke.membership.probe import fetch_roster
 from heatherdyke.membership.probe import probe
 from heatherdyke.membership.roster_task import RosterTask
+from heatherdyke.net.http_routes import Applications
 from heatherdyke.net.http_routes import add_route
 from heatherdyke.net.http_support import json_response
 from heatherdyke.net.udp_endpoint import UdpEndpoint
@@ -42,6 +43,7 @@
 from heatherdyke.observe.events import MEMBER_SUSPECTED
 from heatherdyke.observe.events import RELEASED
 from heatherdyke.observe.journal import Journal
+from heatherdyke.peers.fetch import PeerFetcher
 from heatherdyke.settings import Settings
 
 RELEASE_WAIT_LEASES = 2
@@ -78,6 +80,7 @@
         self.config: ConfigPeer | None = None
         self._settings = settings
         self._journal = journal
+        self._fetcher = PeerFetcher(settings.peer_key)
         self._clock = clock
         self._me = Member(
             settings.name, settings.zone, settings.address, self.incarnation
@@ -163,14 +166,14 @@
         """Fetch the zone's roster from a member that is home no more."""
         self._start(f"refresh {zone}", self._fetch(address, zone))
 
-    def add_routes(self, app: Application) -> None:
+    def add_routes(self, apps: Applications) -> None:
         """Add the routes that peers ask for rosters and incarnations."""
-        add_route(app, "GET", "/peer/member", self._answer_member)
-        add_route(app, "GET", "/peer/roster", self._answer_roster)
+        add_route(apps.internal, "GET", "/peer/member", self._answer_member)
+        add_route(apps.internal, "GET", "/peer/roster", self._answer_roster)
 
     async def run(self) -> None:
         """Exchange heartbeats and keep the roster until cancelled."""
-        self.udp = await UdpEndpoint.open(self._settings.listen)
+        self.udp = await UdpEndpoint.open(self._settings.internal_listen)
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._receive(self.udp))
@@ -244,8 +247,9 @@
         while True:
             datagram = await udp.inbox.get()
             try:
-                heartbeat = decode(datagram.payload, Heartbeat)
-            except msgspec.DecodeError as error:
+                payload = self._settings.peer_key.open(datagram.payload)
+                heartbeat = decode(payload, Heartbeat)
+            except (ForgedMessage, msgspec.DecodeError) as error:
                 self._journal.record(
                     INVALID_HEARTBEAT,
                     source=datagram.source,
@@ -255,7 +259,8 @@
             self._hear(heartbeat, udp)
 
     def _stamped(self, heartbeat: Heartbeat) -> bytes:
-        return encode(replace(heartbeat, clock=self._journal.stamp()))
+        stamped = replace(heartbeat, clock=self._journal.stamp())
+        return self._settings.peer_key.seal(encode(stamped))
 
     def _hear(self, heartbeat: Heartbeat, udp: UdpEndpoint) -> None:
         self._journal.observe(heartbeat.clock)
@@ -304,7 +309,7 @@
 
     async def _probe(self, member: Member) -> None:
         timeout_s = self._settings.heartbeat_interval_s
-        answer = await probe(member, timeout_s)
+        answer = await probe(self._fetcher, member, timeout_s)
         if answer.proof is not None:
             self._note_gone(answer.proof, answer.detail)
             return
@@ -329,7 +334,7 @@
             self.rosters.wake()
 
     async def _fetch(self, address: str, zone: str) -> None:
-        versioned = await fetch_roster(address, zone)
+        versioned = await fetch_roster(self._fetcher, address, zone)
         if versioned is not None and versioned.roster.zone == zone:
             self.core.adopt(versioned, self._clock.now())
 
--- a/heatherdyke/net/http_connection.py
+++ b/heatherdyke/net/http_connection.py
@@ -157,7 +157,12 @@
         return HttpResponse(parser.get_status_code(), sink.take())
 
     async def stream_lines(
-        self, method: str, target: str, body: bytes, timeout_s: float
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout_s: float,
+        headers: str = "",
     ) -> AsyncIterator[HttpResponse]:
         """Send a request and yield each line of the response as it comes.
 
@@ -168,7 +173,7 @@
         parser = sink.parser
         rest = b""
         try:
-            self._send(method, target, body, "")
+            self._send(method, target, body, headers)
             while not sink.complete:
                 await self._feed(parser, timeout_s)
                 *lines, rest = (rest + sink.take()).split(b"\n")
--- a/heatherdyke/net/http_fetch.py
+++ b/heatherdyke/net/http_fetch.py
@@ -22,15 +22,18 @@
     timeout_s: float,
     method: str = "GET",
     body: bytes = b"",
+    headers: str = "",
 ) -> T:
     """Return what ``address`` answers to one request.
 
+    ``headers`` holds further header lines, each ended by CRLF.
+
     Raises TransportError if it cannot be reached, stays silent for
     ``timeout_s``, answers with another status than 200 or sends something
     else than ``message_type``.
     """
     answer = await fetch_if_any(
-        address, target, message_type, timeout_s, method, body
+        address, target, message_type, timeout_s, method, body, headers
     )
     if answer is None:
         raise TransportError(f"{address} has no {target}", sent=True)
@@ -44,13 +47,16 @@
     timeout_s: float,
     method: str = "GET",
     body: bytes = b"",
+    headers: str = "",
 ) -> T | None:
     """Return as ``fetch`` does, but None for an answer without content."""
     connection = await HttpConnection.open(
         address, min(timeout_s, CONNECT_TIMEOUT_S)
     )
     try:
-        response = await connection.request(method, target, body, timeout_s)
+        response = await connection.request(
+            method, target, body, timeout_s, headers
+        )
     finally:
         connection.close()
     if response.status == NO_CONTENT:
--- a/heatherdyke/net/http_routes.py
+++ b/heatherdyke/net/http_routes.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from blacksheep import Application
 from blacksheep import Request
@@ -15,6 +16,14 @@
 Handler = Callable[[Request], Awaitable[Response]]
 
 
+@dataclass(frozen=True, slots=True)
+class Applications:
+    """What an instance serves: to callers, and to peers and operators."""
+
+    callers: Application
+    internal: Application
+
+
 def new_application() -> Application:
     """Return an application with a router of its own.
 
--- a/heatherdyke/net/http_support.py
+++ b/heatherdyke/net/http_support.py
@@ -1,6 +1,7 @@
 """Typed JSON bodies and RFC 9457 problems for the HTTP routes."""
 
 from dataclasses import dataclass
+from http import HTTPStatus
 from math import ceil
 from typing import Any
 from typing import TypeVar
@@ -57,6 +58,18 @@
     return response
 
 
+def raw_problem(error: RequestError) -> bytes:
+    """Return the bytes of a problem response that ends its connection."""
+    body = encode(_describe(error, ""))
+    head = (
+        f"HTTP/1.1 {error.status} {HTTPStatus(error.status).phrase}\r\n"
+        f"Content-Type: {PROBLEM_TYPE.decode()}\r\n"
+        f"Content-Length: {len(body)}\r\n"
+        "Connection: close\r\n\r\n"
+    )
+    return head.encode("ascii") + body
+
+
 async def read_message(request: Request, message_type: type[T]) -> T:
     """Return the request's body; raises InvalidRequest naming the fault."""
     body = await request.read()
--- a/heatherdyke/net/server.py
+++ b/heatherdyke/net/server.py
@@ -1,10 +1,14 @@
 """Runs a blacksheep application on uvicorn inside the current loop."""
 
 import asyncio
+from functools import partial
 
 import uvicorn
 from blacksheep import Application
 
+from heatherdyke.net.bounded_protocol import PEER_LIMITS
+from heatherdyke.net.bounded_protocol import BoundedProtocol
+from heatherdyke.net.bounded_protocol import RequestLimits
 from heatherdyke.settings import split_address
 
 BACKLOG = 2048
@@ -26,14 +30,19 @@
 
     __slots__ = ("_server", "_task")
 
-    def __init__(self, app: Application, address: str) -> None:
+    def __init__(
+        self,
+        app: Application,
+        address: str,
+        limits: RequestLimits = PEER_LIMITS,
+    ) -> None:
         host, port = split_address(address)
         config = uvicorn.Config(
             app,
             host=host,
             port=port,
             loop="asyncio",
-            http="httptools",
+            http=partial(BoundedProtocol, limits),
             ws="none",
             lifespan="on",
             log_config=None,
--- a/heatherdyke/objects/view.py
+++ b/heatherdyke/objects/view.py
@@ -10,7 +10,6 @@
 from dataclasses import field
 
 import msgspec
-from blacksheep import Application
 from blacksheep import Request
 from blacksheep import Response
 
@@ -21,11 +20,12 @@
 from heatherdyke.messages import IndexSnapshots
 from heatherdyke.messages import InstanceKind
 from heatherdyke.messages import InstanceState
-from heatherdyke.net.http_fetch import fetch_if_any
+from heatherdyke.net.http_routes import Applications
 from heatherdyke.net.http_routes import add_route
 from heatherdyke.net.http_support import json_response
 from heatherdyke.objects.client import PlatformClient
 from heatherdyke.objects.client import convert_value
+from heatherdyke.peers.fetch import PeerFetcher
 from heatherdyke.search.snapshot_book import SnapshotBook
 
 READ_INTERVAL_S = 1.0
@@ -71,6 +71,7 @@
         "_platform",
         "_snapshots",
         "_home",
+        "_fetcher",
         "_incarnation",
         "_find_reader",
         "_state",
@@ -84,12 +85,14 @@
         platform: PlatformClient,
         snapshots: SnapshotBook,
         home: Home,
+        fetcher: PeerFetcher,
         incarnation: str,
         find_reader: Callable[[], str | None],
     ) -> None:
         self._platform = platform
         self._snapshots = snapshots
         self._home = home
+        self._fetcher = fetcher
         self._incarnation = incarnation
         self._find_reader = find_reader
         self._state = PlatformState()
@@ -97,9 +100,9 @@
         self._was_leaving: set[str] = set()
         self._list_due_at = 0.0
 
-    def add_routes(self, app: Application) -> None:
+    def add_routes(self, apps: Applications) -> None:
         """Serve the state to the zone's other instances."""
-        add_route(app, "GET", "/peer/platform-state", self._serve)
+        add_route(apps.internal, "GET", "/peer/platform-state", self._serve)
 
     async def run(self) -> None:
         """Keep the state current until cancelled."""
@@ -182,7 +185,9 @@
             f"&after={self._state.version}"
         )
         timeout_s = WAIT_S + READER_TIMEOUT_S
-        state = await fetch_if_any(reader, target, PlatformState, timeout_s)
+        state = await self._fetcher.fetch_if_any(
+            reader, target, PlatformState, timeout_s
+        )
         if state is not None:
             self._apply(state)
 
--- a/heatherdyke/observe/component.py
+++ b/heatherdyke/observe/component.py
@@ -10,13 +10,13 @@
 from dataclasses import dataclass
 from typing import Any
 
-from blacksheep import Application
 from blacksheep import Content
 from blacksheep import Request
 from blacksheep import Response
 
 from heatherdyke.clock import Clock
 from heatherdyke.codec import encode
+from heatherdyke.net.http_routes import Applications
 from heatherdyke.net.http_routes import add_route
 from heatherdyke.observe.events import LOOP_STALLED
 from heatherdyke.observe.events import READINESS_CHANGED
@@ -74,7 +74,7 @@
         self._last_turn = self._clock.now()
         self._readiness: Readiness | None = None
 
-    def add_routes(self, app: Application) -> None:
+    def add_routes(self, apps: Applications) -> None:
         """Register the routes named in the module's docstring."""
         handler_by_path = {
             "/events": self._serve_events,
@@ -85,7 +85,7 @@
             "/members": self._serve_members,
         }
         for path, handler in handler_by_path.items():
-            add_route(app, "GET", path, handler)
+            add_route(apps.internal, "GET", path, handler)
 
     async def run(self) -> None:
         """Watch the loop and the readiness until cancelled."""
--- a/heatherdyke/peers/client.py
+++ b/heatherdyke/peers/client.py
@@ -17,6 +17,7 @@
 from heatherdyke.messages import PeerRunOutcome
 from heatherdyke.messages import PeerSearch
 from heatherdyke.net.http_connection import HttpConnection
+from heatherdyke.peers.key import PeerKey
 
 MAX_IDLE_PER_PEER = 64
 CONNECT_TIMEOUT_S = 0.5
@@ -28,9 +29,10 @@
 class PeerClient:
     """Connections to other instances, by their addresses."""
 
-    __slots__ = ("_idle_by_address",)
+    __slots__ = ("_idle_by_address", "_headers")
 
-    def __init__(self) -> None:
+    def __init__(self, key: PeerKey) -> None:
+        self._headers = key.header_lines
         self._idle_by_address: dict[str, list[HttpConnection]] = {}
 
     async def search(
@@ -43,7 +45,7 @@
         connection = await self._take(address)
         timeout_s = group.remaining_ms / 1000 + REPLY_GRACE_S
         lines = connection.stream_lines(
-            "POST", "/peer/search", encode(group), timeout_s
+            "POST", "/peer/search", encode(group), timeout_s, self._headers
         )
         try:
             async with aclosing(lines):
@@ -64,7 +66,7 @@
         connection = await self._take(address)
         timeout_s = question.run.remaining_ms / 1000 + REPLY_GRACE_S
         response = await connection.request(
-            "POST", "/peer/run", encode(question), timeout_s
+            "POST", "/peer/run", encode(question), timeout_s, self._headers
         )
         self._give_back(connection)
         if response.status != STATUS_OK:
@@ -83,7 +85,11 @@
         try:
             connection = await self._take(address)
             await connection.request(
-                "POST", "/peer/cancel", encode(message), CANCEL_TIMEOUT_S
+                "POST",
+                "/peer/cancel",
+                encode(message),
+                CANCEL_TIMEOUT_S,
+                self._headers,
             )
         except TransportError:
             return
--- /dev/null
+++ b/heatherdyke/peers/fetch.py
@@ -0,0 +1,50 @@
+"""Typed questions to other instances, with the proof of being one."""
+
+from typing import TypeVar
+
+from heatherdyke.net.http_fetch import fetch
+from heatherdyke.net.http_fetch import fetch_if_any
+from heatherdyke.peers.key import PeerKey
+
+T = TypeVar("T")
+
+
+class PeerFetcher:
+    """Asks other instances over connections of their own."""
+
+    __slots__ = ("_headers",)
+
+    def __init__(self, key: PeerKey) -> None:
+        self._headers = key.header_lines
+
+    async def fetch(
+        self,
+        address: str,
+        target: str,
+        message_type: type[T],
+        timeout_s: float,
+        method: str = "GET",
+        body: bytes = b"",
+    ) -> T:
+        """Return what the instance answers; raises as ``fetch`` does."""
+        return await fetch(
+            address,
+            target,
+            message_type,
+            timeout_s,
+            method,
+            body,
+            self._headers,
+        )
+
+    async def fetch_if_any(
+        self,
+        address: str,
+        target: str,
+        message_type: type[T],
+        timeout_s: float,
+    ) -> T | None:
+        """Return as ``fetch`` does, but None for an answer without content."""
+        return await fetch_if_any(
+            address, target, message_type, timeout_s, headers=self._headers
+        )
--- a/heatherdyke/run_once/assembly.py
+++ b/heatherdyke/run_once/assembly.py
@@ -10,6 +10,7 @@
 from heatherdyke.membership.task import MemberTask
 from heatherdyke.objects.client import PlatformClient
 from heatherdyke.observe.journal import Journal
+from heatherdyke.peers.fetch import PeerFetcher
 from heatherdyke.run_once.book import RunBook
 from heatherdyke.run_once.driver import Identity
 from heatherdyke.run_once.driver import RunDriver
@@ -18,7 +19,7 @@
 from heatherdyke.run_once.sweeper import RunSweeper
 from heatherdyke.run_once.task import RunOnceTask
 from heatherdyke.run_once.tickets import TicketBook
-from heatherdyke.search.entry import Entry
+from heatherdyke.search.context import SearchContext
 from heatherdyke.search.request_gate import RequestGate
 from heatherdyke.settings import Settings
 from heatherdyke.usage.book import UsageCounters
@@ -31,7 +32,7 @@
     """The parts of an instance that runs build upon."""
 
     settings: Settings
-    entry: Entry
+    context: SearchContext
     config: ConfigView
     members: MemberTask
     platform: PlatformClient
@@ -65,11 +66,12 @@
 def _build_book(around: RunSurroundings, guarded: bool) -> RunBook:
     settings = around.settings
     peers = RunPeers(
-        around.entry,
+        around.context,
         around.config,
         around.members,
         around.journal,
         around.usage,
+        PeerFetcher(settings.peer_key),
         around.clock,
     )
     driver = RunDriver(
--- a/heatherdyke/run_once/peers.py
+++ b/heatherdyke/run_once/peers.py
@@ -11,14 +11,14 @@
 from heatherdyke.messages import LeafRunAnswer
 from heatherdyke.messages import PeerRun
 from heatherdyke.messages import PeerRunOnceOutcome
-from heatherdyke.net.http_fetch import fetch
 from heatherdyke.observe.events import RUN_SENT
 from heatherdyke.observe.journal import Journal
+from heatherdyke.peers.fetch import PeerFetcher
 from heatherdyke.run_once.driver import HeldRun
 from heatherdyke.run_once.driver import to_question
 from heatherdyke.run_once.tickets import Ticket
-from heatherdyke.search.entry import Entry
-from heatherdyke.search.entry import Route
+from heatherdyke.search.context import Route
+from heatherdyke.search.context import SearchContext
 from heatherdyke.usage.book import UsageCounters
 
 REPLY_GRACE_S = 0.2
@@ -29,18 +29,20 @@
 
     def __init__(
         self,
-        entry: Entry,
+        context: SearchContext,
         config: ConfigView,
         members: MemberView,
         journal: Journal,
         usage: UsageCounters,
+        fetcher: PeerFetcher,
         clock: Clock,
     ) -> None:
-        self._entry = entry
+        self._context = context
         self._index = ConfigIndexCache(config)
         self._members = members
         self._journal = journal
         self._usage = usage
+        self._fetcher = fetcher
         self._clock = clock
 
     def choose_leaves(self, service: str, shard: str) -> list[str]:
@@ -49,13 +51,13 @@
         if section is None or shard not in section.services[service].shards:
             return []
         leaves = section.services[service].shards[shard].leaves
-        return self._entry.leaves_in_use(leaves)
+        return self._context.leaves_in_use(leaves)
 
     async def send(
         self, leaf_id: str, run: LeafRun, priority: int
     ) -> LeafRunAnswer | LeafRefusal:
         """Send a run to its leaf's home; raises TransportError."""
-        route = self._entry.find_route(leaf_id)
+        route = self._context.find_route(leaf_id)
         if route is None:
             return LeafRefusal(run.request_id, run.shard, "not_home")
         team, _, key = run.key.partition("/")
@@ -78,8 +80,8 @@
         self, route: Route, leaf_id: str, run: LeafRun, priority: int
     ) -> LeafRunAnswer | LeafRefusal:
         if route.address is None:
-            return await self._entry.home.run_once(leaf_id, run, priority)
-        return await self._entry.peers.run_once(
+            return await self._context.home.run_once(leaf_id, run, priority)
+        return await self._context.peers.run_once(
             route.address, PeerRun(leaf_id, priority, run)
         )
 
@@ -88,7 +90,7 @@
         address = self._find_holder(held)
         question = to_question(held, self._clock.now())
         timeout_s = question.remaining_ms / 1000 + REPLY_GRACE_S
-        return await fetch(
+        return await self._fetcher.fetch(
             address,
             "/peer/run-once",
             PeerRunOnceOutcome,
--- a/heatherdyke/run_once/sweeper.py
+++ b/heatherdyke/run_once/sweeper.py
@@ -7,8 +7,6 @@
 import asyncio
 from collections.abc import Callable
 
-from blacksheep import Application
-
 from heatherdyke.clock import Clock
 from heatherdyke.component import ConfigView
 from heatherdyke.config.model import RESULT_PREFIX
@@ -16,6 +14,7 @@
 from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.errors import VersionConflict
 from heatherdyke.messages import PlatformObject
+from heatherdyke.net.http_routes import Applications
 from heatherdyke.objects.client import PlatformClient
 from heatherdyke.objects.client import convert_value
 from heatherdyke.observe.events import RUN_RECORDS_REMOVED
@@ -47,7 +46,7 @@
         self._journal = journal
         self._clock = clock
 
-    def add_routes(self, app: Application) -> None:
+    def add_routes(self, apps: Applications) -> None:
         """Add no routes."""
 
     async def run(self) -> None:
--- a/heatherdyke/run_once/task.py
+++ b/heatherdyke/run_once/task.py
@@ -6,7 +6,6 @@
 from dataclasses import replace
 from hashlib import sha256
 
-from blacksheep import Application
 from blacksheep import Request
 from blacksheep import Response
 from xxhash import xxh3_64_intdigest
@@ -29,6 +28,7 @@
 from heatherdyke.messages import RunOutcomeState
 from heatherdyke.messages import RunRequest
 from heatherdyke.messages import RunTickets
+from heatherdyke.net.http_routes import Applications
 from heatherdyke.net.http_routes import add_route
 from heatherdyke.net.http_support import json_response
 from heatherdyke.net.http_support import problem_response
@@ -71,13 +71,17 @@
         self._truthful = truthful
         self._callers = CallerDirectory(config)
 
-    def add_routes(self, app: Application) -> None:
+    def add_routes(self, apps: Applications) -> None:
         """Add the routes for callers and peers."""
-        add_route(app, "POST", "/runs/tickets", self._guard(self._issue))
-        add_route(app, "POST", "/runs", self._guard(self._post))
-        add_route(app, "GET", "/runs/{key}", self._guard(self._get))
-        add_route(app, "DELETE", "/runs/{key}", self._guard(self._withdraw))
-        add_route(app, "POST", "/peer/run-once", self._answer_peer)
+        add_route(
+            apps.callers, "POST", "/runs/tickets", self._guard(self._issue)
+        )
+        add_route(apps.callers, "POST", "/runs", self._guard(self._post))
+        add_route(apps.callers, "GET", "/runs/{key}", self._guard(self._get))
+        add_route(
+            apps.callers, "DELETE", "/runs/{key}", self._guard(self._withdraw)
+        )
+        add_route(apps.internal, "POST", "/peer/run-once", self._answer_peer)
 
     async def run(self) -> None:
         """Offer parked outcomes to the platform until cancelled."""
--- a/heatherdyke/search/run.py
+++ b/heatherdyke/search/run.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 from heatherdyke.errors import ConnectionRefused
 from heatherdyke.errors import DeadlineExceeded
@@ -17,6 +16,7 @@
 from heatherdyke.messages import PeerParts
 from heatherdyke.messages import PeerSearch
 from heatherdyke.messages import SearchRequest
+from heatherdyke.search.context import SearchContext
 from heatherdyke.search.coverage import CoverageCount
 from heatherdyke.search.merge import merge_items
 from heatherdyke.search.plan import SearchPlan
@@ -24,9 +24,6 @@
 from heatherdyke.search.shard_tries import ShardTries
 from heatherdyke.usage.level_book import LeafLevel
 
-if TYPE_CHECKING:
-    from heatherdyke.search.entry import Entry
-
 RETURN_MARGIN_S = 0.004
 MAX_SNAPSHOT_RESTARTS = 2
 HOME_SILENCE_FACTOR = 2.0
@@ -66,7 +63,7 @@
 
     def __init__(
         self,
-        entry: "Entry",
+        context: SearchContext,
         plan: SearchPlan,
         request: SearchRequest,
         request_id: str,
@@ -74,7 +71,7 @@
     ) -> None:
         self.snapshot = snapshot
         self.cost = 0
-        self._entry = entry
+        self._context = context
         self._plan = plan
         self._request = request
         self._request_id = request_id
@@ -96,35 +93,35 @@
         Raises DeadlineExceeded if no shard answered at all.
         """
         self._deadline = deadline - RETURN_MARGIN_S
-        self._started_at = self._entry.clock.now()
+        self._started_at = self._context.clock.now()
         self._send(list(self._plan.weight_by_shard), hedge=False)
         while self._is_open() and not self._is_enough():
             report = await self._next_report()
             if report is not None:
                 self._take(report)
-            elif self._entry.clock.now() >= self._deadline:
+            elif self._context.clock.now() >= self._deadline:
                 break
-            self._send(self._tries.take_due(self._entry.clock.now()), True)
+            self._send(self._tries.take_due(self._context.clock.now()), True)
             self._hedge_stragglers()
         self._cancel_rest()
         self._check_answer()
         return self._coverage
 
     def _begin(self) -> None:
-        check = self._entry.settings.uses(Mechanism.COVERAGE_CHECK)
+        check = self._context.settings.uses(Mechanism.COVERAGE_CHECK)
         self._coverage = CoverageCount(self._plan.weight_by_shard, check)
         self._items: list[Item] = []
         self._tries = ShardTries(self._plan.leaves_by_shard)
 
     def _send(self, shards: list[str], hedge: bool) -> None:
         """Ask one more replica of each of the shards."""
-        now = self._entry.clock.now()
+        now = self._context.clock.now()
         group_by_address: dict[str | None, dict[str, str]] = {}
         for shard in shards:
             leaf = self._choose(shard)
             if leaf is None:
                 continue
-            route = self._entry.find_route(leaf)
+            route = self._context.find_route(leaf)
             leaf_by_shard = group_by_address.setdefault(route.address, {})
             leaf_by_shard[shard] = leaf
         hedge_at = now + self._silence_s()
@@ -138,46 +135,46 @@
         if not leaves:
             return None
         answering = [
-            leaf for leaf in leaves if not self._entry.is_home_suspect(leaf)
+            leaf for leaf in leaves if not self._context.is_home_suspect(leaf)
         ]
-        leaf = self._entry.choose_leaf(answering or leaves)
+        leaf = self._context.choose_leaf(answering or leaves)
         self._tries.start(shard, leaf)
         return leaf
 
     def _start(self, group: Group, now: float) -> None:
         self._groups.add(group)
         for leaf in group.pending_leaf_by_shard.values():
-            self._entry.views.start(leaf)
+            self._context.views.start(leaf)
         if not group.hedged:
-            self._entry.hedges.budget.earn(len(group.pending_leaf_by_shard))
+            self._context.hedges.budget.earn(len(group.pending_leaf_by_shard))
         message = PeerSearch(
             self._request_id,
-            self._entry.settings.name,
+            self._context.settings.name,
             self.snapshot,
             self._request.query,
             self._plan.urgency.priority,
             max(0.0, self._deadline - now) * 1000,
-            self._entry.hedges.delay_s() * 1000,
+            self._context.hedges.delay_s() * 1000,
             self._request.limit,
             [
                 PartRequest(shard, leaf, self._has_other(shard))
                 for shard, leaf in group.pending_leaf_by_shard.items()
             ],
-            self._entry.observer.stamp(),
+            self._context.observer.stamp(),
         )
-        home = group.address or self._entry.settings.address
-        self._entry.observer.parts_sent(message, home, group.hedged)
-        self._entry.spawn(self._ask(group, message))
+        home = group.address or self._context.settings.address
+        self._context.observer.parts_sent(message, home, group.hedged)
+        self._context.spawn(self._ask(group, message))
 
     async def _ask(self, group: Group, message: PeerSearch) -> None:
         """Pass a home's messages on to the search's task."""
         if group.address is None:
-            reports = self._entry.home.search(message)
+            reports = self._context.home.search(message)
         else:
-            reports = self._entry.peers.search(group.address, message)
+            reports = self._context.peers.search(group.address, message)
         try:
             async for parts in reports:
-                self._entry.observer.hear(parts.clock)
+                self._context.observer.hear(parts.clock)
                 self._inbox.put_nowait(GroupReport(group, parts))
         except TransportError as error:
             self._inbox.put_nowait(GroupReport(group, None, error))
@@ -185,7 +182,7 @@
     async def _next_report(self) -> GroupReport | None:
         if not self._inbox.empty():
             return self._inbox.get_nowait()
-        now = self._entry.clock.now()
+        now = self._context.clock.now()
         times = [g.hedge_at for g in self._groups if not g.hedged]
         due_at = self._tries.next_due_at
         if due_at is not None:
@@ -207,7 +204,7 @@
         if report.parts is None:
             self._fail(group, report.error)
             return
-        self._entry.peer_health.note_answer(group.address)
+        self._context.peer_health.note_answer(group.address)
         self._items.extend(report.parts.items)
         for part in report.parts.parts:
             self._take_part(group, part)
@@ -215,20 +212,20 @@
             self._groups.discard(group)
         else:
             group.answered = True
-            group.hedge_at = self._entry.clock.now()
+            group.hedge_at = self._context.clock.now()
         self._restart_if_gone()
 
     def _take_part(self, group: Group, part: Part) -> None:
         group.pending_leaf_by_shard.pop(part.shard, None)
-        now = self._entry.clock.now()
-        self._entry.views.finish(part, now)
+        now = self._context.clock.now()
+        self._context.views.finish(part, now)
         level = LeafLevel(part.leaf, part.level, part.incarnation)
-        self._entry.levels.learn(level, now)
+        self._context.levels.learn(level, now)
         self.cost += part.asked
         self._tries.finish(part.shard)
         self._coverage.add(part)
         if part.state is PartState.WHOLE:
-            self._entry.hedges.latency.add(part.leaf_ms / 1000)
+            self._context.hedges.latency.add(part.leaf_ms / 1000)
         elif part.state is PartState.SPLIT:
             self._ask_children(part)
         elif part.state is PartState.SNAPSHOT_GONE:
@@ -238,14 +235,14 @@
 
     def _retry(self, group: Group, part: Part) -> None:
         """Ask another replica for a part that is not whole."""
-        now = self._entry.clock.now()
-        budget = self._entry.hedges.budget
+        now = self._context.clock.now()
+        budget = self._context.hedges.budget
         if part.state is PartState.REFUSED and part.asked:
             budget.punish_shed()
         if self._coverage.is_whole(part.shard):
             return
         if part.state is PartState.NOT_HOME:
-            self._entry.refresh_route(part.leaf, group.address)
+            self._context.refresh_route(part.leaf, group.address)
             self._tries.follow_home(part.shard, part.leaf, now)
         elif part.asked and not budget.spend():
             return
@@ -261,7 +258,7 @@
         are taken to hold them.
         """
         service = part.shard.partition("/")[0]
-        index = self._entry.index.current()
+        index = self._context.index.current()
         parents = self._tries.replicas(part.shard)
         for child in part.children:
             name = child.rpartition("/")[2]
@@ -284,9 +281,9 @@
         self._cancel_rest()
         self._restarts += 1
         self.snapshot = self._newer_snapshot
-        self._entry.observer.restarted(self._request_id, self.snapshot)
-        self._entry.snapshots.learn(self._plan.index, self.snapshot)
-        if self._entry.settings.uses(Mechanism.SNAPSHOT_PIN):
+        self._context.observer.restarted(self._request_id, self.snapshot)
+        self._context.snapshots.learn(self._plan.index, self.snapshot)
+        if self._context.settings.uses(Mechanism.SNAPSHOT_PIN):
             self._begin()
             self._send(list(self._plan.weight_by_shard), hedge=False)
             return
@@ -296,22 +293,22 @@
 
     def _fail(self, group: Group, error: TransportError) -> None:
         self._groups.discard(group)
-        now = self._entry.clock.now()
-        self._entry.peer_health.note_failure(group.address, now)
+        now = self._context.clock.now()
+        self._context.peer_health.note_failure(group.address, now)
         if isinstance(error, ConnectionRefused):
-            self._entry.note_refused(group.address)
+            self._context.note_refused(group.address)
         for shard, leaf in list(group.pending_leaf_by_shard.items()):
             part = Part(shard, leaf, PartState.LOST, asked=int(error.sent))
             self._take_part(group, part)
 
     def _hedge_stragglers(self) -> None:
-        now = self._entry.clock.now()
+        now = self._context.clock.now()
         for group in list(self._groups):
             if group.hedged or group.hedge_at > now:
                 continue
             group.hedged = True
             if not group.answered:
-                self._entry.peer_health.note_silence(group.address, now)
+                self._context.peer_health.note_silence(group.address, now)
             self._hedge(group)
 
     def _hedge(self, group: Group) -> None:
@@ -319,13 +316,13 @@
 
         Its parts are taken for not being worked on.
         """
-        now = self._entry.clock.now()
-        free = self._entry.peer_health.is_suspect(group.address, now)
+        now = self._context.clock.now()
+        free = self._context.peer_health.is_suspect(group.address, now)
         chosen = []
         for shard in group.pending_leaf_by_shard:
             if self._coverage.is_whole(shard) or not self._has_other(shard):
                 continue
-            if not free and not self._entry.hedges.may_hedge():
+            if not free and not self._context.hedges.may_hedge():
                 break
             chosen.append(shard)
         if chosen:
@@ -337,12 +334,12 @@
     def _untried_leaves(self, shard: str) -> list[str]:
         return [
             leaf
-            for leaf in self._entry.leaves_in_use(self._tries.untried(shard))
-            if self._entry.find_route(leaf) is not None
+            for leaf in self._context.leaves_in_use(self._tries.untried(shard))
+            if self._context.find_route(leaf) is not None
         ]
 
     def _silence_s(self) -> float:
-        delay_s = self._entry.hedges.delay_s()
+        delay_s = self._context.hedges.delay_s()
         return HOME_SILENCE_FACTOR * delay_s + HOME_SILENCE_EXTRA_S
 
     def _is_open(self) -> bool:
@@ -350,22 +347,22 @@
 
     def _early_at(self) -> float:
         """Return when an answer with the wanted coverage need not wait."""
-        delay_s = self._entry.hedges.delay_s()
+        delay_s = self._context.hedges.delay_s()
         return self._started_at + EARLY_DELAYS * delay_s
 
     def _is_enough(self) -> bool:
         share = self._coverage.covered_share()
         if share >= 1.0:
             return True
-        if share == 0.0 or self._entry.clock.now() < self._early_at():
+        if share == 0.0 or self._context.clock.now() < self._early_at():
             return False
         return share >= self._plan.wanted_coverage or self._is_cut_off()
 
     def _is_cut_off(self) -> bool:
         """Tell whether all that is missing is at homes that do not answer."""
-        now = self._entry.clock.now()
+        now = self._context.clock.now()
         return self._tries.next_due_at is None and all(
-            self._entry.peer_health.is_suspect(group.address, now)
+            self._context.peer_health.is_suspect(group.address, now)
             for group in self._groups
         )
 
@@ -376,14 +373,14 @@
                 continue
             self.cost += len(shards)
             for leaf in group.pending_leaf_by_shard.values():
-                view = self._entry.views.of(leaf)
+                view = self._context.views.of(leaf)
                 view.outstanding = max(0, view.outstanding - 1)
             message = PeerCancel(self._request_id, shards)
             if group.address is None:
-                self._entry.home.cancel(message)
+                self._context.home.cancel(message)
             else:
-                self._entry.spawn(
-                    self._entry.peers.cancel(group.address, message)
+                self._context.spawn(
+                    self._context.peers.cancel(group.address, message)
                 )
         self._groups.clear()
 
--- a/heatherdyke/settings.py
+++ b/heatherdyke/settings.py
@@ -7,6 +7,8 @@
 from heatherdyke.errors import SettingsError
 from heatherdyke.mechanisms import Mechanism
 from heatherdyke.observe.events import Severity
+from heatherdyke.peers.key import LEAST_SECRET_CHARACTERS
+from heatherdyke.peers.key import PeerKey
 
 LOG_LEVELS = tuple(severity.value for severity in Severity)
 
@@ -16,16 +18,20 @@
     """What one instance is told at its start.
 
     Addresses are ``host:port`` with IP numbers.  ``name`` is the same over
-    restarts; the incarnation is drawn anew at each start.  ``source`` is
-    the IP number that outgoing connections come from, if not the system's
-    choice.  ``peers`` are
+    restarts; the incarnation is drawn anew at each start.  Callers are
+    served on ``listen``; other instances and operators on
+    ``internal_listen``, which they reach under ``advertise`` if that is
+    given.  ``source`` is the IP number that outgoing connections come from,
+    if not the system's choice.  ``peers`` are the internal addresses of
     other instances to ask when the platform is down at the start.
     """
 
     name: str
     zone: str
     listen: str
+    internal_listen: str
     platform: str
+    peer_key: PeerKey
     advertise: str = ""
     source: str = ""
     peers: tuple[str, ...] = ()
@@ -42,12 +48,16 @@
 
     @property
     def address(self) -> str:
-        """Return the address under which others reach this instance."""
-        return self.advertise or self.listen
+        """Return the address under which other instances reach this one."""
+        return self.advertise or self.internal_listen
 
     @classmethod
     def from_values(
-        cls, disabled: str = "", peers: str = "", **values
+        cls,
+        disabled: str = "",
+        peers: str = "",
+        peer_key: str = "",
+        **values,
     ) -> "Settings":
         """Return checked settings; raises SettingsError naming all faults.
 
@@ -58,11 +68,16 @@
         for name in ("name", "zone"):
             if not values.get(name):
                 faults.append(f"--{name} is empty: give a name")
-        for name in ("listen", "platform"):
+        for name in ("listen", "internal_listen", "platform"):
             _check_address(name, values.get(name, ""), faults)
         if values.get("advertise"):
             _check_address("advertise", values["advertise"], faults)
         _check_host("source", values.get("source", ""), faults)
+        if len(peer_key) < LEAST_SECRET_CHARACTERS:
+            faults.append(
+                f"--peer-key has fewer than {LEAST_SECRET_CHARACTERS} "
+                "characters: give all instances the same long secret"
+            )
         peer_addresses = tuple(filter(None, peers.split(",")))
         for address in peer_addresses:
             _check_address("peers", address, faults)
@@ -78,7 +93,12 @@
         mechanisms = _parse_mechanisms(disabled, faults)
         if faults:
             raise SettingsError(faults)
-        return cls(disabled=mechanisms, peers=peer_addresses, **values)
+        return cls(
+            disabled=mechanisms,
+            peers=peer_addresses,
+            peer_key=PeerKey(peer_key),
+            **values,
+        )
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -95,8 +115,9 @@
     try:
         split_address(address)
     except ValueError:
+        flag = name.replace("_", "-")
         faults.append(
-            f"--{name} {address!r} is not an IP number and port: "
+            f"--{flag} {address!r} is not an IP number and port: "
             "write it as 127.0.0.1:8080"
         )
 
--- a/heatherdyke/standin/demo.py
+++ b/heatherdyke/standin/demo.py
@@ -39,6 +39,7 @@
 ZONES = ("brescia", "bergamo", "verona")
 TEAM = "demo"
 KEY = "demo-key"
+PEER_KEY = "peer key of the demo"
 ARCHIVE = "archive"
 ARCHIVE_INDEX = "dossiers"
 ARCHIVE_SHARDS = 5
@@ -74,7 +75,7 @@
     key = f"pull-{uuid4().hex}"
     request = RunRequest(ARCHIVE, "pull", "dossier 17")
     for instance in instances[:2]:
-        client = RunClient(instance.settings.address, KEY)
+        client = RunClient(instance.settings.listen, KEY)
         outcome = await client.run(key, request)
         show(
             f"archive pull at {instance.settings.name}: "
@@ -85,7 +86,7 @@
 async def _search(show: Print, instances: list[Instance]) -> None:
     services = [_service(number) for number in range(SERVICES)]
     for number, instance in enumerate(instances * 2):
-        client = CallerClient(instance.settings.address, KEY)
+        client = CallerClient(instance.settings.listen, KEY)
         request = SearchRequest(
             services, f"via milano {number}", "foreman", limit=3
         )
@@ -131,7 +132,9 @@
             name=f"entry-{zone}",
             zone=zone,
             listen=f"127.0.0.1:{find_free_port()}",
+            internal_listen=f"127.0.0.1:{find_free_port()}",
             platform=platform,
+            peer_key=PEER_KEY,
             drain_s=1.0,
         )
         instance = Instance.from_settings(settings)
--- a/heatherdyke/usage/level_sync.py
+++ b/heatherdyke/usage/level_sync.py
@@ -3,16 +3,16 @@
 import asyncio
 from collections.abc import Callable
 
-from blacksheep import Application
 from blacksheep import Request
 from blacksheep import Response
 
 from heatherdyke.clock import Clock
 from heatherdyke.errors import TransportError
 from heatherdyke.leaves.home import Home
-from heatherdyke.net.http_fetch import fetch
+from heatherdyke.net.http_routes import Applications
 from heatherdyke.net.http_routes import add_route
 from heatherdyke.net.http_support import json_response
+from heatherdyke.peers.fetch import PeerFetcher
 from heatherdyke.usage.level_book import LeafLevel
 from heatherdyke.usage.level_book import LevelBook
 
@@ -27,23 +27,25 @@
     ``find_peers`` returns the addresses of the zone's other members.
     """
 
-    __slots__ = ("_home", "_book", "_find_peers", "_clock")
+    __slots__ = ("_home", "_book", "_find_peers", "_fetcher", "_clock")
 
     def __init__(
         self,
         home: Home,
         book: LevelBook,
         find_peers: Callable[[], list[str]],
+        fetcher: PeerFetcher,
         clock: Clock,
     ) -> None:
         self._home = home
         self._book = book
         self._find_peers = find_peers
+        self._fetcher = fetcher
         self._clock = clock
 
-    def add_routes(self, app: Application) -> None:
+    def add_routes(self, apps: Applications) -> None:
         """Serve the levels of this home's leaves."""
-        add_route(app, "GET", "/peer/leaf-levels", self._serve)
+        add_route(apps.internal, "GET", "/peer/leaf-levels", self._serve)
 
     async def run(self) -> None:
         """Ask in a few rounds, in which the first homes move here."""
@@ -57,7 +59,7 @@
 
     async def _ask(self, address: str) -> None:
         try:
-            levels = await fetch(
+            levels = await self._fetcher.fetch(
                 address, "/peer/leaf-levels", list[LeafLevel], TIMEOUT_S
             )
         except TransportError:
--- a/heatherdyke/usage/task.py
+++ b/heatherdyke/usage/task.py
@@ -6,13 +6,13 @@
 
 import asyncio
 
-from blacksheep import Application
 from blacksheep import Request
 from blacksheep import Response
 
 from heatherdyke.config.model import USAGE_PREFIX
 from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.errors import VersionConflict
+from heatherdyke.net.http_routes import Applications
 from heatherdyke.net.http_routes import add_route
 from heatherdyke.net.http_support import json_response
 from heatherdyke.objects.client import ABSENT_VERSION
@@ -41,9 +41,9 @@
         self._version = ABSENT_VERSION
         self._stored = counters.page()
 
-    def add_routes(self, app: Application) -> None:
+    def add_routes(self, apps: Applications) -> None:
         """Serve the page as it stands now."""
-        add_route(app, "GET", "/usage", self._show)
+        add_route(apps.internal, "GET", "/usage", self._show)
 
     async def run(self) -> None:
         """Store the page regularly until cancelled."""
--- a/heatherdyke_bench/capacity_rows.py
+++ b/heatherdyke_bench/capacity_rows.py
@@ -10,6 +10,8 @@
 from heatherdyke.objects import view as platform_view
 from heatherdyke.observe.journal import RING_EVENTS
 from heatherdyke.observe.metrics import MAX_SERIES
+from heatherdyke.peers.key import SEAL_BYTES
+from heatherdyke.peers.key import PeerKey
 from heatherdyke.settings import Settings
 from heatherdyke.usage import task as usage_task
 from heatherdyke_bench.capacity_target import TARGET
@@ -216,8 +218,9 @@
 
 def _traffic_rows(slopes: Slopes) -> list[Row]:
     limit = TARGET.control_kb_per_s
-    interval_s = Settings("", "", "", "").heartbeat_interval_s
-    size = slopes["heartbeat_bytes"].at(TARGET.zones) + DATAGRAM_HEADER_BYTES
+    interval_s = Settings("", "", "", "", "", PeerKey("")).heartbeat_interval_s
+    size = slopes["heartbeat_bytes"].at(TARGET.zones)
+    size += DATAGRAM_HEADER_BYTES + SEAL_BYTES
     asked = slopes["heartbeat_targets"].at(TARGET.members_per_zone)
     at_root = TREE_FANOUT + RING_CHILDREN + asked
     edit = slopes["edit_bytes"].at(LEAVES_PER_SECTION) / 1000
@@ -321,7 +324,7 @@
     A watch that has just ended waits for a retry; each level of the tree
     waits for a heartbeat's interval, one lost heartbeat and a fetch.
     """
-    settings = Settings("", "", "", "")
+    settings = Settings("", "", "", "", "", PeerKey(""))
     members = TARGET.members_per_zone
     levels = ceil(log(members * (TREE_FANOUT - 1) + 1, TREE_FANOUT)) - 1
     fetch_s = 0.1
--- a/heatherdyke_bench/config_delay.py
+++ b/heatherdyke_bench/config_delay.py
@@ -174,7 +174,7 @@
 
 async def _search_forever(fleet: Fleet, number: int) -> None:
     names = sorted(fleet.instance_by_name)
-    address = fleet.instance_by_name[names[number % len(names)]].address
+    address = fleet.instance_by_name[names[number % len(names)]].caller_address
     client = CallerClient(address, key_of(TEAM))
     while True:
         request = SearchRequest(
--- a/heatherdyke_bench/experiment.py
+++ b/heatherdyke_bench/experiment.py
@@ -114,7 +114,9 @@
         self, fleet: Fleet, seed: int, starts_at: float
     ) -> LoadPlan:
         return LoadPlan(
-            addresses=[p.address for p in fleet.instance_by_name.values()],
+            addresses=[
+                p.caller_address for p in fleet.instance_by_name.values()
+            ],
             classes=self.deployment.classes,
             services=self.deployment.small_services,
             phases=[
--- a/heatherdyke_bench/fleet.py
+++ b/heatherdyke_bench/fleet.py
@@ -39,6 +39,7 @@
 READY_CHECK_S = 0.1
 START_AT_ONCE = 12
 FIRST_SNAPSHOT = 1
+PEER_KEY = "peer key of bench fleets"
 
 
 @dataclass(frozen=True, slots=True)
@@ -182,6 +183,7 @@
     def _add_instance(self, name: str, zone: str) -> None:
         host = self.network.host_of_zone(zone)
         address = free_address(host)
+        caller_address = free_address(host)
         platform = self.platform.address
         process = self._process(
             name,
@@ -190,7 +192,9 @@
                 "serve",
                 f"--name={name}",
                 f"--zone={zone}",
-                f"--listen={address}",
+                f"--listen={caller_address}",
+                f"--internal-listen={address}",
+                f"--peer-key={PEER_KEY}",
                 f"--advertise={self.network.route_instance(name, address)}",
                 f"--source={host}",
                 f"--platform={self.network.route_platform(platform)}",
@@ -198,6 +202,7 @@
             ],
         )
         process.address = address
+        process.caller_address = caller_address
         self.instance_by_name[name] = process
 
     async def _start_network(self) -> None:
--- a/heatherdyke_bench/measure_fleet.py
+++ b/heatherdyke_bench/measure_fleet.py
@@ -197,7 +197,9 @@
 async def _search_cost(deployment: SplitDeployment) -> SearchCost:
     async with _running(deployment) as fleet:
         await asyncio.sleep(SETTLE_S)
-        client = CallerClient(fleet.instance_by_name["entry"].address, KEY)
+        client = CallerClient(
+            fleet.instance_by_name["entry"].caller_address, KEY
+        )
         request = SearchRequest(["all"], "via milano")
         for _ in range(WARM_UP):
             await client.search(request)
--- a/heatherdyke_bench/member_slopes.py
+++ b/heatherdyke_bench/member_slopes.py
@@ -23,12 +23,16 @@
 from heatherdyke.membership.messages import Member
 from heatherdyke.membership.messages import Roster
 from heatherdyke.membership.task import MemberTask
+from heatherdyke.net.http_routes import Applications
 from heatherdyke.net.http_routes import new_application
 from heatherdyke.net.server import HttpServer
 from heatherdyke.objects.client import PlatformClient
 from heatherdyke.observe.journal import Journal
+from heatherdyke.peers.guard import guard_peer_routes
+from heatherdyke.peers.key import PeerKey
 from heatherdyke.settings import Settings
 from heatherdyke.standin.platform import PlatformStandin
+from heatherdyke_bench.fleet import PEER_KEY
 from heatherdyke_bench.process import free_address
 
 SIZES = (2, 8, 16, 32, 55)
@@ -99,7 +103,9 @@
             name,
             ZONE,
             free_address(),
+            free_address(),
             self.platform.address,
+            PeerKey(PEER_KEY),
             heartbeat_interval_s=self._interval_s,
             lease_s=self._lease_s,
         )
@@ -110,8 +116,9 @@
             Clock(),
         )
         app = new_application()
-        task.add_routes(app)
-        server = HttpServer(app, settings.listen)
+        task.add_routes(Applications(new_application(), app))
+        guard_peer_routes(app, settings.peer_key)
+        server = HttpServer(app, settings.internal_listen)
         await server.start()
         self._servers.append(server)
         self.tasks.append(task)
--- a/heatherdyke_bench/process.py
+++ b/heatherdyke_bench/process.py
@@ -25,6 +25,7 @@
     ) -> None:
         self.name = name
         self.address = ""
+        self.caller_address = ""
         self._arguments = arguments
         self._log = log
         self._tree = tree
--- a/heatherdyke_bench/run_cost.py
+++ b/heatherdyke_bench/run_cost.py
@@ -57,7 +57,7 @@
     team = fleet.deployment.plans[0].team
     service = fleet.deployment.small_services[0]
     clients = [
-        RunClient(process.address, key_of(team))
+        RunClient(process.caller_address, key_of(team))
         for process in fleet.instance_by_name.values()
     ]
     keys = [f"run-{number}" for number in range(RUNS)]
--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -169,7 +169,7 @@
                 URGENCY.name,
                 limit=self._limit,
             )
-            client = CallerClient(process.address, key_of(TEAM))
+            client = CallerClient(process.caller_address, key_of(TEAM))
             try:
                 answer = await client.search(request)
             except RequestRefused as error:
--- a/tests/test_cli_observe.py
+++ b/tests/test_cli_observe.py
@@ -14,6 +14,7 @@
 from heatherdyke.errors import SettingsError
 from heatherdyke.membership.messages import Member
 from heatherdyke.membership.messages import Roster
+from heatherdyke.net.http_routes import Applications
 from heatherdyke.net.http_routes import new_application
 from heatherdyke.objects.client import PlatformClient
 from heatherdyke.observe.client import discover
@@ -51,7 +52,7 @@
             self.metrics,
             lambda: HealthState(True, True, False, False),
             lambda: self.known,
-        ).add_routes(app)
+        ).add_routes(Applications(new_application(), app))
         config = uvicorn.Config(
             app, host="127.0.0.1", port=0, log_level="error"
         )
--- a/tests/test_observe.py
+++ b/tests/test_observe.py
@@ -5,6 +5,7 @@
 from blacksheep.testing import TestClient
 
 from heatherdyke.codec import decode
+from heatherdyke.net.http_routes import Applications
 from heatherdyke.net.http_routes import new_application
 from heatherdyke.observe.component import ObserveComponent
 from heatherdyke.observe.events import STOPPING
@@ -90,7 +91,7 @@
             journal, metrics, lambda: states[0], lambda: []
         )
         app = new_application()
-        component.add_routes(app)
+        component.add_routes(Applications(new_application(), app))
         await app.start()
         client = TestClient(app)
         journal.record(STOPPING)
--- a/tests/test_proof_config.py
+++ b/tests/test_proof_config.py
@@ -24,6 +24,7 @@
 from heatherdyke_bench.config_delay import measure_zone_out
 from heatherdyke_bench.config_delay import start_fleet
 from heatherdyke_bench.config_delay import wait_for_version
+from heatherdyke_bench.fleet import PEER_KEY
 from heatherdyke_bench.process import FleetProcess
 from heatherdyke_bench.process import free_address
 from tests.small_fleet import wait_until
@@ -39,6 +40,7 @@
     """Start an instance that reaches its peers but not the platform."""
     peers = ",".join(p.address for p in fleet.instance_by_name.values())
     address = free_address()
+    caller_address = free_address()
     process = FleetProcess(
         "cut-off",
         [
@@ -46,7 +48,9 @@
             "serve",
             "--name=cut-off",
             f"--zone={zone}",
-            f"--listen={address}",
+            f"--listen={caller_address}",
+            f"--internal-listen={address}",
+            f"--peer-key={PEER_KEY}",
             f"--platform={NOTHING_LISTENS}",
             f"--peers={peers}",
         ],
@@ -55,6 +59,7 @@
     )
     await process.start()
     process.address = address
+    process.caller_address = caller_address
     await wait_until(lambda: reaches(address))
     return process
 
--- a/tests/test_proof_homes.py
+++ b/tests/test_proof_homes.py
@@ -36,6 +36,7 @@
 from heatherdyke_bench.deployments import Deployment
 from heatherdyke_bench.deployments import LeafKind
 from heatherdyke_bench.deployments import ServicePlan
+from heatherdyke_bench.fleet import PEER_KEY
 from heatherdyke_bench.fleet import Fleet
 from heatherdyke_bench.fleet import Policy
 from heatherdyke_bench.process import free_address
@@ -116,6 +117,7 @@
         return self._front[name] if self.proxied else self._behind[name]
 
     def _add_instance(self, name: str, zone: str) -> None:
+        caller_address = free_address()
         process = self._process(
             name,
             [
@@ -123,7 +125,9 @@
                 "serve",
                 f"--name={name}",
                 f"--zone={zone}",
-                f"--listen={self._behind[name]}",
+                f"--listen={caller_address}",
+                f"--internal-listen={self._behind[name]}",
+                f"--peer-key={PEER_KEY}",
                 f"--advertise={self._address(name)}",
                 f"--platform={self._store[name]}",
                 f"--heartbeat-interval-s={self.heartbeat_interval_s}",
@@ -131,6 +135,7 @@
             ],
         )
         process.address = self._behind[name]
+        process.caller_address = caller_address
         self.instance_by_name[name] = process
 
 
--- a/tests/test_proof_run_once.py
+++ b/tests/test_proof_run_once.py
@@ -45,7 +45,7 @@
         self.fleet = fleet
         self.names = list(fleet.instance_by_name)
         self.clients = [
-            RunClient(fleet.find_instance(name).address, key_of(TEAM))
+            RunClient(fleet.find_instance(name).caller_address, key_of(TEAM))
             for name in self.names
         ]
 
--- a/tests/test_proof_spending.py
+++ b/tests/test_proof_spending.py
@@ -52,7 +52,7 @@
             deployment.small_services, "via milano", URGENCY.name
         )
         clients = [
-            CallerClient(process.address, key_of(TEAM))
+            CallerClient(process.caller_address, key_of(TEAM))
             for process in fleet.instance_by_name.values()
         ]
         started_at = monotonic()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -14,17 +14,21 @@
                 name="",
                 zone="brescia",
                 listen="localhost:1",
+                internal_listen="127.0.0.1:3",
+                peer_key="short",
                 platform="127.0.0.1:1",
                 lease_s=0.0,
                 disabled="hedging,nothing",
             )
-        assert len(caught.value.faults) == 4
+        assert len(caught.value.faults) == 5
 
     def test_mechanisms_are_switched_off_by_name(self):
         settings = Settings.from_values(
             name="a",
             zone="brescia",
             listen="127.0.0.1:1",
+            internal_listen="127.0.0.1:3",
+            peer_key="a key of this test",
             platform="127.0.0.1:2",
             disabled="hedging",
         )
--- a/tests/test_shipping.py
+++ b/tests/test_shipping.py
@@ -91,7 +91,9 @@
     """Run ``serve`` with nothing but a directory until it is live."""
     port = free_port()
     command = [*command, "serve", "--name", "a", "--zone", "brescia"]
-    command += ["--listen", f"127.0.0.1:{port}"]
+    command += ["--listen", f"127.0.0.1:{free_port()}"]
+    command += ["--internal-listen", f"127.0.0.1:{port}"]
+    command += ["--peer-key", "a key for this test"]
     command += ["--platform", f"127.0.0.1:{free_port()}"]
     command += ["--drain-s", "0.2"]
     environment = {"HEATHERDYKE_UNPACK_DIR": unpack_directory()}
