Hold a recut configuration while its leafs are cold; hold first requests

Now a version that changes a route's shards waits until they have as many warm leafs as the former ones, for at most 0.4 of the time that a version may take to be in force. An instance that is asked for shards by one with a later version puts it in force at once, so that its sends never go back.

--- a/heatherdyke/cli/observe.py
+++ b/heatherdyke/cli/observe.py
@@ -9,6 +9,7 @@
 
 from heatherdyke.codec import encode
 from heatherdyke.errors import SettingsError
+from heatherdyke.net.address import split_address
 from heatherdyke.observe.client import Unreachable
 from heatherdyke.observe.hybrid_clock import HybridTimestamp
 from heatherdyke.observe.journal import Event
@@ -18,7 +19,6 @@
 from heatherdyke.observe.report import read_stats
 from heatherdyke.observe.report import read_timeline
 from heatherdyke.observe.timeline import EventFilter
-from heatherdyke.settings import split_address
 
 InstanceOption = Annotated[
     str,
--- a/heatherdyke/cli/options.py
+++ b/heatherdyke/cli/options.py
@@ -9,8 +9,8 @@
 from heatherdyke.codec import encode
 from heatherdyke.config.wait import InstanceProgress
 from heatherdyke.errors import SettingsError
+from heatherdyke.net.address import split_address
 from heatherdyke.objects.client import PlatformClient
-from heatherdyke.settings import split_address
 
 PlatformOption = Annotated[
     str,
--- a/heatherdyke/config/rules.py
+++ b/heatherdyke/config/rules.py
@@ -15,8 +15,8 @@
 from heatherdyke.config.model import ConfigDocument
 from heatherdyke.config.model import RunOnceMode
 from heatherdyke.config.model import SectionConfig
+from heatherdyke.net.address import split_address
 from heatherdyke.registry import Registry
-from heatherdyke.settings import split_address
 
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,126}")
 HASH_PATTERN = re.compile(r"[0-9a-f]{64}")
--- a/heatherdyke/gateway/beliefs.py
+++ b/heatherdyke/gateway/beliefs.py
@@ -1,8 +1,10 @@
 """Takes what the store says into the state that requests use."""
 
 from heatherdyke.errors import UnreadableObject
+from heatherdyke.gateway.adoption import Adoption
 from heatherdyke.gateway.core import Core
 from heatherdyke.gateway.events import CONFIG_ADOPTED
+from heatherdyke.gateway.events import CONFIG_HELD
 from heatherdyke.gateway.events import CONFIG_REJECTED
 from heatherdyke.gateway.events import LEAF_ADDED
 from heatherdyke.gateway.events import LEAF_REMOVED
@@ -11,6 +13,7 @@
 from heatherdyke.gateway.leaf_entry import LeafEntry
 from heatherdyke.gateway.leaf_table import Leaf
 from heatherdyke.gateway.routing import RouteTable
+from heatherdyke.gateway.routing import RoutingConfig
 from heatherdyke.platform.configuration import NAME as CONFIG_NAME
 from heatherdyke.platform.configuration import decode_configuration
 from heatherdyke.platform.discovery import decode_leaf
@@ -21,25 +24,45 @@
 
 # A zone whose services declare no cold time is taken as cold this long.
 DEFAULT_COLD_S = 3.0
+# Leafs become warm one by one.
+RECHECK_S = 0.05
 
 
 class Beliefs:
     """Hears the feeds of configuration, leafs, zones and instances."""
 
-    __slots__ = ("_core",)
+    __slots__ = ("_core", "_adoption")
 
     def __init__(self, core: Core) -> None:
         self._core = core
+        self._adoption = Adoption()
 
     def config_listed(self, listing: Listing, may_be_back: bool) -> None:
         """Take in the configuration, if there is one."""
         for stored in listing.objects:
-            self._adopt(stored)
+            config = self._read(stored)
+            if config is not None:
+                self._put_in_force(config)
 
     def config_changed(self, change: Change, may_be_back: bool) -> None:
         """Take in a new version; a deleted one leaves the last in force."""
-        if not change.deleted:
-            self._adopt(change.object)
+        config = None if change.deleted else self._read(change.object)
+        if config is None:
+            return
+        core = self._core
+        held = self._adoption.config is not None
+        now = core.loop.time()
+        self._adoption.hear(config, now, core.settings.bounds.config_s)
+        self._adopt_if_due()
+        if not held and self._adoption.config is not None:
+            core.log.record(CONFIG_HELD, version=config.version)
+            core.loop.call_later(RECHECK_S, self._recheck)
+
+    def hear_version(self, version: int) -> None:
+        """Take in that another instance has a version in force."""
+        held = self._adoption.config
+        if held is not None and version >= held.version:
+            self._put_in_force(held)
 
     def leafs_listed(self, listing: Listing, may_be_back: bool) -> None:
         """Take in all leafs' entries."""
@@ -96,18 +119,37 @@
         ]
         self._core.set_instances(entries)
 
-    def _adopt(self, stored: StoredObject) -> None:
-        core = self._core
+    def _read(self, stored: StoredObject) -> RoutingConfig | None:
+        """Return the version that is newer than all known, if it is one."""
         if stored.name != CONFIG_NAME:
-            return
+            return None
         try:
             config = decode_configuration(stored.spec)
         except UnreadableObject as error:
-            core.log.record(CONFIG_REJECTED, reason=error.detail)
-            return
+            self._core.log.record(CONFIG_REJECTED, reason=error.detail)
+            return None
+        for known in (self._core.config, self._adoption.config):
+            if known is not None and config.version <= known.version:
+                return None
+        return config
+
+    def _recheck(self) -> None:
+        self._adopt_if_due()
+        if self._adoption.config is not None:
+            self._core.loop.call_later(RECHECK_S, self._recheck)
+
+    def _adopt_if_due(self) -> None:
+        core = self._core
+        config = self._adoption.take(
+            core.config, core.warm_share, core.loop.time()
+        )
+        if config is not None:
+            self._put_in_force(config)
+
+    def _put_in_force(self, config: RoutingConfig) -> None:
+        core = self._core
         known = core.config
-        if known is not None and config.version <= known.version:
-            return
+        self._adoption.config = None
         core.routes = RouteTable(config)
         core.log.record(
             CONFIG_ADOPTED,
--- a/heatherdyke/gateway/core.py
+++ b/heatherdyke/gateway/core.py
@@ -108,6 +108,18 @@
             self._split_by_route[route.name] = counter
         return counter.next(route.targets)
 
+    def warm_share(self, route: Route) -> float:
+        """Return the share of a route's shards that have a warm leaf."""
+        now = self.loop.time()
+        warm = sum(
+            any(
+                leaf.is_usable(now) and not leaf.is_cold(now)
+                for leaf in self.leafs.of_service(shard)
+            )
+            for shard in route.shards
+        )
+        return warm / len(route.shards)
+
     def zones_with_leaf(self, service: str, route: Route) -> set[str]:
         """Return the zones with a leaf that can be sent to now.
 
--- a/heatherdyke/gateway/dispatch.py
+++ b/heatherdyke/gateway/dispatch.py
@@ -12,26 +12,34 @@
 
 # Without word from the store for this long, a route may be new.
 UNSURE_AFTER_S = 1.0
+# A first list takes some 20 ms; an urgent request can wait this long.
+HOLD_S = 0.05
 
 
 class Dispatcher:
-    """Hands each request to a search or a forward, or refuses it."""
+    """Hands each request to a search or a forward, or refuses it.
 
-    __slots__ = ("_core", "_config_feed")
+    A request that comes before the first lists of the store is held for a
+    moment, as they are on their way.
+    """
 
-    def __init__(self, core: Core, config_feed: Feed) -> None:
+    __slots__ = ("_core", "_config_feed", "_leaf_feed", "_held")
+
+    def __init__(self, core: Core, config_feed: Feed, leaf_feed: Feed) -> None:
         self._core = core
         self._config_feed = config_feed
+        self._leaf_feed = leaf_feed
+        self._held: list[Exchange] = []
 
     def handle(self, exchange: Exchange) -> None:
         """Serve a request, at once or later."""
         request = exchange.request
-        routes = self._core.routes
         if not request.target.startswith(b"/") or not request.host:
             self._reject(exchange, 400, Why.MALFORMED)
             return
-        if routes is None:
-            self._refuse(exchange, Why.STARTING)
+        routes = self._core.routes
+        if routes is None or not self._leaf_feed.listed.is_set():
+            self._hold(exchange)
             return
         route = routes.find(request.host, request.path)
         if route is None:
@@ -45,6 +53,25 @@
             service = self._core.split(route)
             Forward(self._core, exchange, route, service).start()
 
+    def take_held(self) -> list[Exchange]:
+        """Return the requests that are held, and hold them no longer."""
+        held, self._held = self._held, []
+        return [exchange for exchange in held if not exchange.answered]
+
+    def _hold(self, exchange: Exchange) -> None:
+        """Hold a request, or refuse it if the store does not serve."""
+        if self._config_feed.lost_for_s() or self._leaf_feed.lost_for_s():
+            self._refuse(exchange, Why.STARTING)
+            return
+        self._held.append(exchange)
+        self._core.loop.call_later(HOLD_S, self._end_hold, exchange)
+
+    def _end_hold(self, exchange: Exchange) -> None:
+        if exchange in self._held:
+            self._held.remove(exchange)
+            if not exchange.answered:
+                self._refuse(exchange, Why.STARTING)
+
     def _is_unsure(self) -> bool:
         return self._config_feed.lost_for_s() > UNSURE_AFTER_S
 
--- a/heatherdyke/gateway/events.py
+++ b/heatherdyke/gateway/events.py
@@ -86,6 +86,36 @@
         ("version", "previous", "routes"),
     )
 )
+CONFIG_HELD = register(
+    EventKind(
+        7104,
+        "routing_held",
+        Severity.INFO,
+        "A new configuration names shards whose leafs are still cold; the "
+        "former one stays in force a little longer.",
+        ("version",),
+    )
+)
+TURNED_AWAY = register(
+    EventKind(
+        7206,
+        "turned_away",
+        Severity.WARNING,
+        "This instance is cut off from the other zones and not ready, so "
+        "that the balancer sends clients to other zones.",
+        ("failures", "silent_s", "refused_share"),
+        "Look at the network between this zone and the others.",
+    )
+)
+REJOINED = register(
+    EventKind(
+        7207,
+        "rejoined",
+        Severity.INFO,
+        "Leafs of other zones answer again, or no request is refused.",
+        ("turned_away_s",),
+    )
+)
 CONFIG_REJECTED = register(
     EventKind(
         7102,
--- a/heatherdyke/gateway/isolation.py
+++ b/heatherdyke/gateway/isolation.py
@@ -11,7 +11,7 @@
 SILENT_S = 0.3
 # From this share of refused requests on, another zone serves better.
 REFUSED_SHARE = 0.3
-SMOOTHING = 0.1
+SMOOTHING = 0.2
 
 
 @dataclass(slots=True)
--- a/heatherdyke/gateway/peer_api.py
+++ b/heatherdyke/gateway/peer_api.py
@@ -172,11 +172,20 @@
 class PeerApi:
     """Owns the connections of other instances."""
 
-    __slots__ = ("stopping", "_core", "_connections", "_open_by_key")
+    __slots__ = (
+        "stopping",
+        "_core",
+        "_hear_version",
+        "_connections",
+        "_open_by_key",
+    )
 
-    def __init__(self, core: Core) -> None:
+    def __init__(
+        self, core: Core, hear_version: Callable[[int], None]
+    ) -> None:
         self.stopping = False
         self._core = core
+        self._hear_version = hear_version
         self._connections: set[ClientConnection] = set()
         self._open_by_key: dict[tuple[bytes, str], GroupSearch] = {}
 
@@ -234,6 +243,7 @@
         if not message.shards:
             exchange.answer(Answer(400))
             return
+        self._hear_version(message.config_version)
         GroupSearch(self._core, exchange, message, self._note_open).start()
 
     def _rest(self, exchange: Exchange) -> None:
--- a/heatherdyke/gateway/peer_messages.py
+++ b/heatherdyke/gateway/peer_messages.py
@@ -16,6 +16,7 @@
 class GroupRequest(msgspec.Struct, array_like=True):
     """Asks for some shards of a search.
 
+    ``config_version`` is the version that the asker has in force.
     ``due_s`` is how long the asker waits for what is there by then,
     ``limit_s`` how long at the most; both from the message's arrival.
     """
@@ -35,6 +36,7 @@
     home_regions: list[str]
     due_s: float = 0.0
     limit_s: float = 0.0
+    config_version: int = 0
 
 
 class GroupResult(msgspec.Struct, array_like=True):
@@ -93,6 +95,7 @@
     request: ClientRequest,
     route: Route,
     shards: tuple[str, ...],
+    config_version: int,
 ) -> GroupRequest:
     """Return the message for some shards of a client's request."""
     return GroupRequest(
@@ -109,6 +112,7 @@
         min_share=0.0,
         objective_s=route.objective_s,
         home_regions=sorted(route.home_regions),
+        config_version=config_version,
     )
 
 
--- a/heatherdyke/gateway/process.py
+++ b/heatherdyke/gateway/process.py
@@ -17,11 +17,13 @@
 from heatherdyke.gateway.dispatch import Dispatcher
 from heatherdyke.gateway.events import PAUSED
 from heatherdyke.gateway.events import READY
+from heatherdyke.gateway.events import REJOINED
 from heatherdyke.gateway.events import RELOADED
 from heatherdyke.gateway.events import SETTINGS_REJECTED
 from heatherdyke.gateway.events import STARTED
 from heatherdyke.gateway.events import STOPPED
 from heatherdyke.gateway.events import STOPPING
+from heatherdyke.gateway.events import TURNED_AWAY
 from heatherdyke.gateway.feed import Feed
 from heatherdyke.gateway.pause import PauseDetector
 from heatherdyke.gateway.peer_api import PeerApi
@@ -53,6 +55,7 @@
         "_path",
         "_core",
         "_beliefs",
+        "_dispatcher",
         "_clients",
         "_config_feed",
         "_leaf_feed",
@@ -64,6 +67,8 @@
         "_pause",
         "_started_at",
         "_ready_logged",
+        "_turned_away",
+        "_turned_away_at",
         "_reload_at",
     )
 
@@ -94,13 +99,16 @@
             first_may_be_old=True,
         )
         self._roster = Roster(core, beliefs)
-        self._clients = Clients(core, Dispatcher(core, self._config_feed))
-        self._peer_api = PeerApi(core)
+        self._dispatcher = Dispatcher(core, self._config_feed, self._leaf_feed)
+        self._clients = Clients(core, self._dispatcher)
+        self._peer_api = PeerApi(core, beliefs.hear_version)
         self._metrics_port = metrics_port
         self._stopping = asyncio.Event()
         self._pause = PauseDetector(TICK_S)
         self._started_at = core.loop.time()
         self._ready_logged = False
+        self._turned_away = False
+        self._turned_away_at = 0.0
         self._reload_at = self._started_at + RELOAD_EVERY_S
 
     @classmethod
@@ -154,6 +162,7 @@
             self._roster,
         )
         tasks = [loop.create_task(part.run()) for part in work]
+        tasks.append(loop.create_task(self._serve_held()))
         tasks.append(loop.create_task(self._tick()))
         await self._stopping.wait()
         await self._drain(server)
@@ -171,6 +180,13 @@
             reuse_address=True,
         )
 
+    async def _serve_held(self) -> None:
+        """Serve what came before the first lists, once they are there."""
+        await self._config_feed.listed.wait()
+        await self._leaf_feed.listed.wait()
+        for exchange in self._dispatcher.take_held():
+            self._clients.handle(exchange)
+
     async def _tick(self) -> None:
         core = self._core
         while True:
@@ -183,6 +199,7 @@
             core.peers.pools.maintain(now)
             self._clients.maintain(now)
             self._beliefs.expire_leafs(now)
+            self._note_isolation(now)
             if now >= self._reload_at:
                 self._reload_at = now + RELOAD_EVERY_S
                 self._reload()
@@ -195,6 +212,24 @@
         for feed in (self._config_feed, self._leaf_feed, self._zone_feed):
             feed.refresh()
 
+    def _note_isolation(self, now: float) -> None:
+        """Log when this instance begins or ends to turn clients away."""
+        isolation = self._core.isolation
+        if isolation.should_turn_away(now) == self._turned_away:
+            return
+        self._turned_away = not self._turned_away
+        if self._turned_away:
+            self._turned_away_at = now
+            self._core.log.record(
+                TURNED_AWAY,
+                failures=isolation.failures,
+                silent_s=round(now - isolation.heard_at, 3),
+                refused_share=round(isolation.refused_share, 2),
+            )
+            return
+        away_s = round(now - self._turned_away_at, 3)
+        self._core.log.record(REJOINED, turned_away_s=away_s)
+
     def _log_ready(self, now: float) -> None:
         self._ready_logged = True
         self._core.log.record(
--- a/heatherdyke/gateway/search.py
+++ b/heatherdyke/gateway/search.py
@@ -119,7 +119,10 @@
     def _ask_peer(self, group: Group) -> None:
         progress = self._gathering.progress
         message = group_request(
-            self._exchange.request, self._route, group.shards
+            self._exchange.request,
+            self._route,
+            group.shards,
+            self._core.config.version,
         )
         call = PeerCall(
             self._core,
--- a/heatherdyke/net/address.py
+++ b/heatherdyke/net/address.py
@@ -24,3 +24,13 @@
 
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port; raises ValueError unless ``IP-number:port``."""
+    host, _, port = address.rpartition(":")
+    ip_address(host.strip("[]"))
+    number = int(port)
+    if not 0 < number < 65536:
+        raise ValueError(f"port {number} is not from 1 to 65535")
+    return host.strip("[]"), number
--- a/heatherdyke/net/http_connection.py
+++ b/heatherdyke/net/http_connection.py
@@ -14,8 +14,8 @@
 from heatherdyke.errors import ConnectionRefused
 from heatherdyke.errors import ConnectionSilent
 from heatherdyke.errors import TransportError
+from heatherdyke.net.address import split_address
 from heatherdyke.net.keepalive import KeepAlive
-from heatherdyke.settings import split_address
 
 READ_BYTES = 65536
 CONNECT_TIMEOUT_S = 2.0
--- a/heatherdyke/net/server.py
+++ b/heatherdyke/net/server.py
@@ -6,10 +6,10 @@
 import uvicorn
 from blacksheep import Application
 
+from heatherdyke.net.address import split_address
 from heatherdyke.net.bounded_protocol import PEER_LIMITS
 from heatherdyke.net.bounded_protocol import BoundedProtocol
 from heatherdyke.net.bounded_protocol import RequestLimits
-from heatherdyke.settings import split_address
 
 BACKLOG = 2048
 KEEP_ALIVE_S = 75
--- a/heatherdyke/net/udp_endpoint.py
+++ b/heatherdyke/net/udp_endpoint.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from heatherdyke.settings import split_address
+from heatherdyke.net.address import split_address
 
 MAX_QUEUED_DATAGRAMS = 1024
 HEADER_BYTES = 28
--- a/heatherdyke/settings.py
+++ b/heatherdyke/settings.py
@@ -6,6 +6,7 @@
 
 from heatherdyke.errors import SettingsError
 from heatherdyke.mechanisms import Mechanism
+from heatherdyke.net.address import split_address
 from heatherdyke.observe.events import Severity
 from heatherdyke.peers.key import LEAST_SECRET_CHARACTERS
 from heatherdyke.peers.key import PeerKey
@@ -101,16 +102,6 @@
         )
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port; raises ValueError unless ``IP-number:port``."""
-    host, _, port = address.rpartition(":")
-    ip_address(host.strip("[]"))
-    number = int(port)
-    if not 0 < number < 65536:
-        raise ValueError(f"port {number} is not from 1 to 65535")
-    return host.strip("[]"), number
-
-
 def _check_address(name: str, address: str, faults: list[str]) -> None:
     try:
         split_address(address)
--- a/heatherdyke/standin/fault_proxy_udp.py
+++ b/heatherdyke/standin/fault_proxy_udp.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from heatherdyke.settings import split_address
+from heatherdyke.net.address import split_address
 from heatherdyke.standin.fault_proxy_model import Direction
 from heatherdyke.standin.fault_proxy_model import RouteConfig
 from heatherdyke.standin.fault_proxy_model import RouteFaults
--- a/heatherdyke/standin/http.py
+++ b/heatherdyke/standin/http.py
@@ -18,7 +18,7 @@
 from loguru import logger
 
 from heatherdyke.codec import encode
-from heatherdyke.settings import split_address
+from heatherdyke.net.address import split_address
 
 ADMIN_PREFIX = "/admin/"
 ADMIN_CONNECTIONS = 2
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -428,6 +428,16 @@
         isolation.hear_answer("b", 1.0)
         assert not isolation.should_turn_away(2.0)
 
+    def test_the_second_refusal_after_serving_is_enough(self):
+        """Each further one is a caller that another zone could serve."""
+        isolation = Isolation("c")
+        for _ in range(8):
+            isolation.hear_failure("a")
+        isolation.hear_request(refused=True)
+        assert not isolation.should_turn_away(1.0)
+        isolation.hear_request(refused=True)
+        assert isolation.should_turn_away(1.0)
+
     def test_one_that_serves_from_its_own_zone_stays(self):
         isolation = Isolation("a")
         for _ in range(50):
--- a/tests/test_gateway_groups.py
+++ b/tests/test_gateway_groups.py
@@ -78,7 +78,9 @@
             arrived_at=loop.time(),
         )
         answers: list[Answer] = []
-        PeerApi(core).handle(Exchange(request, answers.append))
+        PeerApi(core, lambda version: None).handle(
+            Exchange(request, answers.append)
+        )
         return answers[0]
 
     return asyncio.run(main())
