--- a/heatherdyke/gateway/__main__.py
+++ b/heatherdyke/gateway/__main__.py
@@ -1,38 +1,12 @@
-"""Runs a gateway process: ``python -m heatherdyke.gateway [METRICS_PORT]``.
+"""The program: ``python -m heatherdyke.gateway [METRICS_PORT]``."""
 
-The settings file's path comes from the environment.
-"""
-
-import asyncio
 import sys
 
-from heatherdyke.errors import SettingsError
-from heatherdyke.gateway.decision_log import write_decisions_to_stdout
-from heatherdyke.gateway.process import GatewayProcess
-from heatherdyke.platform.settings import load_settings
-from heatherdyke.platform.settings import settings_path
-
-
-async def serve(metrics_port: int) -> None:
-    """Serve by the settings file until told to stop."""
-    path = settings_path()
-    settings = load_settings(path)
-    write_decisions_to_stdout(settings.name)
-    loop = asyncio.get_running_loop()
-    process = GatewayProcess.from_settings(path, settings, loop, metrics_port)
-    await process.run()
-
-
-def main() -> int:
-    """Run the process; return its exit code."""
-    metrics_port = int(sys.argv[1]) if len(sys.argv) > 1 else 0
-    try:
-        asyncio.run(serve(metrics_port))
-    except SettingsError as error:
-        sys.stderr.write(f"{error}\n")
-        return SettingsError.exit_code
-    return 0
+# asyncio imports ssl where it can, a tenth of this process's memory; nothing
+# here speaks TLS.
+sys.modules["ssl"] = None
 
+from heatherdyke.gateway.run import main  # noqa: E402
 
 if __name__ == "__main__":
     sys.exit(main())
