--- a/heatherdyke/cli/config.py
+++ b/heatherdyke/cli/config.py
@@ -30,6 +30,7 @@
 from heatherdyke.config.wait import require_in_force
 from heatherdyke.errors import ConfigInvalid
 from heatherdyke.objects.client import PlatformClient
+from heatherdyke.platform.settings import check_settings_file
 
 config_app = typer.Typer(
     name="config",
@@ -37,6 +38,7 @@
     no_args_is_help=True,
 )
 
+SETTINGS_SUFFIX = ".toml"
 FileArgument = Annotated[Path, typer.Argument(help="YAML file of a section.")]
 TeamOption = Annotated[str, typer.Option("--team", help="Your team.")]
 IfVersionOption = Annotated[
@@ -50,19 +52,26 @@
 @config_app.command("check")
 def check(
     files: Annotated[
-        list[Path], typer.Argument(help="YAML files, a section each.")
+        list[Path],
+        typer.Argument(
+            help="YAML files, a section each; TOML files of the platform."
+        ),
     ],
     as_json: JsonOption = False,
 ) -> None:
-    """Check sections offline and tell every fault."""
-    faults = commands.check_files(files)
+    """Check sections and settings files offline and tell every fault."""
+    settings = [path for path in files if path.suffix == SETTINGS_SUFFIX]
+    sections = [path for path in files if path not in settings]
+    faults = commands.check_files(sections)
+    for path in settings:
+        faults += check_settings_file(path)
     if as_json:
         print_json(faults)
     elif faults:
         for fault in faults:
             typer.echo(str(fault))
     else:
-        typer.echo(f"{len(files)} sections without faults")
+        typer.echo(f"{len(files)} files without faults")
     if faults:
         raise typer.Exit(ConfigInvalid.exit_code)
 
