--- a/heatherdyke_bench/__main__.py
+++ b/heatherdyke_bench/__main__.py
@@ -13,6 +13,8 @@
 from heatherdyke_bench.deployments import deployments
 from heatherdyke_bench.experiment import Experiment
 from heatherdyke_bench.fleet import Policy
+from heatherdyke_bench.history import plot_history
+from heatherdyke_bench.history import scores_of
 from heatherdyke_bench.plot import plot_reports
 from heatherdyke_bench.report import RunReport
 from heatherdyke_bench.scenario import load_scenario
@@ -38,6 +40,22 @@
         typer.echo(f"{name}: {load_scenario(name).description}")
 
 
+@app.command()
+def history(
+    site: Annotated[str, typer.Argument(help="The site's name.")],
+    journal: Annotated[
+        Path, typer.Option(help="The directory of the bench's entries.")
+    ] = Path("journal"),
+    plot: Annotated[Path, typer.Option(help="PNG to write.")] = Path(
+        "history.png"
+    ),
+) -> None:
+    """Draw the site's scores, worths and prices over the project's life."""
+    runs = scores_of(journal, site)
+    plot_history(runs, plot)
+    typer.echo(f"{len(runs)} scores of {site} drawn to {plot}")
+
+
 @app.command()
 def run(
     scenario: str,
--- /dev/null
+++ b/heatherdyke_bench/history.py
@@ -0,0 +1,98 @@
+"""Draws worth, score and prices of a site over the project's life."""
+
+from pathlib import Path
+
+from heatherdyke.platform.bench_journal import DayResult
+from heatherdyke.platform.bench_journal import RunResult
+from heatherdyke.platform.bench_journal import read_runs
+from heatherdyke_bench.errors import FleetError
+
+# Days that are drawn anew for each run have names of their own.
+FRESH_PREFIX = "fresh"
+# Prices below this in all runs would only be lines at zero.
+LEAST_PRICE = 0.001
+
+
+def scores_of(directory: Path, site: str) -> list[RunResult]:
+    """Return the site's standard scores in order of time.
+
+    Raises FleetError if there are none.
+    """
+    runs, _ = read_runs(directory)
+    scores = [r for r in runs if r.command == "score" and r.site == site]
+    if not scores:
+        known = ", ".join(sorted({run.site for run in runs}))
+        raise FleetError(
+            f"{directory} holds no score of {site!r}",
+            f"name one of: {known}",
+        )
+    return scores
+
+
+def values_by_day(
+    runs: list[RunResult], value: str
+) -> dict[str, list[float | None]]:
+    """Return ``worth`` or ``score`` by day; None where it was not played."""
+    names = {
+        day.name
+        for run in runs
+        for day in run.days
+        if not day.name.startswith(FRESH_PREFIX)
+    }
+    return {
+        name: [_value(run, name, value) for run in runs]
+        for name in sorted(names)
+    }
+
+
+def mean_prices(runs: list[RunResult]) -> dict[str, list[float]]:
+    """Return by kind what it cost of a day's worth, a mean over the days."""
+    kinds = {
+        price.kind for run in runs for day in run.days for price in day.prices
+    }
+    costs_by_kind = {
+        kind: [_mean_price(run.days, kind) for run in runs] for kind in kinds
+    }
+    return {
+        kind: costs
+        for kind, costs in sorted(costs_by_kind.items())
+        if max(costs) >= LEAST_PRICE
+    }
+
+
+def plot_history(runs: list[RunResult], path: Path) -> None:
+    """Write a PNG: worth and score by day, and price by price."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(3, 1, sharex=True, figsize=(9, 12))
+    numbers = range(1, len(runs) + 1)
+    for axis, value in zip(axes, ("worth", "score"), strict=False):
+        for name, values in values_by_day(runs, value).items():
+            axis.plot(numbers, values, marker="o", label=name)
+        axis.set_ylabel(value)
+        axis.legend(fontsize="small")
+    for kind, costs in mean_prices(runs).items():
+        axes[2].plot(numbers, costs, marker="o", label=kind)
+    axes[2].set_ylabel("cost of the worth, mean of the days")
+    axes[2].legend(fontsize="small")
+    axes[2].set_xticks(list(numbers), [run.run_id for run in runs])
+    axes[2].tick_params(axis="x", labelrotation=60)
+    axes[0].set_title(f"{runs[0].site}: {len(runs)} scores")
+    figure.tight_layout()
+    figure.savefig(path, dpi=120)
+    pyplot.close(figure)
+
+
+def _value(run: RunResult, name: str, value: str) -> float | None:
+    for day in run.days:
+        if day.name == name:
+            return getattr(day, value)
+    return None
+
+
+def _mean_price(days: tuple[DayResult, ...], kind: str) -> float:
+    costs = [p.worth for day in days for p in day.prices if p.kind == kind]
+    return sum(costs) / max(1, len(days))
