Bound the sums also for processes that have just started

A state machine of the real decision code, which the issue asks for, found: - An instance that has not read the list of instances took itself for the only one: half of the slack each, 7 times 27 where 54 are allowed, if all restart while the list cannot be read. Now it has no slack until then. - An owner of a cold leaf that restarts within a second forgot its sends: with a second owner of another view 6 where 5 are allowed.

Ruled out: a smaller part for the owner (one a second would be left). The machine finds a violation with each of four guards taken out; the fifth, the wait, has a test of the sequence that the machine found.

--- a/heatherdyke/gateway/cold_limit.py
+++ b/heatherdyke/gateway/cold_limit.py
@@ -32,15 +32,22 @@
 
 
 class ColdLimit:
-    """Counts what went to cold leafs in the last second."""
+    """Counts what went to cold leafs in the last second.
 
-    __slots__ = ("_sent_at_by_leaf",)
+    A process that has just started, at ``started_at``, does not know what it
+    sent before, so that it sends nothing for as long.
+    """
+
+    __slots__ = ("_from", "_sent_at_by_leaf")
 
-    def __init__(self) -> None:
+    def __init__(self, started_at: float) -> None:
+        self._from = started_at + WINDOW_S
         self._sent_at_by_leaf: dict[str, deque[float]] = {}
 
     def has_left(self, leaf_id: str, allowance: int, now: float) -> bool:
         """Tell whether one more request is allowed."""
+        if now < self._from:
+            return False
         sent_at = self._sent_at_by_leaf.setdefault(leaf_id, deque())
         while sent_at and sent_at[0] <= now - WINDOW_S:
             sent_at.popleft()
--- a/heatherdyke/gateway/core.py
+++ b/heatherdyke/gateway/core.py
@@ -70,7 +70,7 @@
         self.budget = RetryBudget(
             bounds.retry_share, bounds.retry_slack, bounds.retry_window_s
         )
-        self._cold_limit = ColdLimit()
+        self._cold_limit = ColdLimit(loop.time())
         self._split_by_route: dict[str, SplitCounter] = {}
 
     @property
--- a/heatherdyke/gateway/retry_budget.py
+++ b/heatherdyke/gateway/retry_budget.py
@@ -37,7 +37,10 @@
 
 
 class RetryBudget:
-    """Allowance of extra sends, by service."""
+    """Allowance of extra sends, by service.
+
+    Until the number of instances is known there is no slack, only the share.
+    """
 
     __slots__ = (
         "_share",
@@ -49,10 +52,10 @@
     )
 
     def __init__(
-        self, share: float, slack: float, window_s: float, instances: int = 1
+        self, share: float, slack: float, window_s: float, instances: int = 0
     ) -> None:
         self.set_bounds(share, slack, window_s)
-        self._instances = max(1, instances)
+        self._instances = instances
         self._requests_by_service: dict[str, _Window] = {}
         self._extras_by_service: dict[str, _Window] = {}
 
@@ -63,8 +66,8 @@
         self._window_s = int(window_s)
 
     def set_instances(self, instances: int) -> None:
-        """Share the slack among this many instances."""
-        self._instances = max(1, instances)
+        """Share the slack among this many instances, 0 if unknown."""
+        self._instances = instances
 
     def count_request(self, service: str, now: float) -> None:
         """Count a client's request for the service."""
@@ -78,7 +81,8 @@
         used = extras.sum_since(second - self._window_s)
         requests = self._requests_by_service.setdefault(service, _Window())
         earned = requests.sum_since(second - self._window_s + 1)
-        allowed = self._share * earned + self._slack / self._instances
+        slack = self._slack / self._instances if self._instances else 0.0
+        allowed = self._share * earned + slack
         if used + 1 > allowed:
             return False
         extras.add(second)
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -255,13 +255,19 @@
         assert cold_allowance(5.0, 0, is_owner=True, known=False) == 0
 
     def test_any_second_keeps_the_allowance(self):
-        limit = ColdLimit()
+        limit = ColdLimit(started_at=-10.0)
         sent = [
             step / 10 for step in range(100) if limit.take("x", 2, step / 10)
         ]
+        assert len(sent) > 10
         for at in sent:
             assert sum(at - 1.0 < other <= at for other in sent) <= 2
 
+    def test_a_process_that_forgot_what_it_sent_waits(self):
+        limit = ColdLimit(started_at=5.0)
+        assert not limit.take("x", 2, 5.9)
+        assert limit.take("x", 2, 6.2)
+
 
 class TestConnectionShare:
     def test_equal_parts_fit_the_limit(self):
