Soak: proxies before leafs and the store, kept connections, more promises

The soak's leafs and store are reached through proxies that delay, reset, lose one way and fall silent; addresses go to other services; the configuration changes; clients keep connections; faults overlap. It checks also that no request runs at a service that its route does not name or more often than max_attempts, that each request ends in time with an answer unless its process was killed or stood still, that all is served again after the last fault, and that a calm instance keeps the weights of a split.

--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -143,7 +143,9 @@
     def set_config(self, value: dict) -> None:
         self.store.put("config", "main", value)
 
-    async def add_gateway(self, name: str, zone: str = "brescia") -> Gateway:
+    async def add_gateway(
+        self, name: str, zone: str = "brescia", store: str = ""
+    ) -> Gateway:
         front, ready = free_port(), free_port()
         path = self.directory / f"{name}.toml"
         path.write_text(
@@ -153,7 +155,7 @@
                 peer_port=free_port(),
                 front_port=front,
                 ready_port=ready,
-                store=self.store.listener.address,
+                store=store or self.store.listener.address,
             )
         )
         gateway = Gateway(
--- /dev/null
+++ b/tests/soak_fleet.py
@@ -0,0 +1,195 @@
+"""The soak's fleet: leafs and the store behind proxies, and clients."""
+
+import asyncio
+from dataclasses import dataclass
+from dataclasses import field
+from pathlib import Path
+from random import Random
+
+from gateway_fleet import HOST
+from gateway_fleet import Fleet
+from gateway_fleet import Gateway
+from gateway_fleet import RawAnswer
+from gateway_fleet import config
+from gateway_fleet import route
+
+from heatherdyke.platform_standin.leaf import StandinLeaf
+from heatherdyke.standin.fault_proxy_model import RouteConfig
+from heatherdyke.standin.fault_proxy_tcp import TcpRoute
+
+SHARDS = [f"shard{number}" for number in range(6)]
+SPLIT_WEIGHTS = {"three": 3, "two": 1}
+SERVICES = [*SHARDS, "one", *SPLIT_WEIGHTS]
+ZONES = ["brescia", "verona"]
+WAIT_S = 0.6
+# A final answer may come this much later than the client's own deadline: the
+# test's process serves leafs, proxies and clients in one loop.
+LATE_S = 1.5
+# Clients keep a connection for some requests.
+MOST_ON_CONNECTION = 12
+
+
+def soak_config(version: int) -> dict:
+    """Return version ``version``, which has a route of its own."""
+    search = {
+        "fan-out-services": SHARDS,
+        "top-k": 20,
+        "min-shard-share": 0.4,
+    }
+    split = [
+        {"service": name, "weight": weight}
+        for name, weight in SPLIT_WEIGHTS.items()
+    ]
+    return config(
+        version,
+        [
+            route("search", "/s/", **search),
+            route("one", "/o/", service="one"),
+            route("unsafe", "/u/", service="one", kind="unsafe"),
+            route("split", "/w/", **{"traffic-split": split}),
+            route(f"new{version}", f"/v{version}/", service="one"),
+        ],
+        SERVICES,
+    )
+
+
+def services_for(kind: str) -> set[str]:
+    """Return the services that a request of the kind may go to."""
+    if kind == "s":
+        return set(SHARDS)
+    return set(SPLIT_WEIGHTS) if kind == "w" else {"one"}
+
+
+@dataclass
+class Sent:
+    """One request of a client and what came of it."""
+
+    request_id: str
+    gateway: str
+    began_at: float
+    ended_at: float = 0.0
+    answer: RawAnswer | None = None
+    reused: bool = False
+    whole: bool = False
+
+    @property
+    def kind(self) -> str:
+        return self.request_id[0]
+
+
+@dataclass
+class SoakFleet(Fleet):
+    """A fleet whose leafs and store are reached through proxies."""
+
+    def __init__(self, directory: Path) -> None:
+        super().__init__(directory)
+        self.version = 0
+        self.route_by_leaf: dict[str, TcpRoute] = {}
+        self.route_by_gateway: dict[str, TcpRoute] = {}
+
+    async def __aexit__(self, *error) -> None:
+        for proxied in self.routes():
+            await proxied.stop()
+        await super().__aexit__(*error)
+
+    def routes(self) -> list[TcpRoute]:
+        return [
+            *self.route_by_leaf.values(),
+            *self.route_by_gateway.values(),
+        ]
+
+    async def add_leaf(
+        self, leaf: StandinLeaf, listen: str = "127.0.0.1:0"
+    ) -> StandinLeaf:
+        await leaf.start()
+        target = str(leaf.listener.address)
+        proxied = TcpRoute(RouteConfig(leaf.leaf_id, listen, target))
+        await proxied.start()
+        self.route_by_leaf[leaf.leaf_id] = proxied
+        self.leafs.append(leaf)
+        self.report(leaf)
+        return leaf
+
+    def report(self, leaf: StandinLeaf, draining: bool = False) -> None:
+        entry = leaf.entry(draining)
+        entry["address"] = self.route_by_leaf[leaf.leaf_id].address
+        self.store.put("servers", leaf.leaf_id, entry)
+
+    def next_config(self) -> None:
+        self.version += 1
+        self.set_config(soak_config(self.version))
+
+    async def start_all(self, random: Random, gateways: int) -> None:
+        for service in SERVICES:
+            for copy in range(2):
+                zone = random.choice(ZONES)
+                leaf = StandinLeaf(f"{service}-{copy}", service, zone=zone)
+                await self.add_leaf(leaf)
+        self.next_config()
+        for number in range(gateways):
+            name = f"g{number}"
+            store = str(self.store.listener.address)
+            proxied = TcpRoute(RouteConfig(name, "127.0.0.1:0", store))
+            await proxied.start()
+            self.route_by_gateway[name] = proxied
+            await self.add_gateway(
+                name, ZONES[number % 2], store=proxied.address
+            )
+        for gateway in self.gateways:
+            await gateway.wait_ready()
+
+
+@dataclass
+class Client:
+    """Sends one request after the other, on connections that it keeps."""
+
+    gateway: Gateway
+    random: Random
+    sent: list[Sent] = field(default_factory=list)
+    _streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+    _used: int = 0
+
+    async def send(self, path: str, request_id: str, method: str) -> Sent:
+        """Send a request; an answer that did not come is None."""
+        loop = asyncio.get_running_loop()
+        sent = Sent(request_id, self.gateway.name, loop.time())
+        self.sent.append(sent)
+        try:
+            async with asyncio.timeout(10):
+                sent.answer = await self._exchange(path, sent, method)
+        except (OSError, TimeoutError, ValueError, EOFError, IndexError):
+            self.close()
+        sent.ended_at = loop.time()
+        self._used += 1
+        if self._used >= MOST_ON_CONNECTION:
+            self.close()
+        return sent
+
+    def close(self) -> None:
+        if self._streams is not None:
+            self._streams[1].transport.abort()
+        self._streams = None
+        self._used = 0
+
+    async def _exchange(self, path: str, sent: Sent, method: str) -> RawAnswer:
+        if self._streams is None:
+            host, port = self.gateway.front.split(":")
+            self._streams = await asyncio.open_connection(host, int(port))
+        reader, writer = self._streams
+        sent.reused = self._used > 0
+        body = b"x" if method == "POST" else b""
+        head = (
+            f"{method} {path}{sent.request_id} HTTP/1.1\r\nHost: {HOST}\r\n"
+            f"X-Request-Id: {sent.request_id}\r\n"
+            f"X-Deadline-Remaining: {int(WAIT_S * 1000)}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        writer.write(head.encode() + body)
+        sent.whole = True
+        answer_head = await reader.readuntil(b"\r\n\r\n")
+        answer = RawAnswer.parse(answer_head)
+        length = int(answer.value_by_header.get("content-length", 0))
+        answer.body = await reader.readexactly(length)
+        if answer.value_by_header.get("connection") == "close":
+            self.close()
+        return answer
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -1,218 +1,399 @@
 """A randomized soak of real gateway processes, by seed.
 
-Faults come from outside: signals to processes, a store that refuses or
-forgets, leafs that reject, fail, fall silent, lose answers, drain or restart.
-By hand, for seeds 100 to 149:
-``SOAK_SEEDS=100:150 SOAK_SECONDS=10 pytest tests/test_gateway_soak.py``.
+Faults come from outside, in series that overlap: signals that stop, pause,
+kill and reload; proxies that delay, reset, lose one way and go silent before
+leafs and the store; a store that refuses or forgets; leafs that reject, fail,
+fall silent, lose answers, drain, or whose address goes to another service.
+Clients keep open connections until the process is gone.  The processes read
+no clock of the day but for log lines, so that none is moved here.
+
+By hand, for seeds 100 to 149 and 10 s each:
+``SOAK_SEEDS=100:150 SOAK_SECONDS=10 pytest tests/test_gateway_soak.py``;
+``SOAK_GATEWAYS`` sets the number of processes.
 """
 
 import asyncio
 import os
 import signal
+from collections import Counter
 from contextlib import suppress
-from dataclasses import dataclass
-from dataclasses import field
 from random import Random
 
 import pytest
-from gateway_fleet import Fleet
-from gateway_fleet import ask
-from gateway_fleet import config
-from gateway_fleet import route
+from gateway_fleet import Gateway
+from soak_fleet import LATE_S
+from soak_fleet import SHARDS
+from soak_fleet import SPLIT_WEIGHTS
+from soak_fleet import WAIT_S
+from soak_fleet import Client
+from soak_fleet import Sent
+from soak_fleet import SoakFleet
+from soak_fleet import services_for
 
 from heatherdyke.platform_standin.leaf import Behaviour
 from heatherdyke.platform_standin.leaf import StandinLeaf
+from heatherdyke.registry import Registry
+from heatherdyke.standin.fault_proxy_model import Direction
+from heatherdyke.standin.fault_proxy_model import RouteFaults
 
-SHARDS = [f"shard{number}" for number in range(5)]
-SERVICES = [*SHARDS, "one"]
 CALMS_AFTER_S = 0.7
-CLIENTS = 6
+CLIENTS_A_GATEWAY = 3
+MAX_ATTEMPTS = 2
+# Beliefs on leafs and the store are mended within this.
+RECOVERY_S = 4.0
+SPLIT_REQUESTS = 40
 
-# Seeds that once failed, each with its cause, would be added here.
+# Seeds that once failed, each with its cause.
 REGRESSION_SEEDS: tuple[int, ...] = ()
 
+faults_by_name: Registry = Registry("soak fault")
+
 
 def seeds() -> list[int]:
     first, _, last = os.environ.get("SOAK_SEEDS", "1:3").partition(":")
     return [*REGRESSION_SEEDS, *range(int(first), int(last or first))]
 
 
-def routes() -> dict:
-    search = {
-        "fan-out-services": SHARDS,
-        "top-k": 20,
-        "min-shard-share": 0.4,
-    }
-    return config(
-        2,
-        [
-            route("search", "/s/", **search),
-            route("one", "/o/", service="one"),
-            route("unsafe", "/u/", service="one", kind="unsafe"),
-        ],
-        SERVICES,
-    )
+class Soak:
+    """One run: clients, faults, and the books by which it is judged."""
 
+    def __init__(self, fleet: SoakFleet, seed: int) -> None:
+        self.fleet = fleet
+        self.random = Random(seed)
+        self.clients: list[Client] = []
+        self.stopping = False
+        self.count = 0
+        # When each gateway was last killed, stopped or paused, by name.
+        self.disturbed: list[tuple[str, float, float]] = []
+        self.history: list[str] = []
+        self._calming: set[asyncio.Task] = set()
 
-@dataclass
-class Soak:
-    fleet: Fleet
-    random: Random
-    answers: dict[str, object] = field(default_factory=dict)
-    stopping: bool = False
-    count: int = 0
-
-    async def start(self) -> None:
-        for service in SERVICES:
-            for copy in range(2):
-                zone = self.random.choice(["brescia", "verona"])
-                leaf = StandinLeaf(f"{service}-{copy}", service, zone=zone)
-                await self.fleet.add_leaf(leaf)
-        self.fleet.set_config(routes())
-        for name, zone in (("a", "brescia"), ("b", "verona")):
-            gateway = await self.fleet.add_gateway(name, zone)
-            await gateway.wait_ready()
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
 
-    async def client(self) -> None:
+    async def client(self, gateway: Gateway) -> None:
+        client = Client(gateway, self.random)
+        self.clients.append(client)
         while not self.stopping:
-            self.count += 1
-            kind = self.random.choice("sou")
-            request_id = f"{kind}{self.count}"
-            gateway = self.random.choice(self.fleet.gateways)
-            method, body = ("POST", b"x") if kind == "u" else ("GET", b"")
-            path = f"/{kind}/{request_id}"
-            answer = None
-            with suppress(OSError, TimeoutError, IndexError, ValueError):
-                answer = await ask(
-                    gateway, path, request_id, method, body, wait_ms=600
-                )
-            self.answers[request_id] = answer
+            await self.one_request(client)
             await asyncio.sleep(self.random.random() * 0.03)
+        client.close()
 
-    async def faults(self, seconds: float) -> None:
-        end = asyncio.get_running_loop().time() + seconds
-        while asyncio.get_running_loop().time() < end:
-            fault = self.random.choice(
-                [
-                    self.leaf_fault,
-                    self.leaf_fault,
-                    self.pause,
-                    self.stop,
-                    self.store_fault,
-                    self.replace_leaf,
-                ]
-            )
-            await fault()
-            await asyncio.sleep(self.random.random() * 0.3)
+    async def one_request(self, client: Client, kind: str = "") -> Sent:
+        self.count += 1
+        kind = kind or self.random.choice("souw")
+        method = "POST" if kind == "u" else "GET"
+        return await client.send(f"/{kind}/", f"{kind}{self.count}", method)
 
-    async def leaf_fault(self) -> None:
-        leaf = self.random.choice(self.fleet.leafs)
-        leaf.behaviour = self.random.choice(list(Behaviour))
-        loop = asyncio.get_running_loop()
-        loop.call_later(
-            CALMS_AFTER_S, setattr, leaf, "behaviour", Behaviour.SERVE
-        )
+    async def play_faults(self, seconds: float) -> None:
+        end = self.now() + seconds
+        names = sorted(faults_by_name.by_name)
+        while self.now() < end:
+            name = self.random.choice(names)
+            self.history.append(f"{self.now():.2f} {name}")
+            await faults_by_name.find(name)(self)
+            await asyncio.sleep(self.random.random() * 0.2)
 
-    async def pause(self) -> None:
-        process = self.random.choice(self.fleet.gateways).process
-        with suppress(ProcessLookupError):
-            process.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(self.random.random() * 1.5)
-            process.send_signal(signal.SIGCONT)
-
-    async def stop(self) -> None:
-        gateway = self.random.choice(self.fleet.gateways)
-        with suppress(ProcessLookupError):
-            if self.random.random() < 0.5:
-                gateway.kill()
-            else:
-                gateway.terminate()
-        await gateway.process.wait()
-        await self.fleet.start_process(gateway)
-
-    async def store_fault(self) -> None:
-        store = self.fleet.store
-        if self.random.random() < 0.5:
-            store.forget_history()
-            return
-        store.status = self.random.choice([429, 503])
+    def later(self, call, *arguments) -> None:
         loop = asyncio.get_running_loop()
-        loop.call_later(CALMS_AFTER_S, setattr, store, "status", 200)
-
-    async def replace_leaf(self) -> None:
-        old = self.random.choice(self.fleet.leafs)
-        old.sequence += 1
-        draining = old.entry(draining=True)
-        self.fleet.store.put("servers", old.leaf_id, draining)
-        name = f"{old.service}-n{self.count}-{old.sequence}"
-        await self.fleet.add_leaf(
-            StandinLeaf(name, old.service, zone=old.zone, sequence=1)
-        )
+        loop.call_later(CALMS_AFTER_S, call, *arguments)
+
+    def disturb(self, gateway: Gateway, from_s: float, to_s: float) -> None:
+        self.disturbed.append((gateway.name, from_s, to_s))
+
+    def set_route_faults(self, faults: RouteFaults) -> None:
+        proxied = self.random.choice(self.fleet.routes())
+        proxied.set_faults(faults)
+        self.later(proxied.set_faults, RouteFaults())
+
+    async def calm(self) -> None:
+        """End all faults and wait until beliefs may be mended."""
+        await asyncio.sleep(CALMS_AFTER_S + 0.1)
+        if self._calming:
+            await asyncio.wait(self._calming)
+        for gateway in self.fleet.gateways:
+            await gateway.wait_ready()
+        await asyncio.sleep(RECOVERY_S)
+
+    def run_later(self, coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        self._calming.add(task)
+        task.add_done_callback(self._calming.discard)
+
+    def all_sent(self) -> list[Sent]:
+        return [sent for client in self.clients for sent in client.sent]
+
+
+@faults_by_name.register("a leaf misbehaves")
+async def leaf_fault(soak: Soak) -> None:
+    leaf = soak.random.choice(soak.fleet.leafs)
+    leaf.behaviour = soak.random.choice(list(Behaviour))
+    soak.later(setattr, leaf, "behaviour", Behaviour.SERVE)
+
+
+@faults_by_name.register("a process stands still")
+async def pause(soak: Soak) -> None:
+    gateway = soak.random.choice(soak.fleet.gateways)
+    began_at = soak.now()
+    with suppress(ProcessLookupError):
+        gateway.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(soak.random.random() * 1.5)
+        gateway.process.send_signal(signal.SIGCONT)
+    soak.disturb(gateway, began_at, soak.now() + 1.0)
+
+
+@faults_by_name.register("a process is killed")
+async def kill(soak: Soak) -> None:
+    gateway = soak.random.choice(soak.fleet.gateways)
+    began_at = soak.now()
+    with suppress(ProcessLookupError):
+        gateway.kill()
+    await gateway.process.wait()
+    await soak.fleet.start_process(gateway)
+    soak.disturb(gateway, began_at, soak.now() + 1.5)
+
+
+@faults_by_name.register("a process is stopped")
+async def stop(soak: Soak) -> None:
+    """Clients go on using their connections until the process is gone."""
+    gateway = soak.random.choice(soak.fleet.gateways)
+    process = gateway.process
+    if process.returncode is not None:
+        return
+    process.terminate()
+
+    async def start_again() -> None:
+        await process.wait()
+        if gateway.process is process:
+            await soak.fleet.start_process(gateway)
+
+    soak.run_later(start_again())
+
+
+@faults_by_name.register("a process is told to reload")
+async def reload(soak: Soak) -> None:
+    gateway = soak.random.choice(soak.fleet.gateways)
+    with suppress(ProcessLookupError):
+        gateway.process.send_signal(signal.SIGHUP)
+
+
+@faults_by_name.register("the store refuses")
+async def store_refuses(soak: Soak) -> None:
+    soak.fleet.store.status = soak.random.choice([429, 503])
+    soak.later(setattr, soak.fleet.store, "status", 200)
+
+
+@faults_by_name.register("the store forgets its history")
+async def store_forgets(soak: Soak) -> None:
+    soak.fleet.store.forget_history()
 
-    def runs(self) -> list[bytes]:
-        return [run_id for leaf in self.fleet.leafs for run_id in leaf.runs]
-
-    def faults_seen(self) -> list[str]:
-        runs = self.runs()
-        seen = []
-        for request_id, answer in self.answers.items():
-            count = runs.count(request_id.encode())
-            if request_id[0] == "u" and count > 1:
-                seen.append(f"{request_id} ran {count} times")
-            if answer is None:
-                continue
-            if request_id[0] == "u" and answer.status in (429, 503) and count:
-                seen.append(f"{request_id} was refused and ran")
-            if answer.status == 200:
-                seen += self.wrong_success(request_id, answer)
-        return seen
-
-    def wrong_success(self, request_id: str, answer) -> list[str]:
-        if request_id[0] != "s":
-            signature = answer.value_by_header["x-response-stamp"]
-            own = signature.endswith(f".{request_id}")
-            whole = len(answer.body) == 160
-            return [] if own and whole else [f"{request_id}: {signature}"]
-        signatures = answer.value_by_header["x-part-stamps"].split(", ")
-        missing = int(answer.value_by_header["x-missing-parts"])
-        shards = {signature.split("-")[0] for signature in signatures}
-        body = answer.body
-        records = [body[at : at + 16] for at in range(0, len(body), 16)]
-        right = (
-            all(item.endswith(f".{request_id}") for item in signatures)
-            and len(shards) == len(signatures)
-            and len(shards) + missing == len(SHARDS)
-            and records == sorted(records, reverse=True)
-            and len(records) == min(20, 10 * len(shards))
+
+@faults_by_name.register("the configuration changes")
+async def config_changes(soak: Soak) -> None:
+    soak.fleet.next_config()
+
+
+@faults_by_name.register("a leaf is replaced")
+async def replace_leaf(soak: Soak) -> None:
+    old = soak.random.choice(soak.fleet.leafs)
+    old.sequence += 1
+    soak.fleet.report(old, draining=True)
+    name = f"{old.service}-n{soak.count}-{old.sequence}"
+    await soak.fleet.add_leaf(
+        StandinLeaf(name, old.service, zone=old.zone, sequence=1)
+    )
+
+
+@faults_by_name.register("an address goes to another service")
+async def reuse_address(soak: Soak) -> None:
+    """The former leaf ends without a word; the entry stays for a while."""
+    old = soak.random.choice(soak.fleet.leafs)
+    proxied = soak.fleet.route_by_leaf[old.leaf_id]
+    others = [x for x in soak.fleet.leafs if x.service != old.service]
+    other = soak.random.choice(others)
+    taken = StandinLeaf(
+        f"{other.service}-r{soak.count}", other.service, zone=old.zone
+    )
+    address = proxied.address
+    await proxied.stop()
+    await asyncio.sleep(0.05)
+    await soak.fleet.add_leaf(taken, address)
+    soak.later(soak.fleet.store.delete, "servers", old.leaf_id)
+    await soak.fleet.add_leaf(
+        StandinLeaf(f"{old.leaf_id}-s{soak.count}", old.service, zone=old.zone)
+    )
+
+
+@faults_by_name.register("a connection's way is delayed")
+async def delay(soak: Soak) -> None:
+    soak.set_route_faults(RouteFaults(delay_ms=soak.random.uniform(20, 300)))
+
+
+@faults_by_name.register("connections are reset")
+async def reset(soak: Soak) -> None:
+    soak.set_route_faults(RouteFaults(cut=True))
+
+
+@faults_by_name.register("one way is cut")
+async def cut_one_way(soak: Soak) -> None:
+    way = soak.random.choice([Direction.TO_TARGET, Direction.FROM_TARGET])
+    soak.set_route_faults(RouteFaults(lose=way))
+
+
+@faults_by_name.register("connections fall silent")
+async def silence(soak: Soak) -> None:
+    soak.set_route_faults(RouteFaults(silent=True))
+
+
+def violations(soak: Soak) -> list[str]:
+    """Return every promise that was broken, by the books."""
+    runs_by_id: dict[str, Counter] = {}
+    for leaf in soak.fleet.leafs:
+        for run in leaf.runs:
+            runs = runs_by_id.setdefault(run.decode(), Counter())
+            runs[leaf.service] += 1
+    sent_by_id = {sent.request_id: sent for sent in soak.all_sent()}
+    seen = [f"{i} was never sent" for i in runs_by_id.keys() - sent_by_id]
+    for request_id, sent in sent_by_id.items():
+        runs = runs_by_id.get(request_id, Counter())
+        seen += wrong_runs(sent, runs)
+        seen += wrong_answer(sent)
+        seen += wrong_end(soak, sent)
+    return seen
+
+
+def wrong_runs(sent: Sent, runs: Counter) -> list[str]:
+    """Check where and how often a request ran."""
+    seen = [
+        f"{sent.request_id} ran at {service}"
+        for service in runs.keys() - services_for(sent.kind)
+    ]
+    total = sum(runs.values())
+    if sent.kind == "u" and total > 1:
+        seen.append(f"{sent.request_id} ran {total} times")
+    if any(count > MAX_ATTEMPTS for count in runs.values()):
+        seen.append(f"{sent.request_id} ran too often: {runs}")
+    refused = sent.answer is not None and sent.answer.status in (429, 503)
+    if sent.kind == "u" and refused and total:
+        seen.append(f"{sent.request_id} was refused and ran")
+    return seen
+
+
+def wrong_answer(sent: Sent) -> list[str]:
+    """Check that a success is a leaf's, whole, and this request's."""
+    answer = sent.answer
+    if answer is None or answer.status != 200:
+        return []
+    if sent.kind != "s":
+        signature = answer.value_by_header["x-response-stamp"]
+        own = signature.endswith(f".{sent.request_id}")
+        whole = len(answer.body) == 160
+        return [] if own and whole else [f"{sent.request_id}: {signature}"]
+    signatures = answer.value_by_header["x-part-stamps"].split(", ")
+    missing = int(answer.value_by_header["x-missing-parts"])
+    shards = {signature.split("-")[0] for signature in signatures}
+    body = answer.body
+    records = [body[at : at + 16] for at in range(0, len(body), 16)]
+    right = (
+        all(item.endswith(f".{sent.request_id}") for item in signatures)
+        and len(shards) == len(signatures)
+        and len(shards) + missing == len(SHARDS)
+        and records == sorted(records, reverse=True)
+        and len(records) == min(20, 10 * len(shards))
+    )
+    return [] if right else [f"{sent.request_id}: {signatures} {missing}"]
+
+
+def wrong_end(soak: Soak, sent: Sent) -> list[str]:
+    """Check that a request ends in time, and with an answer.
+
+    A process that was killed or stood still meanwhile owes neither.  A
+    connection that was open already may be closed as the request comes, but
+    not once it has begun to run.
+    """
+    for name, from_s, to_s in soak.disturbed:
+        meets = sent.began_at < to_s and sent.ended_at > from_s
+        if name == sent.gateway and meets:
+            return []
+    took_s = sent.ended_at - sent.began_at
+    if took_s > WAIT_S + LATE_S:
+        return [f"{sent.request_id} took {took_s:.2f} s"]
+    if sent.answer is None and sent.whole and not sent.reused:
+        ran = any(
+            sent.request_id.encode() in leaf.runs for leaf in soak.fleet.leafs
         )
-        return [] if right else [f"{request_id}: {signatures} {missing}"]
+        return [f"{sent.request_id} ran and got no answer"] if ran else []
+    return []
+
+
+async def weights_off(soak: Soak, gateway: Gateway) -> list[str]:
+    """Return how far a calm gateway's split is from its weights."""
+    client = Client(gateway, soak.random)
+    soak.clients.append(client)
+    sent = [await soak.one_request(client, "w") for _ in range(SPLIT_REQUESTS)]
+    client.close()
+    counts = Counter(
+        s.answer.value_by_header["x-response-stamp"].split("-")[0]
+        for s in sent
+        if s.answer is not None and s.answer.status == 200
+    )
+    total = sum(SPLIT_WEIGHTS.values())
+    return [
+        f"{gateway.name}: {counts}"
+        for name, weight in SPLIT_WEIGHTS.items()
+        if abs(counts[name] - SPLIT_REQUESTS * weight / total) > 2
+    ]
+
+
+async def not_recovered(soak: Soak, gateway: Gateway) -> list[str]:
+    """Return what a gateway does not serve after all faults have ended."""
+    client = Client(gateway, soak.random)
+    soak.clients.append(client)
+    seen = []
+    for kind in "sou":
+        sent = await soak.one_request(client, kind)
+        if sent.answer is None or sent.answer.status != 200:
+            seen.append(f"{gateway.name} does not serve {kind}: {sent}")
+    soak.count += 1
+    newest = f"/v{soak.fleet.version}/"
+    sent = await client.send(newest, f"v{soak.count}", "GET")
+    if sent.answer is None or sent.answer.status != 200:
+        seen.append(f"{gateway.name} does not serve {newest}: {sent}")
+    client.close()
+    return seen
 
 
 class TestSoak:
     @pytest.mark.parametrize("seed", seeds())
     def test_promises_hold_while_everything_fails(self, seed, tmp_path):
         seconds = float(os.environ.get("SOAK_SECONDS", "5"))
+        gateways = int(os.environ.get("SOAK_GATEWAYS", "3"))
 
-        async def main():
-            async with Fleet(tmp_path) as fleet:
-                soak = Soak(fleet, Random(seed))
-                await soak.start()
-                clients = [
-                    asyncio.create_task(soak.client()) for _ in range(CLIENTS)
+        async def main() -> tuple[Soak, list[str]]:
+            async with SoakFleet(tmp_path) as fleet:
+                soak = Soak(fleet, seed)
+                await fleet.start_all(soak.random, gateways)
+                tasks = [
+                    asyncio.create_task(soak.client(gateway))
+                    for gateway in fleet.gateways
+                    for _ in range(CLIENTS_A_GATEWAY)
                 ]
-                await soak.faults(seconds)
+                await soak.play_faults(seconds)
                 soak.stopping = True
-                await asyncio.gather(*clients)
-                await asyncio.sleep(1.0)
-                return soak
+                await asyncio.gather(*tasks)
+                await soak.calm()
+                seen = []
+                for gateway in fleet.gateways:
+                    seen += await not_recovered(soak, gateway)
+                    seen += await weights_off(soak, gateway)
+                return soak, seen + violations(soak)
 
-        soak = asyncio.run(main())
-        assert soak.faults_seen() == []
+        soak, seen = asyncio.run(main())
+        assert seen == [], soak.history
+        sent = soak.all_sent()
         served = [
-            answer
-            for answer in soak.answers.values()
-            if answer is not None and answer.status == 200
+            s for s in sent if s.answer is not None and s.answer.status == 200
         ]
-        assert len(served) > len(soak.answers) / 4
+        assert len(served) > len(sent) / 4
         for path in tmp_path.glob("*.log"):
             assert "unexpected_error" not in path.read_text()
