Notice a silent connection to the store; name whom a check is for

Instances say in groups which version they have in force; one that is behind for 0.5 s lists again. A watch waits 10 s instead of 20, so that one that hears from nobody is within 15 s too.

The soak's own faults, mended: a gateway could be started twice, and the copy that was lost then sent checks to leafs of later tests (seen as a run without an id, and once as a failure of TestSearch::test_all_shards_are_merged_into_the_greatest_records).

--- a/heatherdyke/gateway/beliefs.py
+++ b/heatherdyke/gateway/beliefs.py
@@ -1,9 +1,12 @@
 """Takes what the store says into the state that requests use."""
 
+from collections.abc import Callable
+
 from heatherdyke.errors import UnreadableObject
 from heatherdyke.gateway.adoption import Adoption
 from heatherdyke.gateway.core import Core
 from heatherdyke.gateway.events import CONFIG_ADOPTED
+from heatherdyke.gateway.events import CONFIG_BEHIND
 from heatherdyke.gateway.events import CONFIG_HELD
 from heatherdyke.gateway.events import CONFIG_REJECTED
 from heatherdyke.gateway.events import LEAF_ADDED
@@ -26,16 +29,23 @@
 DEFAULT_COLD_S = 3.0
 # Leafs become warm one by one.
 RECHECK_S = 0.05
+# A change reaches all instances within some hundredths of a second.
+BEHIND_S = 0.5
 
 
 class Beliefs:
-    """Hears the feeds of configuration, leafs, zones and instances."""
+    """Hears the feeds of configuration, leafs, zones and instances.
+
+    ``refresh_config`` has the configuration listed again; the owner sets it.
+    """
 
-    __slots__ = ("_core", "_adoption")
+    __slots__ = ("refresh_config", "_core", "_adoption", "_behind")
 
     def __init__(self, core: Core) -> None:
         self._core = core
         self._adoption = Adoption()
+        self._behind = False
+        self.refresh_config: Callable[[], None] = lambda: None
 
     def config_listed(self, listing: Listing, may_be_back: bool) -> None:
         """Take in the configuration, if there is one."""
@@ -63,6 +73,21 @@
         held = self._adoption.config
         if held is not None and version >= held.version:
             self._put_in_force(held)
+        if version > self._newest_version() and not self._behind:
+            self._behind = True
+            self._core.loop.call_later(BEHIND_S, self._check_behind, version)
+
+    def _newest_version(self) -> int:
+        versions = (self._core.config, self._adoption.config)
+        return max((c.version for c in versions if c is not None), default=0)
+
+    def _check_behind(self, version: int) -> None:
+        """List again if the version that others have still has not come."""
+        self._behind = False
+        known = self._newest_version()
+        if known < version:
+            self._core.log.record(CONFIG_BEHIND, version=version, known=known)
+            self.refresh_config()
 
     def leafs_listed(self, listing: Listing, may_be_back: bool) -> None:
         """Take in all leafs' entries."""
--- a/heatherdyke/gateway/events.py
+++ b/heatherdyke/gateway/events.py
@@ -96,6 +96,17 @@
         ("version",),
     )
 )
+CONFIG_BEHIND = register(
+    EventKind(
+        7105,
+        "routing_behind",
+        Severity.WARNING,
+        "Another instance has a newer configuration in force, which did not "
+        "come from the store; it is asked for again.",
+        ("version", "known"),
+        "Look for connections to the store that are open and pass nothing.",
+    )
+)
 TURNED_AWAY = register(
     EventKind(
         7206,
--- a/heatherdyke/gateway/feed.py
+++ b/heatherdyke/gateway/feed.py
@@ -13,7 +13,8 @@
 from heatherdyke.platform.store import Listing
 from heatherdyke.platform.store import Store
 
-WATCH_WAIT_S = 20.0
+# A connection that fell silent is noticed after it.
+WATCH_WAIT_S = 10.0
 RETRY_FIRST_S = 0.2
 RETRY_MAX_S = 1.0
 # Spreads the instances' calls after an outage that all saw end at once.
--- a/heatherdyke/gateway/leaf_pools.py
+++ b/heatherdyke/gateway/leaf_pools.py
@@ -13,6 +13,7 @@
 from heatherdyke.gateway.leaf_table import Leaf
 from heatherdyke.gateway.messages import Outcome
 from heatherdyke.gateway.routing import Service
+from heatherdyke.platform.headers import EXPECTED_LEAF
 
 CHECK_TIMEOUT_S = 1.0
 
@@ -131,9 +132,11 @@
         self.loop.call_later(CHECK_TIMEOUT_S, self._check_timeout, attempt)
 
     def _check_message(self, leaf: Leaf) -> bytes:
+        """Return a health check, which another one at the address rejects."""
         path = self._service_of(leaf.entry.service).health_path
         return (
-            f"GET {path} HTTP/1.1\r\nHost: {leaf.entry.address}\r\n\r\n"
+            f"GET {path} HTTP/1.1\r\nHost: {leaf.entry.address}\r\n"
+            f"{EXPECTED_LEAF.decode()}: {leaf.leaf_id}\r\n\r\n"
         ).encode()
 
     def _on_checked(self, attempt: Attempt, outcome: Outcome) -> None:
--- a/heatherdyke/gateway/peer_call.py
+++ b/heatherdyke/gateway/peer_call.py
@@ -24,6 +24,7 @@
 from heatherdyke.gateway.peer_messages import decode_result
 from heatherdyke.gateway.peer_messages import encode_message
 from heatherdyke.gateway.timing import GROUP_RETURN_S
+from heatherdyke.platform.headers import EXPECTED_LEAF
 
 # How long the other may take to continue, as a share of the objective.
 CONTINUE_SHARE = 0.15
@@ -210,7 +211,10 @@
 
 
 def _head(peer: Leaf, length: int) -> bytes:
-    return b"POST %s HTTP/1.1\r\nHost: %s\r\n" % (
+    """Return the head, which another process at the address rejects."""
+    return b"POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n" % (
         PATH,
         str(peer.entry.address).encode(),
+        EXPECTED_LEAF,
+        peer.leaf_id.encode(),
     ) + (b"Content-Length: %d\r\nExpect: 100-continue\r\n\r\n" % length)
--- a/heatherdyke/gateway/process.py
+++ b/heatherdyke/gateway/process.py
@@ -84,6 +84,7 @@
             beliefs.config_changed,
             batch_s=0.0,
         )
+        beliefs.refresh_config = self._config_feed.refresh
         self._leaf_feed = Feed(
             LEAF_KIND,
             core,
--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -84,6 +84,9 @@
     def __init__(self, directory: Path) -> None:
         super().__init__(directory)
         self.version = 0
+        self.replaced_pids: set[int] = set()
+        # The leafs that are not replaced at their addresses.
+        self.live: list[StandinLeaf] = []
         self.route_by_leaf: dict[str, TcpRoute] = {}
         self.route_by_gateway: dict[str, TcpRoute] = {}
 
@@ -107,6 +110,7 @@
         await proxied.start()
         self.route_by_leaf[leaf.leaf_id] = proxied
         self.leafs.append(leaf)
+        self.live.append(leaf)
         self.report(leaf)
         return leaf
 
@@ -115,6 +119,15 @@
         entry["address"] = self.route_by_leaf[leaf.leaf_id].address
         self.store.put("servers", leaf.leaf_id, entry)
 
+    async def start_again(
+        self, gateway: Gateway, process: asyncio.subprocess.Process
+    ) -> None:
+        """Start a gateway anew once its process is gone, only once."""
+        await process.wait()
+        if process.pid not in self.replaced_pids:
+            self.replaced_pids.add(process.pid)
+            await self.start_process(gateway)
+
     def next_config(self) -> None:
         self.version += 1
         self.set_config(soak_config(self.version))
--- a/tests/test_gateway_adoption.py
+++ b/tests/test_gateway_adoption.py
@@ -14,6 +14,7 @@
 
 from heatherdyke.gateway.adoption import HOLD_SHARE
 from heatherdyke.gateway.adoption import Adoption
+from heatherdyke.gateway.beliefs import BEHIND_S
 from heatherdyke.gateway.beliefs import Beliefs
 from heatherdyke.gateway.core import Core
 from heatherdyke.gateway.decision_log import DecisionLog
@@ -95,6 +96,36 @@
         assert adoption.take(None, reach_of(set()), 0.0).version == 1
 
 
+class TestInstanceThatIsBehind:
+    """Its connection to the store is open and passes nothing."""
+
+    def refreshes_after(self, versions: list[int], learns: int = 0) -> int:
+        async def main() -> int:
+            loop = asyncio.get_running_loop()
+            core = Core(SETTINGS, loop, DecisionLog(loop.time), Random(1))
+            core.routes = RouteTable(config(4, FORMER))
+            beliefs = Beliefs(core)
+            refreshes = []
+            beliefs.refresh_config = lambda: refreshes.append(1)
+            for version in versions:
+                beliefs.hear_version(version)
+            if learns:
+                beliefs.config_changed(change(learns, FORMER), False)
+            await asyncio.sleep(BEHIND_S + 0.1)
+            return len(refreshes)
+
+        return asyncio.run(main())
+
+    def test_asks_the_store_again_once(self):
+        assert self.refreshes_after([4, 5, 5, 6]) == 1
+
+    def test_waits_for_what_is_on_its_way(self):
+        assert self.refreshes_after([5], learns=5) == 0
+
+    def test_others_that_are_behind_change_nothing(self):
+        assert self.refreshes_after([3, 4]) == 0
+
+
 class TestVersionOfOthers:
     """An instance sends for others too, by the version they have in force."""
 
--- a/tests/test_gateway_groups.py
+++ b/tests/test_gateway_groups.py
@@ -6,9 +6,12 @@
 from heatherdyke.gateway.core import Core
 from heatherdyke.gateway.decision_log import DecisionLog
 from heatherdyke.gateway.exchange import Exchange
+from heatherdyke.gateway.leaf_entry import LeafEntry
+from heatherdyke.gateway.leaf_table import Leaf
 from heatherdyke.gateway.messages import Answer
 from heatherdyke.gateway.messages import ClientRequest
 from heatherdyke.gateway.peer_api import PeerApi
+from heatherdyke.gateway.peer_call import _head
 from heatherdyke.gateway.peer_messages import PATH
 from heatherdyke.gateway.peer_messages import REST_PATH
 from heatherdyke.gateway.peer_messages import GroupRequest
@@ -105,3 +108,22 @@
     def test_the_rest_of_an_unknown_search_is_not_found(self):
         body = encode_message(RestRequest(b"r1", "s", 0.05))
         assert answer_to(REST_PATH, body).status == 404
+
+
+class TestAddressTakenOver:
+    """An instance is gone and a leaf listens at its address now."""
+
+    def test_the_leaf_is_told_whom_a_message_is_for(self):
+        entry = LeafEntry("front-b-1", "peers", ADDRESS, "z2")
+        head = _head(Leaf(entry), 10).lower()
+        assert b"\r\nx-expected-instance: front-b-1\r\n" in head
+
+    def test_the_leaf_is_told_whom_a_health_check_is_for(self):
+        async def main() -> bytes:
+            loop = asyncio.get_running_loop()
+            core = Core(SETTINGS, loop, DecisionLog(loop.time), Random(1))
+            entry = LeafEntry("front-b-1", "peers", ADDRESS, "z2")
+            return core.peers.pools._check_message(Leaf(entry)).lower()
+
+        check = asyncio.run(main())
+        assert b"\r\nx-expected-instance: front-b-1\r\n" in check
