--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 import signal
-import socket
 import sys
 from dataclasses import dataclass
 from pathlib import Path
@@ -12,6 +11,7 @@
 from heatherdyke.net.http_connection import HttpConnection
 from heatherdyke.platform_standin.leaf import StandinLeaf
 from heatherdyke.platform_standin.store import StandinStore
+from heatherdyke_bench.process import free_address
 
 HOST = "shop.example"
 READY_TIMEOUT_S = 15.0
@@ -40,9 +40,8 @@
 
 
 def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a port that the system gives to no other socket meanwhile."""
+    return int(free_address().rpartition(":")[2])
 
 
 def route(name: str, prefix: str, **fields) -> dict:
@@ -120,16 +119,17 @@
         self.store = StandinStore()
         self.leafs: list[StandinLeaf] = []
         self.gateways: list[Gateway] = []
+        self.processes: list[asyncio.subprocess.Process] = []
 
     async def __aenter__(self) -> "Fleet":
         await self.store.listener.start()
         return self
 
     async def __aexit__(self, *error) -> None:
-        for gateway in self.gateways:
-            if gateway.process.returncode is None:
-                gateway.kill()
-            await gateway.process.wait()
+        for process in self.processes:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
         for leaf in self.leafs:
             await leaf.listener.stop()
         await self.store.listener.stop()
@@ -175,6 +175,7 @@
             env={**os.environ, "HEATHERDYKE_BOOT": str(gateway.settings_path)},
             stdout=log,
         )
+        self.processes.append(gateway.process)
         log.close()
 
     def log_of(self, gateway: Gateway) -> str:
