Tell in a refusal which leafs lacked, and why; join beliefs by service

The 502 led to its cause. The refusal and the partial answer did not: the lines named no leaf, so that nothing was joined. Now a refusal names the first four shards that lacked a leaf with the state of each of their leafs, and explain joins what was believed of a service that a line names, and what touches the whole instance.

--- a/heatherdyke/gateway/core.py
+++ b/heatherdyke/gateway/core.py
@@ -108,6 +108,23 @@
             self._split_by_route[route.name] = counter
         return counter.next(route.targets)
 
+    def describe_leafs(self, service: str) -> str:
+        """Return the service's leafs and why they get no requests."""
+        now = self.loop.time()
+        leafs = [
+            f"{leaf.leaf_id} {self._state_of(leaf, now)}"
+            for leaf in self.leafs.of_service(service)
+        ]
+        return f"{service}: {', '.join(leafs) or 'none known'}"
+
+    def _state_of(self, leaf: Leaf, now: float) -> str:
+        if leaf.entry.zone in self.leafs.zones_out:
+            return "zone_out"
+        state = leaf.state(now)
+        if state == "usable" and not self.pools.of(leaf).has_room():
+            return "connections_in_use"
+        return state
+
     def warm_share(self, route: Route) -> float:
         """Return the share of a route's shards that have a warm leaf."""
         now = self.loop.time()
--- a/heatherdyke/gateway/explain.py
+++ b/heatherdyke/gateway/explain.py
@@ -4,6 +4,7 @@
 as log collectors print them.
 """
 
+import re
 from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
@@ -11,6 +12,8 @@
 
 import msgspec
 
+WORD = re.compile(r"[\w-]+")
+
 # Beliefs that changed this long before a request may explain its outcome.
 BEFORE_S = 10.0
 # Of these at most so many are told, the last ones.
@@ -20,6 +23,10 @@
         "leaf_doubted",
         "leaf_removed",
         "routing_adopted",
+        "routing_held",
+        "routing_behind",
+        "turned_away",
+        "rejoined",
         "zones_out_changed",
         "store_lost",
         "store_regained",
@@ -120,12 +127,7 @@
             "instance whose log is not here, or its line was left out",
         ]
     names = _named(story.entries)
-    related = [
-        entry
-        for entry in story.beliefs
-        if str(entry.fields.get("leaf", "")) in names
-        or "leaf" not in entry.fields
-    ]
+    related = [e for e in story.beliefs if _touches(e, names)]
     lines = [f"request {story.request_id}"]
     lines += [_line(entry) for entry in story.entries]
     lines.append("what was believed shortly before, and touches it:")
@@ -149,8 +151,18 @@
     return end is not None and end - BEFORE_S <= entry.at_s <= end
 
 
-def _named(entries: Iterable[LogEntry]) -> str:
-    return " ".join(str(entry.fields) for entry in entries)
+def _named(entries: Iterable[LogEntry]) -> frozenset[str]:
+    """Return all words of the entries, leafs and services among them."""
+    text = " ".join(map(_line, entries))
+    return frozenset(WORD.findall(text))
+
+
+def _touches(belief: LogEntry, names: frozenset[str]) -> bool:
+    """Tell whether a belief is of the instance, or of a leaf named."""
+    if "leaf" not in belief.fields:
+        return True
+    about = (belief.fields["leaf"], belief.fields.get("service"))
+    return any(str(name) in names for name in about)
 
 
 def _line(entry: LogEntry) -> str:
--- a/heatherdyke/gateway/forward.py
+++ b/heatherdyke/gateway/forward.py
@@ -205,9 +205,8 @@
             status=503,
             why=why.value,
             retry_after_s=round(refusal.retry_after_s, 3),
-            inputs=f"service {self._service}, asked "
-            f"{[leaf.leaf_id for leaf in self._tried]}, "
-            f"known {len(core.leafs.of_service(self._service))}",
+            inputs=f"asked {[leaf.leaf_id for leaf in self._tried]}; "
+            f"{core.describe_leafs(self._service)}",
         )
 
     def _client_left(self) -> None:
--- a/heatherdyke/gateway/leaf_table.py
+++ b/heatherdyke/gateway/leaf_table.py
@@ -72,6 +72,16 @@
             or now < self.suspect_until
         )
 
+    def state(self, now: float) -> str:
+        """Return in a word why requests may or may not be sent."""
+        if self.entry.draining:
+            return "draining"
+        if self.misdirected:
+            return "another_at_its_address"
+        if self.unverified or now < self.suspect_until:
+            return "doubted"
+        return "cold" if self.is_cold(now) else "usable"
+
     def is_stalled(self, now: float, usual_s: float) -> bool:
         """Tell whether the oldest waiting request got no answer too long."""
         if not self.sent_at_by_attempt:
--- a/heatherdyke/gateway/search.py
+++ b/heatherdyke/gateway/search.py
@@ -29,6 +29,8 @@
 
 # An answer that is due goes out before more is asked for.
 REST_DELAY_S = 0.002
+# A refusal tells of so many of the shards that have no leaf.
+MOST_TOLD = 4
 
 
 class Search:
@@ -86,10 +88,11 @@
         }
         reachable = sum(map(bool, zones_by_shard.values()))
         if not enough(reachable, len(route.shards), route.min_share):
-            self._refuse(Why.NO_LEAF, len(route.shards) - reachable)
+            lacking = [s for s, zones in zones_by_shard.items() if not zones]
+            self._refuse(Why.NO_LEAF, lacking)
             return
         if core.loop.time() >= self._gathering.progress.limit_at:
-            self._refuse(Why.NO_TIME, 0)
+            self._refuse(Why.NO_TIME, [])
             return
         self._exchange.on_left(self._client_left)
         grouping = group_shards(
@@ -267,8 +270,9 @@
         )
         return own or bool(self._calls) or bool(self._gathering.bodies)
 
-    def _refuse(self, why: Why, missing: int) -> None:
+    def _refuse(self, why: Why, lacking: list[str]) -> None:
         core = self._core
+        told = [core.describe_leafs(s) for s in lacking[:MOST_TOLD]]
         refusal = refuse(why, self._exchange.request.wait_s, core.random)
         core.metrics.count("answers", "503")
         core.isolation.hear_request(refused=True)
@@ -280,8 +284,9 @@
             status=503,
             why=why.value,
             retry_after_s=round(refusal.retry_after_s, 3),
-            inputs=f"{missing} of {len(self._route.shards)} shards without "
-            f"a leaf, at least {self._route.min_share} asked",
+            inputs=f"{len(lacking)} of {len(self._route.shards)} shards "
+            f"without a leaf, at least {self._route.min_share} asked; "
+            f"{'; '.join(told)}",
         )
 
     def _client_left(self) -> None:
--- a/tests/test_gateway_groups.py
+++ b/tests/test_gateway_groups.py
@@ -127,3 +127,45 @@
 
         check = asyncio.run(main())
         assert b"\r\nx-expected-instance: front-b-1\r\n" in check
+
+
+class TestRefusalTellsOfLeafs:
+    """An engineer asks why a shard had no leaf, long after."""
+
+    def described(self, change) -> str:
+        async def main() -> str:
+            loop = asyncio.get_running_loop()
+            core = Core(SETTINGS, loop, DecisionLog(loop.time), Random(1))
+            core.leafs.apply(LeafEntry("i-1", "s", ADDRESS, "z"), loop.time())
+            change(core, core.leafs.leaf_by_id["i-1"], loop.time())
+            return core.describe_leafs("s")
+
+        return asyncio.run(main())
+
+    def test_each_state_has_its_word(self):
+        def doubt(core, leaf, now):
+            leaf.hear_unreachable(now)
+
+        def chill(core, leaf, now):
+            leaf.cold_until = now + 5
+
+        def misdirect(core, leaf, now):
+            leaf.misdirected = True
+
+        def take_out(core, leaf, now):
+            core.leafs.set_zones_out(frozenset("z"), now, 3.0)
+
+        def nothing(core, leaf, now):
+            return None
+
+        assert self.described(nothing) == "s: i-1 usable"
+        assert self.described(doubt) == "s: i-1 doubted"
+        assert self.described(chill) == "s: i-1 cold"
+        assert self.described(misdirect) == "s: i-1 another_at_its_address"
+        assert self.described(take_out) == "s: i-1 zone_out"
+
+    def test_a_service_without_leafs_says_so(self):
+        def remove(core, leaf, now):
+            core.leafs.remove("i-1", now, False)
+
+        assert self.described(remove) == "s: none known"
