Ask the store again for a version at most each 5 s

A slow store's list would never have come to its end. explain tells beliefs of the instance and of leafs apart, so that many of the latter do not crowd out the former.

--- a/heatherdyke/gateway/beliefs.py
+++ b/heatherdyke/gateway/beliefs.py
@@ -31,6 +31,8 @@
 RECHECK_S = 0.05
 # A change reaches all instances within some hundredths of a second.
 BEHIND_S = 0.5
+# A list that is under way is given this long, also by a slow store.
+REFRESH_EVERY_S = 5.0
 
 
 class Beliefs:
@@ -39,12 +41,12 @@
     ``refresh_config`` has the configuration listed again; the owner sets it.
     """
 
-    __slots__ = ("refresh_config", "_core", "_adoption", "_behind")
+    __slots__ = ("refresh_config", "_core", "_adoption", "_check_again_at")
 
     def __init__(self, core: Core) -> None:
         self._core = core
         self._adoption = Adoption()
-        self._behind = False
+        self._check_again_at = 0.0
         self.refresh_config: Callable[[], None] = lambda: None
 
     def config_listed(self, listing: Listing, may_be_back: bool) -> None:
@@ -73,8 +75,9 @@
         held = self._adoption.config
         if held is not None and version >= held.version:
             self._put_in_force(held)
-        if version > self._newest_version() and not self._behind:
-            self._behind = True
+        now = self._core.loop.time()
+        if version > self._newest_version() and now >= self._check_again_at:
+            self._check_again_at = now + REFRESH_EVERY_S
             self._core.loop.call_later(BEHIND_S, self._check_behind, version)
 
     def _newest_version(self) -> int:
@@ -83,7 +86,6 @@
 
     def _check_behind(self, version: int) -> None:
         """List again if the version that others have still has not come."""
-        self._behind = False
         known = self._newest_version()
         if known < version:
             self._core.log.record(CONFIG_BEHIND, version=version, known=known)
--- a/heatherdyke/gateway/explain.py
+++ b/heatherdyke/gateway/explain.py
@@ -16,8 +16,8 @@
 
 # Beliefs that changed this long before a request may explain its outcome.
 BEFORE_S = 10.0
-# Of these at most so many are told, the last ones.
-MOST_BELIEFS = 12
+# At most so many are told of the instance and of leafs, the last ones.
+MOST_BELIEFS = 8
 BELIEF_EVENTS = frozenset(
     (
         "leaf_doubted",
@@ -127,11 +127,16 @@
             "instance whose log is not here, or its line was left out",
         ]
     names = _named(story.entries)
-    related = [e for e in story.beliefs if _touches(e, names)]
+    of_leafs = [
+        e for e in story.beliefs if "leaf" in e.fields and _touches(e, names)
+    ]
+    of_instance = [e for e in story.beliefs if "leaf" not in e.fields]
+    related = of_leafs[-MOST_BELIEFS:] + of_instance[-MOST_BELIEFS:]
+    related.sort(key=lambda entry: entry.at_s)
     lines = [f"request {story.request_id}"]
     lines += [_line(entry) for entry in story.entries]
     lines.append("what was believed shortly before, and touches it:")
-    lines += [_line(entry) for entry in related[-MOST_BELIEFS:]] or ["  none"]
+    lines += [_line(entry) for entry in related] or ["  none"]
     if not story.has_outcome:
         lines.append("no line tells how it ended")
     if story.left_out:
@@ -158,9 +163,7 @@
 
 
 def _touches(belief: LogEntry, names: frozenset[str]) -> bool:
-    """Tell whether a belief is of the instance, or of a leaf named."""
-    if "leaf" not in belief.fields:
-        return True
+    """Tell whether a belief is of a leaf or service that is named."""
     about = (belief.fields["leaf"], belief.fields.get("service"))
     return any(str(name) in names for name in about)
 
--- a/tests/test_gateway_adoption.py
+++ b/tests/test_gateway_adoption.py
@@ -119,6 +119,21 @@
     def test_asks_the_store_again_once(self):
         assert self.refreshes_after([4, 5, 5, 6]) == 1
 
+    def test_a_list_of_a_slow_store_is_not_cut_off_again_and_again(self):
+        async def main() -> int:
+            loop = asyncio.get_running_loop()
+            core = Core(SETTINGS, loop, DecisionLog(loop.time), Random(1))
+            core.routes = RouteTable(config(4, FORMER))
+            beliefs = Beliefs(core)
+            refreshes = []
+            beliefs.refresh_config = lambda: refreshes.append(1)
+            for _ in range(20):
+                beliefs.hear_version(5)
+                await asyncio.sleep(0.08)
+            return len(refreshes)
+
+        assert asyncio.run(main()) == 1
+
     def test_waits_for_what_is_on_its_way(self):
         assert self.refreshes_after([5], learns=5) == 0
 
