--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -100,9 +100,17 @@
         return answer.status == 200
 
     async def wait_ready(self) -> None:
-        async with asyncio.timeout(READY_TIMEOUT_S):
-            while not await self.is_ready():
-                await asyncio.sleep(0.02)
+        """Wait until it is; tells whether the process lives if it is not."""
+        try:
+            async with asyncio.timeout(READY_TIMEOUT_S):
+                while not await self.is_ready():
+                    await asyncio.sleep(0.02)
+        except TimeoutError as error:
+            code = self.process.returncode
+            raise AssertionError(
+                f"{self.name} (process {self.process.pid}, exit code {code}) "
+                "is not ready"
+            ) from error
 
     def kill(self) -> None:
         self.process.send_signal(signal.SIGKILL)
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import subprocess
 import sys
 
@@ -14,6 +15,8 @@
 from heatherdyke.platform_standin.leaf import Behaviour
 from heatherdyke.platform_standin.leaf import StandinLeaf
 
+# The interpreter runs no line of ours before this.
+INTERPRETER_S = 0.08
 SHARDS = [f"shard{number}" for number in range(6)]
 SEARCH = route(
     "search",
@@ -413,6 +416,20 @@
 
         run(scenario, tmp_path)
 
+    def test_a_reload_while_it_starts_does_not_end_it(self, tmp_path):
+        """The soak found it: a reload of all while one restarts."""
+
+        async def scenario(fleet):
+            await one_fleet(fleet)
+            gateway = await fleet.add_gateway("a")
+            await asyncio.sleep(INTERPRETER_S)
+            for _ in range(30):
+                gateway.process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.01)
+            await gateway.wait_ready()
+
+        run(scenario, tmp_path)
+
     def test_bad_settings_name_field_and_path(self, tmp_path):
         path = tmp_path / "settings.toml"
         path.write_text('node-name = "a"\nzone = 7\n')
