--- a/heatherdyke/gateway/leaf_table.py
+++ b/heatherdyke/gateway/leaf_table.py
@@ -20,7 +20,7 @@
 FAILURE_SMOOTHING = 0.2
 FAILURE_HALF_LIFE_S = 2.0
 SLOWNESS_SMOOTHING = 0.25
-SLOWNESS_HALF_LIFE_S = 1.5
+SLOWNESS_HALF_LIFE_S = 10.0
 # One straggler moves the estimate by little.
 MAX_SLOWNESS_SAMPLE = 3.0
 # A usual pause is shorter than this; who is silent longer may be gone.
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -186,6 +186,22 @@
             near.hear_failure(1.0 + step / 10)
         assert choose_leaf([near, far], (), "a", USUAL_S, 1.5) is far
 
+    def test_a_slow_leaf_that_is_seen_seldom_stays_known(self):
+        """Many instances, each asking a leaf once in some seconds."""
+        slow, usual = self.leafs("a", "a")
+        for at in (1.0, 1.5):
+            slow.hear_answer(at, 8 * USUAL_S, USUAL_S)
+        usual.hear_answer(1.5, USUAL_S, USUAL_S)
+        for at in (3.0, 6.0, 9.0):
+            assert choose_leaf([slow, usual], [], "a", USUAL_S, at) is usual
+
+    def test_a_leaf_that_was_slow_long_ago_is_asked_again(self):
+        slow, usual = self.leafs("a", "a")
+        slow.hear_answer(1.0, 8 * USUAL_S, USUAL_S)
+        for number in range(6):
+            usual.start(number, 60.0)
+        assert choose_leaf([slow, usual], [], "a", USUAL_S, 60.0) is slow
+
     def test_a_tried_leaf_is_not_tried_again(self):
         near, far = self.leafs("a", "b")
         assert choose_leaf([near, far], [near], "a", USUAL_S, 1.0) is far
