--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -19,6 +19,7 @@
 from heatherdyke.gateway.isolation import Isolation
 from heatherdyke.gateway.leaf_choice import choose_leaf
 from heatherdyke.gateway.leaf_entry import LeafEntry
+from heatherdyke.gateway.leaf_table import SLOWNESS_HALF_LIFE_S
 from heatherdyke.gateway.leaf_table import LeafTable
 from heatherdyke.gateway.pause import PauseDetector
 from heatherdyke.gateway.records import greatest_records
@@ -178,7 +179,8 @@
         for step in range(10):
             near.hear_answer(1.0 + step / 10, 10 * USUAL_S, USUAL_S)
         assert choose_leaf([near, far], (), "a", USUAL_S, 2.0) is far
-        assert choose_leaf([near, far], (), "a", USUAL_S, 12.0) is near
+        later = 2.0 + 4 * SLOWNESS_HALF_LIFE_S
+        assert choose_leaf([near, far], (), "a", USUAL_S, later) is near
 
     def test_a_leaf_that_fails_while_its_health_is_good_is_left_alone(self):
         near, far = self.leafs("a", "b")
