--- a/heatherdyke/gateway/decision_log.py
+++ b/heatherdyke/gateway/decision_log.py
@@ -13,8 +13,8 @@
 from loguru import logger
 
 from heatherdyke.gateway.events import LOG_LIMITED
-from heatherdyke.observe.events import EventKind
-from heatherdyke.observe.events import Severity
+from heatherdyke.observe.event_registry import EventKind
+from heatherdyke.observe.event_registry import Severity
 
 LINES_PER_S = 40.0
 BURST_LINES = 200.0
--- a/heatherdyke/gateway/events.py
+++ b/heatherdyke/gateway/events.py
@@ -1,8 +1,8 @@
 """The events that a gateway logs, in the registry of numbered events."""
 
-from heatherdyke.observe.events import EventKind
-from heatherdyke.observe.events import Severity
-from heatherdyke.observe.events import register
+from heatherdyke.observe.event_registry import EventKind
+from heatherdyke.observe.event_registry import Severity
+from heatherdyke.observe.event_registry import register
 
 STARTED = register(
     EventKind(
--- a/heatherdyke/observe/event_catalogue.py
+++ b/heatherdyke/observe/event_catalogue.py
@@ -7,8 +7,8 @@
 from pkgutil import walk_packages
 
 import heatherdyke
-from heatherdyke.observe.events import EventKind
-from heatherdyke.observe.events import kind_by_number
+from heatherdyke.observe.event_registry import EventKind
+from heatherdyke.observe.event_registry import kind_by_number
 
 SECTION_BY_THOUSAND = {
     1: "Instance",
--- a/heatherdyke/observe/journal.py
+++ b/heatherdyke/observe/journal.py
@@ -15,10 +15,10 @@
 from loguru import logger
 
 from heatherdyke.clock import Clock
+from heatherdyke.observe.event_registry import EventKind
+from heatherdyke.observe.event_registry import Severity
 from heatherdyke.observe.events import CLOCK_REJECTED
 from heatherdyke.observe.events import FIELDS_MISMATCHED
-from heatherdyke.observe.events import EventKind
-from heatherdyke.observe.events import Severity
 from heatherdyke.observe.hybrid_clock import HybridTimestamp
 from heatherdyke.observe.hybrid_clock import receive
 from heatherdyke.observe.hybrid_clock import tick
--- a/heatherdyke/settings.py
+++ b/heatherdyke/settings.py
@@ -7,7 +7,7 @@
 from heatherdyke.errors import SettingsError
 from heatherdyke.mechanisms import Mechanism
 from heatherdyke.net.address import split_address
-from heatherdyke.observe.events import Severity
+from heatherdyke.observe.event_registry import Severity
 from heatherdyke.peers.key import LEAST_SECRET_CHARACTERS
 from heatherdyke.peers.key import PeerKey
 
--- a/tests/test_event_catalogue.py
+++ b/tests/test_event_catalogue.py
@@ -7,7 +7,7 @@
 import heatherdyke
 from heatherdyke.observe.event_catalogue import load_all_kinds
 from heatherdyke.observe.event_catalogue import render_catalogue
-from heatherdyke.observe.events import EventKind
+from heatherdyke.observe.event_registry import EventKind
 
 PACKAGE = Path(heatherdyke.__file__).parent
 PAGE = PACKAGE.parent / "docs" / "EVENTS.md"
--- /dev/null
+++ b/tests/test_gateway_life.py
@@ -0,0 +1,107 @@
+"""How a gateway stops, and what it does with bad input, over real sockets."""
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+
+from gateway_fleet import HOST
+from gateway_fleet import ask
+from gateway_scenarios import INTERPRETER_S
+from gateway_scenarios import one_fleet
+from gateway_scenarios import ready_gateway
+from gateway_scenarios import run
+from gateway_scenarios import until
+
+
+class TestStop:
+    def test_a_running_request_is_answered_and_the_process_ends(
+        self, tmp_path
+    ):
+        async def scenario(fleet):
+            (leaf,) = await one_fleet(fleet, 1)
+            leaf.work_s = 1.0
+            gateway = await ready_gateway(fleet)
+            asking = asyncio.create_task(ask(gateway, "/o/x", "r1"))
+            await until(lambda: leaf.runs == [b"r1"])
+            gateway.terminate()
+            assert (await asking).status == 200
+            assert not await gateway.is_ready()
+            assert (await ask(gateway, "/o/x", "r2")).status == 200
+            assert await gateway.process.wait() == 0
+            assert "gateway_stopped" in fleet.log_of(gateway)
+
+        run(scenario, tmp_path)
+
+
+class TestBadInput:
+    def test_malformed_and_oversized_requests_reach_no_leaf(self, tmp_path):
+        async def scenario(fleet):
+            leafs = await one_fleet(fleet)
+            gateway = await ready_gateway(fleet)
+            head = f"GET /o/x HTTP/1.1\r\nHost: {HOST}\r\n".encode()
+            long_field = b"X-Long: " + b"x" * 9000 + b"\r\n\r\n"
+            large = b"Content-Length: 70000\r\n\r\n" + b"x" * 70000
+            both = (
+                b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"0\r\n\r\n"
+            )
+            assert await raw(gateway, b"\x00\x01 nonsense\r\n\r\n") == 400
+            assert await raw(gateway, head + long_field) == 431
+            assert await raw(gateway, b"POST" + head[3:] + large) == 413
+            assert await raw(gateway, b"POST" + head[3:] + both) == 400
+            assert await raw(gateway, b"GET /o/x HTTP/1.1\r\n\r\n") == 400
+            assert not any(leaf.arrivals for leaf in leafs)
+
+        async def raw(gateway, data: bytes) -> int:
+            host, port = gateway.front.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(data)
+            async with asyncio.timeout(5):
+                line = await reader.readline()
+            writer.close()
+            return int(line.split()[1])
+
+        run(scenario, tmp_path)
+
+    def test_a_slow_request_is_cut_off(self, tmp_path):
+        async def scenario(fleet):
+            await one_fleet(fleet)
+            gateway = await ready_gateway(fleet)
+            host, port = gateway.front.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"GET /o/x HT")
+            async with asyncio.timeout(4):
+                assert b" 408 " in await reader.readline()
+            writer.close()
+
+        run(scenario, tmp_path)
+
+    def test_a_reload_while_it_starts_does_not_end_it(self, tmp_path):
+        """The soak found it: a reload of all while one restarts."""
+
+        async def scenario(fleet):
+            await one_fleet(fleet)
+            gateway = await fleet.add_gateway("a")
+            await asyncio.sleep(INTERPRETER_S)
+            for _ in range(30):
+                gateway.process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.01)
+            await gateway.wait_ready()
+
+        run(scenario, tmp_path)
+
+    def test_bad_settings_name_field_and_path(self, tmp_path):
+        path = tmp_path / "settings.toml"
+        path.write_text('node-name = "a"\nzone = 7\n')
+        finished = subprocess.run(
+            [sys.executable, "-m", "heatherdyke.gateway"],
+            env={**os.environ, "HEATHERDYKE_BOOT": str(path)},
+            capture_output=True,
+            text=True,
+            timeout=20,
+        )
+        assert finished.returncode == 2
+        assert str(path) in finished.stderr
+        assert len(finished.stderr.splitlines()) == 1
--- /dev/null
+++ b/tests/test_gateway_limits.py
@@ -0,0 +1,141 @@
+"""What is bounded over all instances, without network."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from heatherdyke.gateway.cold_limit import ColdLimit
+from heatherdyke.gateway.cold_limit import cold_allowance
+from heatherdyke.gateway.connection_share import ASKERS
+from heatherdyke.gateway.connection_share import ENOUGH
+from heatherdyke.gateway.connection_share import SHARE_USED
+from heatherdyke.gateway.connection_share import connection_share
+from heatherdyke.gateway.leaf_entry import LeafEntry
+from heatherdyke.gateway.retry_budget import RetryBudget
+from heatherdyke.gateway.routing import Route
+from heatherdyke.gateway.routing import WeightedService
+from heatherdyke.net.address import Address
+
+USUAL_S = 0.02
+
+
+def entry(leaf_id: str, service: str = "s", zone: str = "a", **fields):
+    address = fields.pop("address", Address("10.0.0.1", 80))
+    return LeafEntry(leaf_id, service, address, zone, **fields)
+
+
+def route(name: str, prefix: str, host: str = "h") -> Route:
+    return Route(
+        name=name,
+        host=host,
+        path_prefix=prefix,
+        idempotent=True,
+        timeout_s=1.0,
+        objective_s=0.1,
+        rank=1,
+        max_attempts=2,
+        targets=(WeightedService("s", 1.0),),
+    )
+
+
+class TestRetryBudget:
+    """All instances hedge at once because the leafs turn slow in step."""
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 6),
+                st.floats(0.0, 0.4),
+                st.booleans(),
+            ),
+            max_size=400,
+        )
+    )
+    def test_the_sum_over_instances_keeps_the_bound(self, steps):
+        share, slack, window = 0.2, 54.0, 10.0
+        budgets = [RetryBudget(share, slack, window, 7) for _ in range(7)]
+        now = 100.0
+        requests: list[float] = []
+        extras: list[float] = []
+        for instance, pause_s, is_request in steps:
+            now += pause_s
+            if is_request:
+                budgets[instance].count_request("s", now)
+                requests.append(now)
+            elif budgets[instance].take("s", now):
+                extras.append(now)
+        for at in extras:
+            in_window = sum(at - window < other <= at for other in extras)
+            served = sum(at - window < other <= at for other in requests)
+            assert in_window <= share * served + slack
+
+    def test_a_crowd_of_failures_is_cut_off(self):
+        budget = RetryBudget(0.2, 54.0, 10.0, 7)
+        for step in range(100):
+            budget.count_request("s", 100.0 + step / 100)
+        taken = sum(budget.take("s", 101.0) for _ in range(100))
+        assert 15 <= taken <= 0.2 * 100 + 54.0 / 7
+
+    def test_services_are_apart(self):
+        budget = RetryBudget(0.2, 4.0, 10.0, 1)
+        while budget.take("s", 1.0):
+            pass
+        assert budget.take("t", 1.0)
+
+
+class TestColdLimit:
+    """Many instances meet one cold leaf; some do not hear of the others."""
+
+    @pytest.mark.parametrize("instances", [1, 3, 7, 77, 1100])
+    @pytest.mark.parametrize("bound", [5.0, 35.0, 200.0])
+    def test_the_sum_of_all_parts_keeps_the_bound(self, bound, instances):
+        parts = [
+            cold_allowance(bound, instances, number == 0, known=True)
+            for number in range(instances)
+        ]
+        assert sum(parts) <= bound
+
+    def test_two_owners_at_once_keep_the_bound(self):
+        part = cold_allowance(5.0, 7, is_owner=True, known=True)
+        assert 1 <= part
+        assert 2 * part <= 5.0
+
+    def test_an_instance_that_knows_no_others_sends_nothing(self):
+        assert cold_allowance(5.0, 0, is_owner=True, known=False) == 0
+
+    def test_any_second_keeps_the_allowance(self):
+        limit = ColdLimit(started_at=-10.0)
+        sent = [
+            step / 10 for step in range(100) if limit.take("x", 2, step / 10)
+        ]
+        assert len(sent) > 10
+        for at in sent:
+            assert sum(at - 1.0 < other <= at for other in sent) <= 2
+
+    def test_a_process_that_forgot_what_it_sent_waits(self):
+        limit = ColdLimit(started_at=5.0)
+        assert not limit.take("x", 2, 5.9)
+        assert limit.take("x", 2, 6.2)
+
+
+class TestConnectionShare:
+    def test_equal_parts_fit_the_limit(self):
+        assert 7 * connection_share(31, 7) <= 31
+        assert 7 * connection_share(100, 7) <= 100
+
+    @given(limit=st.integers(20, 600), instances=st.integers(1, 20))
+    def test_all_that_connect_at_once_fit_while_a_part_is_enough(
+        self, limit, instances
+    ):
+        """After a loss of power all instances connect to all leafs."""
+        share = connection_share(limit, instances)
+        if int(limit * SHARE_USED) // instances >= ENOUGH:
+            assert share * instances <= limit
+        else:
+            assert ASKERS * share <= max(limit, ASKERS)
+
+    def test_many_instances_may_open_some_each(self):
+        assert connection_share(52, 59) >= 2
+
+    def test_unknown_instances_take_little(self):
+        assert 4 * connection_share(31, 0) <= 31
