--- a/heatherdyke/gateway/clients.py
+++ b/heatherdyke/gateway/clients.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from heatherdyke.gateway.client_connection import ClientConnection
+from heatherdyke.gateway.connection_owner import ConnectionOwner
 from heatherdyke.gateway.core import Core
 from heatherdyke.gateway.dispatch import Dispatcher
 from heatherdyke.gateway.events import UNEXPECTED
@@ -16,16 +17,14 @@
 IDLE_MARGIN_S = 0.5
 
 
-class Clients:
+class Clients(ConnectionOwner):
     """Owns the connections of the clients' address."""
 
-    __slots__ = ("stopping", "_core", "_dispatcher", "_connections")
+    __slots__ = ("_dispatcher",)
 
     def __init__(self, core: Core, dispatcher: Dispatcher) -> None:
-        self.stopping = False
-        self._core = core
+        super().__init__(core)
         self._dispatcher = dispatcher
-        self._connections: set[ClientConnection] = set()
 
     @property
     def limits(self) -> ClientLimits:
@@ -40,28 +39,6 @@
         cut_off = core.isolation.should_turn_away(core.loop.time())
         return self.stopping or cut_off
 
-    @property
-    def open_count(self) -> int:
-        """Return the number of connections."""
-        return len(self._connections)
-
-    @property
-    def running_count(self) -> int:
-        """Return the number of connections with a request."""
-        return sum(not item.is_idle for item in self._connections)
-
-    def now(self) -> float:
-        """Return monotonic seconds."""
-        return self._core.loop.time()
-
-    def opened(self, connection: ClientConnection) -> None:
-        """Note a new connection."""
-        self._connections.add(connection)
-
-    def closed(self, connection: ClientConnection) -> None:
-        """Note that a connection has ended."""
-        self._connections.discard(connection)
-
     def handle(self, exchange: Exchange) -> None:
         """Serve a request; a fault in the program ends it with a 500."""
         try:
--- /dev/null
+++ b/heatherdyke/gateway/connection_owner.py
@@ -0,0 +1,42 @@
+"""The connections that others opened to one address of this process."""
+
+from heatherdyke.gateway.client_connection import ClientConnection
+from heatherdyke.gateway.core import Core
+
+
+class ConnectionOwner:
+    """Knows its connections; subclasses serve their requests."""
+
+    __slots__ = ("stopping", "_core", "_connections")
+
+    def __init__(self, core: Core) -> None:
+        self.stopping = False
+        self._core = core
+        self._connections: set[ClientConnection] = set()
+
+    @property
+    def closing(self) -> bool:
+        """Tell whether others should come back on other connections."""
+        return self.stopping
+
+    @property
+    def open_count(self) -> int:
+        """Return the number of connections."""
+        return len(self._connections)
+
+    @property
+    def running_count(self) -> int:
+        """Return the number of connections with a request."""
+        return sum(not item.is_idle for item in self._connections)
+
+    def now(self) -> float:
+        """Return monotonic seconds."""
+        return self._core.loop.time()
+
+    def opened(self, connection: ClientConnection) -> None:
+        """Note a new connection."""
+        self._connections.add(connection)
+
+    def closed(self, connection: ClientConnection) -> None:
+        """Note that a connection has ended."""
+        self._connections.discard(connection)
--- a/heatherdyke/gateway/peer_api.py
+++ b/heatherdyke/gateway/peer_api.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from heatherdyke.gateway.client_connection import ClientConnection
+from heatherdyke.gateway.connection_owner import ConnectionOwner
 from heatherdyke.gateway.core import Core
 from heatherdyke.gateway.exchange import Exchange
 from heatherdyke.gateway.gathering import Gathering
@@ -169,24 +169,16 @@
             self._timer = None
 
 
-class PeerApi:
+class PeerApi(ConnectionOwner):
     """Owns the connections of other instances."""
 
-    __slots__ = (
-        "stopping",
-        "_core",
-        "_hear_version",
-        "_connections",
-        "_open_by_key",
-    )
+    __slots__ = ("_hear_version", "_open_by_key")
 
     def __init__(
         self, core: Core, hear_version: Callable[[int], None]
     ) -> None:
-        self.stopping = False
-        self._core = core
+        super().__init__(core)
         self._hear_version = hear_version
-        self._connections: set[ClientConnection] = set()
         self._open_by_key: dict[tuple[bytes, str], GroupSearch] = {}
 
     @property
@@ -194,28 +186,6 @@
         """Return what other instances may send."""
         return PEER_LIMITS
 
-    @property
-    def closing(self) -> bool:
-        """Tell whether others should come back to another instance."""
-        return self.stopping
-
-    @property
-    def running_count(self) -> int:
-        """Return the number of connections with a request."""
-        return sum(not item.is_idle for item in self._connections)
-
-    def now(self) -> float:
-        """Return monotonic seconds."""
-        return self._core.loop.time()
-
-    def opened(self, connection: ClientConnection) -> None:
-        """Note a new connection."""
-        self._connections.add(connection)
-
-    def closed(self, connection: ClientConnection) -> None:
-        """Note that a connection has ended."""
-        self._connections.discard(connection)
-
     def handle(self, exchange: Exchange) -> None:
         """Serve a group's search or a health check."""
         target = exchange.request.target
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -5,17 +5,16 @@
 
 from random import Random
 
+from gateway_entries import route
 from hypothesis import given
 from hypothesis import strategies as st
 
 from heatherdyke.gateway.grouping import group_shards
 from heatherdyke.gateway.isolation import Isolation
-from heatherdyke.gateway.leaf_entry import LeafEntry
 from heatherdyke.gateway.pause import PauseDetector
 from heatherdyke.gateway.records import greatest_records
 from heatherdyke.gateway.refusal import Why
 from heatherdyke.gateway.refusal import refuse
-from heatherdyke.gateway.routing import Route
 from heatherdyke.gateway.routing import RouteTable
 from heatherdyke.gateway.routing import RoutingConfig
 from heatherdyke.gateway.routing import SplitCounter
@@ -23,30 +22,10 @@
 from heatherdyke.gateway.search_progress import SearchProgress
 from heatherdyke.gateway.search_progress import Verdict
 from heatherdyke.gateway.timing import Pace
-from heatherdyke.net.address import Address
 
 USUAL_S = 0.02
 
 
-def entry(leaf_id: str, service: str = "s", zone: str = "a", **fields):
-    address = fields.pop("address", Address("10.0.0.1", 80))
-    return LeafEntry(leaf_id, service, address, zone, **fields)
-
-
-def route(name: str, prefix: str, host: str = "h") -> Route:
-    return Route(
-        name=name,
-        host=host,
-        path_prefix=prefix,
-        idempotent=True,
-        timeout_s=1.0,
-        objective_s=0.1,
-        rank=1,
-        max_attempts=2,
-        targets=(WeightedService("s", 1.0),),
-    )
-
-
 class TestRouteTable:
     table = RouteTable(
         RoutingConfig(
--- a/tests/test_gateway_leafs.py
+++ b/tests/test_gateway_leafs.py
@@ -1,35 +1,14 @@
 """What is believed of leafs, and which one is asked, without network."""
 
+from gateway_entries import entry
+
 from heatherdyke.gateway.leaf_choice import choose_leaf
-from heatherdyke.gateway.leaf_entry import LeafEntry
 from heatherdyke.gateway.leaf_table import SLOWNESS_HALF_LIFE_S
 from heatherdyke.gateway.leaf_table import LeafTable
-from heatherdyke.gateway.routing import Route
-from heatherdyke.gateway.routing import WeightedService
-from heatherdyke.net.address import Address
 
 USUAL_S = 0.02
 
 
-def entry(leaf_id: str, service: str = "s", zone: str = "a", **fields):
-    address = fields.pop("address", Address("10.0.0.1", 80))
-    return LeafEntry(leaf_id, service, address, zone, **fields)
-
-
-def route(name: str, prefix: str, host: str = "h") -> Route:
-    return Route(
-        name=name,
-        host=host,
-        path_prefix=prefix,
-        idempotent=True,
-        timeout_s=1.0,
-        objective_s=0.1,
-        rank=1,
-        max_attempts=2,
-        targets=(WeightedService("s", 1.0),),
-    )
-
-
 class TestLeafTable:
     def test_a_restart_under_the_same_id_is_another_leaf(self):
         table = LeafTable()
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -10,34 +10,11 @@
 from heatherdyke.gateway.connection_share import ENOUGH
 from heatherdyke.gateway.connection_share import SHARE_USED
 from heatherdyke.gateway.connection_share import connection_share
-from heatherdyke.gateway.leaf_entry import LeafEntry
 from heatherdyke.gateway.retry_budget import RetryBudget
-from heatherdyke.gateway.routing import Route
-from heatherdyke.gateway.routing import WeightedService
-from heatherdyke.net.address import Address
 
 USUAL_S = 0.02
 
 
-def entry(leaf_id: str, service: str = "s", zone: str = "a", **fields):
-    address = fields.pop("address", Address("10.0.0.1", 80))
-    return LeafEntry(leaf_id, service, address, zone, **fields)
-
-
-def route(name: str, prefix: str, host: str = "h") -> Route:
-    return Route(
-        name=name,
-        host=host,
-        path_prefix=prefix,
-        idempotent=True,
-        timeout_s=1.0,
-        objective_s=0.1,
-        rank=1,
-        max_attempts=2,
-        targets=(WeightedService("s", 1.0),),
-    )
-
-
 class TestRetryBudget:
     """All instances hedge at once because the leafs turn slow in step."""
 
