--- a/heatherdyke/gateway/feed.py
+++ b/heatherdyke/gateway/feed.py
@@ -20,7 +20,9 @@
 # Spreads the instances' calls after an outage that all saw end at once.
 RETRY_SPREAD = 0.5
 # After a change the next watch waits, so that changes come in batches.
-BATCH_S = 0.25
+BATCH_S = 0.1
+# A store serves some thousand calls a second, of all instances together.
+MOST_CALLS_PER_S = 3000.0
 # An outage shorter than this loses no entries.
 SHORT_OUTAGE_S = 1.0
 
@@ -117,7 +119,8 @@
                 )
             )
         if page.changes and self._batch_s:
-            await asyncio.sleep(self._batch_s)
+            instances = len(self._core.instances)
+            await asyncio.sleep(batch_wait(self._batch_s, instances))
         return max(revision, page.revision)
 
     def _heard(self) -> None:
@@ -155,3 +158,8 @@
             self._core.log.record(
                 UNEXPECTED, where=f"feed {self.kind}", error=repr(error)
             )
+
+
+def batch_wait(batch_s: float, instances: int) -> float:
+    """Return how long changes are gathered, among so many instances."""
+    return max(batch_s, instances / MOST_CALLS_PER_S)
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -10,6 +10,9 @@
 from heatherdyke.gateway.connection_share import ENOUGH
 from heatherdyke.gateway.connection_share import SHARE_USED
 from heatherdyke.gateway.connection_share import connection_share
+from heatherdyke.gateway.feed import BATCH_S
+from heatherdyke.gateway.feed import MOST_CALLS_PER_S
+from heatherdyke.gateway.feed import batch_wait
 from heatherdyke.gateway.retry_budget import RetryBudget
 
 USUAL_S = 0.02
@@ -116,3 +119,15 @@
 
     def test_unknown_instances_take_little(self):
         assert 4 * connection_share(31, 0) <= 31
+
+
+class TestBatchWait:
+    """Leafs are replaced one after the other and all instances watch."""
+
+    @pytest.mark.parametrize("instances", [7, 77, 300, 1100, 5000])
+    def test_all_calls_together_stay_within_the_rate(self, instances):
+        calls_per_s = instances / batch_wait(BATCH_S, instances)
+        assert calls_per_s <= MOST_CALLS_PER_S
+
+    def test_few_instances_hear_of_changes_soon(self):
+        assert batch_wait(BATCH_S, 77) == BATCH_S
