Notice soon that the store swallowed a call

Cause: the store was silent from 7.1 to 14.1 s. The watches of the configuration ended in that time, and the next ones were swallowed; each was waited for 12 s. Four instances had version 6 at 21 s, which was replaced at 15 s; they were mended by what others said of theirs.

Now a watch waits no longer than lets a swallowed call be noticed before an instance counts as in touch and has to have heard (4 s here, 7 s on the grown sites), and after a loss 0.5 s. tests/test_gateway_fleet.py TestStoreThatIsSilent failed before.

Ruled out: the hold of recut configurations (no version was held there).

--- a/heatherdyke/gateway/feed.py
+++ b/heatherdyke/gateway/feed.py
@@ -8,13 +8,21 @@
 from heatherdyke.gateway.events import DEPENDENCY_LOST
 from heatherdyke.gateway.events import DEPENDENCY_REGAINED
 from heatherdyke.gateway.events import UNEXPECTED
+from heatherdyke.gateway.settings import Bounds
 from heatherdyke.platform.store import Change
 from heatherdyke.platform.store import HistoryGone
 from heatherdyke.platform.store import Listing
 from heatherdyke.platform.store import Store
 
-# A connection that fell silent is noticed after it.
-WATCH_WAIT_S = 10.0
+# A watch's longest wait, and the shortest that is worth a call.
+MOST_WAIT_S = 10.0
+LEAST_WAIT_S = 1.0
+# A call that was swallowed is noticed this much after its wait, by the
+# store's timeout; then the store is called again.
+NOTICED_S = 3.0
+# After a loss a watch asks for what is there, so that another call that is
+# swallowed is noticed soon.
+PROBE_WAIT_S = 0.5
 RETRY_FIRST_S = 0.2
 RETRY_MAX_S = 1.0
 # Spreads the instances' calls after an outage that all saw end at once.
@@ -110,7 +118,10 @@
         return listing.revision
 
     async def _watch(self, revision: int) -> int:
-        page = await self._store.watch(self.kind, revision, WATCH_WAIT_S)
+        wait_s = PROBE_WAIT_S
+        if self._lost_at is None:
+            wait_s = watch_wait(self._core.settings.bounds)
+        page = await self._store.watch(self.kind, revision, wait_s)
         self._heard()
         for change in page.changes:
             self._guard(
@@ -163,3 +174,13 @@
 def batch_wait(batch_s: float, instances: int) -> float:
     """Return how long changes are gathered, among so many instances."""
     return max(batch_s, instances / MOST_CALLS_PER_S)
+
+
+def watch_wait(bounds: Bounds) -> float:
+    """Return how long a watch waits for a change.
+
+    A store that swallowed the call may serve again at once.  The call is
+    noticed before instances count as in touch and have to have heard.
+    """
+    heard_s = bounds.stable_s + min(bounds.config_s, bounds.drain_s)
+    return max(LEAST_WAIT_S, min(MOST_WAIT_S, heard_s - NOTICED_S))
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -7,6 +7,7 @@
 from gateway_fleet import ask
 from gateway_fleet import config
 from gateway_scenarios import CONFIG
+from gateway_scenarios import ONE
 from gateway_scenarios import SHARDS
 from gateway_scenarios import UNSAFE
 from gateway_scenarios import one_fleet
@@ -17,6 +18,9 @@
 
 from heatherdyke.platform_standin.leaf import Behaviour
 from heatherdyke.platform_standin.leaf import StandinLeaf
+from heatherdyke.standin.fault_proxy_model import RouteConfig
+from heatherdyke.standin.fault_proxy_model import RouteFaults
+from heatherdyke.standin.fault_proxy_tcp import TcpRoute
 
 
 class TestSearch:
@@ -259,6 +263,32 @@
         run(scenario, tmp_path)
 
 
+class TestStoreThatIsSilent:
+    def test_a_change_is_in_force_when_it_is_due(self, tmp_path):
+        """Its connections are open and pass nothing; new ones work.
+
+        The bench found it: a store was silent for 7 s and each watch that
+        was sent meanwhile was waited for 12 s.
+        """
+
+        async def scenario(fleet):
+            await one_fleet(fleet)
+            target = str(fleet.store.listener.address)
+            silent = TcpRoute(RouteConfig("store", "127.0.0.1:0", target))
+            await silent.start()
+            gateway = await fleet.add_gateway("a", store=silent.address)
+            await gateway.wait_ready()
+            silent.set_faults(RouteFaults(silent=True))
+            silent.set_faults(RouteFaults())
+            fleet.set_config(config(9, [ONE], ["one"]))
+            adopted = '"event":"routing_adopted"'
+            await until(lambda: '"version":9' in fleet.log_of(gateway), 7.5)
+            assert adopted in fleet.log_of(gateway)
+            await silent.stop()
+
+        run(scenario, tmp_path)
+
+
 class TestStore:
     def test_an_unreadable_entry_names_no_leaf_and_harms_no_other(
         self, tmp_path
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -1,5 +1,7 @@
 """What is bounded over all instances, without network."""
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -11,9 +13,14 @@
 from heatherdyke.gateway.connection_share import SHARE_USED
 from heatherdyke.gateway.connection_share import connection_share
 from heatherdyke.gateway.feed import BATCH_S
+from heatherdyke.gateway.feed import LEAST_WAIT_S
 from heatherdyke.gateway.feed import MOST_CALLS_PER_S
+from heatherdyke.gateway.feed import MOST_WAIT_S
+from heatherdyke.gateway.feed import NOTICED_S
 from heatherdyke.gateway.feed import batch_wait
+from heatherdyke.gateway.feed import watch_wait
 from heatherdyke.gateway.retry_budget import RetryBudget
+from tests.test_gateway_groups import BOUNDS
 
 USUAL_S = 0.02
 
@@ -131,3 +138,25 @@
 
     def test_few_instances_hear_of_changes_soon(self):
         assert batch_wait(BATCH_S, 77) == BATCH_S
+
+
+class TestWatchWait:
+    """A store that is silent for seconds swallows the call of each watch."""
+
+    @pytest.mark.parametrize(
+        "stable_s, config_s, drain_s", [(4, 3, 3), (5, 5, 5), (4, 5, 3)]
+    )
+    def test_a_swallowed_call_is_noticed_before_a_change_is_due(
+        self, stable_s, config_s, drain_s
+    ):
+        bounds = replace(
+            BOUNDS, stable_s=stable_s, config_s=config_s, drain_s=drain_s
+        )
+        noticed_s = watch_wait(bounds) + NOTICED_S
+        assert noticed_s <= stable_s + min(config_s, drain_s)
+
+    def test_it_stays_within_what_is_worth_a_call(self):
+        short = replace(BOUNDS, stable_s=0, config_s=1, drain_s=1)
+        long = replace(BOUNDS, stable_s=60, config_s=60, drain_s=60)
+        assert watch_wait(short) == LEAST_WAIT_S
+        assert watch_wait(long) == MOST_WAIT_S
