--- a/heatherdyke/platform_standin/leaf.py
+++ b/heatherdyke/platform_standin/leaf.py
@@ -23,6 +23,11 @@
     FAIL = "fail"
     RESET_AFTER_RUN = "reset_after_run"
     SILENT = "silent"
+    BUSY_AFTER_RUN = "busy_after_run"
+
+
+# Failures that a leaf answers after it has run the request.
+STATUS_BY_FAILURE = {Behaviour.FAIL: 500, Behaviour.BUSY_AFTER_RUN: 503}
 
 
 @dataclass(slots=True)
@@ -131,8 +136,9 @@
             (names.REQUEST_ID, request.request_id),
             (names.SIGNATURE, signature),
         ]
-        if self.behaviour is Behaviour.FAIL:
-            exchange.answer(Answer(500, headers))
+        status = STATUS_BY_FAILURE.get(self.behaviour)
+        if status is not None:
+            exchange.answer(Answer(status, headers))
             return
         exchange.answer(
             Answer(200, headers, self.random.randbytes(16 * self.records))
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -144,6 +144,20 @@
 
         run(scenario, tmp_path)
 
+    def test_a_status_that_promises_too_much_is_not_passed_on(self, tmp_path):
+        """A leaf that ran a request may answer 503 without a word on it."""
+
+        async def scenario(fleet):
+            leafs = await one_fleet(fleet)
+            for leaf in leafs:
+                leaf.behaviour = Behaviour.BUSY_AFTER_RUN
+            gateway = await ready_gateway(fleet)
+            answer = await ask(gateway, "/u/x", "r1", "POST", b"x")
+            assert answer.status == 502
+            assert sum(leaf.runs.count(b"r1") for leaf in leafs) == 1
+
+        run(scenario, tmp_path)
+
     def test_a_safe_request_whose_answer_is_lost_is_sent_again(self, tmp_path):
         async def scenario(fleet):
             leafs = await one_fleet(fleet)
--- a/tests/test_gateway_leafs.py
+++ b/tests/test_gateway_leafs.py
@@ -2,9 +2,13 @@
 
 from gateway_entries import entry
 
+from heatherdyke.gateway.attempts import hear_outcome
 from heatherdyke.gateway.leaf_choice import choose_leaf
 from heatherdyke.gateway.leaf_table import SLOWNESS_HALF_LIFE_S
 from heatherdyke.gateway.leaf_table import LeafTable
+from heatherdyke.gateway.messages import LeafResponse
+from heatherdyke.gateway.messages import Outcome
+from heatherdyke.gateway.timing import Pace
 
 USUAL_S = 0.02
 
@@ -117,3 +121,17 @@
         near, far = self.leafs("a", "b")
         assert choose_leaf([near, far], [near], "a", USUAL_S, 1.0) is far
         assert choose_leaf([near], [near], "a", USUAL_S, 1.0) is None
+
+
+class TestAnotherAtItsAddress:
+    """A leaf is gone and its address belongs to another one."""
+
+    def test_it_is_left_alone_until_its_entry_changes(self):
+        table = LeafTable()
+        table.apply(entry("x", born_ms=5, sequence=1), 0.0)
+        leaf = table.leaf_by_id["x"]
+        rejected = Outcome(LeafResponse(421, [], b"", not_run=True))
+        hear_outcome(leaf, Pace.from_objective(0.1), None, rejected, 1.0)
+        assert not leaf.is_usable(60.0)
+        table.apply(entry("x", born_ms=5, sequence=2), 61.0)
+        assert leaf.is_usable(61.0)
