--- a/heatherdyke/cli/config.py
+++ b/heatherdyke/cli/config.py
@@ -21,15 +21,14 @@
 from heatherdyke.cli.options import editor_name
 from heatherdyke.cli.options import open_platform
 from heatherdyke.cli.options import print_json
-from heatherdyke.cli.options import print_progress
+from heatherdyke.cli.options import report_change
 from heatherdyke.config import commands
 from heatherdyke.config.apply import Acceptance
 from heatherdyke.config.collect import collect_sections
 from heatherdyke.config.file import load_valid_section
 from heatherdyke.config.wait import judge_section
-from heatherdyke.config.wait import require_in_force
 from heatherdyke.errors import ConfigInvalid
-from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import ObjectClient
 from heatherdyke.platform.settings import check_settings_file
 
 config_app = typer.Typer(
@@ -189,24 +188,20 @@
 
 
 async def _report(
-    client: PlatformClient,
+    client: ObjectClient,
     acceptance: Acceptance,
     wait_s: float | None,
     as_json: bool,
 ) -> None:
     """Print the acceptance at once, then who has it in force."""
-    if not as_json:
-        typer.echo(_describe(acceptance))
-    instances = None
-    if wait_s is not None:
-        judge = judge_section(acceptance.team, acceptance.version)
-        instances = await commands.wait_everywhere(client, judge, wait_s)
-    if as_json:
-        print_json(commands.ApplyReport(acceptance, instances))
-    elif instances is not None:
-        print_progress(instances)
-    if instances is not None:
-        require_in_force(instances)
+    await report_change(
+        client,
+        judge_section(acceptance.team, acceptance.version),
+        wait_s,
+        as_json,
+        lambda: typer.echo(_describe(acceptance)),
+        lambda instances: commands.ApplyReport(acceptance, instances),
+    )
 
 
 def _describe(acceptance: Acceptance) -> str:
--- a/heatherdyke/cli/options.py
+++ b/heatherdyke/cli/options.py
@@ -1,16 +1,20 @@
 """Options and output that the operators' commands share."""
 
 import getpass
+from collections.abc import Callable
 from typing import Annotated
 from typing import Any
 
 import typer
 
 from heatherdyke.codec import encode
+from heatherdyke.config import commands
 from heatherdyke.config.wait import InstanceProgress
+from heatherdyke.config.wait import Judge
+from heatherdyke.config.wait import require_in_force
 from heatherdyke.errors import SettingsError
 from heatherdyke.net.address import split_address
-from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import ObjectClient
 
 PlatformOption = Annotated[
     str,
@@ -44,7 +48,7 @@
 ]
 
 
-def open_platform(address: str) -> PlatformClient:
+def open_platform(address: str) -> ObjectClient:
     """Return a client; raises SettingsError if ``address`` is malformed."""
     try:
         split_address(address)
@@ -55,7 +59,7 @@
                 "write it as 127.0.0.1:8080"
             ]
         ) from error
-    return PlatformClient(address)
+    return ObjectClient(address)
 
 
 def editor_name(editor: str) -> str:
@@ -75,3 +79,29 @@
             f"  {row.instance} ({row.zone}, {row.address}): "
             f"{row.progress.value}, version {row.version}"
         )
+
+
+async def report_change(
+    client: ObjectClient,
+    judge: Judge,
+    wait_s: float | None,
+    as_json: bool,
+    show: Callable[[], None],
+    to_report: Callable[[list[InstanceProgress] | None], Any],
+) -> None:
+    """Show a change at once, then which instances have it in force.
+
+    ``wait_s`` is how long to wait for them, None for not asking them.
+    Raises NotInForce if they were asked and some lack it.
+    """
+    if not as_json:
+        show()
+    instances = None
+    if wait_s is not None:
+        instances = await commands.wait_everywhere(client, judge, wait_s)
+    if as_json:
+        print_json(to_report(instances))
+    elif instances is not None:
+        print_progress(instances)
+    if instances is not None:
+        require_in_force(instances)
--- a/heatherdyke/cli/zone.py
+++ b/heatherdyke/cli/zone.py
@@ -13,14 +13,12 @@
 from heatherdyke.cli.options import WaitSecondsOption
 from heatherdyke.cli.options import editor_name
 from heatherdyke.cli.options import open_platform
-from heatherdyke.cli.options import print_json
-from heatherdyke.cli.options import print_progress
+from heatherdyke.cli.options import report_change
 from heatherdyke.config import commands
 from heatherdyke.config.wait import judge_zones
-from heatherdyke.config.wait import require_in_force
 from heatherdyke.config.zone_state import ZoneService
 from heatherdyke.config.zone_state import ZonesObject
-from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import ObjectClient
 
 zone_app = typer.Typer(
     name="zone",
@@ -96,24 +94,20 @@
 
 
 async def _report(
-    client: PlatformClient,
+    client: ObjectClient,
     zones: ZonesObject,
     wait_s: float | None,
     as_json: bool,
 ) -> None:
     """Print the zones at once, then which instances have them in force."""
-    if not as_json:
-        _print_zones(zones)
-    instances = None
-    if wait_s is not None:
-        judge = judge_zones(zones.version)
-        instances = await commands.wait_everywhere(client, judge, wait_s)
-    if as_json:
-        print_json(commands.ZoneReport(zones, instances))
-    elif instances is not None:
-        print_progress(instances)
-    if instances is not None:
-        require_in_force(instances)
+    await report_change(
+        client,
+        judge_zones(zones.version),
+        wait_s,
+        as_json,
+        lambda: _print_zones(zones),
+        lambda instances: commands.ZoneReport(zones, instances),
+    )
 
 
 def _print_zones(zones: ZonesObject) -> None:
--- a/heatherdyke/config/commands.py
+++ b/heatherdyke/config/commands.py
@@ -36,7 +36,7 @@
 from heatherdyke.errors import LaggingRead
 from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.membership.instance_listing import list_instances
-from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import ObjectClient
 
 NO_TEAM = ""
 
@@ -105,7 +105,7 @@
 
 
 async def show_document(
-    platform: PlatformClient, team: str = NO_TEAM
+    platform: ObjectClient, team: str = NO_TEAM
 ) -> ShownDocument:
     """Return the accepted document, or one team's section of it.
 
@@ -132,7 +132,7 @@
     return ShownDocument(head.version, sections)
 
 
-async def diff_file(platform: PlatformClient, path: Path) -> list[Change]:
+async def diff_file(platform: ObjectClient, path: Path) -> list[Change]:
     """Return what applying the file would change; raises as its checks."""
     section = load_valid_section(path)
     shown = await show_document(platform)
@@ -156,7 +156,7 @@
 
 
 async def apply_section(
-    platform: PlatformClient,
+    platform: ObjectClient,
     team: str,
     section: SectionConfig | None,
     editor: str,
@@ -179,7 +179,7 @@
 
 
 async def change_zone_state(
-    platform: PlatformClient,
+    platform: ObjectClient,
     zone: str,
     state: ZoneService,
     editor: str,
@@ -191,13 +191,13 @@
     return await apply_zone_edit(platform, zone_edit, real_retry())
 
 
-async def show_zones(platform: PlatformClient) -> ZonesObject:
+async def show_zones(platform: ObjectClient) -> ZonesObject:
     """Return the zones' states; raises PlatformUnavailable."""
     zones, _ = await read_zones_object(platform)
     return zones
 
 
-async def require_zone(platform: PlatformClient, zone: str) -> None:
+async def require_zone(platform: ObjectClient, zone: str) -> None:
     """Raise ConfigError unless an instance or a leaf is in the zone."""
     rows = await platform.instances()
     zones = {row.zone for row in rows}
@@ -214,7 +214,7 @@
 
 
 async def wait_everywhere(
-    platform: PlatformClient, judge: Judge, timeout_s: float
+    platform: ObjectClient, judge: Judge, timeout_s: float
 ) -> list[InstanceProgress]:
     """Wait until each listed instance has a change in force.
 
--- a/heatherdyke/config/source.py
+++ b/heatherdyke/config/source.py
@@ -19,7 +19,7 @@
 from heatherdyke.config.zone_state import ZonesObject
 from heatherdyke.errors import UnreadableObject
 from heatherdyke.messages import PlatformObject
-from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import ObjectClient
 from heatherdyke.objects.client import convert_value
 from heatherdyke.peers.fetch import PeerFetcher
 
@@ -30,7 +30,7 @@
 
 
 async def read_platform(
-    platform: PlatformClient, state: ConfigState
+    platform: ObjectClient, state: ConfigState
 ) -> ConfigDelta:
     """Return what the platform holds and ``state`` lacks.
 
@@ -48,7 +48,7 @@
 
 
 async def complete_head(
-    platform: PlatformClient, state: ConfigState, stored: PlatformObject
+    platform: ObjectClient, state: ConfigState, stored: PlatformObject
 ) -> ConfigDelta:
     """Return the delta to ``stored``, the head object, from ``state``.
 
@@ -103,7 +103,7 @@
 
 
 async def _read_section(
-    platform: PlatformClient, team: str, pointer: SectionPointer
+    platform: ObjectClient, team: str, pointer: SectionPointer
 ) -> SectionUpdate | None:
     if pointer.removed:
         return SectionUpdate(team, pointer, REMOVED_SECTION)
--- a/heatherdyke/config/store.py
+++ b/heatherdyke/config/store.py
@@ -15,7 +15,7 @@
 from heatherdyke.mechanisms import Mechanism
 from heatherdyke.membership.messages import Member
 from heatherdyke.net.http_routes import Applications
-from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import ObjectClient
 from heatherdyke.observe.events import OLDER_CONFIG_IGNORED
 from heatherdyke.observe.journal import Journal
 from heatherdyke.settings import Settings
@@ -38,7 +38,7 @@
     def __init__(
         self,
         settings: Settings,
-        platform: PlatformClient,
+        platform: ObjectClient,
         journal: Journal,
         clock: Clock,
     ) -> None:
@@ -59,7 +59,7 @@
     def from_settings(
         cls,
         settings: Settings,
-        platform: PlatformClient,
+        platform: ObjectClient,
         journal: Journal,
         clock: Clock,
     ) -> "ConfigStore":
--- a/heatherdyke/config/sync.py
+++ b/heatherdyke/config/sync.py
@@ -26,7 +26,7 @@
 from heatherdyke.membership.peer_directory import PeerDirectory
 from heatherdyke.messages import InstanceKind
 from heatherdyke.messages import PlatformObject
-from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import ObjectClient
 from heatherdyke.observe.events import CONFIG_SOURCE_BACK
 from heatherdyke.observe.events import CONFIG_SOURCE_LOST
 from heatherdyke.observe.events import SECTION_MISSING
@@ -75,7 +75,7 @@
     def __init__(
         self,
         settings: Settings,
-        platform: PlatformClient,
+        platform: ObjectClient,
         journal: Journal,
         clock: Clock,
         state: ConfigState,
--- a/heatherdyke/instance.py
+++ b/heatherdyke/instance.py
@@ -15,8 +15,8 @@
 from heatherdyke.net.http_routes import Applications
 from heatherdyke.net.http_routes import new_application
 from heatherdyke.net.server import HttpServer
-from heatherdyke.objects.client import PlatformClient
-from heatherdyke.objects.view import PlatformView
+from heatherdyke.objects.client import ObjectClient
+from heatherdyke.objects.view import ObjectView
 from heatherdyke.observe.component import KnownInstance
 from heatherdyke.observe.component import ObserveComponent
 from heatherdyke.observe.events import STARTED
@@ -61,7 +61,7 @@
         self.gate = RequestGate()
         fetcher = PeerFetcher(settings.peer_key)
         self.peers = PeerClient(settings.peer_key)
-        self.platform = PlatformClient(settings.platform)
+        self.platform = ObjectClient(settings.platform)
         self.config = ConfigStore.from_settings(
             settings, self.platform, self.journal, clock
         )
@@ -98,7 +98,7 @@
         self.components: list[Component] = [
             self.config,
             self.members,
-            PlatformView(
+            ObjectView(
                 self.platform,
                 self.snapshots,
                 self.home,
--- a/heatherdyke/membership/instance_listing.py
+++ b/heatherdyke/membership/instance_listing.py
@@ -4,12 +4,12 @@
 from heatherdyke.membership.messages import Roster
 from heatherdyke.messages import InstanceKind
 from heatherdyke.messages import InstanceState
-from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import ObjectClient
 from heatherdyke.objects.client import convert_value
 from heatherdyke.observe.component import KnownInstance
 
 
-async def list_instances(platform: PlatformClient) -> list[KnownInstance]:
+async def list_instances(platform: ObjectClient) -> list[KnownInstance]:
     """Return the instances of the list and of the rosters, once each.
 
     The list lags, and the rosters name only members; both may name an
--- a/heatherdyke/membership/roster_task.py
+++ b/heatherdyke/membership/roster_task.py
@@ -13,7 +13,7 @@
 from heatherdyke.membership.homes import Membership
 from heatherdyke.membership.messages import Roster
 from heatherdyke.membership.messages import VersionedRoster
-from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import ObjectClient
 from heatherdyke.objects.client import convert_value
 from heatherdyke.observe.events import ROSTER_CHANGED
 from heatherdyke.observe.journal import Journal
@@ -35,7 +35,7 @@
     def __init__(
         self,
         core: MemberCore,
-        platform: PlatformClient,
+        platform: ObjectClient,
         journal: Journal,
         clock: Clock,
         interval_s: float,
--- a/heatherdyke/membership/task.py
+++ b/heatherdyke/membership/task.py
@@ -35,7 +35,7 @@
 from heatherdyke.net.http_routes import add_route
 from heatherdyke.net.http_support import json_response
 from heatherdyke.net.udp_endpoint import UdpEndpoint
-from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import ObjectClient
 from heatherdyke.observe.events import INVALID_HEARTBEAT
 from heatherdyke.observe.events import LEASE_CONFIRMED
 from heatherdyke.observe.events import LEASE_LAPSED
@@ -70,7 +70,7 @@
     def __init__(
         self,
         settings: Settings,
-        platform: PlatformClient,
+        platform: ObjectClient,
         journal: Journal,
         clock: Clock,
         terms: LeaseTerms,
@@ -110,7 +110,7 @@
     def from_settings(
         cls,
         settings: Settings,
-        platform: PlatformClient,
+        platform: ObjectClient,
         journal: Journal,
         clock: Clock,
     ) -> "MemberTask":
--- a/heatherdyke/objects/client.py
+++ b/heatherdyke/objects/client.py
@@ -26,7 +26,7 @@
 MAX_IDLE_CONNECTIONS = 4
 
 
-class PlatformClient:
+class ObjectClient:
     """Calls the platform; raises PlatformUnavailable when it cannot.
 
     ``calls`` counts the calls made, for the capacity reckoning.
--- a/heatherdyke/objects/store.py
+++ b/heatherdyke/objects/store.py
@@ -7,7 +7,7 @@
 
 
 class ObjectStore(Protocol):
-    """Versioned objects with conditional updates, as PlatformClient has."""
+    """Versioned objects with conditional updates, as ObjectClient has."""
 
     async def get(self, key: str) -> PlatformObject | None:
         """Return the object, or None if it does not exist."""
--- a/heatherdyke/objects/view.py
+++ b/heatherdyke/objects/view.py
@@ -23,7 +23,7 @@
 from heatherdyke.net.http_routes import Applications
 from heatherdyke.net.http_routes import add_route
 from heatherdyke.net.http_support import json_response
-from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import ObjectClient
 from heatherdyke.objects.client import convert_value
 from heatherdyke.peers.fetch import PeerFetcher
 from heatherdyke.search.snapshot_book import SnapshotBook
@@ -60,7 +60,7 @@
     leaves: list[LeavingLeaf] = field(default_factory=list)
 
 
-class PlatformView:
+class ObjectView:
     """Keeps snapshots and leaving leaves current on one instance.
 
     ``find_reader`` returns the address of the zone's reader, or None if
@@ -82,7 +82,7 @@
 
     def __init__(
         self,
-        platform: PlatformClient,
+        platform: ObjectClient,
         snapshots: SnapshotBook,
         home: Home,
         fetcher: PeerFetcher,
--- a/heatherdyke/observe/client.py
+++ b/heatherdyke/observe/client.py
@@ -14,7 +14,7 @@
 from heatherdyke.errors import TransportError
 from heatherdyke.membership.instance_listing import list_instances
 from heatherdyke.net.http_fetch import fetch
-from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import ObjectClient
 from heatherdyke.observe.component import KnownInstance
 
 T = TypeVar("T")
@@ -95,4 +95,4 @@
 
 
 async def _ask_platform(address: str) -> list[KnownInstance]:
-    return await list_instances(PlatformClient(address, TIMEOUT_S))
+    return await list_instances(ObjectClient(address, TIMEOUT_S))
--- a/heatherdyke/run_once/assembly.py
+++ b/heatherdyke/run_once/assembly.py
@@ -8,7 +8,7 @@
 from heatherdyke.mechanisms import Mechanism
 from heatherdyke.membership.rendezvous import rank
 from heatherdyke.membership.task import MemberTask
-from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import ObjectClient
 from heatherdyke.observe.journal import Journal
 from heatherdyke.peers.fetch import PeerFetcher
 from heatherdyke.run_once.book import RunBook
@@ -35,7 +35,7 @@
     context: SearchContext
     config: ConfigView
     members: MemberTask
-    platform: PlatformClient
+    platform: ObjectClient
     journal: Journal
     usage: UsageCounters
     gate: RequestGate
--- a/heatherdyke/run_once/store.py
+++ b/heatherdyke/run_once/store.py
@@ -9,7 +9,7 @@
 from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.errors import VersionConflict
 from heatherdyke.objects.client import ABSENT_VERSION
-from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import ObjectClient
 from heatherdyke.objects.client import convert_value
 from heatherdyke.run_once.decisions import RunEvent
 
@@ -57,7 +57,7 @@
 
     __slots__ = ("_platform",)
 
-    def __init__(self, platform: PlatformClient) -> None:
+    def __init__(self, platform: ObjectClient) -> None:
         self._platform = platform
 
     async def create(
--- a/heatherdyke/run_once/sweeper.py
+++ b/heatherdyke/run_once/sweeper.py
@@ -15,7 +15,7 @@
 from heatherdyke.errors import VersionConflict
 from heatherdyke.messages import PlatformObject
 from heatherdyke.net.http_routes import Applications
-from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import ObjectClient
 from heatherdyke.objects.client import convert_value
 from heatherdyke.observe.events import RUN_RECORDS_REMOVED
 from heatherdyke.observe.journal import Journal
@@ -34,7 +34,7 @@
 
     def __init__(
         self,
-        platform: PlatformClient,
+        platform: ObjectClient,
         config: ConfigView,
         is_chosen: Callable[[], bool],
         journal: Journal,
--- a/heatherdyke/standin/demo.py
+++ b/heatherdyke/standin/demo.py
@@ -29,7 +29,7 @@
 from heatherdyke.messages import RunRequest
 from heatherdyke.messages import SearchRequest
 from heatherdyke.objects.client import ABSENT_VERSION
-from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import ObjectClient
 from heatherdyke.run_once.client import RunClient
 from heatherdyke.settings import Settings
 from heatherdyke.standin.leaf import LeafStandin
@@ -150,7 +150,7 @@
 
 
 async def _publish(address: str, section: SectionConfig) -> None:
-    platform = PlatformClient(address)
+    platform = ObjectClient(address)
     key = f"config/{TEAM}/first"
     raw = msgspec.Raw(encode(section))
     stored = StoredSection(TEAM, "first", "demo", "", 0.0, raw)
--- a/heatherdyke/usage/report.py
+++ b/heatherdyke/usage/report.py
@@ -6,7 +6,7 @@
 from heatherdyke.config.model import USAGE_PREFIX
 from heatherdyke.errors import HeatherdykeError
 from heatherdyke.errors import PlatformUnavailable
-from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import ObjectClient
 from heatherdyke.objects.client import convert_value
 from heatherdyke.observe.client import collect
 from heatherdyke.observe.client import discover
@@ -77,7 +77,7 @@
     platform: str, not_read: list[str], has_pages: bool
 ) -> list[UsagePage]:
     try:
-        stored = await PlatformClient(platform).list(USAGE_PREFIX)
+        stored = await ObjectClient(platform).list(USAGE_PREFIX)
     except PlatformUnavailable as error:
         if not has_pages:
             raise
--- a/heatherdyke/usage/task.py
+++ b/heatherdyke/usage/task.py
@@ -16,7 +16,7 @@
 from heatherdyke.net.http_routes import add_route
 from heatherdyke.net.http_support import json_response
 from heatherdyke.objects.client import ABSENT_VERSION
-from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import ObjectClient
 from heatherdyke.observe.events import USAGE_NOT_STORED
 from heatherdyke.observe.journal import Journal
 from heatherdyke.usage.book import UsageCounters
@@ -32,7 +32,7 @@
     def __init__(
         self,
         counters: UsageCounters,
-        platform: PlatformClient,
+        platform: ObjectClient,
         journal: Journal,
     ) -> None:
         self._counters = counters
--- a/heatherdyke_bench/capacity_rows.py
+++ b/heatherdyke_bench/capacity_rows.py
@@ -251,7 +251,7 @@
         ),
         Row(
             "zone reader",
-            "the platform's list, by PlatformView",
+            "the platform's list, by ObjectView",
             platform_view.LIST_BYTES_PER_S / 1000,
             "kB/s",
             limit,
--- a/heatherdyke_bench/fleet.py
+++ b/heatherdyke_bench/fleet.py
@@ -20,7 +20,7 @@
 from heatherdyke.messages import IndexSnapshots
 from heatherdyke.messages import InstanceKind
 from heatherdyke.messages import ListedInstance
-from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import ObjectClient
 from heatherdyke.standin.announcer import ANNOUNCE_INTERVAL_S
 from heatherdyke.standin.announcer import announce_once
 from heatherdyke.standin.leaf_model import LeafProfile
@@ -150,9 +150,9 @@
         """Return the platform's counts."""
         return await read_record(self.platform.address, PlatformRecord)
 
-    def platform_client(self) -> PlatformClient:
+    def platform_client(self) -> ObjectClient:
         """Return a client of this fleet's platform."""
-        return PlatformClient(self.platform.address)
+        return ObjectClient(self.platform.address)
 
     async def leaf_addresses(self) -> dict[str, str]:
         """Return the address by leaf under which instances reach it."""
@@ -253,7 +253,7 @@
 
 
 async def _store_section(
-    platform: PlatformClient, team: str, section: SectionConfig
+    platform: ObjectClient, team: str, section: SectionConfig
 ) -> SectionPointer:
     edit = f"bench-{team}"
     key = f"{SECTION_PREFIX}{team}/{edit}"
--- a/heatherdyke_bench/member_slopes.py
+++ b/heatherdyke_bench/member_slopes.py
@@ -26,7 +26,7 @@
 from heatherdyke.net.http_routes import Applications
 from heatherdyke.net.http_routes import new_application
 from heatherdyke.net.server import HttpServer
-from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import ObjectClient
 from heatherdyke.observe.journal import Journal
 from heatherdyke.peers.guard import guard_peer_routes
 from heatherdyke.peers.key import PeerKey
@@ -68,7 +68,7 @@
 
     async def start(self, other_zones: int) -> None:
         await self.platform.start()
-        client = PlatformClient(self.platform.address)
+        client = ObjectClient(self.platform.address)
         for number in range(other_zones):
             zone = f"other{number:02d}"
             members = tuple(
@@ -111,7 +111,7 @@
         )
         task = MemberTask.from_settings(
             settings,
-            PlatformClient(settings.platform),
+            ObjectClient(settings.platform),
             Journal(name, ZONE),
             Clock(),
         )
--- a/tests/test_cli_observe.py
+++ b/tests/test_cli_observe.py
@@ -16,7 +16,7 @@
 from heatherdyke.membership.messages import Roster
 from heatherdyke.net.http_routes import Applications
 from heatherdyke.net.http_routes import new_application
-from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import ObjectClient
 from heatherdyke.observe.client import discover
 from heatherdyke.observe.component import KnownInstance
 from heatherdyke.observe.component import ObserveComponent
@@ -122,7 +122,7 @@
         async def check():
             platform = PlatformStandin()
             await platform.start()
-            client = PlatformClient(platform.address)
+            client = ObjectClient(platform.address)
             member = Member("a", "verona", "127.0.0.1:1", "i1")
             roster = Roster("verona", 1, (member,))
             await client.put(ROSTER_PREFIX + "verona", roster, 0)
--- a/tests/test_run_store.py
+++ b/tests/test_run_store.py
@@ -4,7 +4,7 @@
 
 from heatherdyke.config.model import ConfigDocument
 from heatherdyke.config.model import SectionConfig
-from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import ObjectClient
 from heatherdyke.observe.journal import Journal
 from heatherdyke.run_once.decisions import RunEvent
 from heatherdyke.run_once.store import RecordState
@@ -45,7 +45,7 @@
     async def scenario(self):
         platform = PlatformStandin()
         await platform.start()
-        client = PlatformClient(platform.address)
+        client = ObjectClient(platform.address)
         store = RunStore(client)
         old = await finish(store, "permits/old", RETENTION_S - 1, "x")
         young = await finish(store, "permits/new", RETENTION_S + 1, LARGE)
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -8,7 +8,7 @@
 from heatherdyke.errors import VersionConflict
 from heatherdyke.messages import InstanceKind
 from heatherdyke.messages import ListedInstance
-from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import ObjectClient
 from heatherdyke.standin.platform import InstanceList
 from heatherdyke.standin.platform import PlatformFaults
 from heatherdyke.standin.platform import PlatformStandin
@@ -21,7 +21,7 @@
         platform = PlatformStandin()
         await platform.start()
         try:
-            await test(platform, PlatformClient(platform.address))
+            await test(platform, ObjectClient(platform.address))
         finally:
             await platform.stop()
 
@@ -50,7 +50,7 @@
             watch = asyncio.ensure_future(client.watch("a", 0, 5.0))
             while not platform.record().watches_waiting:
                 await asyncio.sleep(0.001)
-            await PlatformClient(platform.address).put("a", 7, 0)
+            await ObjectClient(platform.address).put("a", 7, 0)
             assert (await watch).value == 7
             assert await client.watch("a", 1, 0.01) is None
             assert platform.record().watches_waiting_max == 1
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -7,7 +7,7 @@
 
 from heatherdyke.cli.app import app
 from heatherdyke.errors import PlatformUnavailable
-from heatherdyke.objects.client import PlatformClient
+from heatherdyke.objects.client import ObjectClient
 from heatherdyke.observe.journal import Journal
 from heatherdyke.standin.platform import PlatformFaults
 from heatherdyke.standin.platform import PlatformStandin
@@ -23,7 +23,7 @@
         platform = PlatformStandin()
         await platform.start()
         counters = UsageCounters("a", "1")
-        client = PlatformClient(platform.address)
+        client = ObjectClient(platform.address)
         task = UsageTask(counters, client, Journal("a"))
         counters.count("permits", searches=1, leaf_searches=50)
         platform.set_faults(PlatformFaults(lose_replies=1))
