Send what runs once on connections that have not rested

A leaf may forget a connection that rested (idle_race: some 0.3 s) without a word; an unsafe request that meets it has an unknown outcome and fails. Such requests take a connection that was in use within 0.25 s, or a new one. Before, up to all idle connections were closed in the search for one with a second left. Three tests count connections; the first failed before (1 instead of 3). Tests of leafs that flap and that lie about their health name these patterns.

--- a/heatherdyke/gateway/attempts.py
+++ b/heatherdyke/gateway/attempts.py
@@ -58,9 +58,7 @@
         """Return the number of attempts without an end."""
         return len(self._running)
 
-    def send(
-        self, leaf: Leaf, service: str, fresh_s: float | None = None
-    ) -> Attempt:
+    def send(self, leaf: Leaf, service: str, once: bool = False) -> Attempt:
         """Send the request to a leaf."""
         core = self.core
         remaining_s = self.limit_at - core.loop.time() - LEAF_MARGIN_S
@@ -78,7 +76,7 @@
         )
         self.sent += 1
         self._running.add(attempt)
-        pool.send(attempt, fresh_s)
+        pool.send(attempt, once)
         return attempt
 
     def send_extra(
@@ -86,7 +84,7 @@
         leaf: Leaf,
         service: str,
         why: str,
-        fresh_s: float | None = None,
+        once: bool = False,
     ) -> Attempt:
         """Send the request to one more leaf; the budget has been asked."""
         core = self.core
@@ -98,7 +96,7 @@
             leaf=leaf.leaf_id,
             why=why,
         )
-        return self.send(leaf, service, fresh_s)
+        return self.send(leaf, service, once)
 
     def finish(self, until: float | None = None) -> None:
         """Let answers that are not needed come in for a while."""
--- a/heatherdyke/gateway/forward.py
+++ b/heatherdyke/gateway/forward.py
@@ -21,9 +21,6 @@
 from heatherdyke.gateway.timing import answer_due
 from heatherdyke.gateway.timing import last_moment
 
-# A request that must not be repeated goes only to connections that the leaf
-# keeps open at least this much longer.
-FRESH_S = 1.0
 # Statuses that promise that a request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -97,11 +94,11 @@
 
     def _send(self, leaf: Leaf, why: str | None = None) -> None:
         self._tried.append(leaf)
-        fresh_s = None if self._route.idempotent else FRESH_S
+        once = not self._route.idempotent
         if why is None:
-            self._sender.send(leaf, self._service, fresh_s)
+            self._sender.send(leaf, self._service, once)
         else:
-            self._sender.send_extra(leaf, self._service, why, fresh_s)
+            self._sender.send_extra(leaf, self._service, why, once)
 
     def _send_extra(self, why: str) -> bool:
         """Ask another leaf if attempts and budget allow it."""
--- a/heatherdyke/gateway/leaf_connection.py
+++ b/heatherdyke/gateway/leaf_connection.py
@@ -78,6 +78,7 @@
         "pool",
         "transport",
         "attempt",
+        "idle_since",
         "idle_until",
         "lost",
         "_parser",
@@ -93,6 +94,7 @@
         self.pool = pool
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
+        self.idle_since = 0.0
         self.idle_until = 0.0
         self.lost = False
         self._parser = httptools.HttpResponseParser(self)
--- a/heatherdyke/gateway/leaf_pool.py
+++ b/heatherdyke/gateway/leaf_pool.py
@@ -14,6 +14,10 @@
     from heatherdyke.gateway.leaf_pools import LeafPools
 
 CONNECT_TIMEOUT_S = 1.0
+# What must not be repeated goes on connections that rested no longer, since a
+# leaf may forget one without a word, and that it keeps this much longer.
+MOST_RESTED_S = 0.25
+LEAST_LEFT_S = 1.0
 PROBES = KeepAlive(idle_s=1, interval_s=1, probes=2)
 
 
@@ -47,16 +51,16 @@
         """Tell whether a request can be sent without waiting."""
         return bool(self._idle) or self.open_count < self.limit
 
-    def send(self, attempt: Attempt, fresh_s: float | None = None) -> None:
+    def send(self, attempt: Attempt, once: bool = False) -> None:
         """Send on an idle connection or a new one.
 
-        ``fresh_s`` bounds how long the connection may have been idle, for
-        requests that must not meet a connection the leaf just closed.
+        A request that is sent ``once`` only must not meet a connection that
+        the leaf has forgotten or is about to close.
         """
         now = self.now()
         attempt.sent_at = now
         self.leaf.start(attempt.number, now)
-        connection = self._take_idle(now, fresh_s)
+        connection = self._take_idle(now, once)
         if connection is not None:
             connection.send(attempt)
             return
@@ -78,6 +82,7 @@
         if not reusable or self.closed or connection.lost:
             connection.transport.close()
             return
+        connection.idle_since = self.now()
         self._idle.append(connection)
 
     def connection_lost(self, connection: LeafConnection, reset: bool) -> None:
@@ -103,19 +108,22 @@
             connection.transport.close()
         self._idle.clear()
 
-    def _take_idle(
-        self, now: float, fresh_s: float | None
-    ) -> LeafConnection | None:
+    def _take_idle(self, now: float, once: bool) -> LeafConnection | None:
+        """Return the connection that was used last, if it will do."""
         while self._idle:
-            connection = self._idle.pop()
-            is_fresh = fresh_s is None or (
-                connection.idle_until - now >= fresh_s
-            )
+            connection = self._idle[-1]
             usable = not connection.lost and connection.idle_until > now
-            if usable and is_fresh and not connection.transport.is_closing():
-                return connection
+            if usable and not connection.transport.is_closing():
+                break
+            self._idle.pop()
             connection.transport.close()
-        return None
+        if not self._idle:
+            return None
+        if once and not _is_fresh(self._idle[-1], now):
+            if self.open_count >= self.limit:
+                self._idle.pop(0).transport.close()
+            return None
+        return self._idle.pop()
 
     async def _connect(self, attempt: Attempt) -> None:
         address = self.leaf.entry.address
@@ -148,5 +156,11 @@
         self.give_back(connection, reusable=True)
 
 
+def _is_fresh(connection: LeafConnection, now: float) -> bool:
+    rested_s = now - connection.idle_since
+    left_s = connection.idle_until - now
+    return rested_s <= MOST_RESTED_S and left_s >= LEAST_LEFT_S
+
+
 def _ignore(attempt: Attempt, outcome: Outcome) -> None:
     """Drop the outcome of an abandoned attempt."""
--- a/heatherdyke/platform_standin/listener.py
+++ b/heatherdyke/platform_standin/listener.py
@@ -16,11 +16,19 @@
 class Listener:
     """Owns a listening socket and its connections."""
 
-    __slots__ = ("address", "closing", "connections", "_handle", "_server")
+    __slots__ = (
+        "address",
+        "closing",
+        "connections",
+        "opened_count",
+        "_handle",
+        "_server",
+    )
 
     def __init__(self, handle: Callable[[Exchange], None]) -> None:
         self.address = Address("127.0.0.1", 0)
         self.closing = False
+        self.opened_count = 0
         self.connections: set[ClientConnection] = set()
         self._handle = handle
         self._server: asyncio.Server | None = None
@@ -36,6 +44,7 @@
 
     def opened(self, connection: ClientConnection) -> None:
         """Note a new connection."""
+        self.opened_count += 1
         self.connections.add(connection)
 
     def closed(self, connection: ClientConnection) -> None:
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -158,6 +158,32 @@
 
         run(scenario, tmp_path)
 
+    def connections_for(self, tmp_path, path, method, rest_s):
+        """Return how many connections three requests took, with rests."""
+        opened = []
+
+        async def scenario(fleet):
+            await one_fleet(fleet, 1)
+            gateway = await ready_gateway(fleet)
+            for number in range(3):
+                body = b"x" if method == "POST" else b""
+                await ask(gateway, path, f"r{number}", method, body)
+                await asyncio.sleep(rest_s)
+            opened.append(fleet.leafs[0].listener.opened_count)
+
+        run(scenario, tmp_path)
+        return opened[0]
+
+    def test_a_rested_connection_gets_nothing_that_runs_once(self, tmp_path):
+        """A leaf may have forgotten it without a word."""
+        assert self.connections_for(tmp_path, "/u/x", "POST", 0.4) == 3
+
+    def test_one_that_is_in_use_does(self, tmp_path):
+        assert self.connections_for(tmp_path, "/u/x", "POST", 0.01) == 1
+
+    def test_a_rested_connection_gets_what_may_be_repeated(self, tmp_path):
+        assert self.connections_for(tmp_path, "/o/x", "GET", 0.4) == 1
+
     def test_a_safe_request_whose_answer_is_lost_is_sent_again(self, tmp_path):
         async def scenario(fleet):
             leafs = await one_fleet(fleet)
--- a/tests/test_gateway_leafs.py
+++ b/tests/test_gateway_leafs.py
@@ -135,3 +135,44 @@
         assert not leaf.is_usable(60.0)
         table.apply(entry("x", born_ms=5, sequence=2), 61.0)
         assert leaf.is_usable(61.0)
+
+
+class TestFlappingLeaf:
+    """A leaf that goes down and up by turns, with many callers."""
+
+    def test_it_is_left_alone_for_longer_each_time(self):
+        table = LeafTable()
+        table.apply(entry("x"), 0.0)
+        leaf = table.leaf_by_id["x"]
+        now = 0.0
+        pauses = []
+        for _ in range(5):
+            leaf.hear_unreachable(now)
+            pauses.append(leaf.suspect_until - now)
+            now = leaf.suspect_until
+            leaf.verify(now, 0.0)
+        assert pauses == sorted(pauses)
+        assert pauses[-1] >= 4 * pauses[0]
+
+    def test_an_answer_ends_its_bad_name(self):
+        table = LeafTable()
+        table.apply(entry("x"), 0.0)
+        leaf = table.leaf_by_id["x"]
+        for at in (0.0, 1.0, 2.0):
+            leaf.hear_unreachable(at)
+        leaf.verify(5.0, 0.0)
+        leaf.hear_answer(5.1, USUAL_S, USUAL_S)
+        leaf.hear_unreachable(6.0)
+        assert leaf.suspect_until - 6.0 <= 0.25
+
+    def test_good_health_does_not_make_up_for_failures(self):
+        """Its health check says well while it fails what it is sent."""
+        table = LeafTable()
+        for name in ("liar", "honest"):
+            table.apply(entry(name), 0.0)
+        liar = table.leaf_by_id["liar"]
+        honest = table.leaf_by_id["honest"]
+        for step in range(4):
+            liar.hear_failure(1.0 + step / 10)
+            liar.verify(1.05 + step / 10, 0.0)
+        assert choose_leaf([liar, honest], [], "a", USUAL_S, 1.5) is honest
