--- a/heatherdyke/gateway/core.py
+++ b/heatherdyke/gateway/core.py
@@ -43,6 +43,7 @@
         "paces",
         "budget",
         "instances",
+        "asked_at",
         "_cold_limit",
         "_split_by_route",
     )
@@ -67,6 +68,8 @@
         self.peers = Peers(loop, log, settings.name, settings.zone)
         self.paces = Paces()
         self.instances: list[str] = []
+        # When a client or another instance last asked for something.
+        self.asked_at = float("-inf")
         self.budget = RetryBudget(
             bounds.retry_share, bounds.retry_slack, bounds.retry_window_s
         )
--- a/heatherdyke/gateway/dispatch.py
+++ b/heatherdyke/gateway/dispatch.py
@@ -34,6 +34,7 @@
     def handle(self, exchange: Exchange) -> None:
         """Serve a request, at once or later."""
         request = exchange.request
+        self._core.asked_at = self._core.loop.time()
         if not request.target.startswith(b"/") or not request.host:
             self._reject(exchange, 400, Why.MALFORMED)
             return
--- a/heatherdyke/gateway/feed.py
+++ b/heatherdyke/gateway/feed.py
@@ -27,8 +27,11 @@
 RETRY_MAX_S = 1.0
 # Spreads the instances' calls after an outage that all saw end at once.
 RETRY_SPREAD = 0.5
-# After a change the next watch waits, so that changes come in batches.
+# After a change the next watch waits, so that changes come in batches; longer
+# while there are no requests to which they matter.
 BATCH_S = 0.1
+IDLE_BATCH_S = 0.5
+IDLE_AFTER_S = 2.0
 # A store serves some thousand calls a second, of all instances together.
 MOST_CALLS_PER_S = 3000.0
 # An outage shorter than this loses no entries.
@@ -55,7 +58,7 @@
         "_lost_at",
         "_lapsed_until",
         "_retry_s",
-        "_batch_s",
+        "_in_batches",
         "_may_be_old",
         "_relist",
     )
@@ -66,7 +69,7 @@
         core: Core,
         on_listing: Callable[[Listing, bool], None],
         on_change: Callable[[Change, bool], None],
-        batch_s: float = BATCH_S,
+        in_batches: bool = True,
         first_may_be_old: bool = False,
     ) -> None:
         self.kind = kind
@@ -79,7 +82,7 @@
         self._lost_at: float | None = None
         self._lapsed_until = 0.0
         self._retry_s = RETRY_FIRST_S
-        self._batch_s = batch_s
+        self._in_batches = in_batches
         self._may_be_old = first_may_be_old
         self._relist = False
 
@@ -129,9 +132,11 @@
                     change, self._may_lapse()
                 )
             )
-        if page.changes and self._batch_s:
-            instances = len(self._core.instances)
-            await asyncio.sleep(batch_wait(self._batch_s, instances))
+        if page.changes and self._in_batches:
+            core = self._core
+            idle_s = core.loop.time() - core.asked_at
+            instances = len(core.instances)
+            await asyncio.sleep(batch_wait(idle_s, instances))
         return max(revision, page.revision)
 
     def _heard(self) -> None:
@@ -171,8 +176,12 @@
             )
 
 
-def batch_wait(batch_s: float, instances: int) -> float:
-    """Return how long changes are gathered, among so many instances."""
+def batch_wait(idle_s: float, instances: int) -> float:
+    """Return how long changes are gathered, among so many instances.
+
+    ``idle_s`` is the time since the last request.
+    """
+    batch_s = IDLE_BATCH_S if idle_s > IDLE_AFTER_S else BATCH_S
     return max(batch_s, instances / MOST_CALLS_PER_S)
 
 
--- a/heatherdyke/gateway/peer_api.py
+++ b/heatherdyke/gateway/peer_api.py
@@ -213,6 +213,7 @@
         if not message.shards:
             exchange.answer(Answer(400))
             return
+        self._core.asked_at = self._core.loop.time()
         self._hear_version(message.config_version)
         GroupSearch(self._core, exchange, message, self._note_open).start()
 
--- a/heatherdyke/gateway/process.py
+++ b/heatherdyke/gateway/process.py
@@ -82,7 +82,7 @@
             core,
             beliefs.config_listed,
             beliefs.config_changed,
-            batch_s=0.0,
+            in_batches=False,
         )
         beliefs.refresh_config = self._config_feed.refresh
         self._leaf_feed = Feed(
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -13,6 +13,8 @@
 from heatherdyke.gateway.connection_share import SHARE_USED
 from heatherdyke.gateway.connection_share import connection_share
 from heatherdyke.gateway.feed import BATCH_S
+from heatherdyke.gateway.feed import IDLE_AFTER_S
+from heatherdyke.gateway.feed import IDLE_BATCH_S
 from heatherdyke.gateway.feed import LEAST_WAIT_S
 from heatherdyke.gateway.feed import MOST_CALLS_PER_S
 from heatherdyke.gateway.feed import MOST_WAIT_S
@@ -133,11 +135,16 @@
 
     @pytest.mark.parametrize("instances", [7, 77, 300, 1100, 5000])
     def test_all_calls_together_stay_within_the_rate(self, instances):
-        calls_per_s = instances / batch_wait(BATCH_S, instances)
+        calls_per_s = instances / batch_wait(0.0, instances)
         assert calls_per_s <= MOST_CALLS_PER_S
 
     def test_few_instances_hear_of_changes_soon(self):
-        assert batch_wait(BATCH_S, 77) == BATCH_S
+        assert batch_wait(0.0, 77) == BATCH_S
+
+    def test_an_instance_without_requests_calls_seldom(self):
+        """Hundreds of leafs start before the first caller comes."""
+        assert batch_wait(IDLE_AFTER_S + 1.0, 77) == IDLE_BATCH_S
+        assert batch_wait(float("inf"), 77) == IDLE_BATCH_S
 
 
 class TestWatchWait:
