A look waits for what the holder of a run says

Cause: the instance that was looked at still drove its own question to the holder, which had stood still; a look at a key whose run is driven here was answered as it stood, also when another instance holds the run.

Ruled out: a record that is stored late (the look asks the holder), the peer key (the holder's answer came).

--- a/heatherdyke/run_once/task.py
+++ b/heatherdyke/run_once/task.py
@@ -36,6 +36,7 @@
 from heatherdyke.run_once.book import RunBook
 from heatherdyke.run_once.decisions import RunIntent
 from heatherdyke.run_once.decisions import RunPhase
+from heatherdyke.run_once.driver import HeldRun
 from heatherdyke.run_once.outcome import raise_unless_known
 from heatherdyke.run_once.outcome import reused
 from heatherdyke.run_once.outcome import to_outcome
@@ -178,7 +179,7 @@
         until = self._clock.now() + LOOK_TIMEOUT_S
         held = self._book.begin(team, key, intent, until)
         self._book.start(held)
-        if held.progress.intent is not RunIntent.RUN:
+        if look_waits(held):
             await self._book.wait(held, until)
         raise_unless_known(held, looked=True)
         return to_outcome(held)
@@ -204,6 +205,15 @@
         return self._config.document.section_by_team[team]
 
 
+def look_waits(held: HeldRun) -> bool:
+    """Tell whether a look waits for the drive that is under way.
+
+    A run that is driven here may last; one that another instance holds is
+    only asked for, so that the answer is not older than the look.
+    """
+    return held.progress.intent is not RunIntent.RUN or not held.progress.holds
+
+
 def _check_key(header: bytes | None) -> str:
     key = (header or b"").decode("latin-1").strip('"')
     if not KEY_PATTERN.fullmatch(key):
