Read as a newcomer: one end of two commands, no state beside its time, a name

config apply and remove ended in the same lines; whether clients are turned away is told by the time since which they are, so that one of two fields goes; ENOUGH is ENOUGH_CONNECTIONS. No behaviour changed.

Looked at and left: the two `except Exception` are outermost handlers, which log the trace and answer 500 (the instance's with run state may_have_run); the sleep in test_shipping polls a process that has no event to wait for, with a limit; typer wants each command's options in its signature, and entries of the event catalogues are data, so that these lines look alike.

--- a/heatherdyke/cli/config.py
+++ b/heatherdyke/cli/config.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
 from pathlib import Path
 from time import time
 from typing import Annotated
@@ -137,14 +138,10 @@
     section = load_valid_section(file)
     commands.require_team(section, team)
     client = open_platform(platform)
-
-    async def run() -> None:
-        acceptance = await commands.apply_section(
-            client, team, section, editor_name(editor), edit, if_version
-        )
-        await _report(client, acceptance, wait_s if wait else None, as_json)
-
-    asyncio.run(run())
+    change = commands.apply_section(
+        client, team, section, editor_name(editor), edit, if_version
+    )
+    asyncio.run(_make(client, change, wait_s if wait else None, as_json))
 
 
 @config_app.command("remove")
@@ -160,14 +157,10 @@
 ) -> None:
     """Remove your team's section."""
     client = open_platform(platform)
-
-    async def run() -> None:
-        acceptance = await commands.apply_section(
-            client, team, None, editor_name(editor), edit, if_version
-        )
-        await _report(client, acceptance, wait_s if wait else None, as_json)
-
-    asyncio.run(run())
+    change = commands.apply_section(
+        client, team, None, editor_name(editor), edit, if_version
+    )
+    asyncio.run(_make(client, change, wait_s if wait else None, as_json))
 
 
 @config_app.command("collect")
@@ -187,13 +180,14 @@
         typer.echo(f"removed {len(outcome.removed)}, kept {outcome.kept}")
 
 
-async def _report(
+async def _make(
     client: ObjectClient,
-    acceptance: Acceptance,
+    change: Awaitable[Acceptance],
     wait_s: float | None,
     as_json: bool,
 ) -> None:
-    """Print the acceptance at once, then who has it in force."""
+    """Make a change; print its acceptance, then who has it in force."""
+    acceptance = await change
     await report_change(
         client,
         judge_section(acceptance.team, acceptance.version),
--- a/heatherdyke/gateway/process.py
+++ b/heatherdyke/gateway/process.py
@@ -67,7 +67,6 @@
         "_pause",
         "_started_at",
         "_ready_logged",
-        "_turned_away",
         "_turned_away_at",
         "_reload_at",
     )
@@ -108,8 +107,7 @@
         self._pause = PauseDetector(TICK_S)
         self._started_at = core.loop.time()
         self._ready_logged = False
-        self._turned_away = False
-        self._turned_away_at = 0.0
+        self._turned_away_at: float | None = None
         self._reload_at = self._started_at + RELOAD_EVERY_S
 
     @classmethod
@@ -216,10 +214,10 @@
     def _note_isolation(self, now: float) -> None:
         """Log when this instance begins or ends to turn clients away."""
         isolation = self._core.isolation
-        if isolation.should_turn_away(now) == self._turned_away:
+        turned_away_at = self._turned_away_at
+        if isolation.should_turn_away(now) == (turned_away_at is not None):
             return
-        self._turned_away = not self._turned_away
-        if self._turned_away:
+        if turned_away_at is None:
             self._turned_away_at = now
             self._core.log.record(
                 TURNED_AWAY,
@@ -228,7 +226,8 @@
                 refused_share=round(isolation.refused_share, 2),
             )
             return
-        away_s = round(now - self._turned_away_at, 3)
+        self._turned_away_at = None
+        away_s = round(now - turned_away_at, 3)
         self._core.log.record(REJOINED, turned_away_s=away_s)
 
     def _log_ready(self, now: float) -> None:
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -9,7 +9,7 @@
 from heatherdyke.gateway.cold_limit import ColdLimit
 from heatherdyke.gateway.cold_limit import cold_allowance
 from heatherdyke.gateway.connection_share import ASKERS
-from heatherdyke.gateway.connection_share import ENOUGH
+from heatherdyke.gateway.connection_share import ENOUGH_CONNECTIONS
 from heatherdyke.gateway.connection_share import SHARE_USED
 from heatherdyke.gateway.connection_share import connection_share
 from heatherdyke.gateway.feed import BATCH_S
@@ -118,7 +118,7 @@
     ):
         """After a loss of power all instances connect to all leafs."""
         share = connection_share(limit, instances)
-        if int(limit * SHARE_USED) // instances >= ENOUGH:
+        if int(limit * SHARE_USED) // instances >= ENOUGH_CONNECTIONS:
             assert share * instances <= limit
         else:
             assert ASKERS * share <= max(limit, ASKERS)
