--- a/heatherdyke/gateway/leaf_choice.py
+++ b/heatherdyke/gateway/leaf_choice.py
@@ -17,9 +17,9 @@
 # Share of its time that each of this instance's requests in flight adds.
 QUEUE_WEIGHT = 0.4
 # Traffic between zones is billed; a leaf of the own zone may be this much
-# slower, in seconds and as a share of the median time.
+# slower, in seconds and in median times.
 CROSS_ZONE_COST_S = 0.004
-CROSS_ZONE_COST_SHARE = 0.3
+CROSS_ZONE_COST_FACTOR = 1.0
 
 
 def choose_leaf(
@@ -57,5 +57,5 @@
     failure_cost_s = max(FAILURE_COST_MIN_S, FAILURE_COST_FACTOR * median_s)
     expected_s += leaf.current_failure_share(now) * failure_cost_s
     if leaf.entry.zone != zone:
-        expected_s += CROSS_ZONE_COST_S + CROSS_ZONE_COST_SHARE * median_s
+        expected_s += CROSS_ZONE_COST_S + CROSS_ZONE_COST_FACTOR * median_s
     return expected_s
