Notice a lost zone sooner, and keep live leafs without an entry

Cause, zone cut: connections that hang were noticed after 1 s and groups that peers never continued did not count, so an instance that was cut off reported not ready 1.2 s after the cut, and its searches hung or ended in 502 after 14 to 26 parts had been sent. Change: connections that hang for 0.1 s, and requests to other instances, count as signs; failures of requests sent before the last response do not. A search that needs a zone without a usable instance is refused before its first send, with the time at which the load balancer has moved its clients.

Change: a leaf that responded within the time in which the store would have kept its entry stays for the drain time less the delay of a removal, if the removal was watched without an interruption.

Tests: test_gateway_load_patterns.

--- a/heatherdyke/gateway/attempt_sender.py
+++ b/heatherdyke/gateway/attempt_sender.py
@@ -132,7 +132,7 @@
         for attempt in self._attempts:
             attempt.pool.abandon(attempt)
             if attempt.pool.leaf.is_silent(attempt.sent_at, now):
-                self.shared.pools.on_silent(attempt.pool)
+                self.shared.pools.on_silent(attempt.pool, attempt.sent_at)
         self._attempts.clear()
 
     def _on_attempt_end(
@@ -146,7 +146,9 @@
         if outcome.response is not None:
             self.shared.isolation.record_response(leaf.entry.zone, now)
         elif outcome.failure is Failure.BROKEN:
-            self.shared.isolation.record_failure(leaf.entry.zone)
+            self.shared.isolation.record_failure(
+                leaf.entry.zone, attempt.sent_at
+            )
         if not self._finished:
             self._on_end(attempt, outcome)
 
--- a/heatherdyke/gateway/isolation.py
+++ b/heatherdyke/gateway/isolation.py
@@ -1,4 +1,4 @@
-"""Detects that this instance cannot reach other zones' leafs (pure).
+"""Detects that this instance cannot reach the other zones (pure).
 
 Clients still reach such an instance.  Once it reports that it is not ready,
 the load balancer sends them to instances of other zones, which can serve them.
@@ -13,35 +13,70 @@
 # From this share of refused requests on, another zone serves clients better.
 MIN_REFUSED_SHARE = 0.3
 SMOOTHING = 0.2
+# The load balancer stops sending requests after two failed checks, which are
+# one second apart.
+BALANCER_REACTION_S = 2.2
 
 
 @dataclass(slots=True)
 class IsolationDetector:
-    """Tracks outcomes of attempts at other zones' leafs, and refusals."""
+    """Tracks the signs of life of other zones, and refusals.
+
+    Signs are the responses of leafs and instances, and connections that they
+    accept.  ``unready_since`` is when the instance became unready for lack of
+    them, None if it is not; ``update`` keeps it current.
+    """
 
     zone: str
     failures: int = 0
     last_response_at: float = 0.0
     refused_share: float = 0.0
+    unready_since: float | None = None
 
     def record_response(self, zone: str, now: float) -> None:
-        """Record any response of a leaf."""
+        """Record a sign of life of a leaf or an instance."""
         if zone != self.zone:
             self.failures = 0
             self.last_response_at = now
 
-    def record_failure(self, zone: str) -> None:
-        """Record that a leaf was unreachable or did not respond."""
-        if zone != self.zone:
+    def record_failure(self, zone: str, sent_at: float) -> None:
+        """Record that a request or a connection attempt failed.
+
+        One sent before the last response is no sign of an isolation.
+        """
+        if zone != self.zone and sent_at >= self.last_response_at:
             self.failures += 1
 
-    def record_request(self, refused: bool) -> None:
+    def record_request(self, refused: bool, now: float) -> None:
         """Record whether a search was refused or failed."""
         sample = 1.0 if refused else 0.0
         self.refused_share += SMOOTHING * (sample - self.refused_share)
+        self.update(now)
+
+    def others_unreachable(self, now: float) -> bool:
+        """Return whether the other zones appear to be unreachable."""
+        silent_s = now - self.last_response_at
+        return (
+            self.failures >= MIN_CONSECUTIVE_FAILURES
+            and silent_s >= MIN_SILENCE_S
+        )
 
     def should_be_unready(self, now: float) -> bool:
         """Return whether to report not ready, so that clients go elsewhere."""
-        failing = self.failures >= MIN_CONSECUTIVE_FAILURES
-        silent = now - self.last_response_at >= MIN_SILENCE_S
-        return failing and silent and self.refused_share >= MIN_REFUSED_SHARE
+        return (
+            self.refused_share >= MIN_REFUSED_SHARE
+            and self.others_unreachable(now)
+        )
+
+    def update(self, now: float) -> None:
+        """Note when the instance becomes unready or ready again."""
+        if not self.should_be_unready(now):
+            self.unready_since = None
+        elif self.unready_since is None:
+            self.unready_since = now
+
+    def clients_moved_in_s(self, now: float) -> float:
+        """Return when the balancer sends clients elsewhere, 0 if unknown."""
+        if self.unready_since is None:
+            return 0.0
+        return max(0.0, self.unready_since + BALANCER_REACTION_S - now)
--- a/heatherdyke/gateway/leaf_pool.py
+++ b/heatherdyke/gateway/leaf_pool.py
@@ -14,6 +14,8 @@
     from heatherdyke.gateway.leaf_pools import LeafPools
 
 CONNECT_TIMEOUT_S = 1.0
+# Connections within a region are accepted much faster, also by slow leafs.
+SLOW_CONNECT_S = 0.1
 # Limits for the reuse of a connection by a request that must not be repeated.
 # The connection must have been idle for at most MAX_FRESH_IDLE_S, as a leaf
 # may forget an idle connection without closing it, and must be kept open by
@@ -142,6 +144,9 @@
     async def _connect(self, attempt: Attempt) -> None:
         address = self.leaf.entry.address
         connection = LeafConnection(self)
+        slow_timer = self._pools.loop.call_later(
+            SLOW_CONNECT_S, self._pools.on_connect_slow, self, attempt.sent_at
+        )
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await self._pools.loop.create_connection(
@@ -152,11 +157,14 @@
                 self.open_count -= 1
             else:
                 connection.abort()
-            self._pools.on_connect_failed(self, error)
+            self._pools.on_connect_failed(self, error, attempt.sent_at)
             attempt.on_end(
                 attempt, AttemptOutcome(failure=Failure.UNREACHABLE)
             )
             return
+        finally:
+            slow_timer.cancel()
+        self._pools.on_connected(self)
         TCP_KEEPALIVE.apply(connection.transport.get_extra_info("socket"))
         if attempt.on_end is _ignore:
             self.release_unused(connection)
--- a/heatherdyke/gateway/leaf_pools.py
+++ b/heatherdyke/gateway/leaf_pools.py
@@ -94,17 +94,28 @@
         )
         self._start_check(pool)
 
-    def on_connect_failed(self, pool: LeafPool, error: Exception) -> None:
+    def on_connected(self, pool: LeafPool) -> None:
+        """Record that the leaf accepted a connection."""
+        now = self.loop.time()
+        self._isolation.record_response(pool.leaf.entry.zone, now)
+
+    def on_connect_slow(self, pool: LeafPool, sent_at: float) -> None:
+        """Record that a connection attempt since ``sent_at`` is slow."""
+        self._isolation.record_failure(pool.leaf.entry.zone, sent_at)
+
+    def on_connect_failed(
+        self, pool: LeafPool, error: Exception, sent_at: float
+    ) -> None:
         """Suspend a leaf after a failed connection attempt."""
-        self._suspect(pool, type(error).__name__)
+        self._suspect(pool, type(error).__name__, sent_at)
 
-    def on_silent(self, pool: LeafPool) -> None:
-        """Suspend a leaf that does not respond."""
-        self._suspect(pool, "silent")
+    def on_silent(self, pool: LeafPool, sent_at: float) -> None:
+        """Suspend a leaf that has not responded since ``sent_at``."""
+        self._suspect(pool, "silent", sent_at)
 
-    def _suspect(self, pool: LeafPool, reason: str) -> None:
+    def _suspect(self, pool: LeafPool, reason: str, sent_at: float) -> None:
         leaf = pool.leaf
-        self._isolation.record_failure(leaf.entry.zone)
+        self._isolation.record_failure(leaf.entry.zone, sent_at)
         now = self.loop.time()
         leaf.record_unreachable(now)
         self._log.record(
@@ -172,7 +183,7 @@
             return
         self._leafs_in_check.discard(leaf)
         attempt.pool.abandon(attempt)
-        self._isolation.record_failure(leaf.entry.zone)
+        self._isolation.record_failure(leaf.entry.zone, attempt.sent_at)
         leaf.record_unreachable(self.loop.time())
 
     def _limit_of(self, leaf: Leaf) -> int:
--- a/heatherdyke/gateway/leaf_table.py
+++ b/heatherdyke/gateway/leaf_table.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
+from enum import Enum
 
 from heatherdyke.gateway.leaf_entry import LeafEntry
 
@@ -14,6 +15,8 @@
 COLD_MARGIN_S = 0.3
 # Entries lost in an outage of the store reappear within 2 s.
 REAPPEARANCE_GRACE_S = 2.5
+# A removal may reach this instance this long after the store accepted it.
+REMOVAL_DELAY_S = 1.0
 # Back-off of an unreachable leaf: doubles with each failure in a row.
 SUSPECT_FIRST_S = 0.25
 SUSPECT_MAX_S = 2.0
@@ -31,6 +34,19 @@
 STALL_MIN_S = 0.03
 
 
+class Removal(Enum):
+    """What an instance knows when it learns that an entry is missing.
+
+    TIMELY is a removal that was watched without an interruption, LATE one
+    that may be some seconds old.  AFTER_OUTAGE means that the store was
+    unavailable until recently, so that live leafs may lack an entry.
+    """
+
+    TIMELY = "timely"
+    LATE = "late"
+    AFTER_OUTAGE = "after_outage"
+
+
 @dataclass(slots=True, eq=False)
 class Leaf:
     """State of one incarnation of a leaf.
@@ -40,15 +56,15 @@
     moving averages.  ``sent_at_by_attempt`` holds the requests in flight,
     oldest first.  ``reported_cold_until`` is set from the leaf's own reports,
     ``cold_until`` by a health check or the return of its zone; the later one
-    applies.  ``absent_since`` is when its entry disappeared, ``misdirected``
-    that another leaf responds at its address, ``unverified`` that it needs a
-    health check before it gets requests.
+    applies.  ``absent_until`` is set while its entry is missing: when the
+    leaf is dropped.  ``misdirected`` is set if another leaf responds at its
+    address, ``unverified`` if it needs a health check before it gets requests.
     """
 
     entry: LeafEntry
     reported_cold_until: float = 0.0
     cold_until: float = 0.0
-    absent_since: float | None = None
+    absent_until: float | None = None
     misdirected: bool = False
     unverified: bool = False
     suspect_until: float = 0.0
@@ -56,6 +72,7 @@
     slowness: float = 1.0
     failure_share: float = 0.0
     last_observed_at: float = 0.0
+    last_response_at: float = float("-inf")
     sent_at_by_attempt: dict[int, float] = field(default_factory=dict)
 
     @property
@@ -130,6 +147,7 @@
         sample = min(duration_s / max(median_s, 1e-4), MAX_SLOWNESS_SAMPLE)
         self.slowness = slowness + SLOWNESS_SMOOTHING * (sample - slowness)
         self._record(now, failed=False)
+        self.last_response_at = now
         self.unreachable_count = 0
 
     def record_failure(self, now: float) -> None:
@@ -152,6 +170,7 @@
         """Record a health check that this leaf itself passed."""
         self.unverified = False
         self.suspect_until = 0.0
+        self.last_response_at = now
         if cold_s > 0.0:
             self.cold_until = max(self.cold_until, now + cold_s)
 
@@ -164,11 +183,24 @@
 
 
 class LeafTable:
-    """All leafs with a discovery entry, by id and by service."""
+    """All leafs with a discovery entry, by id and by service.
 
-    __slots__ = ("leaf_by_id", "zones_out", "_leafs_by_service")
+    The store removes the entry of a leaf from which it has heard nothing for
+    ``expiry_s``.  A leaf that has left serves for ``drain_s`` more.  With
+    ``expiry_s`` of 0 no entry expires.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = (
+        "leaf_by_id",
+        "zones_out",
+        "_leafs_by_service",
+        "_expiry_s",
+        "_drain_s",
+    )
+
+    def __init__(self, expiry_s: float = 0.0, drain_s: float = 0.0) -> None:
+        self._expiry_s = expiry_s
+        self._drain_s = drain_s
         self.leaf_by_id: dict[str, Leaf] = {}
         self.zones_out: frozenset[str] = frozenset()
         self._leafs_by_service: dict[str, list[Leaf]] = {}
@@ -201,31 +233,49 @@
             self._add(entry, now)
             return leaf
         leaf.entry = entry
-        leaf.absent_since = None
+        leaf.absent_until = None
         leaf.misdirected = False
         self._update_cold(leaf, now)
         return None
 
     def remove(
-        self, leaf_id: str, now: float, may_reappear: bool
+        self, leaf_id: str, now: float, removal: Removal
     ) -> Leaf | None:
-        """Handle a removed entry; return the leaf if it is dropped.
+        """Handle a missing entry; return the leaf if it is dropped.
 
-        After an outage of the store the entry of a live leaf may reappear
-        soon, so a leaf that was not draining stays for REAPPEARANCE_GRACE_S.
+        The entry of a live leaf may reappear soon, so the leaf is kept for
+        some time after an outage of the store, or if its own responses
+        contradict a timely removal.
         """
         leaf = self.leaf_by_id.get(leaf_id)
         if leaf is None:
             return None
-        if may_reappear and not leaf.entry.draining:
-            if leaf.absent_since is None:
-                leaf.absent_since = now
+        grace_s = self._grace_s(leaf, now, removal)
+        if grace_s > 0.0:
+            if leaf.absent_until is None:
+                leaf.absent_until = now + grace_s
             return None
         self._drop(leaf)
         return leaf
 
+    def _grace_s(self, leaf: Leaf, now: float, removal: Removal) -> float:
+        """Return how long to keep a leaf without an entry.
+
+        A leaf that responded after the last report that could keep its entry
+        is alive: either the store has lost its reports, or the leaf is
+        leaving without having said so and serves for the drain time.
+        """
+        if leaf.entry.draining:
+            return 0.0
+        if removal is Removal.AFTER_OUTAGE:
+            return REAPPEARANCE_GRACE_S
+        is_alive = now - leaf.last_response_at < self._expiry_s
+        if removal is Removal.LATE or not is_alive:
+            return 0.0
+        return min(REAPPEARANCE_GRACE_S, self._drain_s - REMOVAL_DELAY_S)
+
     def replace(
-        self, entries: Iterable[LeafEntry], now: float, may_reappear: bool
+        self, entries: Iterable[LeafEntry], now: float, removal: Removal
     ) -> list[Leaf]:
         """Apply a full list of entries; return the leafs that are dropped."""
         dropped: list[Leaf] = []
@@ -236,7 +286,7 @@
             if leaf is not None:
                 dropped.append(leaf)
         for leaf_id in self.leaf_by_id.keys() - listed:
-            leaf = self.remove(leaf_id, now, may_reappear)
+            leaf = self.remove(leaf_id, now, removal)
             if leaf is not None:
                 dropped.append(leaf)
         return dropped
@@ -246,8 +296,7 @@
         expired = [
             leaf
             for leaf in self.leaf_by_id.values()
-            if leaf.absent_since is not None
-            and now - leaf.absent_since > REAPPEARANCE_GRACE_S
+            if leaf.absent_until is not None and now > leaf.absent_until
         ]
         for leaf in expired:
             self._drop(leaf)
--- a/heatherdyke/gateway/peer_call.py
+++ b/heatherdyke/gateway/peer_call.py
@@ -95,7 +95,7 @@
             is_head=False,
             pool=pool,
             on_end=self._on_attempt_end,
-            continuation=self._encode_body,
+            continuation=self._on_continue,
         )
         pool.send(self._attempt)
         continue_timeout_s = max(
@@ -113,8 +113,9 @@
         message.due_s = max(0.0, self._due_at - now - GROUP_RETURN_S)
         message.limit_s = max(0.0, self._deadline_at - now - GROUP_RETURN_S)
 
-    def _encode_body(self) -> bytes:
+    def _on_continue(self) -> bytes:
         """Return the message with current time limits, of the same length."""
+        self._record_response()
         self._set_time_limits()
         return encode_message(self._message)
 
@@ -147,7 +148,9 @@
             attempt.pool.abandon(attempt)
             now = self._shared.loop.time()
             if self._peer.is_silent(attempt.sent_at, now):
-                self._shared.peers.pools.on_silent(attempt.pool)
+                self._shared.peers.pools.on_silent(
+                    attempt.pool, attempt.sent_at
+                )
 
     def _check_continued(self) -> None:
         self._timer = None
@@ -156,9 +159,14 @@
             return
         self._attempt = None
         attempt.pool.abandon(attempt)
-        self._shared.peers.pools.on_silent(attempt.pool)
+        self._shared.peers.pools.on_silent(attempt.pool, attempt.sent_at)
         self._fail("no_continue")
 
+    def _record_response(self) -> None:
+        shared = self._shared
+        zone = self._peer.entry.zone
+        shared.isolation.record_response(zone, shared.loop.time())
+
     def _on_attempt_end(
         self, attempt: Attempt, outcome: AttemptOutcome
     ) -> None:
@@ -167,6 +175,8 @@
         now = self._shared.loop.time()
         self._peer.finish(attempt.number)
         response = outcome.response
+        if response is not None:
+            self._record_response()
         is_declined = (
             response is not None and response.status == STATUS_DECLINED
         )
--- a/heatherdyke/gateway/peers.py
+++ b/heatherdyke/gateway/peers.py
@@ -12,6 +12,7 @@
 from heatherdyke.gateway.leaf_pools import LeafPools
 from heatherdyke.gateway.leaf_table import Leaf
 from heatherdyke.gateway.leaf_table import LeafTable
+from heatherdyke.gateway.leaf_table import Removal
 from heatherdyke.gateway.peer_messages import HEALTH_PATH
 from heatherdyke.gateway.routing import Service
 
@@ -35,6 +36,7 @@
         self,
         loop: asyncio.AbstractEventLoop,
         log: EventLog,
+        isolation: IsolationDetector,
         own_name: str,
         own_zone: str,
     ) -> None:
@@ -45,7 +47,7 @@
         self.pools = LeafPools(
             loop,
             log,
-            IsolationDetector(own_zone),
+            isolation,
             lambda name: _PEER_SETTINGS,
         )
 
@@ -56,9 +58,15 @@
             entry for entry in entries if entry.leaf_id != self._own_name
         ]
         self.pools.set_instances(len(entries))
-        for peer in self._table.replace(others, now, may_reappear=False):
+        for peer in self._table.replace(others, now, Removal.LATE):
             self.pools.drop(peer)
 
+    def known_zones(self) -> set[str]:
+        """Return the zones with another instance, usable or not."""
+        return {
+            peer.entry.zone for peer in self._table.of_service(PEER_SERVICE)
+        }
+
     def zones(self) -> set[str]:
         """Return the zones with another usable instance."""
         now = self._loop.time()
--- a/heatherdyke/gateway/process.py
+++ b/heatherdyke/gateway/process.py
@@ -23,6 +23,7 @@
 from heatherdyke.gateway.events import SETTINGS_RELOADED
 from heatherdyke.gateway.inbound_connection import InboundConnection
 from heatherdyke.gateway.instance_registry import InstanceRegistry
+from heatherdyke.gateway.isolation import BALANCER_REACTION_S
 from heatherdyke.gateway.pause_detector import PauseDetector
 from heatherdyke.gateway.peer_api import PeerApi
 from heatherdyke.gateway.settings import GatewaySettings
@@ -39,9 +40,6 @@
 
 MAINTENANCE_INTERVAL_S = 0.25
 LISTEN_BACKLOG = 512
-# The load balancer stops sending requests after two failed checks, which are
-# one second apart.
-BALANCER_REACTION_S = 2.2
 # Draining ends this long before the platform kills the process, also while
 # requests are running.
 KILL_MARGIN_S = 0.6
@@ -229,6 +227,7 @@
     def _log_isolation(self, now: float) -> None:
         """Log when an isolation starts or ends."""
         isolation = self._shared.isolation
+        isolation.update(now)
         turned_away_at = self._turned_away_at
         if isolation.should_be_unready(now) == (turned_away_at is not None):
             return
--- a/heatherdyke/gateway/refusal.py
+++ b/heatherdyke/gateway/refusal.py
@@ -52,14 +52,19 @@
 
 
 def make_refusal(
-    reason: RefusalReason, remaining_s: float | None, random: Random
+    reason: RefusalReason,
+    remaining_s: float | None,
+    random: Random,
+    min_after_s: float = 0.0,
 ) -> Refusal:
     """Return a 503 response with a ``Retry-After`` header.
 
-    ``remaining_s`` is how long the client still waits, None if unknown.
+    ``remaining_s`` is how long the client still waits, None if unknown.  An
+    earlier retry than ``min_after_s`` is known to be refused too.
     """
     base_s = RETRY_AFTER_S_BY_REASON.get(reason, 0.3)
     after_s = base_s * (1.0 + JITTER * (2.0 * random.random() - 1.0))
+    after_s = max(after_s, min_after_s)
     if remaining_s is not None:
         after_s = min(after_s, MAX_REMAINING_SHARE * remaining_s)
     after_s = max(MIN_RETRY_AFTER_S, after_s)
--- a/heatherdyke/gateway/search.py
+++ b/heatherdyke/gateway/search.py
@@ -92,8 +92,12 @@
         """Query the shards; refuse without time or leafs for enough shards."""
         shared = self._shared
         route = self._route
+        peer_zones = shared.peers.zones()
+        unreachable_zones = shared.unreachable_zones(peer_zones)
         zones_by_shard = {
-            shard: shared.zones_with_leaf(shard, route)
+            shard: shared.zones_with_leaf(
+                shard, route, peer_zones, unreachable_zones
+            )
             for shard in route.shards
         }
         reachable = sum(map(bool, zones_by_shard.values()))
@@ -111,7 +115,7 @@
             route.shards,
             zones_by_shard,
             shared.settings.zone,
-            shared.peers.zones(),
+            peer_zones,
             shared.random,
         )
         for group in grouping.groups:
@@ -223,7 +227,7 @@
         elapsed_s = shared.loop.time() - self._exchange.request.arrived_at
         shared.metrics.record_latency("search", self._route.name, elapsed_s)
         shared.metrics.count("answers", "200")
-        shared.isolation.record_request(refused=False)
+        shared.isolation.record_request(False, shared.loop.time())
         missing = self._collector.progress.missing
         if missing:
             shared.metrics.count("missing_shards", "", missing)
@@ -266,7 +270,7 @@
         not_run = not self._may_have_run and not self._has_reached_leafs()
         answer = make_failure_answer(reason, not_run, shared.random)
         shared.metrics.count("answers", str(answer.status))
-        shared.isolation.record_request(refused=True)
+        shared.isolation.record_request(True, shared.loop.time())
         self._exchange.answer(answer)
         shared.log.record(
             REQUEST_FAILED,
@@ -293,11 +297,15 @@
             shared.describe_leafs(s)
             for s in without_leaf[:MAX_DESCRIBED_SHARDS]
         ]
+        now = shared.loop.time()
+        shared.isolation.record_request(True, now)
         refusal = make_refusal(
-            reason, self._exchange.request.wait_s, shared.random
+            reason,
+            self._exchange.request.wait_s,
+            shared.random,
+            shared.isolation.clients_moved_in_s(now),
         )
         shared.metrics.count("answers", "503")
-        shared.isolation.record_request(refused=True)
         self._exchange.answer(refusal.answer)
         shared.log.record(
             REQUEST_REFUSED,
--- a/heatherdyke/gateway/settings.py
+++ b/heatherdyke/gateway/settings.py
@@ -5,6 +5,9 @@
 
 from heatherdyke.net.address import Address
 
+# The store removes a leaf's entry after this many heartbeats without a report.
+EXPIRY_HEARTBEATS = 3
+
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
@@ -51,6 +54,11 @@
     heartbeat_s: float
     bounds: Bounds
 
+    @property
+    def entry_expiry_s(self) -> float:
+        """Return how long the store keeps the entry of a silent leaf."""
+        return EXPIRY_HEARTBEATS * self.heartbeat_s
+
     def changed_fields(self, before: "GatewaySettings") -> list[str]:
         """Return the names of the fields that differ from ``before``."""
         return [
--- a/heatherdyke/gateway/shared_state.py
+++ b/heatherdyke/gateway/shared_state.py
@@ -62,10 +62,14 @@
         self.metrics = Metrics()
         self.random = random
         self.routes: RouteTable | None = None
-        self.leafs = LeafTable()
+        self.leafs = LeafTable(
+            settings.entry_expiry_s, settings.bounds.drain_s
+        )
         self.isolation = IsolationDetector(settings.zone)
         self.pools = LeafPools(loop, log, self.isolation, self.service)
-        self.peers = Peers(loop, log, settings.name, settings.zone)
+        self.peers = Peers(
+            loop, log, self.isolation, settings.name, settings.zone
+        )
         self.latencies = LatencyEstimates()
         self.instances: list[str] = []
         # Time of the last request from a client or another instance.
@@ -140,20 +144,42 @@
         )
         return warm / len(route.shards)
 
-    def zones_with_leaf(self, service: str, route: Route) -> set[str]:
+    def unreachable_zones(self, peer_zones: Collection[str]) -> set[str]:
+        """Return the zones that this instance appears to be cut off from.
+
+        ``peer_zones`` are the zones with a usable instance.  Instances are
+        checked until they respond, so a zone without any is never returned.
+        """
+        if not self.isolation.others_unreachable(self.loop.time()):
+            return set()
+        zones = self.peers.known_zones().difference(peer_zones)
+        zones.discard(self.settings.zone)
+        return zones
+
+    def zones_with_leaf(
+        self,
+        service: str,
+        route: Route,
+        peer_zones: Collection[str],
+        unreachable_zones: Collection[str],
+    ) -> set[str]:
         """Return the zones with a leaf that can receive a request now.
 
-        A cold leaf counts if its rate limit allows a request; a leaf of the
-        own zone only if a connection to it is available.
+        A cold leaf counts if its rate limit allows a request.  Instances of
+        the other ``peer_zones`` can send to the leafs there; for the other
+        leafs a connection of this instance must be available.
         """
         now = self.loop.time()
         own_zone = self.settings.zone
         zones = set()
         for leaf in self.candidates(service, route):
             zone = leaf.entry.zone
+            if zone in unreachable_zones:
+                continue
             if leaf.is_cold(now) and not self._may_send_cold(leaf, now):
                 continue
-            if zone != own_zone or self.pools.of(leaf).has_capacity():
+            has_peer = zone != own_zone and zone in peer_zones
+            if has_peer or self.pools.of(leaf).has_capacity():
                 zones.add(zone)
         return zones
 
--- a/heatherdyke/gateway/state_updater.py
+++ b/heatherdyke/gateway/state_updater.py
@@ -14,6 +14,7 @@
 from heatherdyke.gateway.events import ZONES_OUT_CHANGED
 from heatherdyke.gateway.leaf_entry import LeafEntry
 from heatherdyke.gateway.leaf_table import Leaf
+from heatherdyke.gateway.leaf_table import Removal
 from heatherdyke.gateway.routing import RouteTable
 from heatherdyke.gateway.routing import RoutingConfig
 from heatherdyke.gateway.shared_state import SharedState
@@ -51,14 +52,14 @@
         self._next_check_at = 0.0
         self.relist_config: Callable[[], None] = lambda: None
 
-    def on_config_listed(self, listing: Listing, may_reappear: bool) -> None:
+    def on_config_listed(self, listing: Listing, removal: Removal) -> None:
         """Activate the listed configuration at once if it is newer."""
         for stored in listing.objects:
             config = self._decode_if_newer(stored)
             if config is not None:
                 self._activate(config)
 
-    def on_config_changed(self, change: Change, may_reappear: bool) -> None:
+    def on_config_changed(self, change: Change, removal: Removal) -> None:
         """Hold or activate a new version; a deletion changes nothing."""
         config = (
             None if change.deleted else self._decode_if_newer(change.object)
@@ -107,7 +108,7 @@
             )
             self.relist_config()
 
-    def on_leafs_listed(self, listing: Listing, may_reappear: bool) -> None:
+    def on_leafs_listed(self, listing: Listing, removal: Removal) -> None:
         """Apply a full list of leaf entries."""
         entries = [
             entry
@@ -117,19 +118,19 @@
         now = self._shared.loop.time()
         table = self._shared.leafs
         before = set(table.leaf_by_id)
-        for leaf in table.replace(entries, now, may_reappear):
+        for leaf in table.replace(entries, now, removal):
             self._on_leaf_dropped(leaf, "not_listed")
         for entry in entries:
             if entry.leaf_id not in before:
                 self._log_entry(entry)
 
-    def on_leaf_changed(self, change: Change, may_reappear: bool) -> None:
+    def on_leaf_changed(self, change: Change, removal: Removal) -> None:
         """Apply a leaf's entry; remove a deleted or invalid one."""
         now = self._shared.loop.time()
         name = change.object.name
         entry = None if change.deleted else self._decode_entry(change.object)
         if entry is None:
-            leaf = self._shared.leafs.remove(name, now, may_reappear)
+            leaf = self._shared.leafs.remove(name, now, removal)
             if leaf is not None:
                 self._on_leaf_dropped(leaf, "entry_gone")
             return
@@ -143,11 +144,11 @@
         for leaf in self._shared.leafs.expire(now):
             self._on_leaf_dropped(leaf, "entry_did_not_return")
 
-    def on_zones_listed(self, listing: Listing, may_reappear: bool) -> None:
+    def on_zones_listed(self, listing: Listing, removal: Removal) -> None:
         """Set the zones that operators took out of service."""
         self._set_zones(frozenset(item.name for item in listing.objects))
 
-    def on_zone_changed(self, change: Change, may_reappear: bool) -> None:
+    def on_zone_changed(self, change: Change, removal: Removal) -> None:
         """Take one zone out of service or return it."""
         zones = self._shared.leafs.zones_out
         name = frozenset((change.object.name,))
--- a/heatherdyke/gateway/store_watcher.py
+++ b/heatherdyke/gateway/store_watcher.py
@@ -7,6 +7,7 @@
 from heatherdyke.gateway.events import STORE_LOST
 from heatherdyke.gateway.events import STORE_REGAINED
 from heatherdyke.gateway.events import UNEXPECTED_ERROR
+from heatherdyke.gateway.leaf_table import Removal
 from heatherdyke.gateway.settings import Bounds
 from heatherdyke.gateway.shared_state import SharedState
 from heatherdyke.platform.store import Change
@@ -43,8 +44,7 @@
     """Lists a kind, then watches it; relists when the watch cannot resume.
 
     ``on_listing`` is called with all objects, ``on_change`` with one change.
-    Their second argument, ``may_reappear``, states whether a missing entry may
-    reappear soon, because the store was unavailable until recently.  With
+    Their second argument states what is known about a missing entry.  With
     ``first_list_may_be_stale`` the first list may be some seconds old, as the
     watch that follows delivers later changes; all further lists are current.
     ``last_response_at`` is the time of the store's last response, ``listed``
@@ -71,8 +71,8 @@
         self,
         kind: str,
         shared: SharedState,
-        on_listing: Callable[[Listing, bool], None],
-        on_change: Callable[[Change, bool], None],
+        on_listing: Callable[[Listing, Removal], None],
+        on_change: Callable[[Change, Removal], None],
         batch_changes: bool = True,
         first_list_may_be_stale: bool = False,
     ) -> None:
@@ -120,9 +120,8 @@
         listing = await self._store.list(self.kind, self._list_may_be_stale)
         self._list_may_be_stale = False
         self._on_response()
-        self._guard(
-            lambda: self._on_listing(listing, self._entries_may_reappear())
-        )
+        removal = self._removal(was_interrupted=True)
+        self._guard(lambda: self._on_listing(listing, removal))
         self.listed.set()
         return listing.revision
 
@@ -131,13 +130,11 @@
         if self._unavailable_since is None:
             timeout_s = watch_timeout_s(self._shared.settings.bounds)
         page = await self._store.watch(self.kind, revision, timeout_s)
+        was_interrupted = self._unavailable_since is not None
         self._on_response()
+        removal = self._removal(was_interrupted)
         for change in page.changes:
-            self._guard(
-                lambda change=change: self._on_change(
-                    change, self._entries_may_reappear()
-                )
-            )
+            self._guard(lambda change=change: self._on_change(change, removal))
         if page.changes and self._batch_changes:
             shared = self._shared
             idle_s = shared.loop.time() - shared.last_request_at
@@ -161,8 +158,10 @@
             STORE_REGAINED, kind=self.kind, lost_s=round(outage_s, 3)
         )
 
-    def _entries_may_reappear(self) -> bool:
-        return self._shared.loop.time() < self._entries_may_reappear_until
+    def _removal(self, was_interrupted: bool) -> Removal:
+        if self._shared.loop.time() < self._entries_may_reappear_until:
+            return Removal.AFTER_OUTAGE
+        return Removal.LATE if was_interrupted else Removal.TIMELY
 
     async def _on_unavailable(self, error: PlatformUnavailable) -> None:
         if self._unavailable_since is None:
--- a/tests/gateway_entries.py
+++ b/tests/gateway_entries.py
@@ -1,10 +1,30 @@
-"""Leaf entries and routes for tests of the gateway's decisions."""
+"""Settings, leaf entries and routes for tests without network."""
 
 from heatherdyke.gateway.leaf_entry import LeafEntry
 from heatherdyke.gateway.routing import Route
 from heatherdyke.gateway.routing import WeightedService
+from heatherdyke.gateway.settings import Bounds
+from heatherdyke.gateway.settings import GatewaySettings
+from heatherdyke.gateway.settings import StoreSettings
 from heatherdyke.net.address import Address
 
+ADDRESS = Address("127.0.0.1", 1)
+BOUNDS = Bounds(3, 6, 3, 4, 0.2, 10, 50, 1.5, 5, 2)
+SETTINGS = GatewaySettings(
+    name="a",
+    zone="z",
+    ip="127.0.0.1",
+    client_address=ADDRESS,
+    health_address=ADDRESS,
+    peer_ports=(1, 1),
+    store=StoreSettings(ADDRESS),
+    region_by_zone={"z": "r"},
+    max_descriptors=100,
+    cores=1.0,
+    heartbeat_s=1.0,
+    bounds=BOUNDS,
+)
+
 
 def entry(leaf_id: str, service: str = "s", zone: str = "a", **fields):
     address = fields.pop("address", Address("10.0.0.1", 80))
--- a/tests/test_gateway_config_activation.py
+++ b/tests/test_gateway_config_activation.py
@@ -9,6 +9,7 @@
 from random import Random
 
 import msgspec
+from gateway_entries import SETTINGS
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -19,6 +20,7 @@
 from heatherdyke.gateway.event_log import EventLog
 from heatherdyke.gateway.exchange import Exchange
 from heatherdyke.gateway.leaf_entry import LeafEntry
+from heatherdyke.gateway.leaf_table import Removal
 from heatherdyke.gateway.messages import ClientRequest
 from heatherdyke.gateway.routing import Route
 from heatherdyke.gateway.routing import RouteTable
@@ -29,7 +31,6 @@
 from heatherdyke.net.address import Address
 from heatherdyke.platform.store import Change
 from heatherdyke.platform.store import StoredObject
-from tests.test_gateway_peer_api import SETTINGS
 
 CONFIG_S = 3.0
 OLD = ("a1", "a2")
@@ -112,7 +113,9 @@
             for version in versions:
                 updater.on_peer_config_version(version)
             if received:
-                updater.on_config_changed(change(received, OLD), False)
+                updater.on_config_changed(
+                    change(received, OLD), Removal.TIMELY
+                )
             await asyncio.sleep(PEER_VERSION_CHECK_DELAY_S + 0.1)
             return len(relists)
 
@@ -158,7 +161,7 @@
             for shard in OLD:
                 shared.leafs.apply(leaf_entry(shard), loop.time())
             updater = StateUpdater(shared)
-            updater.on_config_changed(change(2, NEW), False)
+            updater.on_config_changed(change(2, NEW), Removal.TIMELY)
             assert shared.config.version == 1
             updater.on_peer_config_version(peer_version)
             return shared.config.version
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -214,15 +214,15 @@
     def test_isolated_instance_reports_not_ready(self):
         isolation = IsolationDetector("c", last_response_at=0.0)
         for _ in range(8):
-            isolation.record_failure("a")
-            isolation.record_request(refused=True)
+            isolation.record_failure("a", sent_at=0.5)
+            isolation.record_request(True, 1.0)
         assert isolation.should_be_unready(1.0)
 
     def test_response_from_another_zone_ends_the_isolation(self):
         isolation = IsolationDetector("c")
         for _ in range(8):
-            isolation.record_failure("a")
-            isolation.record_request(refused=True)
+            isolation.record_failure("a", sent_at=0.5)
+            isolation.record_request(True, 1.0)
         isolation.record_response("b", 1.0)
         assert not isolation.should_be_unready(2.0)
 
@@ -230,24 +230,24 @@
         """Another zone could serve each further request."""
         isolation = IsolationDetector("c")
         for _ in range(8):
-            isolation.record_failure("a")
-        isolation.record_request(refused=True)
+            isolation.record_failure("a", sent_at=0.5)
+        isolation.record_request(True, 1.0)
         assert not isolation.should_be_unready(1.0)
-        isolation.record_request(refused=True)
+        isolation.record_request(True, 1.0)
         assert isolation.should_be_unready(1.0)
 
     def test_instance_that_serves_from_its_own_zone_stays_ready(self):
         isolation = IsolationDetector("a")
         for _ in range(50):
-            isolation.record_failure("b")
-            isolation.record_request(refused=False)
+            isolation.record_failure("b", sent_at=0.5)
+            isolation.record_request(False, 1.0)
         assert not isolation.should_be_unready(1.0)
 
     def test_failures_in_the_own_zone_do_not_count(self):
         isolation = IsolationDetector("a")
         for _ in range(50):
-            isolation.record_failure("a")
-            isolation.record_request(refused=True)
+            isolation.record_failure("a", sent_at=0.5)
+            isolation.record_request(True, 1.0)
         assert not isolation.should_be_unready(1.0)
 
 
--- a/tests/test_gateway_leafs.py
+++ b/tests/test_gateway_leafs.py
@@ -6,6 +6,7 @@
 from heatherdyke.gateway.leaf_choice import choose_leaf
 from heatherdyke.gateway.leaf_table import SLOWNESS_HALF_LIFE_S
 from heatherdyke.gateway.leaf_table import LeafTable
+from heatherdyke.gateway.leaf_table import Removal
 from heatherdyke.gateway.messages import AttemptOutcome
 from heatherdyke.gateway.messages import LeafResponse
 from heatherdyke.gateway.timing import LatencyEstimate
@@ -46,7 +47,7 @@
     def test_leaf_is_kept_if_its_entry_reappears_after_an_outage(self):
         table = LeafTable()
         table.apply(entry("x"), 0.0)
-        table.replace([], 10.0, may_reappear=True)
+        table.replace([], 10.0, Removal.AFTER_OUTAGE)
         assert table.expire(12.0) == []
         table.apply(entry("x"), 12.1)
         assert table.expire(20.0) == []
@@ -54,7 +55,7 @@
     def test_leaf_is_dropped_if_its_entry_does_not_reappear(self):
         table = LeafTable()
         table.apply(entry("x"), 0.0)
-        table.replace([], 10.0, may_reappear=True)
+        table.replace([], 10.0, Removal.AFTER_OUTAGE)
         assert [leaf.leaf_id for leaf in table.expire(12.6)] == ["x"]
         assert table.of_service("s") == []
 
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 import pytest
+from gateway_entries import BOUNDS
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -22,7 +23,6 @@
 from heatherdyke.gateway.store_watcher import MIN_WATCH_S
 from heatherdyke.gateway.store_watcher import batch_delay_s
 from heatherdyke.gateway.store_watcher import watch_timeout_s
-from tests.test_gateway_peer_api import BOUNDS
 
 MEDIAN_S = 0.02
 
--- /dev/null
+++ b/tests/test_gateway_load_patterns.py
@@ -0,0 +1,256 @@
+"""Loads and faults that deployments meet, without network.
+
+Each class names the pattern; its tests fail with the policy before.
+"""
+
+import asyncio
+from dataclasses import replace
+from random import Random
+
+from gateway_entries import ADDRESS
+from gateway_entries import SETTINGS
+from gateway_entries import entry
+
+from heatherdyke.gateway.event_log import EventLog
+from heatherdyke.gateway.exchange import Exchange
+from heatherdyke.gateway.isolation import BALANCER_REACTION_S
+from heatherdyke.gateway.isolation import MIN_CONSECUTIVE_FAILURES
+from heatherdyke.gateway.isolation import IsolationDetector
+from heatherdyke.gateway.leaf_choice import choose_leaf
+from heatherdyke.gateway.leaf_entry import LeafEntry
+from heatherdyke.gateway.leaf_table import LeafTable
+from heatherdyke.gateway.leaf_table import Removal
+from heatherdyke.gateway.messages import ClientRequest
+from heatherdyke.gateway.messages import ClientResponse
+from heatherdyke.gateway.peers import PEER_SERVICE
+from heatherdyke.gateway.routing import Route
+from heatherdyke.gateway.routing import RouteTable
+from heatherdyke.gateway.routing import RoutingConfig
+from heatherdyke.gateway.routing import Service
+from heatherdyke.gateway.search import Search
+from heatherdyke.gateway.shared_state import SharedState
+
+MEDIAN_S = 0.04
+OWN_ZONE = SETTINGS.zone
+OTHER_ZONE = "other"
+SHARDS = tuple(f"shard{number}" for number in range(10))
+ROUTE = Route(
+    name="search",
+    host="h",
+    path_prefix="/s/",
+    idempotent=True,
+    timeout_s=3.0,
+    objective_s=0.25,
+    rank=1,
+    max_attempts=2,
+    shards=SHARDS,
+    record_limit=10,
+    min_share=0.89,
+)
+CLIENT_WAIT_S = 9.0
+
+
+def make_shared(loop: asyncio.AbstractEventLoop) -> SharedState:
+    """Return the state of an instance that knows its list of instances."""
+    settings = replace(
+        SETTINGS, region_by_zone={OWN_ZONE: "r", OTHER_ZONE: "r"}
+    )
+    shared = SharedState(settings, loop, EventLog(loop.time), Random(1))
+    services = {shard: Service(shard, connection_limit=30) for shard in SHARDS}
+    shared.routes = RouteTable(RoutingConfig(1, (ROUTE,), services))
+    shared.set_instances(
+        [
+            LeafEntry(settings.name, PEER_SERVICE, ADDRESS, OWN_ZONE),
+            LeafEntry("b", PEER_SERVICE, ADDRESS, OTHER_ZONE),
+        ]
+    )
+    return shared
+
+
+def add_leafs(shared: SharedState, zone_by_shard: dict[str, str]) -> None:
+    now = shared.loop.time()
+    for shard, zone in zone_by_shard.items():
+        leaf = entry(f"{shard}-{zone}", shard, zone, address=ADDRESS)
+        shared.leafs.apply(leaf, now)
+
+
+def search(shared: SharedState) -> list[ClientResponse]:
+    """Start a search; return the list to which its response is added."""
+    request = ClientRequest(
+        method=b"GET",
+        target=b"/s/x",
+        headers=[],
+        body=b"",
+        host="h",
+        request_id=b"r1",
+        wait_s=CLIENT_WAIT_S,
+        arrived_at=shared.loop.time(),
+    )
+    answers: list[ClientResponse] = []
+    Search(shared, Exchange(request, answers.append), ROUTE).start()
+    return answers
+
+
+def requests_in_flight(shared: SharedState) -> int:
+    leafs = shared.leafs.leaf_by_id.values()
+    return sum(len(leaf.sent_at_by_attempt) for leaf in leafs)
+
+
+def with_shared(scenario) -> None:
+    async def main() -> None:
+        scenario(make_shared(asyncio.get_running_loop()))
+
+    asyncio.run(main())
+
+
+def lose_other_zone(shared: SharedState) -> None:
+    """Record what is noticed while the other zone drops all packets."""
+    now = shared.loop.time()
+    shared.isolation.last_response_at = now - 1.0
+    for _ in range(MIN_CONSECUTIVE_FAILURES):
+        shared.isolation.record_failure(OTHER_ZONE, now)
+    for peer in shared.peers._table.of_service(PEER_SERVICE):
+        peer.record_unreachable(now)
+
+
+class TestOrdinaryLoadInTwoZones:
+    """Each shard has a leaf in two zones, and requests overlap at leafs."""
+
+    def test_some_requests_in_flight_do_not_send_traffic_across_zones(self):
+        table = LeafTable()
+        for zone in ("a", "b"):
+            table.apply(entry(f"x-{zone}", zone=zone), 0.0)
+        near = table.leaf_by_id["x-a"]
+        for number in range(2):
+            near.start(number, 1.0)
+        leafs = table.of_service("s")
+        assert choose_leaf(leafs, (), "a", MEDIAN_S, 1.0) is near
+
+    def test_a_leaf_that_is_much_slower_is_still_avoided(self):
+        table = LeafTable()
+        for zone in ("a", "b"):
+            table.apply(entry(f"x-{zone}", zone=zone), 0.0)
+        near = table.leaf_by_id["x-a"]
+        for step in range(10):
+            near.record_response(step / 10, 8 * MEDIAN_S, MEDIAN_S)
+        leafs = table.of_service("s")
+        assert choose_leaf(leafs, (), "a", MEDIAN_S, 1.0) is not near
+
+
+class TestZoneCutByDroppedPackets:
+    """A zone is cut off; connections hang, clients still reach it."""
+
+    def test_a_search_that_needs_another_zone_is_refused_at_once(self):
+        def scenario(shared: SharedState) -> None:
+            zones = dict.fromkeys(SHARDS[:6], OWN_ZONE)
+            zones.update(dict.fromkeys(SHARDS[6:], OTHER_ZONE))
+            add_leafs(shared, zones)
+            lose_other_zone(shared)
+            answers = search(shared)
+            assert [answer.status for answer in answers] == [503]
+            assert requests_in_flight(shared) == 0
+
+        with_shared(scenario)
+
+    def test_a_search_that_the_own_zone_can_answer_is_sent(self):
+        def scenario(shared: SharedState) -> None:
+            add_leafs(shared, dict.fromkeys(SHARDS, OWN_ZONE))
+            lose_other_zone(shared)
+            assert search(shared) == []
+            assert requests_in_flight(shared) == len(SHARDS)
+
+        with_shared(scenario)
+
+    def test_clients_are_told_to_return_when_other_zones_get_them(self):
+        def scenario(shared: SharedState) -> None:
+            add_leafs(shared, dict.fromkeys(SHARDS, OTHER_ZONE))
+            lose_other_zone(shared)
+            for _ in range(3):
+                answers = search(shared)
+            after_s = float(dict(answers[0].headers)[b"Retry-After"])
+            assert shared.isolation.should_be_unready(shared.loop.time())
+            assert after_s >= BALANCER_REACTION_S - 0.1
+
+        with_shared(scenario)
+
+    def test_a_response_ends_the_refusals(self):
+        def scenario(shared: SharedState) -> None:
+            add_leafs(shared, dict.fromkeys(SHARDS, OTHER_ZONE))
+            lose_other_zone(shared)
+            now = shared.loop.time()
+            shared.isolation.record_response(OTHER_ZONE, now)
+            assert search(shared) == []
+
+        with_shared(scenario)
+
+    def test_late_failures_of_requests_sent_in_the_cut_do_not_count(self):
+        """After the cut its requests still time out one by one."""
+        isolation = IsolationDetector(OWN_ZONE)
+        isolation.record_response(OTHER_ZONE, 5.0)
+        for _ in range(20):
+            isolation.record_failure(OTHER_ZONE, sent_at=4.5)
+            isolation.record_request(True, 5.5)
+        assert not isolation.should_be_unready(5.5)
+
+
+class TestConnectionsToOtherZoneInUse:
+    """No instance of the other zone is usable, connections there hang."""
+
+    def test_a_search_is_refused_before_any_leaf_gets_it(self):
+        def scenario(shared: SharedState) -> None:
+            zones = dict.fromkeys(SHARDS[:6], OWN_ZONE)
+            zones.update(dict.fromkeys(SHARDS[6:], OTHER_ZONE))
+            add_leafs(shared, zones)
+            for peer in shared.peers._table.of_service(PEER_SERVICE):
+                peer.record_unreachable(shared.loop.time())
+            for shard in SHARDS[6:]:
+                (leaf,) = shared.leafs.of_service(shard)
+                pool = shared.pools.of(leaf)
+                pool.open_count = pool.limit
+            answers = search(shared)
+            assert [answer.status for answer in answers] == [503]
+            assert requests_in_flight(shared) == 0
+
+        with_shared(scenario)
+
+
+class TestStoreLosesEntriesOfLiveLeafs:
+    """The store's leases lapse in an outage; the leafs go on serving."""
+
+    EXPIRY_S = 3.6
+    DRAIN_S = 3.0
+
+    def table(self, responded_at: float | None) -> LeafTable:
+        table = LeafTable(self.EXPIRY_S, self.DRAIN_S)
+        table.apply(entry("x"), 0.0)
+        if responded_at is not None:
+            leaf = table.leaf_by_id["x"]
+            leaf.record_response(responded_at, MEDIAN_S, MEDIAN_S)
+        return table
+
+    def test_a_leaf_that_responds_is_kept_until_its_entry_is_back(self):
+        table = self.table(responded_at=9.9)
+        assert table.remove("x", 10.0, Removal.TIMELY) is None
+        assert table.leaf_by_id["x"].is_usable(11.9)
+        table.apply(entry("x", sequence=1), 11.9)
+        assert table.expire(60.0) == []
+
+    def test_it_is_dropped_before_a_leaf_that_left_may_be_gone(self):
+        table = self.table(responded_at=9.9)
+        table.remove("x", 10.0, Removal.TIMELY)
+        (dropped,) = table.expire(10.0 + self.DRAIN_S - 0.9)
+        assert dropped.leaf_id == "x"
+
+    def test_a_leaf_that_fell_silent_is_dropped_at_once(self):
+        for responded_at in (None, 9.9 - self.EXPIRY_S):
+            table = self.table(responded_at)
+            assert table.remove("x", 10.0, Removal.TIMELY) is not None
+
+    def test_a_leaf_that_announced_its_end_is_dropped_at_once(self):
+        table = self.table(responded_at=9.9)
+        table.apply(entry("x", sequence=1, draining=True), 9.95)
+        assert table.remove("x", 10.0, Removal.TIMELY) is not None
+
+    def test_a_removal_that_is_noticed_late_is_not_put_off(self):
+        table = self.table(responded_at=9.9)
+        assert table.remove("x", 10.0, Removal.LATE) is not None
--- a/tests/test_gateway_peer_api.py
+++ b/tests/test_gateway_peer_api.py
@@ -3,6 +3,9 @@
 import asyncio
 from random import Random
 
+from gateway_entries import ADDRESS
+from gateway_entries import SETTINGS
+
 from heatherdyke.gateway.event_log import EventLog
 from heatherdyke.gateway.exchange import Exchange
 from heatherdyke.gateway.leaf_entry import LeafEntry
@@ -18,28 +21,7 @@
 from heatherdyke.gateway.peer_messages import encode_message
 from heatherdyke.gateway.routing import RouteTable
 from heatherdyke.gateway.routing import RoutingConfig
-from heatherdyke.gateway.settings import Bounds
-from heatherdyke.gateway.settings import GatewaySettings
-from heatherdyke.gateway.settings import StoreSettings
 from heatherdyke.gateway.shared_state import SharedState
-from heatherdyke.net.address import Address
-
-ADDRESS = Address("127.0.0.1", 1)
-BOUNDS = Bounds(3, 6, 3, 4, 0.2, 10, 50, 1.5, 5, 2)
-SETTINGS = GatewaySettings(
-    name="a",
-    zone="z",
-    ip="127.0.0.1",
-    client_address=ADDRESS,
-    health_address=ADDRESS,
-    peer_ports=(1, 1),
-    store=StoreSettings(ADDRESS),
-    region_by_zone={"z": "r"},
-    max_descriptors=100,
-    cores=1.0,
-    heartbeat_s=1.0,
-    bounds=BOUNDS,
-)
 
 
 def group_request(shards: list[str]) -> GroupRequest:
