Decline a group before counting its requests

Change: leafs are looked up without side effects before the group is accepted; a request is counted when it is sent. Test: TestGroupsDeclinedInAnOutageOfManyLeafs.

--- a/heatherdyke/gateway/peer_api.py
+++ b/heatherdyke/gateway/peer_api.py
@@ -100,19 +100,24 @@
         The sender has a leaf for each shard in its own state, which may be
         more recent.
         """
-        first_by_shard = self._search.choose_first()
-        shard_count = len(self._message.shards)
-        if (
-            shard_count - len(first_by_shard)
-            > MAX_SHARE_WITHOUT_LEAF * shard_count
-        ):
+        if self._lacks_leafs():
             self._shared.metrics.count("groups_served", "declined")
             self._exchange.answer(ClientResponse(503))
             return
         self._exchange.on_disconnect(self._on_sender_disconnect)
-        self._search.start(first_by_shard)
+        self._search.start()
         self._collector.start()
 
+    def _lacks_leafs(self) -> bool:
+        """Return whether too few shards have a leaf that gets requests."""
+        shards = self._message.shards
+        route = route_of(self._message)
+        with_leaf = sum(
+            bool(self._shared.zones_with_leaf(shard, route, (), ()))
+            for shard in shards
+        )
+        return with_leaf < (1.0 - MAX_SHARE_WITHOUT_LEAF) * len(shards)
+
     def resume(self, exchange: Exchange, due_s: float) -> None:
         """Answer with the parts that arrive within ``due_s``."""
         self._stop_timer()
--- a/heatherdyke/gateway/search.py
+++ b/heatherdyke/gateway/search.py
@@ -133,7 +133,7 @@
             self._collector,
         )
         self._leaf_searches.append(search)
-        search.start(search.choose_first())
+        search.start()
 
     def _query_peer(self, group: Group) -> None:
         progress = self._collector.progress
--- a/heatherdyke/gateway/shard_search.py
+++ b/heatherdyke/gateway/shard_search.py
@@ -68,36 +68,23 @@
         """Return the number of attempts sent."""
         return self._sender.sent
 
-    def choose_first(self) -> dict[str, Leaf]:
-        """Choose a leaf per shard and count the requests in the budget.
-
-        Shards without a leaf are omitted.
-        """
+    def start(self) -> None:
+        """Send to a leaf per shard; report shards without one as lost."""
         shared = self._shared
         now = shared.loop.time()
-        first_by_shard: dict[str, Leaf] = {}
         for shard in self._shards:
-            shared.budget.count_request(shard, now)
             leaf = shared.choose(
                 shard, self._route, (), self._latency.median_s
             )
-            if leaf is not None:
-                first_by_shard[shard] = leaf
-        return first_by_shard
-
-    def start(self, first_by_shard: dict[str, Leaf]) -> None:
-        """Send to the chosen leafs; report shards without one as lost."""
-        for shard in self._shards:
-            leaf = first_by_shard.get(shard)
             if leaf is None:
                 self._collector.add_loss(shard)
             else:
+                shared.budget.count_request(shard, now)
                 self._send(shard, leaf)
-        now = self._shared.loop.time()
         remaining_s = self._collector.progress.answer_at - now
         delay_s = self._latency.hedge_delay_s(remaining_s)
         if self._route.max_attempts > 1:
-            self._timer = self._shared.loop.call_later(delay_s, self._hedge)
+            self._timer = shared.loop.call_later(delay_s, self._hedge)
 
     def finish(self) -> None:
         """Send nothing more; keep the attempts in flight for a while."""
--- a/tests/gateway_entries.py
+++ b/tests/gateway_entries.py
@@ -1,6 +1,7 @@
 """Settings, leaf entries and routes for tests without network."""
 
 from heatherdyke.gateway.leaf_entry import LeafEntry
+from heatherdyke.gateway.peer_messages import GroupRequest
 from heatherdyke.gateway.routing import Route
 from heatherdyke.gateway.routing import WeightedService
 from heatherdyke.gateway.settings import Bounds
@@ -43,3 +44,23 @@
         max_attempts=2,
         targets=(WeightedService("s", 1.0),),
     )
+
+
+def group_request(shards: list[str]) -> GroupRequest:
+    return GroupRequest(
+        method=b"GET",
+        target=b"/s/x",
+        headers=[],
+        body=b"",
+        request_id=b"r1",
+        route="search",
+        shards=shards,
+        record_limit=5,
+        rank=1,
+        max_attempts=2,
+        min_share=0.0,
+        objective_s=0.1,
+        home_regions=[],
+        due_s=0.1,
+        limit_s=1.0,
+    )
--- a/tests/test_gateway_load_patterns.py
+++ b/tests/test_gateway_load_patterns.py
@@ -10,7 +10,9 @@
 from gateway_entries import ADDRESS
 from gateway_entries import SETTINGS
 from gateway_entries import entry
+from gateway_entries import group_request
 
+from heatherdyke.gateway.cold_rate_limit import ColdRateLimiter
 from heatherdyke.gateway.event_log import EventLog
 from heatherdyke.gateway.exchange import Exchange
 from heatherdyke.gateway.isolation import BALANCER_REACTION_S
@@ -22,6 +24,9 @@
 from heatherdyke.gateway.leaf_table import Removal
 from heatherdyke.gateway.messages import ClientRequest
 from heatherdyke.gateway.messages import ClientResponse
+from heatherdyke.gateway.peer_api import PeerApi
+from heatherdyke.gateway.peer_messages import SEARCH_PATH
+from heatherdyke.gateway.peer_messages import encode_message
 from heatherdyke.gateway.peers import PEER_SERVICE
 from heatherdyke.gateway.routing import Route
 from heatherdyke.gateway.routing import RouteTable
@@ -91,6 +96,27 @@
     return answers
 
 
+def serve_group(shared: SharedState) -> ClientResponse:
+    """Return the response to another instance's request for all shards."""
+    message = group_request(list(SHARDS))
+    message.limit_s = CLIENT_WAIT_S
+    request = ClientRequest(
+        method=b"POST",
+        target=SEARCH_PATH,
+        headers=[],
+        body=encode_message(message),
+        host="",
+        request_id=b"",
+        wait_s=None,
+        arrived_at=shared.loop.time(),
+    )
+    answers: list[ClientResponse] = []
+    PeerApi(shared, lambda version: None).handle(
+        Exchange(request, answers.append)
+    )
+    return answers[0]
+
+
 def requests_in_flight(shared: SharedState) -> int:
     leafs = shared.leafs.leaf_by_id.values()
     return sum(len(leaf.sent_at_by_attempt) for leaf in leafs)
@@ -214,6 +240,27 @@
         with_shared(scenario)
 
 
+class TestGroupsDeclinedInAnOutageOfManyLeafs:
+    """An instance lacks leafs that others still use, and declines often."""
+
+    def test_a_declined_group_uses_no_fleet_wide_allowance(self):
+        """The requester queries the shards itself and counts them."""
+
+        def scenario(shared: SharedState) -> None:
+            add_leafs(shared, dict.fromkeys(SHARDS[:5], OWN_ZONE))
+            now = shared.loop.time()
+            for leaf in shared.leafs.leaf_by_id.values():
+                leaf.cold_until = now + 60.0
+            shared._cold_rate_limiter = ColdRateLimiter(now - 60.0)
+            answers = [serve_group(shared) for _ in range(100)]
+            assert {answer.status for answer in answers} == {503}
+            assert not shared.budget._requests_by_service
+            sent_at = shared._cold_rate_limiter._sent_at_by_leaf.values()
+            assert not any(sent_at)
+
+        with_shared(scenario)
+
+
 class TestStoreLosesEntriesOfLiveLeafs:
     """The store's leases lapse in an outage; the leafs go on serving."""
 
--- a/tests/test_gateway_peer_api.py
+++ b/tests/test_gateway_peer_api.py
@@ -5,6 +5,7 @@
 
 from gateway_entries import ADDRESS
 from gateway_entries import SETTINGS
+from gateway_entries import group_request
 
 from heatherdyke.gateway.event_log import EventLog
 from heatherdyke.gateway.exchange import Exchange
@@ -16,7 +17,6 @@
 from heatherdyke.gateway.peer_call import _group_header
 from heatherdyke.gateway.peer_messages import REMAINDER_PATH
 from heatherdyke.gateway.peer_messages import SEARCH_PATH
-from heatherdyke.gateway.peer_messages import GroupRequest
 from heatherdyke.gateway.peer_messages import RemainderRequest
 from heatherdyke.gateway.peer_messages import encode_message
 from heatherdyke.gateway.routing import RouteTable
@@ -24,26 +24,6 @@
 from heatherdyke.gateway.shared_state import SharedState
 
 
-def group_request(shards: list[str]) -> GroupRequest:
-    return GroupRequest(
-        method=b"GET",
-        target=b"/s/x",
-        headers=[],
-        body=b"",
-        request_id=b"r1",
-        route="search",
-        shards=shards,
-        record_limit=5,
-        rank=1,
-        max_attempts=2,
-        min_share=0.0,
-        objective_s=0.1,
-        home_regions=[],
-        due_s=0.1,
-        limit_s=1.0,
-    )
-
-
 def respond_to(
     target: bytes, body: bytes, config: bool = True
 ) -> ClientResponse:
