--- a/heatherdyke/gateway/attempt_sender.py
+++ b/heatherdyke/gateway/attempt_sender.py
@@ -7,6 +7,7 @@
 from heatherdyke.gateway.header_rules import request_head
 from heatherdyke.gateway.leaf_connection import Attempt
 from heatherdyke.gateway.leaf_table import Leaf
+from heatherdyke.gateway.mechanisms import Mechanism
 from heatherdyke.gateway.messages import AttemptOutcome
 from heatherdyke.gateway.messages import ClientRequest
 from heatherdyke.gateway.messages import Failure
@@ -118,7 +119,9 @@
         self._finished = True
         if self._attempts:
             now = self.shared.loop.time()
-            at = now + LINGER_S if until is None else max(now, until)
+            lingers = self.shared.has(Mechanism.LINGERING)
+            linger_s = LINGER_S if lingers else 0.0
+            at = now + linger_s if until is None else max(now, until)
             self.shared.loop.call_at(at, self.abandon)
 
     def abandon(self) -> None:
@@ -129,9 +132,12 @@
         """
         self._finished = True
         now = self.shared.loop.time()
+        checks_silence = self.shared.has(Mechanism.SILENCE_CHECK)
         for attempt in self._attempts:
             attempt.pool.abandon(attempt)
-            if attempt.pool.leaf.is_silent(attempt.sent_at, now):
+            if checks_silence and attempt.pool.leaf.is_silent(
+                attempt.sent_at, now
+            ):
                 self.shared.pools.on_silent(attempt.pool, attempt.sent_at)
         self._attempts.clear()
 
--- a/heatherdyke/gateway/client_api.py
+++ b/heatherdyke/gateway/client_api.py
@@ -35,9 +35,7 @@
     @property
     def is_draining(self) -> bool:
         """Return whether clients should reconnect, to another instance."""
-        shared = self._shared
-        isolated = shared.isolation.should_be_unready(shared.loop.time())
-        return self.stopping or isolated
+        return self.stopping or self._shared.is_isolated
 
     def handle(self, exchange: Exchange) -> None:
         """Serve a request; an unexpected exception is answered with 500."""
--- a/heatherdyke/gateway/forwarded_request.py
+++ b/heatherdyke/gateway/forwarded_request.py
@@ -11,6 +11,7 @@
 from heatherdyke.gateway.header_rules import forwarded_headers
 from heatherdyke.gateway.leaf_connection import Attempt
 from heatherdyke.gateway.leaf_table import Leaf
+from heatherdyke.gateway.mechanisms import Mechanism
 from heatherdyke.gateway.messages import AttemptOutcome
 from heatherdyke.gateway.messages import ClientResponse
 from heatherdyke.gateway.messages import LeafResponse
@@ -142,7 +143,9 @@
             self._refusal_reason = RefusalReason.LEAFS_FULL
         else:
             self._last_failure = response or self._last_failure
-        may_repeat = outcome.not_run or self._route.idempotent
+        may_repeat = self._shared.has(Mechanism.RETRIES) and (
+            outcome.not_run or self._route.idempotent
+        )
         reason = "rejected" if outcome.not_run else "failed"
         if may_repeat and self._send_extra(reason):
             return
@@ -151,7 +154,8 @@
 
     def _set_timer(self) -> None:
         hedge_at = self._deadline_at
-        if self._route.idempotent and self._route.max_attempts > 1:
+        may_hedge = self._route.idempotent and self._route.max_attempts > 1
+        if may_hedge and self._shared.has(Mechanism.HEDGING):
             now = self._shared.loop.time()
             delay_s = self._latency.hedge_delay_s(self._due_at - now)
             hedge_at = min(hedge_at, now + delay_s)
--- a/heatherdyke/gateway/leaf_choice.py
+++ b/heatherdyke/gateway/leaf_choice.py
@@ -4,10 +4,12 @@
 leafs and leafs of another zone get a penalty.
 """
 
+from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
 
 from heatherdyke.gateway.leaf_table import Leaf
+from heatherdyke.gateway.mechanisms import Mechanism
 
 # Average remaining time of a pause in progress.
 STALL_COST_S = 0.15
@@ -21,6 +23,66 @@
 CROSS_ZONE_COST_S = 0.004
 CROSS_ZONE_COST_FACTOR = 1.0
 
+# Returns the seconds that a property of the leaf adds to a request's expected
+# time, from the leaf, the own zone, the median time of such requests and now.
+Cost = Callable[[Leaf, str, float, float], float]
+
+_cost_by_mechanism: dict[Mechanism, Cost] = {}
+
+
+def _cost_of(mechanism: Mechanism) -> Callable[[Cost], Cost]:
+    """Register the cost that ``mechanism`` adds."""
+
+    def register(cost: Cost) -> Cost:
+        _cost_by_mechanism[mechanism] = cost
+        return cost
+
+    return register
+
+
+@_cost_of(Mechanism.SLOW_LEAFS)
+def _slowness_cost(
+    leaf: Leaf, zone: str, median_s: float, now: float
+) -> float:
+    return (leaf.current_slowness(now) - 1.0) * _load_time(leaf, median_s)
+
+
+@_cost_of(Mechanism.STALLED_LEAFS)
+def _stall_cost(leaf: Leaf, zone: str, median_s: float, now: float) -> float:
+    return STALL_COST_S if leaf.is_stalled(now, median_s) else 0.0
+
+
+@_cost_of(Mechanism.FAILING_LEAFS)
+def _failure_cost(leaf: Leaf, zone: str, median_s: float, now: float) -> float:
+    failure_s = max(FAILURE_COST_MIN_S, FAILURE_COST_FACTOR * median_s)
+    return leaf.current_failure_share(now) * failure_s
+
+
+@_cost_of(Mechanism.NEAR_LEAFS)
+def _cross_zone_cost(
+    leaf: Leaf, zone: str, median_s: float, now: float
+) -> float:
+    if leaf.entry.zone == zone:
+        return 0.0
+    return CROSS_ZONE_COST_S + CROSS_ZONE_COST_FACTOR * median_s
+
+
+def _load_time(leaf: Leaf, median_s: float) -> float:
+    """Return the expected time at this instance's requests in flight."""
+    return median_s * (1.0 + QUEUE_WEIGHT * len(leaf.sent_at_by_attempt))
+
+
+def enabled_costs(disabled: Collection[Mechanism]) -> tuple[Cost, ...]:
+    """Return the costs of the mechanisms that are not disabled."""
+    return tuple(
+        cost
+        for mechanism, cost in _cost_by_mechanism.items()
+        if mechanism not in disabled
+    )
+
+
+ALL_COSTS = enabled_costs(())
+
 
 def choose_leaf(
     leafs: Iterable[Leaf],
@@ -28,6 +90,7 @@
     zone: str,
     median_s: float,
     now: float,
+    costs: Collection[Cost] = ALL_COSTS,
 ) -> Leaf | None:
     """Return the best leaf that was not tried, None if there is none.
 
@@ -38,24 +101,10 @@
     for leaf in leafs:
         if leaf in tried:
             continue
-        expected_s = expected_seconds(leaf, zone, median_s, now)
+        expected_s = _load_time(leaf, median_s)
+        for cost in costs:
+            expected_s += cost(leaf, zone, median_s, now)
         if best is None or expected_s < best_s:
             best = leaf
             best_s = expected_s
     return best
-
-
-def expected_seconds(
-    leaf: Leaf, zone: str, median_s: float, now: float
-) -> float:
-    """Return the expected time of a request to the leaf, with penalties."""
-    in_flight = len(leaf.sent_at_by_attempt)
-    load_factor = 1.0 + QUEUE_WEIGHT * in_flight
-    expected_s = median_s * leaf.current_slowness(now) * load_factor
-    if leaf.is_stalled(now, median_s):
-        expected_s += STALL_COST_S
-    failure_cost_s = max(FAILURE_COST_MIN_S, FAILURE_COST_FACTOR * median_s)
-    expected_s += leaf.current_failure_share(now) * failure_cost_s
-    if leaf.entry.zone != zone:
-        expected_s += CROSS_ZONE_COST_S + CROSS_ZONE_COST_FACTOR * median_s
-    return expected_s
--- /dev/null
+++ b/heatherdyke/gateway/mechanisms.py
@@ -0,0 +1,57 @@
+"""Mechanisms of the gateway that comparisons can disable."""
+
+from enum import Enum
+
+from heatherdyke.errors import SettingsError
+
+DISABLE_VARIABLE = "HEATHERDYKE_DISABLE"
+
+
+class Mechanism(Enum):
+    """A safeguard or a policy that ``HEATHERDYKE_DISABLE`` switches off.
+
+    Production instances run with all of them enabled.
+    """
+
+    # A second leaf is queried when the first has not responded in time.
+    HEDGING = "hedging"
+    # A second leaf is queried when the first fails or rejects the request.
+    RETRIES = "retries"
+    # Shards without a leaf in the own zone are queried by other instances.
+    GROUPS = "groups"
+    # The choice of a leaf considers each of these properties.
+    SLOW_LEAFS = "slow-leafs"
+    STALLED_LEAFS = "stalled-leafs"
+    FAILING_LEAFS = "failing-leafs"
+    NEAR_LEAFS = "near-leafs"
+    # A leaf that stays silent gets no requests until a health check.
+    SILENCE_CHECK = "silence-check"
+    # Attempts continue for a while after the answer to their request.
+    LINGERING = "lingering"
+    # An instance that is cut off from other zones reports not ready.
+    ISOLATION = "isolation"
+    # Searches that need an unreachable zone are refused before any send.
+    UNREACHABLE_ZONES = "unreachable-zones"
+    # A leaf that responds is kept for a while without a discovery entry.
+    LIVE_LEAFS = "live-leafs"
+    # Leafs are kept for a while when the store lost entries in an outage.
+    OUTAGE_GRACE = "outage-grace"
+    # A resharded configuration waits for its shards' leafs to become warm.
+    CONFIG_HOLD = "config-hold"
+
+
+def parse_mechanisms(text: str) -> frozenset[Mechanism]:
+    """Parse comma-separated names; raises SettingsError for an unknown one."""
+    mechanisms = set()
+    faults = []
+    for name in filter(None, text.split(",")):
+        try:
+            mechanisms.add(Mechanism(name))
+        except ValueError:
+            known = ", ".join(m.value for m in Mechanism)
+            faults.append(
+                f"{DISABLE_VARIABLE}: {name!r} is unknown: use one of {known}"
+            )
+    if faults:
+        raise SettingsError(faults)
+    return frozenset(mechanisms)
--- a/heatherdyke/gateway/process.py
+++ b/heatherdyke/gateway/process.py
@@ -24,6 +24,7 @@
 from heatherdyke.gateway.inbound_connection import InboundConnection
 from heatherdyke.gateway.instance_registry import InstanceRegistry
 from heatherdyke.gateway.isolation import BALANCER_REACTION_S
+from heatherdyke.gateway.mechanisms import Mechanism
 from heatherdyke.gateway.pause_detector import PauseDetector
 from heatherdyke.gateway.peer_api import PeerApi
 from heatherdyke.gateway.settings import GatewaySettings
@@ -121,13 +122,14 @@
         settings: GatewaySettings,
         loop: asyncio.AbstractEventLoop,
         metrics_port: int,
+        disabled: frozenset[Mechanism] = frozenset(),
     ) -> "GatewayProcess":
         """Build a process on the loop; a reload reads the file again.
 
         With a ``metrics_port`` of 0 no metrics are served.
         """
         log = EventLog(loop.time)
-        shared = SharedState(settings, loop, log, Random())
+        shared = SharedState(settings, loop, log, Random(), disabled)
         return cls(settings_path, shared, metrics_port)
 
     @property
@@ -137,8 +139,9 @@
         loaded = (
             shared.config is not None and self._leaf_watcher.listed.is_set()
         )
-        isolated = shared.isolation.should_be_unready(shared.loop.time())
-        return loaded and not isolated and not self._stopping.is_set()
+        return (
+            loaded and not shared.is_isolated and not self._stopping.is_set()
+        )
 
     async def run(self) -> None:
         """Serve until a stop signal, then drain."""
@@ -229,7 +232,7 @@
         isolation = self._shared.isolation
         isolation.update(now)
         turned_away_at = self._turned_away_at
-        if isolation.should_be_unready(now) == (turned_away_at is not None):
+        if self._shared.is_isolated == (turned_away_at is not None):
             return
         if turned_away_at is None:
             self._turned_away_at = now
--- a/heatherdyke/gateway/search.py
+++ b/heatherdyke/gateway/search.py
@@ -12,6 +12,7 @@
 from heatherdyke.gateway.exchange import Exchange
 from heatherdyke.gateway.grouping import Group
 from heatherdyke.gateway.grouping import group_shards
+from heatherdyke.gateway.mechanisms import Mechanism
 from heatherdyke.gateway.messages import ClientResponse
 from heatherdyke.gateway.part_collector import PartCollector
 from heatherdyke.gateway.peer_call import PeerCall
@@ -92,7 +93,9 @@
         """Query the shards; refuse without time or leafs for enough shards."""
         shared = self._shared
         route = self._route
-        peer_zones = shared.peers.zones()
+        peer_zones = (
+            shared.peers.zones() if shared.has(Mechanism.GROUPS) else set()
+        )
         unreachable_zones = shared.unreachable_zones(peer_zones)
         zones_by_shard = {
             shard: shared.zones_with_leaf(
--- a/heatherdyke/gateway/shard_search.py
+++ b/heatherdyke/gateway/shard_search.py
@@ -5,6 +5,7 @@
 from heatherdyke.gateway.attempt_sender import AttemptSender
 from heatherdyke.gateway.leaf_connection import Attempt
 from heatherdyke.gateway.leaf_table import Leaf
+from heatherdyke.gateway.mechanisms import Mechanism
 from heatherdyke.gateway.messages import AttemptOutcome
 from heatherdyke.gateway.messages import ClientRequest
 from heatherdyke.gateway.part_collector import PartCollector
@@ -83,7 +84,7 @@
                 self._send(shard, leaf)
         remaining_s = self._collector.progress.answer_at - now
         delay_s = self._latency.hedge_delay_s(remaining_s)
-        if self._route.max_attempts > 1:
+        if self._route.max_attempts > 1 and shared.has(Mechanism.HEDGING):
             self._timer = shared.loop.call_later(delay_s, self._hedge)
 
     def finish(self) -> None:
@@ -146,7 +147,9 @@
             collector.add_part(shard, response.signature, response.body)
         elif shard not in collector.progress.answered:
             reason = "rejected" if outcome.not_run else "failed"
-            sent = self._send_extra(shard, reason)
+            sent = self._shared.has(Mechanism.RETRIES) and self._send_extra(
+                shard, reason
+            )
             if not sent and self._in_flight_by_shard[shard] == 0:
                 collector.add_loss(shard)
         collector.decide()
--- a/heatherdyke/gateway/shared_state.py
+++ b/heatherdyke/gateway/shared_state.py
@@ -10,10 +10,12 @@
 from heatherdyke.gateway.event_log import EventLog
 from heatherdyke.gateway.isolation import IsolationDetector
 from heatherdyke.gateway.leaf_choice import choose_leaf
+from heatherdyke.gateway.leaf_choice import enabled_costs
 from heatherdyke.gateway.leaf_entry import LeafEntry
 from heatherdyke.gateway.leaf_pools import LeafPools
 from heatherdyke.gateway.leaf_table import Leaf
 from heatherdyke.gateway.leaf_table import LeafTable
+from heatherdyke.gateway.mechanisms import Mechanism
 from heatherdyke.gateway.peers import Peers
 from heatherdyke.gateway.retry_budget import RetryBudget
 from heatherdyke.gateway.routing import Route
@@ -44,6 +46,8 @@
         "budget",
         "instances",
         "last_request_at",
+        "_disabled",
+        "_leaf_costs",
         "_cold_rate_limiter",
         "_round_robin_by_route",
     )
@@ -54,16 +58,21 @@
         loop: asyncio.AbstractEventLoop,
         log: EventLog,
         random: Random,
+        disabled: frozenset[Mechanism] = frozenset(),
     ) -> None:
         bounds = settings.bounds
+        self._disabled = disabled
+        self._leaf_costs = enabled_costs(disabled)
         self.settings = settings
         self.loop = loop
         self.log = log
         self.metrics = Metrics()
         self.random = random
         self.routes: RouteTable | None = None
+        keeps_live_leafs = self.has(Mechanism.LIVE_LEAFS)
         self.leafs = LeafTable(
-            settings.entry_expiry_s, settings.bounds.drain_s
+            settings.entry_expiry_s if keeps_live_leafs else 0.0,
+            settings.bounds.drain_s,
         )
         self.isolation = IsolationDetector(settings.zone)
         self.pools = LeafPools(loop, log, self.isolation, self.service)
@@ -80,6 +89,17 @@
         self._cold_rate_limiter = ColdRateLimiter(loop.time())
         self._round_robin_by_route: dict[str, WeightedRoundRobin] = {}
 
+    def has(self, mechanism: Mechanism) -> bool:
+        """Return whether a mechanism is enabled."""
+        return mechanism not in self._disabled
+
+    @property
+    def is_isolated(self) -> bool:
+        """Return whether clients should go to instances of other zones."""
+        return self.has(
+            Mechanism.ISOLATION
+        ) and self.isolation.should_be_unready(self.loop.time())
+
     @property
     def config(self) -> RoutingConfig | None:
         """Return the active configuration, None before the first."""
@@ -150,7 +170,10 @@
         ``peer_zones`` are the zones with a usable instance.  Instances are
         checked until they respond, so a zone without any is never returned.
         """
-        if not self.isolation.others_unreachable(self.loop.time()):
+        now = self.loop.time()
+        if not self.has(Mechanism.UNREACHABLE_ZONES):
+            return set()
+        if not self.isolation.others_unreachable(now):
             return set()
         zones = self.peers.known_zones().difference(peer_zones)
         zones.discard(self.settings.zone)
@@ -222,7 +245,14 @@
             for leaf in self.candidates(service, route)
             if self.pools.of(leaf).has_capacity()
         ]
-        leaf = choose_leaf(available, tried, self.settings.zone, median_s, now)
+        leaf = choose_leaf(
+            available,
+            tried,
+            self.settings.zone,
+            median_s,
+            now,
+            self._leaf_costs,
+        )
         if leaf is None or not leaf.is_cold(now):
             return leaf
         return leaf if self._acquire_cold(leaf, now) else None
--- a/heatherdyke/gateway/state_updater.py
+++ b/heatherdyke/gateway/state_updater.py
@@ -15,6 +15,7 @@
 from heatherdyke.gateway.leaf_entry import LeafEntry
 from heatherdyke.gateway.leaf_table import Leaf
 from heatherdyke.gateway.leaf_table import Removal
+from heatherdyke.gateway.mechanisms import Mechanism
 from heatherdyke.gateway.routing import RouteTable
 from heatherdyke.gateway.routing import RoutingConfig
 from heatherdyke.gateway.shared_state import SharedState
@@ -69,7 +70,9 @@
         shared = self._shared
         was_held = self._pending.config is not None
         now = shared.loop.time()
-        self._pending.add(config, now, shared.settings.bounds.config_s)
+        holds = shared.has(Mechanism.CONFIG_HOLD)
+        config_s = shared.settings.bounds.config_s if holds else 0.0
+        self._pending.add(config, now, config_s)
         self._activate_if_ready()
         if not was_held and self._pending.config is not None:
             shared.log.record(CONFIG_HELD, version=config.version)
--- a/heatherdyke/gateway/store_watcher.py
+++ b/heatherdyke/gateway/store_watcher.py
@@ -8,6 +8,7 @@
 from heatherdyke.gateway.events import STORE_REGAINED
 from heatherdyke.gateway.events import UNEXPECTED_ERROR
 from heatherdyke.gateway.leaf_table import Removal
+from heatherdyke.gateway.mechanisms import Mechanism
 from heatherdyke.gateway.settings import Bounds
 from heatherdyke.gateway.shared_state import SharedState
 from heatherdyke.platform.store import Change
@@ -159,7 +160,10 @@
         )
 
     def _removal(self, was_interrupted: bool) -> Removal:
-        if self._shared.loop.time() < self._entries_may_reappear_until:
+        is_after_outage = (
+            self._shared.loop.time() < self._entries_may_reappear_until
+        )
+        if is_after_outage and self._shared.has(Mechanism.OUTAGE_GRACE):
             return Removal.AFTER_OUTAGE
         return Removal.LATE if was_interrupted else Removal.TIMELY
 
--- a/heatherdyke_bench/__main__.py
+++ b/heatherdyke_bench/__main__.py
@@ -10,6 +10,11 @@
 from heatherdyke.codec import decode
 from heatherdyke.codec import encode
 from heatherdyke.errors import HeatherdykeError
+from heatherdyke.gateway.mechanisms import Mechanism
+from heatherdyke.gateway.mechanisms import parse_mechanisms
+from heatherdyke_bench.ablation import Ablation
+from heatherdyke_bench.ablation import Play
+from heatherdyke_bench.ablation import format_effects
 from heatherdyke_bench.deployments import deployments
 from heatherdyke_bench.experiment import Experiment
 from heatherdyke_bench.fleet import Policy
@@ -58,6 +63,43 @@
     typer.echo(f"plotted {len(runs)} scored runs of {site} to {plot}")
 
 
+@app.command()
+def ablate(
+    sites: Annotated[list[Path], typer.Argument(help="Site files.")],
+    bench: Annotated[Path, typer.Option(help="The users' bench program.")],
+    work: Annotated[
+        Path, typer.Option(help="Directory for copies of the source tree.")
+    ],
+    days: Annotated[
+        str, typer.Option(help="Comma-separated days.")
+    ] = "trouble-1,scale-1",
+    seeds: Annotated[
+        str, typer.Option(help="Seeds of variations of the days.")
+    ] = "",
+    mechanisms: Annotated[
+        str, typer.Option(help="Mechanisms to disable, all by default.")
+    ] = "",
+    jobs: Annotated[int, typer.Option(help="Days played at a time.")] = 2,
+) -> None:
+    """Print what each mechanism of the gateway is worth at each site."""
+    chosen = parse_mechanisms(mechanisms) or frozenset(Mechanism)
+    ablation = Ablation(
+        bench,
+        Path.cwd(),
+        work,
+        [
+            Play(site, day, seed)
+            for site in sites
+            for day in days.split(",")
+            for seed in ("", *filter(None, seeds.split(",")))
+        ],
+        [mechanism for mechanism in Mechanism if mechanism in chosen],
+        jobs,
+        lambda line: typer.echo(line, err=True),
+    )
+    typer.echo(format_effects(asyncio.run(ablation.run())))
+
+
 @app.command()
 def run(
     scenario: str,
--- a/heatherdyke_bench/errors.py
+++ b/heatherdyke_bench/errors.py
@@ -9,6 +9,13 @@
     kind = "fleet"
 
 
+class AblationError(HeatherdykeError):
+    """The bench, a site or a day of an ablation does not exist."""
+
+    kind = "ablation"
+    exit_code = 2
+
+
 class ScenarioError(HeatherdykeError):
     """A scenario does not exist, or its file is invalid."""
 
