Report from logs when requests were lost, and why

python -m heatherdyke_bench lost LOG... counts the ends of requests by interval and route; served requests are logged with whether they were late.

--- a/heatherdyke/gateway/events.py
+++ b/heatherdyke/gateway/events.py
@@ -218,7 +218,7 @@
         "search_partial",
         Severity.INFO,
         "A search was answered with some shards missing.",
-        ("request_id", "route", "missing", "elapsed_ms", "attempts"),
+        ("request_id", "route", "missing", "elapsed_ms", "attempts", "late"),
     )
 )
 REQUEST_SERVED = register(
@@ -227,7 +227,7 @@
         "request_served",
         Severity.DEBUG,
         "A request was answered successfully.",
-        ("request_id", "route", "elapsed_ms", "extra_sends"),
+        ("request_id", "route", "elapsed_ms", "extra_sends", "late"),
     )
 )
 CLIENT_DISCONNECTED = register(
--- a/heatherdyke/gateway/forwarded_request.py
+++ b/heatherdyke/gateway/forwarded_request.py
@@ -21,6 +21,7 @@
 from heatherdyke.gateway.shared_state import SharedState
 from heatherdyke.gateway.timing import answer_due_at
 from heatherdyke.gateway.timing import final_answer_deadline
+from heatherdyke.gateway.timing import is_late
 
 # Statuses from which a client concludes that the request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -255,6 +256,7 @@
             route=self._route.name,
             elapsed_ms=elapsed_ms,
             extra_sends=self._sender.sent - 1,
+            late=is_late(elapsed_ms / 1000, self._route.objective_s),
         )
 
     def _report_failure(self, status: int, reason: str) -> None:
--- a/heatherdyke/gateway/search.py
+++ b/heatherdyke/gateway/search.py
@@ -30,6 +30,7 @@
 from heatherdyke.gateway.shared_state import SharedState
 from heatherdyke.gateway.timing import answer_due_at
 from heatherdyke.gateway.timing import final_answer_deadline
+from heatherdyke.gateway.timing import is_late
 from heatherdyke.platform.headers import merged_response_headers
 
 # The remainder of an open group is requested this much after the response is
@@ -231,6 +232,7 @@
         shared.metrics.record_latency("search", self._route.name, elapsed_s)
         shared.metrics.count("answers", "200")
         shared.isolation.record_request(False, shared.loop.time())
+        late = is_late(elapsed_s, self._route.objective_s)
         missing = self._collector.progress.missing
         if missing:
             shared.metrics.count("missing_shards", "", missing)
@@ -241,6 +243,7 @@
                 missing=self._describe_missing(),
                 elapsed_ms=round(elapsed_s * 1000, 1),
                 attempts=self._attempts(),
+                late=late,
             )
             return
         shared.log.record(
@@ -250,6 +253,7 @@
             elapsed_ms=round(elapsed_s * 1000, 1),
             extra_sends=self._extra_sends
             + sum(search.extra_sends for search in self._leaf_searches),
+            late=late,
         )
 
     def _describe_missing(self) -> list[str]:
--- a/heatherdyke/gateway/timing.py
+++ b/heatherdyke/gateway/timing.py
@@ -100,6 +100,11 @@
     return arrived_at + max(0.5 * objective_s, objective_s - overhead_s)
 
 
+def is_late(elapsed_s: float, objective_s: float) -> bool:
+    """Return whether an answer after ``elapsed_s`` misses the objective."""
+    return elapsed_s > objective_s - CLIENT_ROUND_TRIP_S
+
+
 def final_answer_deadline(
     arrived_at: float, wait_s: float | None, timeout_s: float
 ) -> float:
--- a/heatherdyke_bench/__main__.py
+++ b/heatherdyke_bench/__main__.py
@@ -18,6 +18,9 @@
 from heatherdyke_bench.deployments import deployments
 from heatherdyke_bench.experiment import Experiment
 from heatherdyke_bench.fleet import Policy
+from heatherdyke_bench.lost_requests import count_lost
+from heatherdyke_bench.lost_requests import format_lost
+from heatherdyke_bench.lost_requests import read_lines
 from heatherdyke_bench.report import RunReport
 from heatherdyke_bench.report_plot import plot_reports
 from heatherdyke_bench.report_table import format_tables
@@ -63,6 +66,17 @@
     typer.echo(f"plotted {len(runs)} scored runs of {site} to {plot}")
 
 
+@app.command()
+def lost(
+    logs: Annotated[list[Path], typer.Argument(help="Gateway logs.")],
+    interval_s: Annotated[
+        float, typer.Option(min=0.1, help="Length of an interval, seconds.")
+    ] = 2.0,
+) -> None:
+    """Print when requests were late, refused or failed, and why."""
+    typer.echo(format_lost(count_lost(read_lines(logs), interval_s)))
+
+
 @app.command()
 def ablate(
     sites: Annotated[list[Path], typer.Argument(help="Site files.")],
--- a/heatherdyke_bench/errors.py
+++ b/heatherdyke_bench/errors.py
@@ -16,6 +16,13 @@
     exit_code = 2
 
 
+class LogError(HeatherdykeError):
+    """A log file cannot be read or has no entries."""
+
+    kind = "log"
+    exit_code = 2
+
+
 class ScenarioError(HeatherdykeError):
     """A scenario does not exist, or its file is invalid."""
 
