--- a/heatherdyke/gateway/store_watcher.py
+++ b/heatherdyke/gateway/store_watcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 
 from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.gateway.events import STORE_LOST
@@ -134,7 +135,7 @@
         was_interrupted = self._unavailable_since is not None
         self._on_response()
         removal = self._removal(was_interrupted)
-        for change in page.changes:
+        for change in latest_changes(page.changes):
             self._guard(lambda change=change: self._on_change(change, removal))
         if page.changes and self._batch_changes:
             shared = self._shared
@@ -189,6 +190,18 @@
             )
 
 
+def latest_changes(changes: Iterable[Change]) -> list[Change]:
+    """Return the latest change of each object, in order.
+
+    An entry that was lost and is back has not changed.
+    """
+    latest_by_name: dict[str, Change] = {}
+    for change in changes:
+        latest_by_name.pop(change.object.name, None)
+        latest_by_name[change.object.name] = change
+    return list(latest_by_name.values())
+
+
 def batch_delay_s(idle_s: float, instances: int) -> float:
     """Return how long to collect changes before the next watch.
 
--- a/tests/test_gateway_load_patterns.py
+++ b/tests/test_gateway_load_patterns.py
@@ -34,6 +34,9 @@
 from heatherdyke.gateway.routing import Service
 from heatherdyke.gateway.search import Search
 from heatherdyke.gateway.shared_state import SharedState
+from heatherdyke.gateway.store_watcher import latest_changes
+from heatherdyke.platform.store import Change
+from heatherdyke.platform.store import StoredObject
 
 MEDIAN_S = 0.04
 OWN_ZONE = SETTINGS.zone
@@ -298,6 +301,14 @@
         table.apply(entry("x", sequence=1, draining=True), 9.95)
         assert table.remove("x", 10.0, Removal.TIMELY) is not None
 
+    def test_an_entry_that_is_lost_and_back_in_one_batch_is_unchanged(self):
+        """The store stayed silent; its changes arrive all at once."""
+        lost = Change(StoredObject("x", None), deleted=True)
+        back = Change(StoredObject("x", "entry"), deleted=False)
+        other = Change(StoredObject("y", "entry"), deleted=False)
+        assert latest_changes([lost, other, back]) == [other, back]
+        assert latest_changes([back, lost]) == [lost]
+
     def test_a_removal_that_is_noticed_late_is_not_put_off(self):
         table = self.table(responded_at=9.9)
         assert table.remove("x", 10.0, Removal.LATE) is not None
