--- a/heatherdyke/gateway/attempt_sender.py
+++ b/heatherdyke/gateway/attempt_sender.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable
 
+from heatherdyke.gateway.attempt import Attempt
 from heatherdyke.gateway.events import EXTRA_SEND
 from heatherdyke.gateway.header_rules import attempt_message
 from heatherdyke.gateway.header_rules import request_head
-from heatherdyke.gateway.leaf_connection import Attempt
 from heatherdyke.gateway.leaf_table import Leaf
 from heatherdyke.gateway.mechanisms import Mechanism
 from heatherdyke.gateway.messages import AttemptOutcome
--- a/heatherdyke/gateway/forwarded_request.py
+++ b/heatherdyke/gateway/forwarded_request.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from heatherdyke.gateway.attempt import Attempt
 from heatherdyke.gateway.attempt_sender import AttemptSender
 from heatherdyke.gateway.events import CLIENT_DISCONNECTED
 from heatherdyke.gateway.events import REQUEST_FAILED
@@ -9,7 +10,6 @@
 from heatherdyke.gateway.events import REQUEST_SERVED
 from heatherdyke.gateway.exchange import Exchange
 from heatherdyke.gateway.header_rules import forwarded_headers
-from heatherdyke.gateway.leaf_connection import Attempt
 from heatherdyke.gateway.leaf_table import Leaf
 from heatherdyke.gateway.mechanisms import Mechanism
 from heatherdyke.gateway.messages import AttemptOutcome
--- a/heatherdyke/gateway/leaf_connection.py
+++ b/heatherdyke/gateway/leaf_connection.py
@@ -6,71 +6,36 @@
 """
 
 import asyncio
-from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import httptools
 
+from heatherdyke.gateway.attempt import Attempt
 from heatherdyke.gateway.messages import AttemptOutcome
 from heatherdyke.gateway.messages import Failure
 from heatherdyke.gateway.messages import HeaderList
 from heatherdyke.gateway.messages import LeafResponse
 from heatherdyke.platform import headers as names
 
-if TYPE_CHECKING:
-    from heatherdyke.gateway.leaf_pool import LeafPool
-
 # A leaf may close an idle connection slightly before the time that it states.
 IDLE_MARGIN_S = 0.5
 DEFAULT_IDLE_TIMEOUT_S = 4.0
 STATUS_CONTINUE = 100
 
 
-class Attempt:
-    """One request that is sent to one leaf.
+class ConnectionOwner(Protocol):
+    """The pool of a connection."""
 
-    ``on_end`` is called once with the attempt and its outcome, unless the
-    attempt is abandoned before.  ``continuation`` returns the bytes to send
-    after the receiver's ``100 Continue``; ``continued`` states whether they
-    were sent.
-    """
+    def now(self) -> float:
+        """Return the event loop's time."""
 
-    __slots__ = (
-        "number",
-        "request_id",
-        "message",
-        "is_head",
-        "sent_at",
-        "pool",
-        "on_end",
-        "connection",
-        "service",
-        "continuation",
-        "continued",
-    )
+    def release(self, connection: "LeafConnection", reusable: bool) -> None:
+        """Take back a connection whose attempt has ended."""
 
-    def __init__(
-        self,
-        number: int,
-        request_id: bytes,
-        message: bytes,
-        is_head: bool,
-        pool: "LeafPool",
-        on_end: Callable[["Attempt", AttemptOutcome], None],
-        service: str = "",
-        continuation: Callable[[], bytes] | None = None,
+    def connection_lost(
+        self, connection: "LeafConnection", broken: bool
     ) -> None:
-        self.number = number
-        self.request_id = request_id
-        self.message = message
-        self.is_head = is_head
-        self.sent_at = 0.0
-        self.pool = pool
-        self.on_end = on_end
-        self.connection: LeafConnection | None = None
-        self.service = service
-        self.continuation = continuation
-        self.continued = False
+        """Handle the end of a connection, ``broken`` if unexpected."""
 
 
 class LeafConnection(asyncio.Protocol):
@@ -92,7 +57,7 @@
         "_reusable",
     )
 
-    def __init__(self, pool: "LeafPool") -> None:
+    def __init__(self, pool: ConnectionOwner) -> None:
         self.pool = pool
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
--- a/heatherdyke/gateway/leaf_pool.py
+++ b/heatherdyke/gateway/leaf_pool.py
@@ -1,18 +1,15 @@
 """The pool of connections to one leaf."""
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import Protocol
 
-from heatherdyke.gateway.leaf_connection import Attempt
+from heatherdyke.gateway.attempt import Attempt
 from heatherdyke.gateway.leaf_connection import LeafConnection
 from heatherdyke.gateway.leaf_table import Leaf
 from heatherdyke.gateway.messages import AttemptOutcome
 from heatherdyke.gateway.messages import Failure
 from heatherdyke.net.tcp_keepalive import KeepAliveOptions
 
-if TYPE_CHECKING:
-    from heatherdyke.gateway.leaf_pools import LeafPools
-
 CONNECT_TIMEOUT_S = 1.0
 # Connections within a region are accepted much faster, also by slow leafs.
 SLOW_CONNECT_S = 0.1
@@ -25,6 +22,26 @@
 TCP_KEEPALIVE = KeepAliveOptions(idle_s=1, interval_s=1, probes=2)
 
 
+class PoolObserver(Protocol):
+    """Is notified of what a pool learns about its leaf."""
+
+    loop: asyncio.AbstractEventLoop
+
+    def on_connected(self, pool: "LeafPool") -> None:
+        """Handle that the leaf accepted a connection."""
+
+    def on_connect_slow(self, pool: "LeafPool", sent_at: float) -> None:
+        """Handle that the leaf has not yet accepted a connection."""
+
+    def on_connect_failed(
+        self, pool: "LeafPool", error: Exception, sent_at: float
+    ) -> None:
+        """Handle a failed connection attempt."""
+
+    def on_connections_broken(self, pool: "LeafPool") -> None:
+        """Handle that the last connection broke."""
+
+
 class LeafPool:
     """Opens, reuses and closes the connections to a leaf.
 
@@ -36,23 +53,23 @@
         "limit",
         "open_count",
         "closed",
-        "_pools",
+        "_observer",
         "_idle",
         "_tasks",
     )
 
-    def __init__(self, leaf: Leaf, pools: "LeafPools", limit: int) -> None:
+    def __init__(self, leaf: Leaf, observer: PoolObserver, limit: int) -> None:
         self.leaf = leaf
         self.limit = limit
         self.open_count = 0
         self.closed = False
-        self._pools = pools
+        self._observer = observer
         self._idle: list[LeafConnection] = []
         self._tasks: set[asyncio.Task] = set()
 
     def now(self) -> float:
         """Return the event loop's time."""
-        return self._pools.loop.time()
+        return self._observer.loop.time()
 
     def has_capacity(self) -> bool:
         """Return whether a request can be sent without waiting."""
@@ -72,7 +89,7 @@
             connection.send(attempt)
             return
         self.open_count += 1
-        task = self._pools.loop.create_task(self._connect(attempt))
+        task = self._observer.loop.create_task(self._connect(attempt))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -100,7 +117,7 @@
         if connection in self._idle:
             self._idle.remove(connection)
         if broken and self.open_count == 0 and not self.closed:
-            self._pools.on_connections_broken(self)
+            self._observer.on_connections_broken(self)
 
     def close_idle(self, now: float) -> None:
         """Close the connections that the leaf is about to close."""
@@ -144,12 +161,13 @@
     async def _connect(self, attempt: Attempt) -> None:
         address = self.leaf.entry.address
         connection = LeafConnection(self)
-        slow_timer = self._pools.loop.call_later(
-            SLOW_CONNECT_S, self._pools.on_connect_slow, self, attempt.sent_at
+        observer = self._observer
+        slow_timer = observer.loop.call_later(
+            SLOW_CONNECT_S, observer.on_connect_slow, self, attempt.sent_at
         )
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await self._pools.loop.create_connection(
+                await self._observer.loop.create_connection(
                     lambda: connection, address.host, address.port
                 )
         except (OSError, TimeoutError) as error:
@@ -157,14 +175,14 @@
                 self.open_count -= 1
             else:
                 connection.abort()
-            self._pools.on_connect_failed(self, error, attempt.sent_at)
+            self._observer.on_connect_failed(self, error, attempt.sent_at)
             attempt.on_end(
                 attempt, AttemptOutcome(failure=Failure.UNREACHABLE)
             )
             return
         finally:
             slow_timer.cancel()
-        self._pools.on_connected(self)
+        self._observer.on_connected(self)
         TCP_KEEPALIVE.apply(connection.transport.get_extra_info("socket"))
         if attempt.on_end is _ignore:
             self.release_unused(connection)
--- a/heatherdyke/gateway/leaf_pools.py
+++ b/heatherdyke/gateway/leaf_pools.py
@@ -3,12 +3,12 @@
 import asyncio
 from collections.abc import Callable
 
+from heatherdyke.gateway.attempt import Attempt
 from heatherdyke.gateway.connection_share import connection_share
 from heatherdyke.gateway.event_log import EventLog
 from heatherdyke.gateway.events import LEAF_SUSPECTED
 from heatherdyke.gateway.events import LEAF_VERIFIED
 from heatherdyke.gateway.isolation import IsolationDetector
-from heatherdyke.gateway.leaf_connection import Attempt
 from heatherdyke.gateway.leaf_pool import LeafPool
 from heatherdyke.gateway.leaf_table import Leaf
 from heatherdyke.gateway.messages import AttemptOutcome
--- a/heatherdyke/gateway/peer_call.py
+++ b/heatherdyke/gateway/peer_call.py
@@ -10,9 +10,9 @@
 
 import msgspec
 
+from heatherdyke.gateway.attempt import Attempt
 from heatherdyke.gateway.events import GROUP_FAILED
 from heatherdyke.gateway.grouping import Group
-from heatherdyke.gateway.leaf_connection import Attempt
 from heatherdyke.gateway.leaf_table import Leaf
 from heatherdyke.gateway.messages import AttemptOutcome
 from heatherdyke.gateway.peer_messages import REMAINDER_PATH
--- a/heatherdyke/gateway/shard_search.py
+++ b/heatherdyke/gateway/shard_search.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
+from heatherdyke.gateway.attempt import Attempt
 from heatherdyke.gateway.attempt_sender import AttemptSender
-from heatherdyke.gateway.leaf_connection import Attempt
 from heatherdyke.gateway.leaf_table import Leaf
 from heatherdyke.gateway.mechanisms import Mechanism
 from heatherdyke.gateway.messages import AttemptOutcome
