Ask refused clients to return after suspect leafs have been checked

Cause: a refusal for lack of leafs asked to return after 0.15 to 0.45 s, but suspect leafs are checked after 0.25 to 2 s, and a client returns once. Change: 0.4 to 1.2 s, as before at most 0.3 of the client's remaining time. Test: TestLeafsOfManyShardsSuspected.

--- a/heatherdyke/gateway/refusal.py
+++ b/heatherdyke/gateway/refusal.py
@@ -36,7 +36,8 @@
 RETRY_AFTER_S_BY_REASON = {
     RefusalReason.STARTING: 0.5,
     RefusalReason.UNSURE_ROUTE: 0.5,
-    RefusalReason.NO_LEAF: 0.3,
+    # Suspect leafs are checked after 0.25 to 2 s.
+    RefusalReason.NO_LEAF: 0.8,
     RefusalReason.LEAFS_FULL: 0.15,
     RefusalReason.RETRY_BUDGET: 0.15,
     RefusalReason.NO_TIME_LEFT: 0.1,
--- a/tests/test_gateway_load_patterns.py
+++ b/tests/test_gateway_load_patterns.py
@@ -20,6 +20,7 @@
 from heatherdyke.gateway.isolation import IsolationDetector
 from heatherdyke.gateway.leaf_choice import choose_leaf
 from heatherdyke.gateway.leaf_entry import LeafEntry
+from heatherdyke.gateway.leaf_table import SUSPECT_FIRST_S
 from heatherdyke.gateway.leaf_table import LeafTable
 from heatherdyke.gateway.leaf_table import Removal
 from heatherdyke.gateway.messages import ClientRequest
@@ -28,6 +29,8 @@
 from heatherdyke.gateway.peer_messages import SEARCH_PATH
 from heatherdyke.gateway.peer_messages import encode_message
 from heatherdyke.gateway.peers import PEER_SERVICE
+from heatherdyke.gateway.refusal import RefusalReason
+from heatherdyke.gateway.refusal import make_refusal
 from heatherdyke.gateway.routing import Route
 from heatherdyke.gateway.routing import RouteTable
 from heatherdyke.gateway.routing import RoutingConfig
@@ -222,6 +225,19 @@
         assert not isolation.should_be_unready(5.5)
 
 
+class TestLeafsOfManyShardsSuspected:
+    """Many shards have no usable leaf until the next health checks."""
+
+    def test_clients_return_after_the_first_check_of_a_leaf(self):
+        after_s = [
+            make_refusal(
+                RefusalReason.NO_LEAF, CLIENT_WAIT_S, Random(seed)
+            ).retry_after_s
+            for seed in range(100)
+        ]
+        assert min(after_s) > SUSPECT_FIRST_S
+
+
 class TestConnectionsToOtherZoneInUse:
     """No instance of the other zone is usable, connections there hang."""
 
