--- a/heatherdyke/gateway/isolation.py
+++ b/heatherdyke/gateway/isolation.py
@@ -20,11 +20,11 @@
 
 @dataclass(slots=True)
 class IsolationDetector:
-    """Tracks the signs of life of other zones, and refusals.
+    """Tracks the responses of other zones, and refusals.
 
-    Signs are the responses of leafs and instances, and connections that they
-    accept.  ``unready_since`` is when the instance became unready for lack of
-    them, None if it is not; ``update`` keeps it current.
+    A response is one of a leaf or an instance, or a connection that one
+    accepts.  ``unready_since`` is when the instance became unready for lack
+    of responses, None if it is ready; ``update`` keeps it current.
     """
 
     zone: str
@@ -34,7 +34,7 @@
     unready_since: float | None = None
 
     def record_response(self, zone: str, now: float) -> None:
-        """Record a sign of life of a leaf or an instance."""
+        """Record a response of a leaf or an instance."""
         if zone != self.zone:
             self.failures = 0
             self.last_response_at = now
@@ -42,7 +42,7 @@
     def record_failure(self, zone: str, sent_at: float) -> None:
         """Record that a request or a connection attempt failed.
 
-        One sent before the last response is no sign of an isolation.
+        One sent before the last response does not count.
         """
         if zone != self.zone and sent_at >= self.last_response_at:
             self.failures += 1
--- a/heatherdyke/gateway/leaf_pools.py
+++ b/heatherdyke/gateway/leaf_pools.py
@@ -81,6 +81,10 @@
             if leaf.unverified and now >= leaf.suspect_until:
                 self._start_check(pool)
 
+    def check(self, leaf: Leaf) -> None:
+        """Check a leaf's health; without a response it is suspect."""
+        self._start_check(self.of(leaf))
+
     def on_connections_broken(self, pool: LeafPool) -> None:
         """Check a leaf whose last connection broke: it may have restarted."""
         leaf = pool.leaf
--- a/heatherdyke/gateway/leaf_table.py
+++ b/heatherdyke/gateway/leaf_table.py
@@ -199,12 +199,16 @@
     )
 
     def __init__(self, expiry_s: float = 0.0, drain_s: float = 0.0) -> None:
-        self._expiry_s = expiry_s
-        self._drain_s = drain_s
+        self.set_times(expiry_s, drain_s)
         self.leaf_by_id: dict[str, Leaf] = {}
         self.zones_out: frozenset[str] = frozenset()
         self._leafs_by_service: dict[str, list[Leaf]] = {}
 
+    def set_times(self, expiry_s: float, drain_s: float) -> None:
+        """Set how long entries and leaving leafs last."""
+        self._expiry_s = expiry_s
+        self._drain_s = drain_s
+
     def of_service(self, service: str) -> list[Leaf]:
         """Return the leafs of a service, in no particular order."""
         return self._leafs_by_service.get(service, [])
--- a/heatherdyke/gateway/process.py
+++ b/heatherdyke/gateway/process.py
@@ -208,6 +208,7 @@
                 self._reload_state(paused_s)
             shared.pools.maintain(now)
             shared.peers.pools.maintain(now)
+            shared.check_unreachable_zones()
             self._client_api.maintain(now)
             self._state_updater.expire_absent_leafs(now)
             self._log_isolation(now)
--- a/heatherdyke/gateway/refusal.py
+++ b/heatherdyke/gateway/refusal.py
@@ -64,8 +64,9 @@
     earlier retry than ``min_after_s`` is known to be refused too.
     """
     base_s = RETRY_AFTER_S_BY_REASON.get(reason, 0.3)
-    after_s = base_s * (1.0 + JITTER * (2.0 * random.random() - 1.0))
-    after_s = max(after_s, min_after_s)
+    spread = JITTER * random.random()
+    after_s = base_s * (1.0 - JITTER + 2.0 * spread)
+    after_s = max(after_s, min_after_s + base_s * spread)
     if remaining_s is not None:
         after_s = min(after_s, MAX_REMAINING_SHARE * remaining_s)
     after_s = max(MIN_RETRY_AFTER_S, after_s)
--- a/heatherdyke/gateway/shared_state.py
+++ b/heatherdyke/gateway/shared_state.py
@@ -69,11 +69,8 @@
         self.metrics = Metrics()
         self.random = random
         self.routes: RouteTable | None = None
-        keeps_live_leafs = self.has(Mechanism.LIVE_LEAFS)
-        self.leafs = LeafTable(
-            settings.entry_expiry_s if keeps_live_leafs else 0.0,
-            settings.bounds.drain_s,
-        )
+        self.leafs = LeafTable()
+        self._set_leaf_times()
         self.isolation = IsolationDetector(settings.zone)
         self.pools = LeafPools(loop, log, self.isolation, self.service)
         self.peers = Peers(
@@ -118,6 +115,14 @@
         self.budget.set_bounds(
             bounds.retry_share, bounds.retry_slack, bounds.retry_window_s
         )
+        self._set_leaf_times()
+
+    def _set_leaf_times(self) -> None:
+        keeps_live_leafs = self.has(Mechanism.LIVE_LEAFS)
+        self.leafs.set_times(
+            self.settings.entry_expiry_s if keeps_live_leafs else 0.0,
+            self.settings.bounds.drain_s,
+        )
 
     def set_instances(self, entries: list[LeafEntry]) -> None:
         """Update the peers and this instance's share of fleet-wide limits."""
@@ -179,6 +184,18 @@
         zones.discard(self.settings.zone)
         return zones
 
+    def check_unreachable_zones(self) -> None:
+        """Check a leaf of each unreachable zone, as none gets requests."""
+        now = self.loop.time()
+        for zone in self.unreachable_zones(self.peers.zones()):
+            leafs = [
+                leaf
+                for leaf in self.leafs.leaf_by_id.values()
+                if leaf.entry.zone == zone and leaf.is_usable(now)
+            ]
+            if leafs:
+                self.pools.check(self.random.choice(leafs))
+
     def zones_with_leaf(
         self,
         service: str,
--- a/tests/test_gateway_load_patterns.py
+++ b/tests/test_gateway_load_patterns.py
@@ -205,6 +205,29 @@
 
         with_shared(scenario)
 
+    def test_they_do_not_all_return_at_the_same_time(self):
+        after_s = {
+            make_refusal(
+                RefusalReason.NO_LEAF, 60.0, Random(seed), BALANCER_REACTION_S
+            ).retry_after_s
+            for seed in range(20)
+        }
+        assert min(after_s) >= BALANCER_REACTION_S
+        assert max(after_s) - min(after_s) > 0.2
+
+    def test_a_leaf_of_the_zone_is_checked_while_none_gets_requests(self):
+        """The instances there may all have ended while leafs respond."""
+
+        def scenario(shared: SharedState) -> None:
+            add_leafs(shared, dict.fromkeys(SHARDS, OTHER_ZONE))
+            shared.check_unreachable_zones()
+            assert requests_in_flight(shared) == 0
+            lose_other_zone(shared)
+            shared.check_unreachable_zones()
+            assert requests_in_flight(shared) == 1
+
+        with_shared(scenario)
+
     def test_a_response_ends_the_refusals(self):
         def scenario(shared: SharedState) -> None:
             add_leafs(shared, dict.fromkeys(SHARDS, OTHER_ZONE))
