--- a/heatherdyke/gateway/leaf_choice.py
+++ b/heatherdyke/gateway/leaf_choice.py
@@ -21,7 +21,7 @@
 # Traffic between zones is billed; a leaf of the own zone may be this much
 # slower, in seconds and in median times.
 CROSS_ZONE_COST_S = 0.004
-CROSS_ZONE_COST_FACTOR = 1.0
+CROSS_ZONE_COST_FACTOR = 0.3
 
 # Returns the seconds that a property of the leaf adds to a request's expected
 # time, from the leaf, the own zone, the median time of such requests and now.
