--- a/tests/test_gateway_load_patterns.py
+++ b/tests/test_gateway_load_patterns.py
@@ -154,13 +154,13 @@
             table.apply(entry(f"x-{zone}", zone=zone, slots=2), 0.0)
         return table
 
-    def test_a_request_in_flight_sends_the_next_to_the_other_zone(self):
-        """Others may use the leaf's other slot, and its queue is slow."""
+    def test_a_leaf_with_both_slots_in_use_gets_no_third_request(self):
         table = self.leafs()
         near = table.leaf_by_id["x-a"]
         leafs = table.of_service("s")
         assert choose_leaf(leafs, (), "a", MEDIAN_S, 1.0) is near
         near.start(1, 1.0)
+        near.start(2, 1.0)
         assert choose_leaf(leafs, (), "a", MEDIAN_S, 1.0) is not near
 
     def test_a_leaf_that_is_much_slower_is_avoided(self):
