--- a/heatherdyke/platform/bench_report.py
+++ b/heatherdyke/platform/bench_report.py
@@ -6,8 +6,7 @@
 import msgspec
 
 from heatherdyke.errors import UnreadableObject
-
-WHOLE_DAY = "whole day"
+from heatherdyke.platform.bench_journal import WHOLE_DAY
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherdyke_bench/__main__.py
+++ b/heatherdyke_bench/__main__.py
@@ -12,6 +12,7 @@
 from heatherdyke.errors import HeatherdykeError
 from heatherdyke.gateway.mechanisms import Mechanism
 from heatherdyke.gateway.mechanisms import parse_mechanisms
+from heatherdyke.platform.bench_journal import read_runs
 from heatherdyke_bench.ablation import Ablation
 from heatherdyke_bench.ablation import Play
 from heatherdyke_bench.ablation import format_effects
@@ -28,6 +29,9 @@
 from heatherdyke_bench.scenario import scenario_names
 from heatherdyke_bench.score_history import plot_history
 from heatherdyke_bench.score_history import read_scores
+from heatherdyke_bench.trials import compare_trials
+from heatherdyke_bench.trials import days_of
+from heatherdyke_bench.trials import format_changes
 
 BASELINE = Policy("baseline", "home-routing,replica-choice,hedging,cold-ramp")
 FULL = Policy("full")
@@ -66,6 +70,23 @@
     typer.echo(f"plotted {len(runs)} scored runs of {site} to {plot}")
 
 
+@app.command()
+def trials(
+    before: Annotated[str, typer.Argument(help="A trial's name.")],
+    after: Annotated[str, typer.Argument(help="Another trial's name.")],
+    site: Annotated[str, typer.Option(help="The site's name.")],
+    journal: Annotated[
+        Path, typer.Option(help="Directory of the journal entries.")
+    ] = Path("journal"),
+) -> None:
+    """Compare two trials by the days that both played."""
+    runs, _ = read_runs(journal)
+    labels, changes = compare_trials(
+        days_of(runs, before, site), days_of(runs, after, site)
+    )
+    typer.echo(format_changes(labels, changes))
+
+
 @app.command()
 def lost(
     logs: Annotated[list[Path], typer.Argument(help="Gateway logs.")],
--- a/heatherdyke_bench/ablation.py
+++ b/heatherdyke_bench/ablation.py
@@ -23,6 +23,7 @@
 DEPLOY_FILE = Path("deploy/system.toml")
 # The program's libraries, which the build would otherwise install again.
 BUILD_DIRECTORY = "target"
+JOURNAL_DIRECTORY = "journal"
 ROLE_HEADER = "[roles.gateway]\n"
 
 
@@ -93,6 +94,8 @@
             for mechanism in (None, *self._mechanisms)
         ]
         baseline, *others = await asyncio.gather(*tasks)
+        for mechanism in (None, *self._mechanisms):
+            collect_journal(self._work / _name(mechanism), self._tree)
         sites = list(dict.fromkeys(play.site for play in self._plays))
         return [
             effect_of(mechanism, site.stem, baseline, reports)
@@ -105,7 +108,7 @@
     async def _play_all(
         self, mechanism: Mechanism | None
     ) -> dict[Play, DayReport]:
-        name = mechanism.value if mechanism is not None else "all"
+        name = _name(mechanism)
         tree = self._work / name
         copy_tree(self._tree, tree, mechanism)
         reports = await asyncio.gather(
@@ -167,7 +170,7 @@
 def copy_tree(tree: Path, to: Path, mechanism: Mechanism | None) -> None:
     """Copy the tracked files and the build; disable the mechanism."""
     listed = subprocess.run(
-        ["git", "ls-files", "-z", "--", ":!journal"],
+        ["git", "ls-files", "-z", "--", f":!{JOURNAL_DIRECTORY}"],
         cwd=tree,
         capture_output=True,
         check=True,
@@ -183,6 +186,24 @@
         deploy.write_text(disable_in(deploy.read_text(), mechanism))
 
 
+def collect_journal(copy: Path, tree: Path) -> None:
+    """Copy the entries that the bench wrote in a copy to the tree's journal.
+
+    Entries of runs that have not ended must not be copied: the bench writes
+    an entry at the start of a run and completes it at the end.
+    """
+    source = copy / JOURNAL_DIRECTORY
+    for entry in source.rglob("*"):
+        to = tree / JOURNAL_DIRECTORY / entry.relative_to(source)
+        if entry.is_file() and not to.exists():
+            to.parent.mkdir(parents=True, exist_ok=True)
+            shutil.copy(entry, to)
+
+
+def _name(mechanism: Mechanism | None) -> str:
+    return mechanism.value if mechanism is not None else "all"
+
+
 def disable_in(deploy: str, mechanism: Mechanism) -> str:
     """Return the deploy file's text with the mechanism disabled."""
     env = f"env = {{ {DISABLE_VARIABLE} = {json.dumps(mechanism.value)} }}\n"
--- a/heatherdyke_bench/errors.py
+++ b/heatherdyke_bench/errors.py
@@ -16,6 +16,13 @@
     exit_code = 2
 
 
+class TrialError(HeatherdykeError):
+    """The journal lacks a trial, or two trials have no day in common."""
+
+    kind = "trial"
+    exit_code = 2
+
+
 class LogError(HeatherdykeError):
     """A log file cannot be read or has no entries."""
 
