--- a/heatherdyke/search/scatter_gather.py
+++ b/heatherdyke/search/scatter_gather.py
@@ -1,7 +1,6 @@
 """Executes one search: sends parts to homes and collects the answers."""
 
 import asyncio
-from dataclasses import dataclass
 
 from heatherdyke.errors import ConnectionRefused
 from heatherdyke.errors import DeadlineExceeded
@@ -13,12 +12,13 @@
 from heatherdyke.messages import PartRequest
 from heatherdyke.messages import PartState
 from heatherdyke.messages import PeerCancel
-from heatherdyke.messages import PeerParts
 from heatherdyke.messages import PeerSearch
 from heatherdyke.messages import SearchRequest
 from heatherdyke.search.context import SearchContext
 from heatherdyke.search.coverage import CoverageTracker
 from heatherdyke.search.merge import merge_items
+from heatherdyke.search.part_group import GroupResponse
+from heatherdyke.search.part_group import PartGroup
 from heatherdyke.search.plan import SearchPlan
 from heatherdyke.search.plan import find_child_leaves
 from heatherdyke.search.shard_attempts import ShardAttempts
@@ -37,30 +37,6 @@
 )
 
 
-@dataclass(slots=True, eq=False)
-class PartGroup:
-    """Parts sent to one home.
-
-    ``pending_leaf_by_shard`` holds those that are not answered yet.
-    """
-
-    address: str | None
-    pending_leaf_by_shard: dict[str, str]
-    restart_number: int
-    hedge_at: float
-    hedged: bool = False
-    has_response: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class GroupResponse:
-    """A message from a group's home, or the error of its connection."""
-
-    group: PartGroup
-    parts: PeerParts | None
-    error: TransportError | None = None
-
-
 class ScatterGather:
     """Executes one search until it is complete, sufficient or late.
 
--- a/heatherdyke_models/handover.py
+++ b/heatherdyke_models/handover.py
@@ -18,63 +18,33 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from dataclasses import replace
-from functools import cache
 from functools import lru_cache
-from typing import Any
 
 from minicheck import Protocol
 from minicheck import check_safety
 
 from heatherdyke.membership.home_lease import HomeLease
 from heatherdyke.membership.lease_snapshot import LeaseSnapshot
-from heatherdyke.membership.lease_timing import LeaseTiming
 from heatherdyke.membership.messages import GoneProof
 from heatherdyke.membership.messages import Member
 from heatherdyke.membership.messages import Roster
 from heatherdyke.membership.rendezvous import rank
 from heatherdyke.membership.roster import prune_history
 from heatherdyke.membership.roster import replace_members
+from heatherdyke_models.handover_state import LONG_TICKS
+from heatherdyke_models.handover_state import SHORT_TICKS
+from heatherdyke_models.handover_state import STALE_AGE
+from heatherdyke_models.handover_state import TIMING
+from heatherdyke_models.handover_state import Node
+from heatherdyke_models.handover_state import Reply
+from heatherdyke_models.handover_state import State
+from heatherdyke_models.handover_state import aged
+from heatherdyke_models.handover_state import replace_node
 
 ZONE = "zone"
 LEAF = "leaf"
 # The times of a state are relative to now.
 NOW = 0.0
-SHORT_TICKS = 1
-LONG_TICKS = 2
-TIMING = LeaseTiming(
-    lease_s=1.0,
-    short_work_s=float(SHORT_TICKS),
-    max_work_s=float(LONG_TICKS),
-    transit_s=0.0,
-    drift=0.0,
-)
-STALE_AGE = int(TIMING.lease_s) + 1
-
-
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """A reply of the platform or a peer in flight.
-
-    ``age`` is the ticks since the roster was confirmed; for a reply of the
-    platform, since the request.
-    """
-
-    version: int
-    roster: Roster
-    age: int
-
-
-@dataclass(frozen=True, slots=True)
-class Node:
-    """One instance: its lease state, a reply in flight, and its work.
-
-    ``work`` holds the remaining ticks of each request at the leaf.
-    """
-
-    view: LeaseSnapshot
-    reply: Reply | None = None
-    work: tuple[int, ...] = ()
-    alive: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,8 +67,6 @@
     guard: bool = True
 
 
-# The platform's roster version and roster, then one Node per instance.
-State = tuple[Any, ...]
 Steps = list[tuple[str, State]]
 
 
@@ -152,7 +120,7 @@
                 sent = replace(node, work=work, view=view)
                 yield (
                     f"{name} sends {ticks}",
-                    _replace_node(state, index, sent),
+                    replace_node(state, index, sent),
                 )
             if not self.bounds.long_work:
                 break
@@ -169,7 +137,7 @@
         crash_count = sum(not other.alive for other in state[2:])
         if crash_count < self.bounds.crashes:
             crashed = replace(node, alive=False, reply=None)
-            yield f"{name} crashes", _replace_node(state, index, crashed)
+            yield f"{name} crashes", replace_node(state, index, crashed)
 
     def _requests(self, state: State, index: int) -> Iterator:
         """Yield the roster requests that the instance may send."""
@@ -178,7 +146,7 @@
         requested = replace(node, reply=Reply(state[0], state[1], 0))
         yield (
             f"{name} requests the roster of the platform",
-            _replace_node(state, index, requested),
+            replace_node(state, index, requested),
         )
         for other, peer in enumerate(state[2:]):
             if other == index or not peer.alive:
@@ -188,7 +156,7 @@
             reply = Reply(peer.view.version, peer.view.roster, age)
             requested = replace(node, reply=reply)
             label = f"{name} requests the roster of {self.members[other].name}"
-            yield label, _replace_node(state, index, requested)
+            yield label, replace_node(state, index, requested)
 
     def _receive_reply(self, state: State, index: int) -> State:
         node: Node = state[2 + index]
@@ -198,7 +166,7 @@
         if reply.version == lease.version:
             lease.record_confirmation(reply.roster.generation, NOW - reply.age)
         updated = replace(node, view=LeaseSnapshot.of(lease, NOW), reply=None)
-        return _replace_node(state, index, updated)
+        return replace_node(state, index, updated)
 
     def _roster_changes(self, state: State, index: int) -> Iterator:
         """Yield roster changes that the instance may make."""
@@ -245,7 +213,7 @@
         lease.apply_roster(version, roster, NOW)
         lease.record_confirmation(roster.generation, NOW)
         changed = replace(node, view=LeaseSnapshot.of(lease, NOW))
-        return _replace_node((version, roster, *state[2:]), index, changed)
+        return replace_node((version, roster, *state[2:]), index, changed)
 
     def _peer_reports(self, state: State, index: int) -> Iterator:
         """Yield the states after a message of each peer."""
@@ -266,7 +234,7 @@
                 names = self.members[index].name, self.members[other].name
                 yield (
                     f"{names[0]} {label} {names[1]}",
-                    _replace_node(state, index, replace(node, view=view)),
+                    replace_node(state, index, replace(node, view=view)),
                 )
 
     def _record_settled(
@@ -312,7 +280,7 @@
         )
 
     def _tick(self, state: State) -> State:
-        return (*state[:2], *(_aged(node) for node in state[2:]))
+        return (*state[:2], *(aged(node) for node in state[2:]))
 
     def _names(self) -> tuple[str, ...]:
         return tuple(member.name for member in self.members)
@@ -323,42 +291,6 @@
     return check_safety(Handover(bounds).protocol(), max_states)
 
 
-def _replace_node(state: State, index: int, node: Node) -> State:
-    return (*state[: 2 + index], node, *state[3 + index :])
-
-
-@cache
-def _aged(node: Node) -> Node:
-    work = tuple(ticks - 1 for ticks in node.work if ticks > 1)
-    reply = node.reply
-    if reply is not None:
-        age = min(reply.age + 1, STALE_AGE)
-        reply = replace(reply, age=age)
-    view = _aged_view(node.view)
-    if not work:
-        view = replace(view, busy_generations=())
-    return replace(node, work=work, reply=reply, view=view)
-
-
-def _aged_view(view: LeaseSnapshot) -> LeaseSnapshot:
-    age_s = view.confirmed_age_s
-    if age_s is not None:
-        age_s = age_s + 1 if age_s + 1 <= TIMING.lease_s else None
-    longest_s = TIMING.wait_s(TIMING.max_work_s)
-    return replace(
-        view,
-        confirmed_age_s=age_s,
-        superseded_age_s=tuple(
-            (number, min(age + 1, TIMING.expiry_wait_s))
-            for number, age in view.superseded_age_s
-        ),
-        gone=tuple(
-            replace(gone, age_s=min(gone.age_s + 1, longest_s))
-            for gone in view.gone
-        ),
-    )
-
-
 def _members(order: tuple[int, ...]) -> tuple[Member, ...]:
     """Return members whose ranks for the leaf are those in ``order``."""
     unordered = [
--- a/tests/test_gateway_config_activation.py
+++ b/tests/test_gateway_config_activation.py
@@ -100,16 +100,19 @@
 class TestMissedVersion:
     """The connection to the store is open but delivers nothing."""
 
+    def updater(self, relists: list[int]) -> StateUpdater:
+        """Return an updater with version 4; relisting adds to the list."""
+        loop = asyncio.get_running_loop()
+        shared = SharedState(SETTINGS, loop, EventLog(loop.time), Random(1))
+        shared.routes = RouteTable(config(4, OLD))
+        updater = StateUpdater(shared)
+        updater.relist_config = lambda: relists.append(1)
+        return updater
+
     def relists_after(self, versions: list[int], received: int = 0) -> int:
         async def main() -> int:
-            loop = asyncio.get_running_loop()
-            shared = SharedState(
-                SETTINGS, loop, EventLog(loop.time), Random(1)
-            )
-            shared.routes = RouteTable(config(4, OLD))
-            updater = StateUpdater(shared)
-            relists = []
-            updater.relist_config = lambda: relists.append(1)
+            relists: list[int] = []
+            updater = self.updater(relists)
             for version in versions:
                 updater.on_peer_config_version(version)
             if received:
@@ -126,14 +129,8 @@
 
     def test_relists_once_within_the_minimum_interval(self):
         async def main() -> int:
-            loop = asyncio.get_running_loop()
-            shared = SharedState(
-                SETTINGS, loop, EventLog(loop.time), Random(1)
-            )
-            shared.routes = RouteTable(config(4, OLD))
-            updater = StateUpdater(shared)
-            relists = []
-            updater.relist_config = lambda: relists.append(1)
+            relists: list[int] = []
+            updater = self.updater(relists)
             for _ in range(20):
                 updater.on_peer_config_version(5)
                 await asyncio.sleep(0.08)
