Parse the names of mechanisms in one place

Cause: the product's flag and the gateway's variable were parsed by the same lines in two modules. Change: one function for both. Result: the errors name the same values.

--- a/heatherdyke/gateway/mechanisms.py
+++ b/heatherdyke/gateway/mechanisms.py
@@ -3,6 +3,7 @@
 from enum import Enum
 
 from heatherdyke.errors import SettingsError
+from heatherdyke.mechanisms import parse_mechanisms
 
 DISABLE_VARIABLE = "HEATHERDYKE_DISABLE"
 
@@ -40,18 +41,10 @@
     CONFIG_HOLD = "config-hold"
 
 
-def parse_mechanisms(text: str) -> frozenset[Mechanism]:
-    """Parse comma-separated names; raises SettingsError for an unknown one."""
-    mechanisms = set()
-    faults = []
-    for name in filter(None, text.split(",")):
-        try:
-            mechanisms.add(Mechanism(name))
-        except ValueError:
-            known = ", ".join(m.value for m in Mechanism)
-            faults.append(
-                f"{DISABLE_VARIABLE}: {name!r} is unknown: use one of {known}"
-            )
+def parse_disabled(text: str) -> frozenset[Mechanism]:
+    """Parse comma-separated names; raises SettingsError for unknown ones."""
+    faults: list[str] = []
+    mechanisms = parse_mechanisms(Mechanism, DISABLE_VARIABLE, text, faults)
     if faults:
         raise SettingsError(faults)
-    return frozenset(mechanisms)
+    return mechanisms
--- a/heatherdyke/gateway/run.py
+++ b/heatherdyke/gateway/run.py
@@ -7,7 +7,7 @@
 from heatherdyke.errors import SettingsError
 from heatherdyke.gateway.event_log import write_events_to_stdout
 from heatherdyke.gateway.mechanisms import DISABLE_VARIABLE
-from heatherdyke.gateway.mechanisms import parse_mechanisms
+from heatherdyke.gateway.mechanisms import parse_disabled
 from heatherdyke.gateway.process import GatewayProcess
 from heatherdyke.platform.settings import load_settings
 from heatherdyke.platform.settings import settings_path
@@ -17,7 +17,7 @@
     """Run a gateway with the settings file until it is stopped."""
     path = settings_path()
     settings = load_settings(path)
-    disabled = parse_mechanisms(os.environ.get(DISABLE_VARIABLE, ""))
+    disabled = parse_disabled(os.environ.get(DISABLE_VARIABLE, ""))
     write_events_to_stdout(settings.name)
     loop = asyncio.get_running_loop()
     process = GatewayProcess.from_settings(
--- a/heatherdyke/mechanisms.py
+++ b/heatherdyke/mechanisms.py
@@ -1,6 +1,9 @@
 """Mechanisms that tests and comparisons can disable."""
 
 from enum import Enum
+from typing import TypeVar
+
+_KindT = TypeVar("_KindT", bound=Enum)
 
 
 class Mechanism(Enum):
@@ -28,3 +31,21 @@
     ADMISSION = "admission"
     SPENDING = "spending"
     SILENCE_TIMEOUT = "silence-timeout"
+
+
+def parse_mechanisms(
+    kind: type[_KindT], option: str, text: str, faults: list[str]
+) -> frozenset[_KindT]:
+    """Parse comma-separated names of mechanisms.
+
+    Unknown names are added to ``faults`` with the known ones; ``option`` is
+    the flag or variable that holds them.
+    """
+    mechanisms = set()
+    for name in filter(None, text.split(",")):
+        try:
+            mechanisms.add(kind(name))
+        except ValueError:
+            known = ", ".join(mechanism.value for mechanism in kind)
+            faults.append(f"{option} {name!r} is unknown: use one of {known}")
+    return frozenset(mechanisms)
--- a/heatherdyke/settings.py
+++ b/heatherdyke/settings.py
@@ -6,6 +6,7 @@
 
 from heatherdyke.errors import SettingsError
 from heatherdyke.mechanisms import Mechanism
+from heatherdyke.mechanisms import parse_mechanisms
 from heatherdyke.net.address import split_address
 from heatherdyke.observe.event_registry import Severity
 from heatherdyke.peers.key import MIN_SECRET_CHARACTERS
@@ -101,7 +102,7 @@
                 f"--log-level {values['log_level']!r} is unknown: use one of "
                 f"{known}"
             )
-        mechanisms = _parse_mechanisms(disabled, faults)
+        mechanisms = parse_mechanisms(Mechanism, "--disable", disabled, faults)
         if faults:
             raise SettingsError(faults)
         return cls(
@@ -130,14 +131,3 @@
         faults.append(
             f"--{name} {host!r} is not an IP address: write it as 127.0.0.1"
         )
-
-
-def _parse_mechanisms(text: str, faults: list[str]) -> frozenset[Mechanism]:
-    mechanisms = set()
-    for name in filter(None, text.split(",")):
-        try:
-            mechanisms.add(Mechanism(name))
-        except ValueError:
-            known = ", ".join(m.value for m in Mechanism)
-            faults.append(f"--disable {name!r} is unknown: use one of {known}")
-    return frozenset(mechanisms)
--- a/heatherdyke_bench/__main__.py
+++ b/heatherdyke_bench/__main__.py
@@ -11,7 +11,7 @@
 from heatherdyke.codec import encode
 from heatherdyke.errors import HeatherdykeError
 from heatherdyke.gateway.mechanisms import Mechanism
-from heatherdyke.gateway.mechanisms import parse_mechanisms
+from heatherdyke.gateway.mechanisms import parse_disabled
 from heatherdyke.platform.bench_journal import read_runs
 from heatherdyke_bench.ablation import Ablation
 from heatherdyke_bench.ablation import Play
@@ -117,7 +117,7 @@
     jobs: Annotated[int, typer.Option(help="Days played at a time.")] = 2,
 ) -> None:
     """Print what each mechanism of the gateway is worth at each site."""
-    chosen = parse_mechanisms(mechanisms) or frozenset(Mechanism)
+    chosen = parse_disabled(mechanisms) or frozenset(Mechanism)
     ablation = Ablation(
         bench,
         Path.cwd(),
--- a/tests/test_gateway_mechanisms.py
+++ b/tests/test_gateway_mechanisms.py
@@ -13,7 +13,7 @@
 from heatherdyke.gateway.leaf_table import LeafTable
 from heatherdyke.gateway.mechanisms import DISABLE_VARIABLE
 from heatherdyke.gateway.mechanisms import Mechanism
-from heatherdyke.gateway.mechanisms import parse_mechanisms
+from heatherdyke.gateway.mechanisms import parse_disabled
 from heatherdyke.platform.bench_report import DayReport
 from heatherdyke.platform.bench_report import read_day_report
 from heatherdyke_bench.ablation import Ablation
@@ -26,17 +26,17 @@
 MEDIAN_S = 0.02
 
 
-class TestParseMechanisms:
+class TestParseDisabled:
     def test_names_are_separated_by_commas(self):
-        assert parse_mechanisms("hedging,groups") == {
+        assert parse_disabled("hedging,groups") == {
             Mechanism.HEDGING,
             Mechanism.GROUPS,
         }
-        assert parse_mechanisms("") == frozenset()
+        assert parse_disabled("") == frozenset()
 
     def test_an_unknown_name_is_rejected_with_the_known_ones(self):
         with pytest.raises(SettingsError, match="'hedgin' .* use one of hed"):
-            parse_mechanisms("hedgin,groups")
+            parse_disabled("hedgin,groups")
 
 
 class TestDisabledCosts:
