--- a/tests/test_gateway_load_patterns.py
+++ b/tests/test_gateway_load_patterns.py
@@ -6,6 +6,7 @@
 import asyncio
 from dataclasses import replace
 from random import Random
+from unittest import mock
 
 from gateway_entries import ADDRESS
 from gateway_entries import SETTINGS
@@ -20,6 +21,7 @@
 from heatherdyke.gateway.isolation import IsolationDetector
 from heatherdyke.gateway.leaf_choice import choose_leaf
 from heatherdyke.gateway.leaf_entry import LeafEntry
+from heatherdyke.gateway.leaf_pool import SLOW_CONNECT_S
 from heatherdyke.gateway.leaf_table import SUSPECT_FIRST_S
 from heatherdyke.gateway.leaf_table import LeafTable
 from heatherdyke.gateway.leaf_table import Removal
@@ -135,6 +137,11 @@
     asyncio.run(main())
 
 
+async def hang(*arguments, **options) -> None:
+    """Connect to an address whose packets are dropped."""
+    await asyncio.sleep(CLIENT_WAIT_S)
+
+
 def lose_other_zone(shared: SharedState) -> None:
     """Record what is noticed while the other zone drops all packets."""
     now = shared.loop.time()
@@ -244,6 +251,30 @@
 
         with_shared(scenario)
 
+    def test_hanging_connections_count_before_they_time_out(self):
+        async def main() -> int:
+            loop = asyncio.get_running_loop()
+            shared = make_shared(loop)
+            add_leafs(shared, dict.fromkeys(SHARDS, OTHER_ZONE))
+            for leaf in shared.leafs.leaf_by_id.values():
+                shared.pools.check(leaf)
+            await asyncio.sleep(1.5 * SLOW_CONNECT_S)
+            return shared.isolation.failures
+
+        with mock.patch.object(
+            asyncio.BaseEventLoop, "create_connection", hang
+        ):
+            assert asyncio.run(main()) == len(SHARDS)
+
+    def test_instances_that_do_not_continue_a_group_count(self):
+        def scenario(shared: SharedState) -> None:
+            (peer,) = shared.peers._table.of_service(PEER_SERVICE)
+            pool = shared.peers.pools.of(peer)
+            shared.peers.pools.on_silent(pool, shared.loop.time())
+            assert shared.isolation.failures == 1
+
+        with_shared(scenario)
+
     def test_late_failures_of_requests_sent_in_the_cut_do_not_count(self):
         """After the cut its requests still time out one by one."""
         isolation = IsolationDetector(OWN_ZONE)
