--- a/heatherdyke/gateway/attempt_sender.py
+++ b/heatherdyke/gateway/attempt_sender.py
@@ -151,6 +151,9 @@
         record_outcome(leaf, self.latency, attempt, outcome, now)
         if outcome.response is not None:
             self.shared.isolation.record_response(leaf.entry.zone, now)
+            self.shared.pools.record_rate(
+                leaf, outcome.response, attempt.sent_at
+            )
         elif outcome.failure is Failure.BROKEN:
             self.shared.isolation.record_failure(
                 leaf.entry.zone, attempt.sent_at
--- a/heatherdyke/gateway/events.py
+++ b/heatherdyke/gateway/events.py
@@ -258,6 +258,26 @@
         "If it had not begun, this instance queried the shards itself.",
     )
 )
+LEAF_RATE_LIMITED = register(
+    EventKind(
+        7208,
+        "leaf_rate_limited",
+        Severity.WARNING,
+        "A leaf states how many requests per second it accepts from all "
+        "instances together.",
+        ("leaf", "service", "rate"),
+        "If the other leafs of the service cannot serve its load, add leafs.",
+    )
+)
+LEAF_RATE_UNLIMITED = register(
+    EventKind(
+        7209,
+        "leaf_rate_unlimited",
+        Severity.INFO,
+        "A leaf no longer states a limit.",
+        ("leaf", "service", "limited_s"),
+    )
+)
 STORE_LOST = register(
     EventKind(
         7601,
--- a/heatherdyke/gateway/leaf_connection.py
+++ b/heatherdyke/gateway/leaf_connection.py
@@ -211,6 +211,8 @@
                 response.leaf_id = value
             elif lower == names.COLD_REMAINING:
                 response.cold_s = names.parse_milliseconds(value) or 0.0
+            elif lower == names.RATE_LIMIT:
+                response.rate_limit = names.parse_rate(value)
         if response.status == 421:
             response.not_run = True
         return response
--- a/heatherdyke/gateway/leaf_pools.py
+++ b/heatherdyke/gateway/leaf_pools.py
@@ -6,16 +6,22 @@
 from heatherdyke.gateway.attempt import Attempt
 from heatherdyke.gateway.connection_share import connection_share
 from heatherdyke.gateway.event_log import EventLog
+from heatherdyke.gateway.events import LEAF_RATE_LIMITED
+from heatherdyke.gateway.events import LEAF_RATE_UNLIMITED
 from heatherdyke.gateway.events import LEAF_SUSPECTED
 from heatherdyke.gateway.events import LEAF_VERIFIED
 from heatherdyke.gateway.isolation import IsolationDetector
 from heatherdyke.gateway.leaf_pool import LeafPool
+from heatherdyke.gateway.leaf_rate_limit import LeafRateLimiter
 from heatherdyke.gateway.leaf_table import Leaf
 from heatherdyke.gateway.messages import AttemptOutcome
+from heatherdyke.gateway.messages import LeafResponse
 from heatherdyke.gateway.routing import Service
 from heatherdyke.platform.headers import EXPECTED_LEAF
 
 CHECK_TIMEOUT_S = 1.0
+# Another leaf answers at the address.
+STATUS_MISDIRECTED = 421
 
 
 class LeafPools:
@@ -23,6 +29,7 @@
 
     __slots__ = (
         "loop",
+        "rates",
         "_log",
         "_isolation",
         "_instances",
@@ -40,6 +47,7 @@
         service_of: Callable[[str], Service],
     ) -> None:
         self.loop = loop
+        self.rates = LeafRateLimiter()
         self._log = log
         self._isolation = isolation
         self._instances = 0
@@ -73,6 +81,7 @@
         if pool is not None:
             pool.close()
         self._leafs_in_check.discard(leaf)
+        self.rates.forget(leaf.leaf_id)
 
     def maintain(self, now: float) -> None:
         """Close connections idle too long; repeat checks of suspect leafs."""
@@ -85,6 +94,36 @@
         """Check a leaf's health; without a response it is suspect."""
         self._start_check(self.of(leaf))
 
+    def record_rate(
+        self, leaf: Leaf, response: LeafResponse, sent_at: float
+    ) -> None:
+        """Record the rate that a leaf's response states, or states no more.
+
+        Only a success shows that a rate has ended: a failure may come from
+        something between the leaf and this instance.
+        """
+        if response.status == STATUS_MISDIRECTED:
+            return
+        now = self.loop.time()
+        rate = response.rate_limit
+        if rate is not None:
+            if self.rates.record_limit(leaf.leaf_id, rate, now):
+                self._log.record(
+                    LEAF_RATE_LIMITED,
+                    leaf=leaf.leaf_id,
+                    service=leaf.entry.service,
+                    rate=rate,
+                )
+        elif response.is_signed_success:
+            limited_s = self.rates.record_no_limit(leaf.leaf_id, sent_at, now)
+            if limited_s is not None:
+                self._log.record(
+                    LEAF_RATE_UNLIMITED,
+                    leaf=leaf.leaf_id,
+                    service=leaf.entry.service,
+                    limited_s=round(limited_s, 3),
+                )
+
     def on_connections_broken(self, pool: LeafPool) -> None:
         """Check a leaf whose last connection broke: it may have restarted."""
         leaf = pool.leaf
@@ -167,6 +206,8 @@
             return
         self._isolation.record_response(leaf.entry.zone, now)
         own_id = response.leaf_id == leaf.leaf_id.encode()
+        if own_id:
+            self.record_rate(leaf, response, attempt.sent_at)
         if response.leaf_id is not None and not own_id:
             leaf.misdirected = True
         elif response.status == 200 and own_id:
--- a/heatherdyke/gateway/messages.py
+++ b/heatherdyke/gateway/messages.py
@@ -41,7 +41,9 @@
     """A complete response of a leaf.
 
     ``signature`` proves that the response comes from the leaf; ``not_run``
-    is the leaf's statement that it did not run the request.
+    is the leaf's statement that it did not run the request.  ``rate_limit``
+    is how many requests per second it accepts from all instances, None if it
+    states no limit.
     """
 
     status: int
@@ -52,6 +54,7 @@
     has_content_encoding: bool = False
     leaf_id: bytes | None = None
     cold_s: float = 0.0
+    rate_limit: float | None = None
 
     @property
     def is_signed_success(self) -> bool:
--- a/heatherdyke/platform/headers.py
+++ b/heatherdyke/platform/headers.py
@@ -15,6 +15,9 @@
 LEAF_ID = b"x-instance-id"
 # For how many more milliseconds the leaf is cold.
 COLD_REMAINING = b"x-cold-remaining"
+# The requests per second that the leaf accepts from all instances together,
+# a decimal number; present in its responses for as long as it applies.
+RATE_LIMIT = b"server-limit"
 RETRY_AFTER = b"retry-after"
 
 READY_PATH = b"/api/readiness"
@@ -49,6 +52,15 @@
         return None
 
 
+def parse_rate(value: bytes) -> float | None:
+    """Return the requests per second, None if not a positive number."""
+    try:
+        rate = float(value)
+    except ValueError:
+        return None
+    return rate if 0.0 < rate < float("inf") else None
+
+
 def merged_response_headers(
     signatures: list[bytes], missing: int, request_id: bytes
 ) -> list[tuple[bytes, bytes]]:
