Keep to the request rates that leafs state

Cause: the rate in a leaf's responses was not read, so that no decision depended on it. Class of fault: a limit that a backend server states for all senders together is kept by nobody.

Fix: each instance has the share of the rate that its rank in the leaf's rendezvous order gives it, and spaces its requests. The shares add up to the rate whatever the instances know of one another, so that no messages are needed; with fewer requests in a window than instances, those without a share probe in turns. Searches, single requests, hedges, retries and health checks count where they are sent. What would exceed the rate goes to another leaf or is refused before any send, with the time at which the rate allows it.

--- a/heatherdyke/gateway/forwarded_request.py
+++ b/heatherdyke/gateway/forwarded_request.py
@@ -93,7 +93,7 @@
             return
         leaf = self._choose()
         if leaf is None:
-            self._refuse(RefusalReason.NO_LEAF)
+            self._refuse_without_leaf()
             return
         self._exchange.on_disconnect(self._on_client_disconnect)
         self._send(leaf)
@@ -206,7 +206,16 @@
         self._sender.abandon()
         self._report_failure(status, reason.value)
 
-    def _refuse(self, reason: RefusalReason) -> None:
+    def _refuse_without_leaf(self) -> None:
+        wait_s = self._shared.selector.rate_wait_s(
+            (self._service,), self._route, 1
+        )
+        if wait_s is None:
+            self._refuse(RefusalReason.NO_LEAF)
+        else:
+            self._refuse(RefusalReason.LEAF_RATES, wait_s)
+
+    def _refuse(self, reason: RefusalReason, min_after_s: float = 0.0) -> None:
         self._stop_timer()
         shared = self._shared
         request = self._exchange.request
@@ -214,7 +223,7 @@
         if request.wait_s is not None:
             elapsed_s = shared.loop.time() - request.arrived_at
             remaining_s = max(0.0, request.wait_s - elapsed_s)
-        refusal = make_refusal(reason, remaining_s, shared.random)
+        refusal = make_refusal(reason, remaining_s, shared.random, min_after_s)
         self._exchange.answer(refusal.answer)
         shared.metrics.count("answers", "503")
         shared.log.record(
--- a/heatherdyke/gateway/leaf_pools.py
+++ b/heatherdyke/gateway/leaf_pools.py
@@ -45,9 +45,10 @@
         log: EventLog,
         isolation: IsolationDetector,
         service_of: Callable[[str], Service],
+        rates: LeafRateLimiter,
     ) -> None:
         self.loop = loop
-        self.rates = LeafRateLimiter()
+        self.rates = rates
         self._log = log
         self._isolation = isolation
         self._instances = 0
@@ -107,7 +108,7 @@
         now = self.loop.time()
         rate = response.rate_limit
         if rate is not None:
-            if self.rates.record_limit(leaf.leaf_id, rate, now):
+            if self.rates.record_rate(leaf.leaf_id, rate, now):
                 self._log.record(
                     LEAF_RATE_LIMITED,
                     leaf=leaf.leaf_id,
@@ -115,7 +116,7 @@
                     rate=rate,
                 )
         elif response.is_signed_success:
-            limited_s = self.rates.record_no_limit(leaf.leaf_id, sent_at, now)
+            limited_s = self.rates.record_no_rate(leaf.leaf_id, sent_at, now)
             if limited_s is not None:
                 self._log.record(
                     LEAF_RATE_UNLIMITED,
@@ -173,6 +174,10 @@
         leaf = pool.leaf
         if leaf in self._leafs_in_check or not pool.has_capacity():
             return
+        now = self.loop.time()
+        if self.rates.wait_s(leaf.leaf_id, now) > 0.0:
+            return
+        self.rates.count_send(leaf.leaf_id, now)
         self._leafs_in_check.add(leaf)
         attempt = Attempt(
             number=self.next_attempt_number(),
--- a/heatherdyke/gateway/leaf_selection.py
+++ b/heatherdyke/gateway/leaf_selection.py
@@ -3,7 +3,10 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Iterable
+from collections.abc import Iterator
 from dataclasses import dataclass
+from math import inf
 from random import Random
 
 from heatherdyke.gateway.cold_rate_limit import ColdRateLimiter
@@ -13,6 +16,7 @@
 from heatherdyke.gateway.leaf_choice import choose_leaf
 from heatherdyke.gateway.leaf_choice import enabled_costs
 from heatherdyke.gateway.leaf_pools import LeafPools
+from heatherdyke.gateway.leaf_rate_limit import WINDOW_S
 from heatherdyke.gateway.leaf_table import Leaf
 from heatherdyke.gateway.leaf_table import LeafTable
 from heatherdyke.gateway.mechanisms import Mechanism
@@ -121,7 +125,9 @@
         """Return the zones with a leaf that can receive a request now.
 
         A cold leaf counts if its rate limit allows a request.  Where no other
-        instance can query the leaf, a connection must be available.
+        instance can query the leaf, a connection must be available.  A leaf
+        that states a rate counts for the own zone: this instance knows only
+        its own share of the rate.
         """
         now = self._loop.time()
         own_zone = self._settings.zone
@@ -132,6 +138,8 @@
                 continue
             if leaf.is_cold(now) and not self._may_send_cold(leaf, now):
                 continue
+            if self._pools.rates.is_limited(leaf.leaf_id):
+                zone = own_zone
             has_instance = zone != own_zone and zone in access.with_instance
             if has_instance or self._pools.of(leaf).has_capacity():
                 zones.add(zone)
@@ -144,7 +152,7 @@
         tried: Collection[Leaf],
         median_s: float,
     ) -> Leaf | None:
-        """Choose a request's leaf; count the request if the leaf is cold.
+        """Choose a request's leaf; count the request if its rate is limited.
 
         Return None if no leaf is available, or if the chosen leaf is cold
         and its rate limit allows no request.
@@ -157,9 +165,38 @@
         ]
         zone = self._settings.zone
         leaf = choose_leaf(available, tried, zone, median_s, now, self._costs)
-        if leaf is None or not leaf.is_cold(now):
-            return leaf
-        return leaf if self._acquire_cold(leaf, now) else None
+        if leaf is None:
+            return None
+        if leaf.is_cold(now) and not self._acquire_cold(leaf, now):
+            return None
+        self._pools.rates.count_send(leaf.leaf_id, now)
+        return leaf
+
+    def rate_wait_s(
+        self, services: Iterable[str], route: Route, needed: int
+    ) -> float | None:
+        """Return when ``needed`` of the services have a leaf again.
+
+        Only leafs that just their stated rates exclude are considered; None
+        if too few services have one.  Another instance may send to them
+        before this one, and within a window some instance may.
+        """
+        now = self._loop.time()
+        wait_by_service = {
+            service: min(
+                (
+                    self._pools.rates.wait_s(leaf.leaf_id, now)
+                    for leaf in self._usable(service, route)
+                    if self._pools.rates.is_limited(leaf.leaf_id)
+                ),
+                default=inf,
+            )
+            for service in services
+        }
+        waits = sorted(wait_by_service.values())[:needed]
+        if len(waits) < needed or waits[-1] == inf:
+            return None
+        return min(waits[-1], WINDOW_S)
 
     def warm_share(self, route: Route) -> float:
         """Return the share of a route's shards that have a warm leaf."""
@@ -193,24 +230,33 @@
         limit of cold leafs are not considered.
         """
         now = self._loop.time()
+        rates = self._pools.rates
+        warm: list[Leaf] = []
+        cold: list[Leaf] = []
+        for leaf in self._usable(service, route):
+            if rates.wait_s(leaf.leaf_id, now) == 0.0:
+                (cold if leaf.is_cold(now) else warm).append(leaf)
+        return warm or cold
+
+    def _usable(self, service: str, route: Route) -> Iterator[Leaf]:
+        """Return the leafs that may serve the route, whatever their rates."""
+        now = self._loop.time()
         homes = route.home_regions
         zones_out = self._leafs.zones_out
         region_by_zone = self._settings.region_by_zone
-        warm: list[Leaf] = []
-        cold: list[Leaf] = []
         for leaf in self._leafs.of_service(service):
             zone = leaf.entry.zone
             if zone in zones_out or not leaf.is_usable(now):
                 continue
-            if homes and region_by_zone.get(zone) not in homes:
-                continue
-            (cold if leaf.is_cold(now) else warm).append(leaf)
-        return warm or cold
+            if not homes or region_by_zone.get(zone) in homes:
+                yield leaf
 
     def _state_of(self, leaf: Leaf, now: float) -> str:
         if leaf.entry.zone in self._leafs.zones_out:
             return "zone_out"
         state = leaf.state(now)
+        if state == "usable" and self._pools.rates.wait_s(leaf.leaf_id, now):
+            return "rate_reached"
         if state == "usable" and not self._pools.of(leaf).has_capacity():
             return "connections_in_use"
         return state
--- a/heatherdyke/gateway/peers.py
+++ b/heatherdyke/gateway/peers.py
@@ -10,6 +10,7 @@
 from heatherdyke.gateway.leaf_choice import choose_leaf
 from heatherdyke.gateway.leaf_entry import LeafEntry
 from heatherdyke.gateway.leaf_pools import LeafPools
+from heatherdyke.gateway.leaf_rate_limit import LeafRateLimiter
 from heatherdyke.gateway.leaf_table import Leaf
 from heatherdyke.gateway.leaf_table import LeafTable
 from heatherdyke.gateway.leaf_table import Removal
@@ -49,6 +50,7 @@
             log,
             isolation,
             lambda name: _PEER_SETTINGS,
+            LeafRateLimiter(),
         )
 
     def set_entries(self, entries: Sequence[LeafEntry]) -> None:
--- a/heatherdyke/gateway/refusal.py
+++ b/heatherdyke/gateway/refusal.py
@@ -25,6 +25,7 @@
     UNSURE_ROUTE = "unsure_route"
     NO_LEAF = "no_leaf"
     LEAFS_FULL = "leafs_full"
+    LEAF_RATES = "leaf_rates"
     RETRY_BUDGET = "retry_budget"
     MAY_HAVE_RUN = "may_have_run"
     TIMEOUT = "timeout"
@@ -39,6 +40,8 @@
     # Suspect leafs are checked after 0.25 to 2 s.
     RefusalReason.NO_LEAF: 0.8,
     RefusalReason.LEAFS_FULL: 0.15,
+    # Spreads the retries, which come after the wait for the rates.
+    RefusalReason.LEAF_RATES: 0.3,
     RefusalReason.RETRY_BUDGET: 0.15,
     RefusalReason.NO_TIME_LEFT: 0.1,
 }
--- a/heatherdyke/gateway/search.py
+++ b/heatherdyke/gateway/search.py
@@ -25,6 +25,7 @@
 from heatherdyke.gateway.search_progress import Decision
 from heatherdyke.gateway.search_progress import SearchProgress
 from heatherdyke.gateway.search_progress import meets_min_share
+from heatherdyke.gateway.search_progress import required_shards
 from heatherdyke.gateway.shard_search import ShardSearch
 from heatherdyke.gateway.shared_state import SharedState
 from heatherdyke.gateway.timing import answer_due_at
@@ -103,7 +104,7 @@
             without_leaf = [
                 s for s, zones in zones_by_shard.items() if not zones
             ]
-            self._refuse(RefusalReason.NO_LEAF, without_leaf)
+            self._refuse_without_leafs(without_leaf)
             return
         if shared.loop.time() >= self._collector.progress.deadline_at:
             self._refuse(RefusalReason.NO_TIME_LEFT, [])
@@ -292,7 +293,23 @@
         )
         return own or bool(self._peer_calls) or bool(self._collector.bodies)
 
-    def _refuse(self, reason: RefusalReason, without_leaf: list[str]) -> None:
+    def _refuse_without_leafs(self, without_leaf: list[str]) -> None:
+        route = self._route
+        shard_count = len(route.shards)
+        reachable = shard_count - len(without_leaf)
+        needed = required_shards(shard_count, route.min_share) - reachable
+        wait_s = self._shared.selector.rate_wait_s(without_leaf, route, needed)
+        if wait_s is None:
+            self._refuse(RefusalReason.NO_LEAF, without_leaf)
+        else:
+            self._refuse(RefusalReason.LEAF_RATES, without_leaf, wait_s)
+
+    def _refuse(
+        self,
+        reason: RefusalReason,
+        without_leaf: list[str],
+        min_after_s: float = 0.0,
+    ) -> None:
         shared = self._shared
         described = [
             shared.selector.describe(s)
@@ -304,7 +321,7 @@
             reason,
             self._exchange.request.wait_s,
             shared.random,
-            shared.isolation.clients_moved_in_s(now),
+            max(min_after_s, shared.isolation.clients_moved_in_s(now)),
         )
         shared.metrics.count("answers", "503")
         self._exchange.answer(refusal.answer)
--- a/heatherdyke/gateway/search_progress.py
+++ b/heatherdyke/gateway/search_progress.py
@@ -9,6 +9,10 @@
 from dataclasses import dataclass
 from dataclasses import field
 from enum import Enum
+from math import ceil
+
+# A share of 0.9 of ten shards is nine, whatever the product is rounded to.
+ROUNDING = 1e-9
 
 
 class Decision(Enum):
@@ -87,5 +91,9 @@
 
 def meets_min_share(answered: int, shard_count: int, min_share: float) -> bool:
     """Return whether this many shards, at least one, reach the share."""
-    needed = min_share * shard_count - 1e-9
-    return answered >= 1 and answered >= needed
+    return answered >= required_shards(shard_count, min_share)
+
+
+def required_shards(shard_count: int, min_share: float) -> int:
+    """Return how many shards, at least one, reach the share."""
+    return max(1, ceil(min_share * shard_count - ROUNDING))
--- a/heatherdyke/gateway/shared_state.py
+++ b/heatherdyke/gateway/shared_state.py
@@ -7,6 +7,7 @@
 from heatherdyke.gateway.isolation import IsolationDetector
 from heatherdyke.gateway.leaf_entry import LeafEntry
 from heatherdyke.gateway.leaf_pools import LeafPools
+from heatherdyke.gateway.leaf_rate_limit import LeafRateLimiter
 from heatherdyke.gateway.leaf_selection import LeafSelector
 from heatherdyke.gateway.leaf_table import Leaf
 from heatherdyke.gateway.leaf_table import LeafTable
@@ -65,7 +66,13 @@
         self.leafs = LeafTable()
         self._set_leaf_times()
         self.isolation = IsolationDetector(settings.zone)
-        self.pools = LeafPools(loop, log, self.isolation, self.service)
+        self.pools = LeafPools(
+            loop,
+            log,
+            self.isolation,
+            self.service,
+            LeafRateLimiter(settings.name),
+        )
         self.peers = Peers(
             loop, log, self.isolation, settings.name, settings.zone
         )
@@ -135,6 +142,7 @@
         self.peers.set_entries(entries)
         self.budget.set_instances(len(instances))
         self.pools.set_instances(len(instances))
+        self.pools.rates.set_instances(instances, self.loop.time())
         self.selector.set_instances(instances)
 
     def pick_service(self, route: Route) -> str:
--- a/heatherdyke/platform_standin/leaf.py
+++ b/heatherdyke/platform_standin/leaf.py
@@ -11,6 +11,7 @@
 from heatherdyke.gateway.exchange import Exchange
 from heatherdyke.gateway.header_rules import find_header
 from heatherdyke.gateway.messages import ClientResponse
+from heatherdyke.gateway.messages import HeaderList
 from heatherdyke.platform import headers as names
 from heatherdyke.platform_standin.listener import Listener
 
@@ -55,6 +56,7 @@
     """A leaf that executes requests in ``processing_s`` each.
 
     A successful response has ``records`` random records of 16 bytes each.
+    ``rate_limit`` is the rate that all responses state, None for no rate.
     ``runs`` lists the ids of the executed requests.  Requests meant for
     another leaf are refused with 421 and not recorded.
     """
@@ -65,6 +67,7 @@
     processing_s: float = 0.002
     records: int = 10
     cold_s: float = 0.0
+    rate_limit: float | None = None
     behaviour: Behaviour = Behaviour.SERVE
     born_ms: int = 1
     sequence: int = 1
@@ -120,6 +123,7 @@
         headers = [
             (names.LEAF_ID, self.leaf_id.encode()),
             (names.COLD_REMAINING, b"%d" % int(self.cold_s * 1000)),
+            *self._rate_headers(),
         ]
         if self.behaviour is not Behaviour.SILENT:
             exchange.answer(ClientResponse(200, headers))
@@ -128,7 +132,8 @@
         if self.behaviour is Behaviour.SILENT:
             return
         if self.behaviour is Behaviour.REJECT:
-            exchange.answer(ClientResponse(503, [(names.NOT_RUN, b"1")]))
+            headers = [(names.NOT_RUN, b"1"), *self._rate_headers()]
+            exchange.answer(ClientResponse(503, headers))
             return
         self.runs.append(exchange.request.request_id)
         loop = asyncio.get_running_loop()
@@ -148,6 +153,7 @@
         headers = [
             (names.REQUEST_ID, request.request_id),
             (names.SIGNATURE, signature),
+            *self._rate_headers(),
         ]
         status = STATUS_BY_FAILURE.get(self.behaviour)
         if status is not None:
@@ -158,3 +164,8 @@
                 200, headers, self.random.randbytes(16 * self.records)
             )
         )
+
+    def _rate_headers(self) -> HeaderList:
+        if self.rate_limit is None:
+            return []
+        return [(names.RATE_LIMIT, b"%.1f" % self.rate_limit)]
--- a/tests/test_gateway_load_patterns.py
+++ b/tests/test_gateway_load_patterns.py
@@ -319,6 +319,63 @@
         with_shared(scenario)
 
 
+class TestLeafsOfSomeShardsStateARate:
+    """Both leafs of some shards accept fewer requests than there are."""
+
+    def set_up(self, shared: SharedState, limited: int) -> None:
+        add_leafs(shared, dict.fromkeys(SHARDS, OWN_ZONE))
+        add_leafs(shared, dict.fromkeys(SHARDS, OTHER_ZONE))
+        now = shared.loop.time()
+        for shard in SHARDS[:limited]:
+            for leaf in shared.leafs.of_service(shard):
+                shared.pools.rates.record_rate(leaf.leaf_id, 1.0, now)
+
+    def test_a_search_that_needs_them_is_refused_before_any_send(self):
+        """Sends for a part of its shards would be lost work."""
+
+        def scenario(shared: SharedState) -> None:
+            self.set_up(shared, limited=2)
+            (answer,) = search(shared)
+            assert answer.status == 503
+            assert requests_in_flight(shared) == 0
+
+        with_shared(scenario)
+
+    def test_its_client_is_told_when_a_leaf_accepts_a_request_again(self):
+        def scenario(shared: SharedState) -> None:
+            self.set_up(shared, limited=2)
+            (answer,) = search(shared)
+            now = shared.loop.time()
+            wait_s = min(
+                shared.pools.rates.wait_s(leaf.leaf_id, now)
+                for shard in SHARDS[:2]
+                for leaf in shared.leafs.of_service(shard)
+            )
+            retry_after_s = float(dict(answer.headers)[b"Retry-After"])
+            assert retry_after_s >= wait_s - 0.001
+
+        with_shared(scenario)
+
+    def test_a_search_that_the_others_can_answer_is_sent(self):
+        def scenario(shared: SharedState) -> None:
+            self.set_up(shared, limited=1)
+            assert search(shared) == []
+            assert requests_in_flight(shared) == len(SHARDS) - 1
+
+        with_shared(scenario)
+
+    def test_a_suspect_leaf_is_not_checked_beyond_its_rate(self):
+        def scenario(shared: SharedState) -> None:
+            self.set_up(shared, limited=len(SHARDS))
+            now = shared.loop.time()
+            for leaf in shared.leafs.leaf_by_id.values():
+                leaf.record_unreachable(now)
+                shared.pools.check(leaf)
+            assert requests_in_flight(shared) == 0
+
+        with_shared(scenario)
+
+
 class TestGroupsDeclinedInAnOutageOfManyLeafs:
     """An instance lacks leafs that others still use, and declines often."""
 
