Serve through other instances what this one cannot send to leafs

Cause: an instance took leafs that it could not reach for leafs that nobody could, and refused. A search used other instances only for zones with a leaf that was usable from here, a single request never did. Class of fault: a local view of the network is taken for the state of the remote side.

Shards without a leaf within reach go as groups to instances that reach some, single requests likewise by a new message, after a 100 Continue, so that a request that may not be repeated is with one instance only. An instance that reaches none says so and the next one is asked. Checks on new connections show the end. The instance stays ready, as the load balancer would send it clients all the same where less than half of a zone is ready.

--- a/heatherdyke/gateway/attempt_sender.py
+++ b/heatherdyke/gateway/attempt_sender.py
@@ -150,14 +150,12 @@
         now = self.shared.loop.time()
         record_outcome(leaf, self.latency, attempt, outcome, now)
         if outcome.response is not None:
-            self.shared.isolation.record_response(leaf.entry.zone, now)
+            self.shared.links.record_response(leaf, now)
             self.shared.pools.record_rate(
                 leaf, outcome.response, attempt.sent_at
             )
         elif outcome.failure is Failure.BROKEN:
-            self.shared.isolation.record_failure(
-                leaf.entry.zone, attempt.sent_at
-            )
+            self.shared.links.record_failure(leaf, attempt.sent_at)
         if not self._finished:
             self._on_end(attempt, outcome)
 
--- a/heatherdyke/gateway/events.py
+++ b/heatherdyke/gateway/events.py
@@ -278,6 +278,35 @@
         ("leaf", "service", "limited_s"),
     )
 )
+LEAFS_UNREACHABLE = register(
+    EventKind(
+        7210,
+        "leafs_unreachable",
+        Severity.WARNING,
+        "No leaf accepts this instance's connections; where it has none, "
+        "other instances query the leafs for it.",
+        ("failed_leafs", "silent_s"),
+        "If the leafs run, check the network between them and the instance.",
+    )
+)
+LEAFS_REACHABLE = register(
+    EventKind(
+        7211,
+        "leafs_reachable",
+        Severity.INFO,
+        "A leaf accepts connections again after none did.",
+        ("unreachable_s",),
+    )
+)
+REQUEST_RELAYED = register(
+    EventKind(
+        7308,
+        "request_relayed",
+        Severity.INFO,
+        "Another instance forwarded a request, or none of those asked could.",
+        ("request_id", "route", "peers", "status", "why", "elapsed_ms"),
+    )
+)
 STORE_LOST = register(
     EventKind(
         7601,
--- a/heatherdyke/gateway/forwarded_request.py
+++ b/heatherdyke/gateway/forwarded_request.py
@@ -15,6 +15,7 @@
 from heatherdyke.gateway.messages import AttemptOutcome
 from heatherdyke.gateway.messages import ClientResponse
 from heatherdyke.gateway.messages import LeafResponse
+from heatherdyke.gateway.peer_forward import PeerForward
 from heatherdyke.gateway.refusal import RefusalReason
 from heatherdyke.gateway.refusal import make_refusal
 from heatherdyke.gateway.routing import Route
@@ -44,6 +45,8 @@
         "_may_have_run",
         "_last_failure",
         "_refusal_reason",
+        "_may_relay",
+        "_relay",
     )
 
     def __init__(
@@ -52,6 +55,7 @@
         exchange: Exchange,
         route: Route,
         service: str,
+        may_relay: bool = True,
     ) -> None:
         request = exchange.request
         self._shared = shared
@@ -82,22 +86,64 @@
         self._may_have_run = False
         self._last_failure: LeafResponse | None = None
         self._refusal_reason = RefusalReason.NO_LEAF
+        self._may_relay = may_relay
+        self._relay: PeerForward | None = None
 
     def start(self) -> None:
-        """Send the request to the best leaf, or refuse it without one."""
+        """Send the request to the best leaf, or refuse it without one.
+
+        If other instances may reach a leaf that this one cannot, one of them
+        forwards it.
+        """
         shared = self._shared
         now = shared.loop.time()
-        shared.budget.count_request(self._service, now)
         if now >= self._deadline_at:
             self._refuse(RefusalReason.NO_TIME_LEFT)
             return
+        self._exchange.on_disconnect(self._on_client_disconnect)
+        if shared.has_lost_leafs and self._start_relay():
+            return
         leaf = self._choose()
-        if leaf is None:
+        if leaf is not None:
+            shared.budget.count_request(self._service, now)
+            self._send(leaf)
+            self._set_timer()
+        elif not self._start_relay():
             self._refuse_without_leaf()
+
+    def _start_relay(self) -> bool:
+        """Ask another instance; return False if none may help."""
+        if not self._may_relay:
+            return False
+        self._may_relay = False
+        shared = self._shared
+        if not shared.may_relay(self._service, self._route):
+            return False
+        relay = PeerForward(
+            shared,
+            self._exchange,
+            self._route,
+            self._service,
+            self._deadline_at,
+            self._on_relay_end,
+        )
+        if not relay.start():
+            return False
+        self._relay = relay
+        self._stop_timer()
+        self._timer = shared.loop.call_at(self._deadline_at, self._on_timer)
+        return True
+
+    def _on_relay_end(self, answer: ClientResponse | None) -> None:
+        self._relay = None
+        self._stop_timer()
+        if answer is not None:
+            self._shared.metrics.count("answers", str(answer.status))
+            self._exchange.answer(answer)
             return
-        self._exchange.on_disconnect(self._on_client_disconnect)
-        self._send(leaf)
-        self._set_timer()
+        shared = self._shared
+        shared.relays.record_failure((self._service,), shared.loop.time())
+        self._refuse_without_leaf()
 
     def _choose(self) -> Leaf | None:
         return self._shared.selector.choose(
@@ -187,13 +233,17 @@
         """Respond when no attempt is in flight and no retry is possible."""
         failure = self._last_failure
         if not self._may_have_run:
-            self._refuse(self._refusal_reason)
+            if not self._start_relay():
+                self._refuse(self._refusal_reason)
         elif failure is not None and _can_pass_on(failure):
             self._pass_on(failure)
         else:
             self._fail(502, RefusalReason.MAY_HAVE_RUN)
 
     def _on_deadline(self) -> None:
+        if self._relay is not None:
+            self._relay.abandon()
+            self._may_have_run = self._relay.may_have_run
         not_run = not self._may_have_run and self._sender.running == 0
         if not_run:
             self._refuse(RefusalReason.TIMEOUT)
@@ -247,6 +297,8 @@
             elapsed_ms=self._elapsed_ms(),
         )
         self._stop_timer()
+        if self._relay is not None:
+            self._relay.abandon()
         if self._route.idempotent:
             self._sender.abandon()
         else:
--- a/heatherdyke/gateway/grouping.py
+++ b/heatherdyke/gateway/grouping.py
@@ -26,11 +26,14 @@
     """Shards requested from an instance of one zone.
 
     ``key`` ranks the zone's instances; all requesters compute the same key.
+    A ``relayed`` group is requested from an instance of any zone, as this
+    instance cannot reach the leafs.
     """
 
     zone: str
     key: str
     shards: tuple[str, ...]
+    relayed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,3 +98,16 @@
         Group(zone, members[start], tuple(members[start : start + size]))
         for start in range(0, len(members), size)
     ]
+
+
+def relayed_groups(shards: Sequence[str], own_zone: str) -> list[Group]:
+    """Divide shards whose leafs this instance cannot reach into groups."""
+    size = len(shards)
+    if size > MAX_UNGROUPED_SHARDS:
+        size = MAX_GROUP_SHARDS
+    return [
+        Group(
+            own_zone, shards[start], tuple(shards[start : start + size]), True
+        )
+        for start in range(0, len(shards), max(1, size))
+    ]
--- a/heatherdyke/gateway/leaf_pool.py
+++ b/heatherdyke/gateway/leaf_pool.py
@@ -27,6 +27,9 @@
 
     loop: asyncio.AbstractEventLoop
 
+    def can_connect(self) -> bool:
+        """Return whether new connections are worth an attempt."""
+
     def on_connected(self, pool: "LeafPool") -> None:
         """Handle that the leaf accepted a connection."""
 
@@ -73,7 +76,13 @@
 
     def has_capacity(self) -> bool:
         """Return whether a request can be sent without waiting."""
-        return bool(self._idle) or self.open_count < self.limit
+        if self._idle:
+            return True
+        return self.is_below_limit() and self._observer.can_connect()
+
+    def is_below_limit(self) -> bool:
+        """Return whether one more connection may be opened."""
+        return self.open_count < self.limit
 
     def send(self, attempt: Attempt, at_most_once: bool = False) -> None:
         """Send on an idle connection or a new one.
@@ -81,18 +90,25 @@
         A request that is sent ``at_most_once`` must not use a connection
         that the leaf has forgotten or is about to close.
         """
-        now = self.now()
-        attempt.sent_at = now
-        self.leaf.start(attempt.number, now)
-        connection = self._pop_idle(now, at_most_once)
-        if connection is not None:
-            connection.send(attempt)
+        connection = self._pop_idle(self.now(), at_most_once)
+        if connection is None:
+            self.send_on_new_connection(attempt)
             return
+        self._start(attempt)
+        connection.send(attempt)
+
+    def send_on_new_connection(self, attempt: Attempt) -> None:
+        """Send on a new connection, also if one is idle."""
+        self._start(attempt)
         self.open_count += 1
         task = self._observer.loop.create_task(self._connect(attempt))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _start(self, attempt: Attempt) -> None:
+        attempt.sent_at = self.now()
+        self.leaf.start(attempt.number, attempt.sent_at)
+
     def abandon(self, attempt: Attempt) -> None:
         """Cancel an attempt; closing its connection cancels it on the leaf."""
         attempt.on_end = _ignore
--- a/heatherdyke/gateway/leaf_pools.py
+++ b/heatherdyke/gateway/leaf_pools.py
@@ -10,7 +10,7 @@
 from heatherdyke.gateway.events import LEAF_RATE_UNLIMITED
 from heatherdyke.gateway.events import LEAF_SUSPECTED
 from heatherdyke.gateway.events import LEAF_VERIFIED
-from heatherdyke.gateway.isolation import IsolationDetector
+from heatherdyke.gateway.leaf_links import ZoneLinks
 from heatherdyke.gateway.leaf_pool import LeafPool
 from heatherdyke.gateway.leaf_rate_limit import LeafRateLimiter
 from heatherdyke.gateway.leaf_table import Leaf
@@ -31,7 +31,7 @@
         "loop",
         "rates",
         "_log",
-        "_isolation",
+        "_links",
         "_instances",
         "_service_of",
         "_pool_by_leaf",
@@ -43,14 +43,14 @@
         self,
         loop: asyncio.AbstractEventLoop,
         log: EventLog,
-        isolation: IsolationDetector,
+        links: ZoneLinks,
         service_of: Callable[[str], Service],
         rates: LeafRateLimiter,
     ) -> None:
         self.loop = loop
         self.rates = rates
         self._log = log
-        self._isolation = isolation
+        self._links = links
         self._instances = 0
         self._service_of = service_of
         self._pool_by_leaf: dict[Leaf, LeafPool] = {}
@@ -91,9 +91,13 @@
             if leaf.unverified and now >= leaf.suspect_until:
                 self._start_check(pool)
 
-    def check(self, leaf: Leaf) -> None:
+    def can_connect(self) -> bool:
+        """Return whether new connections are worth an attempt."""
+        return self._links.can_connect()
+
+    def check(self, leaf: Leaf, on_new_connection: bool = False) -> None:
         """Check a leaf's health; without a response it is suspect."""
-        self._start_check(self.of(leaf))
+        self._start_check(self.of(leaf), on_new_connection)
 
     def record_rate(
         self, leaf: Leaf, response: LeafResponse, sent_at: float
@@ -141,25 +145,26 @@
     def on_connected(self, pool: LeafPool) -> None:
         """Record that the leaf accepted a connection."""
         now = self.loop.time()
-        self._isolation.record_response(pool.leaf.entry.zone, now)
+        self._links.record_connected(pool.leaf, now)
 
     def on_connect_slow(self, pool: LeafPool, sent_at: float) -> None:
         """Record that a connection attempt since ``sent_at`` is slow."""
-        self._isolation.record_failure(pool.leaf.entry.zone, sent_at)
+        self._links.record_connect_failure(pool.leaf, sent_at)
 
     def on_connect_failed(
         self, pool: LeafPool, error: Exception, sent_at: float
     ) -> None:
         """Suspend a leaf after a failed connection attempt."""
-        self._suspect(pool, type(error).__name__, sent_at)
+        self._links.record_connect_failure(pool.leaf, sent_at)
+        self._suspect(pool, type(error).__name__)
 
     def on_silent(self, pool: LeafPool, sent_at: float) -> None:
         """Suspend a leaf that has not responded since ``sent_at``."""
-        self._suspect(pool, "silent", sent_at)
+        self._links.record_failure(pool.leaf, sent_at)
+        self._suspect(pool, "silent")
 
-    def _suspect(self, pool: LeafPool, reason: str, sent_at: float) -> None:
+    def _suspect(self, pool: LeafPool, reason: str) -> None:
         leaf = pool.leaf
-        self._isolation.record_failure(leaf.entry.zone, sent_at)
         now = self.loop.time()
         leaf.record_unreachable(now)
         self._log.record(
@@ -170,9 +175,14 @@
             pause_s=round(leaf.suspect_until - now, 3),
         )
 
-    def _start_check(self, pool: LeafPool) -> None:
+    def _start_check(
+        self, pool: LeafPool, on_new_connection: bool = False
+    ) -> None:
         leaf = pool.leaf
-        if leaf in self._leafs_in_check or not pool.has_capacity():
+        has_connection = (
+            pool.is_below_limit() if on_new_connection else pool.has_capacity()
+        )
+        if leaf in self._leafs_in_check or not has_connection:
             return
         now = self.loop.time()
         if self.rates.wait_s(leaf.leaf_id, now) > 0.0:
@@ -187,7 +197,10 @@
             pool=pool,
             on_end=self._on_checked,
         )
-        pool.send(attempt)
+        if on_new_connection:
+            pool.send_on_new_connection(attempt)
+        else:
+            pool.send(attempt)
         self.loop.call_later(CHECK_TIMEOUT_S, self._on_check_timeout, attempt)
 
     def _check_message(self, leaf: Leaf) -> bytes:
@@ -209,7 +222,7 @@
         if response is None:
             leaf.record_unreachable(now)
             return
-        self._isolation.record_response(leaf.entry.zone, now)
+        self._links.record_response(leaf, now)
         own_id = response.leaf_id == leaf.leaf_id.encode()
         if own_id:
             self.record_rate(leaf, response, attempt.sent_at)
@@ -233,7 +246,7 @@
             return
         self._leafs_in_check.discard(leaf)
         attempt.pool.abandon(attempt)
-        self._isolation.record_failure(leaf.entry.zone, attempt.sent_at)
+        self._links.record_failure(leaf, attempt.sent_at)
         leaf.record_unreachable(self.loop.time())
 
     def _limit_of(self, leaf: Leaf) -> int:
--- a/heatherdyke/gateway/leaf_selection.py
+++ b/heatherdyke/gateway/leaf_selection.py
@@ -25,6 +25,9 @@
 from heatherdyke.gateway.routing import Service
 from heatherdyke.gateway.settings import GatewaySettings
 
+# Leafs to check at a time while none accepts connections.
+LOST_CHECK_COUNT = 2
+
 
 @dataclass(frozen=True, slots=True)
 class ZoneAccess:
@@ -145,6 +148,30 @@
                 zones.add(zone)
         return zones
 
+    def is_out_of_reach(self, service: str, route: Route) -> bool:
+        """Return whether others may reach a leaf that this instance cannot.
+
+        That is a suspect leaf, or any leaf if none accepts connections.
+        """
+        now = self._loop.time()
+        cannot_connect = not self._pools.can_connect()
+        return any(
+            cannot_connect or leaf.is_suspect(now)
+            for leaf in self._allowed(service, route)
+            if not leaf.entry.draining and not leaf.misdirected
+        )
+
+    def check_lost_leafs(self) -> None:
+        """Connect to a few leafs, as requests do not while links are lost."""
+        leafs = [
+            leaf
+            for leaf in self._leafs.leaf_by_id.values()
+            if not leaf.entry.draining
+        ]
+        count = min(LOST_CHECK_COUNT, len(leafs))
+        for leaf in self._random.sample(leafs, count):
+            self._pools.check(leaf, on_new_connection=True)
+
     def choose(
         self,
         service: str,
@@ -241,12 +268,18 @@
     def _usable(self, service: str, route: Route) -> Iterator[Leaf]:
         """Return the leafs that may serve the route, whatever their rates."""
         now = self._loop.time()
+        for leaf in self._allowed(service, route):
+            if leaf.is_usable(now):
+                yield leaf
+
+    def _allowed(self, service: str, route: Route) -> Iterator[Leaf]:
+        """Return the leafs of zones to which the route may be sent."""
         homes = route.home_regions
         zones_out = self._leafs.zones_out
         region_by_zone = self._settings.region_by_zone
         for leaf in self._leafs.of_service(service):
             zone = leaf.entry.zone
-            if zone in zones_out or not leaf.is_usable(now):
+            if zone in zones_out:
                 continue
             if not homes or region_by_zone.get(zone) in homes:
                 yield leaf
--- a/heatherdyke/gateway/leaf_table.py
+++ b/heatherdyke/gateway/leaf_table.py
@@ -87,19 +87,20 @@
     def is_usable(self, now: float) -> bool:
         """Return whether requests may be sent, apart from the cold rate."""
         return not (
-            self.entry.draining
-            or self.misdirected
-            or self.unverified
-            or now < self.suspect_until
+            self.entry.draining or self.misdirected or self.is_suspect(now)
         )
 
+    def is_suspect(self, now: float) -> bool:
+        """Return whether the leaf seems unreachable until a health check."""
+        return self.unverified or now < self.suspect_until
+
     def state(self, now: float) -> str:
         """Return the state as one word, for log lines."""
         if self.entry.draining:
             return "draining"
         if self.misdirected:
             return "another_at_its_address"
-        if self.unverified or now < self.suspect_until:
+        if self.is_suspect(now):
             return "doubted"
         return "cold" if self.is_cold(now) else "usable"
 
--- a/heatherdyke/gateway/mechanisms.py
+++ b/heatherdyke/gateway/mechanisms.py
@@ -35,6 +35,8 @@
     UNREACHABLE_ZONES = "unreachable-zones"
     # A leaf that responds is kept for a while without a discovery entry.
     LIVE_LEAFS = "live-leafs"
+    # Other instances query leafs that this one cannot reach.
+    RELAYS = "relays"
     # Leafs are kept for a while when the store lost entries in an outage.
     OUTAGE_GRACE = "outage-grace"
     # A resharded configuration waits for its shards' leafs to become warm.
--- a/heatherdyke/gateway/peer_api.py
+++ b/heatherdyke/gateway/peer_api.py
@@ -7,18 +7,25 @@
 
 from heatherdyke.gateway.connection_manager import BaseConnectionManager
 from heatherdyke.gateway.exchange import Exchange
-from heatherdyke.gateway.messages import ClientRequest
+from heatherdyke.gateway.forwarded_request import ForwardedRequest
 from heatherdyke.gateway.messages import ClientResponse
 from heatherdyke.gateway.part_collector import PartCollector
+from heatherdyke.gateway.peer_messages import FORWARD_PATH
 from heatherdyke.gateway.peer_messages import HEALTH_PATH
 from heatherdyke.gateway.peer_messages import REMAINDER_PATH
 from heatherdyke.gateway.peer_messages import SEARCH_PATH
+from heatherdyke.gateway.peer_messages import ForwardResult
 from heatherdyke.gateway.peer_messages import GroupRequest
 from heatherdyke.gateway.peer_messages import GroupResult
+from heatherdyke.gateway.peer_messages import client_request_of
+from heatherdyke.gateway.peer_messages import decode_forward_request
 from heatherdyke.gateway.peer_messages import decode_group_request
 from heatherdyke.gateway.peer_messages import decode_remainder_request
 from heatherdyke.gateway.peer_messages import encode_message
+from heatherdyke.gateway.peer_messages import forward_route_of
 from heatherdyke.gateway.peer_messages import route_of
+from heatherdyke.gateway.peer_send import STATUS_DECLINED
+from heatherdyke.gateway.peer_send import STATUS_LEAFS_UNREACHABLE
 from heatherdyke.gateway.record_merge import top_records
 from heatherdyke.gateway.routing import ClientLimits
 from heatherdyke.gateway.search_progress import Decision
@@ -82,16 +89,7 @@
         self._collector = PartCollector(
             shared.loop, progress, self._on_decision
         )
-        request = ClientRequest(
-            method=message.method,
-            target=message.target,
-            headers=message.headers,
-            body=message.body,
-            host="",
-            request_id=message.request_id,
-            wait_s=message.limit_s,
-            arrived_at=now,
-        )
+        request = client_request_of(message, now)
         self._search = ShardSearch(
             shared, request, self._route, message.shards, self._collector
         )
@@ -104,7 +102,8 @@
         """
         if self._lacks_leafs():
             self._shared.metrics.count("groups_served", "declined")
-            self._exchange.answer(ClientResponse(503))
+            status = _decline_status(self._shared)
+            self._exchange.answer(ClientResponse(status))
             return
         self._exchange.on_disconnect(self._on_sender_disconnect)
         self._search.start()
@@ -210,6 +209,8 @@
         target = exchange.request.target
         if target == SEARCH_PATH:
             self._serve_search(exchange)
+        elif target == FORWARD_PATH:
+            self._serve_forward(exchange)
         elif target == REMAINDER_PATH:
             self._serve_remainder(exchange)
         elif target == HEALTH_PATH.encode():
@@ -220,6 +221,9 @@
             exchange.answer(ClientResponse(404))
 
     def _serve_search(self, exchange: Exchange) -> None:
+        if self._shared.has_lost_leafs:
+            self._decline(exchange)
+            return
         try:
             message = decode_group_request(exchange.request.body)
         except msgspec.MsgspecError:
@@ -227,7 +231,7 @@
             exchange.answer(ClientResponse(400))
             return
         if self._shared.config is None:
-            exchange.answer(ClientResponse(503))
+            self._decline(exchange)
             return
         if not message.shards:
             exchange.answer(ClientResponse(400))
@@ -236,6 +240,42 @@
         self._on_config_version(message.config_version)
         GroupSearch(self._shared, exchange, message, self._track_open).start()
 
+    def _serve_forward(self, exchange: Exchange) -> None:
+        """Forward a request; the result holds the response to the client."""
+        shared = self._shared
+        if shared.has_lost_leafs:
+            self._decline(exchange)
+            return
+        try:
+            message = decode_forward_request(exchange.request.body)
+        except msgspec.MsgspecError:
+            exchange.answer(ClientResponse(400))
+            return
+        route = forward_route_of(message)
+        if shared.config is None or not shared.selector.zones_with_leaf(
+            message.service, route
+        ):
+            self._decline(exchange)
+            return
+        shared.last_request_at = shared.loop.time()
+        self._on_config_version(message.config_version)
+        request = client_request_of(message, shared.loop.time())
+
+        def answer(response: ClientResponse) -> None:
+            result = ForwardResult(
+                response.status, response.headers, response.body
+            )
+            exchange.answer(ClientResponse(200, [], encode_message(result)))
+
+        inner = Exchange(request, answer)
+        exchange.on_disconnect(inner.disconnect)
+        ForwardedRequest(
+            shared, inner, route, message.service, may_relay=False
+        ).start()
+
+    def _decline(self, exchange: Exchange) -> None:
+        exchange.answer(ClientResponse(_decline_status(self._shared)))
+
     def _serve_remainder(self, exchange: Exchange) -> None:
         try:
             message = decode_remainder_request(exchange.request.body)
@@ -254,3 +294,10 @@
             self._open_by_key[search.key] = search
         elif self._open_by_key.get(search.key) is search:
             del self._open_by_key[search.key]
+
+
+def _decline_status(shared: SharedState) -> int:
+    """Return the status that tells why a request is not served here."""
+    if shared.links.can_connect():
+        return STATUS_DECLINED
+    return STATUS_LEAFS_UNREACHABLE
--- a/heatherdyke/gateway/peer_messages.py
+++ b/heatherdyke/gateway/peer_messages.py
@@ -11,6 +11,7 @@
 
 SEARCH_PATH = b"/peer/search"
 REMAINDER_PATH = b"/peer/search/rest"
+FORWARD_PATH = b"/peer/forward"
 HEALTH_PATH = "/peer/health"
 
 
@@ -64,14 +65,50 @@
     due_s: float
 
 
+class ForwardRequest(msgspec.Struct, array_like=True):
+    """Requests that a client's request is forwarded to a leaf of a service.
+
+    After ``limit_s`` the sender stops waiting.
+    """
+
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    request_id: bytes
+    route: str
+    service: str
+    idempotent: bool
+    rank: int
+    max_attempts: int
+    objective_s: float
+    home_regions: list[str]
+    limit_s: float = 0.0
+    config_version: int = 0
+
+
+class ForwardResult(msgspec.Struct, array_like=True):
+    """The response to the client; 503 means that the request has not run."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
 _encoder = msgspec.msgpack.Encoder()
 _request_decoder = msgspec.msgpack.Decoder(GroupRequest)
 _remainder_decoder = msgspec.msgpack.Decoder(RemainderRequest)
 _result_decoder = msgspec.msgpack.Decoder(GroupResult)
+_forward_decoder = msgspec.msgpack.Decoder(ForwardRequest)
+_forward_result_decoder = msgspec.msgpack.Decoder(ForwardResult)
 
 
 def encode_message(
-    message: GroupRequest | GroupResult | RemainderRequest,
+    message: GroupRequest
+    | GroupResult
+    | RemainderRequest
+    | ForwardRequest
+    | ForwardResult,
 ) -> bytes:
     """Return the encoded message."""
     return _encoder.encode(message)
@@ -92,6 +129,16 @@
     return _result_decoder.decode(body)
 
 
+def decode_forward_request(body: bytes) -> ForwardRequest:
+    """Decode a forward request; raises MsgspecError if invalid."""
+    return _forward_decoder.decode(body)
+
+
+def decode_forward_result(body: bytes) -> ForwardResult:
+    """Decode a forward result; raises MsgspecError if invalid."""
+    return _forward_result_decoder.decode(body)
+
+
 def group_request(
     request: ClientRequest,
     route: Route,
@@ -117,6 +164,58 @@
     )
 
 
+def forward_message(
+    request: ClientRequest, route: Route, service: str, config_version: int
+) -> ForwardRequest:
+    """Return the message that has a client's request forwarded."""
+    return ForwardRequest(
+        method=request.method,
+        target=request.target,
+        headers=request.headers,
+        body=request.body,
+        request_id=request.request_id,
+        route=route.name,
+        service=service,
+        idempotent=route.idempotent,
+        rank=route.rank,
+        max_attempts=route.max_attempts,
+        objective_s=route.objective_s,
+        home_regions=sorted(route.home_regions),
+        config_version=config_version,
+    )
+
+
+def client_request_of(
+    message: GroupRequest | ForwardRequest, arrived_at: float
+) -> ClientRequest:
+    """Return the client's request that the message carries."""
+    return ClientRequest(
+        method=message.method,
+        target=message.target,
+        headers=message.headers,
+        body=message.body,
+        host="",
+        request_id=message.request_id,
+        wait_s=message.limit_s,
+        arrived_at=arrived_at,
+    )
+
+
+def forward_route_of(message: ForwardRequest) -> Route:
+    """Return the route that the message describes."""
+    return Route(
+        name=message.route,
+        host="",
+        path_prefix="",
+        idempotent=message.idempotent,
+        timeout_s=message.limit_s,
+        objective_s=message.objective_s,
+        rank=message.rank,
+        max_attempts=message.max_attempts,
+        home_regions=frozenset(message.home_regions),
+    )
+
+
 def route_of(message: GroupRequest) -> Route:
     """Return the route that the message describes."""
     return Route(
--- a/heatherdyke/gateway/process.py
+++ b/heatherdyke/gateway/process.py
@@ -18,6 +18,8 @@
 from heatherdyke.gateway.events import GATEWAY_STARTED
 from heatherdyke.gateway.events import GATEWAY_STOPPED
 from heatherdyke.gateway.events import GATEWAY_STOPPING
+from heatherdyke.gateway.events import LEAFS_REACHABLE
+from heatherdyke.gateway.events import LEAFS_UNREACHABLE
 from heatherdyke.gateway.events import PROCESS_PAUSED
 from heatherdyke.gateway.events import SETTINGS_REJECTED
 from heatherdyke.gateway.events import SETTINGS_RELOADED
@@ -68,6 +70,7 @@
         "_pause_detector",
         "_started_at",
         "_ready_logged",
+        "_leafs_lost_since",
         "_reload_at",
     )
 
@@ -111,6 +114,7 @@
         self._pause_detector = PauseDetector(MAINTENANCE_INTERVAL_S)
         self._started_at = shared.loop.time()
         self._ready_logged = False
+        self._leafs_lost_since: float | None = None
         self._reload_at = self._started_at + RELOAD_INTERVAL_S
 
     @classmethod
@@ -210,6 +214,7 @@
             self._client_api.maintain(now)
             self._state_updater.expire_absent_leafs(now)
             self._update_isolation(now)
+            self._update_leaf_links(now)
             if now >= self._reload_at:
                 self._reload_at = now + RELOAD_INTERVAL_S
                 self._reload_settings()
@@ -244,6 +249,26 @@
         away_s = round(now - isolated_since, 3)
         self._shared.log.record(CLIENTS_READMITTED, turned_away_s=away_s)
 
+    def _update_leaf_links(self, now: float) -> None:
+        """Check leafs while all are lost; log when that starts or ends."""
+        shared = self._shared
+        lost = not shared.links.can_connect()
+        if lost:
+            shared.selector.check_lost_leafs()
+        if lost == (self._leafs_lost_since is not None):
+            return
+        if lost:
+            self._leafs_lost_since = now
+            shared.log.record(
+                LEAFS_UNREACHABLE,
+                failed_leafs=len(shared.links.failed_leafs),
+                silent_s=round(now - shared.links.last_response_at, 3),
+            )
+            return
+        lost_s = round(now - self._leafs_lost_since, 3)
+        self._leafs_lost_since = None
+        shared.log.record(LEAFS_REACHABLE, unreachable_s=lost_s)
+
     def _log_ready(self, now: float) -> None:
         self._ready_logged = True
         self._shared.log.record(
--- a/heatherdyke/gateway/search.py
+++ b/heatherdyke/gateway/search.py
@@ -12,6 +12,8 @@
 from heatherdyke.gateway.exchange import Exchange
 from heatherdyke.gateway.grouping import Group
 from heatherdyke.gateway.grouping import group_shards
+from heatherdyke.gateway.grouping import relayed_groups
+from heatherdyke.gateway.leaf_selection import DIRECT_ACCESS
 from heatherdyke.gateway.messages import ClientResponse
 from heatherdyke.gateway.part_collector import PartCollector
 from heatherdyke.gateway.peer_call import PeerCall
@@ -22,9 +24,9 @@
 from heatherdyke.gateway.refusal import make_failure_answer
 from heatherdyke.gateway.refusal import make_refusal
 from heatherdyke.gateway.routing import Route
+from heatherdyke.gateway.search_plan import plan_search
 from heatherdyke.gateway.search_progress import Decision
 from heatherdyke.gateway.search_progress import SearchProgress
-from heatherdyke.gateway.search_progress import meets_min_share
 from heatherdyke.gateway.search_progress import required_shards
 from heatherdyke.gateway.shard_search import ShardSearch
 from heatherdyke.gateway.shared_state import SharedState
@@ -95,29 +97,23 @@
         shared = self._shared
         route = self._route
         access = shared.selector.zone_access()
-        zones_by_shard = {
-            shard: shared.selector.zones_with_leaf(shard, route, access)
-            for shard in route.shards
-        }
-        reachable = sum(map(bool, zones_by_shard.values()))
-        if not meets_min_share(reachable, len(route.shards), route.min_share):
-            without_leaf = [
-                s for s, zones in zones_by_shard.items() if not zones
-            ]
-            self._refuse_without_leafs(without_leaf)
+        plan = plan_search(shared, route, access, route.shards)
+        if not plan.meets_min_share(route):
+            self._refuse_without_leafs(plan.without_leaf)
             return
         if shared.loop.time() >= self._collector.progress.deadline_at:
-            self._refuse(RefusalReason.NO_TIME_LEFT, [])
+            self._refuse(RefusalReason.NO_TIME_LEFT, ())
             return
         self._exchange.on_disconnect(self._on_client_disconnect)
         grouping = group_shards(
-            route.shards,
-            zones_by_shard,
+            plan.direct,
+            plan.zones_by_shard,
             shared.settings.zone,
             access.with_instance,
             shared.random,
         )
-        for group in grouping.groups:
+        relayed = relayed_groups(plan.relayed, shared.settings.zone)
+        for group in (*grouping.groups, *relayed):
             self._query_peer(group)
         if grouping.own:
             self._query_leafs(grouping.own)
@@ -152,9 +148,23 @@
         )
         if call.start():
             self._peer_calls.add(call)
+        elif group.relayed:
+            self._lose(group.shards)
         else:
             self._query_leafs(group.shards)
 
+    def _query_declined(self, shards: tuple[str, ...]) -> None:
+        """Query shards of a declined group directly or by other peers."""
+        plan = plan_search(self._shared, self._route, DIRECT_ACCESS, shards)
+        if plan.direct or plan.without_leaf:
+            self._query_leafs(plan.direct + plan.without_leaf)
+        for group in relayed_groups(plan.relayed, self._shared.settings.zone):
+            self._query_peer(group)
+
+    def _lose(self, shards: tuple[str, ...]) -> None:
+        for shard in shards:
+            self._collector.add_loss(shard)
+
     def _on_group_end(
         self, call: PeerCall, result: GroupResult | None
     ) -> None:
@@ -165,10 +175,14 @@
             self._add_result(call, result)
         elif call.may_have_run:
             self._may_have_run = True
-            for shard in call.group.shards:
-                self._collector.add_loss(shard)
+            self._lose(call.group.shards)
+        elif call.group.relayed:
+            self._shared.relays.record_failure(
+                call.group.shards, self._shared.loop.time()
+            )
+            self._lose(call.group.shards)
         else:
-            self._query_leafs(call.group.shards)
+            self._query_declined(call.group.shards)
         self._collector.decide()
 
     def _add_result(self, call: PeerCall, result: GroupResult) -> None:
@@ -181,8 +195,7 @@
             loop.call_at(at + REMAINDER_DELAY_S, self._request_remainder, call)
             return
         self._add_final_counts(result)
-        for shard in call.group.shards:
-            self._collector.add_loss(shard)
+        self._lose(call.group.shards)
 
     def _request_remainder(self, call: PeerCall) -> None:
         """Request the remainder of a group if the search is still open."""
@@ -293,7 +306,7 @@
         )
         return own or bool(self._peer_calls) or bool(self._collector.bodies)
 
-    def _refuse_without_leafs(self, without_leaf: list[str]) -> None:
+    def _refuse_without_leafs(self, without_leaf: tuple[str, ...]) -> None:
         route = self._route
         shard_count = len(route.shards)
         reachable = shard_count - len(without_leaf)
@@ -307,7 +320,7 @@
     def _refuse(
         self,
         reason: RefusalReason,
-        without_leaf: list[str],
+        without_leaf: tuple[str, ...],
         min_after_s: float = 0.0,
     ) -> None:
         shared = self._shared
--- a/heatherdyke/gateway/shared_state.py
+++ b/heatherdyke/gateway/shared_state.py
@@ -6,6 +6,7 @@
 from heatherdyke.gateway.event_log import EventLog
 from heatherdyke.gateway.isolation import IsolationDetector
 from heatherdyke.gateway.leaf_entry import LeafEntry
+from heatherdyke.gateway.leaf_links import LeafLinks
 from heatherdyke.gateway.leaf_pools import LeafPools
 from heatherdyke.gateway.leaf_rate_limit import LeafRateLimiter
 from heatherdyke.gateway.leaf_selection import LeafSelector
@@ -13,6 +14,7 @@
 from heatherdyke.gateway.leaf_table import LeafTable
 from heatherdyke.gateway.mechanisms import Mechanism
 from heatherdyke.gateway.peers import Peers
+from heatherdyke.gateway.relay_back_off import RelayBackOff
 from heatherdyke.gateway.retry_budget import RetryBudget
 from heatherdyke.gateway.routing import Route
 from heatherdyke.gateway.routing import RouteTable
@@ -36,8 +38,10 @@
         "routes",
         "leafs",
         "isolation",
+        "links",
         "pools",
         "peers",
+        "relays",
         "selector",
         "latencies",
         "budget",
@@ -66,16 +70,18 @@
         self.leafs = LeafTable()
         self._set_leaf_times()
         self.isolation = IsolationDetector(settings.zone)
+        self.links = LeafLinks(self.isolation, self.leafs)
         self.pools = LeafPools(
             loop,
             log,
-            self.isolation,
+            self.links,
             self.service,
             LeafRateLimiter(settings.name),
         )
         self.peers = Peers(
-            loop, log, self.isolation, settings.name, settings.zone
+            loop, log, self.isolation, settings.name, settings.zone, random
         )
+        self.relays = RelayBackOff()
         self.selector = LeafSelector(
             loop,
             random,
@@ -107,6 +113,21 @@
             return False
         return self.isolation.should_be_unready(self.loop.time())
 
+    @property
+    def has_lost_leafs(self) -> bool:
+        """Return whether only other instances may reach leafs."""
+        return self.has(Mechanism.RELAYS) and self.links.are_lost(
+            self.loop.time()
+        )
+
+    def may_relay(self, service: str, route: Route) -> bool:
+        """Return whether to ask other instances for a leaf of a service."""
+        return (
+            self.has(Mechanism.RELAYS)
+            and self.relays.allows(service, self.loop.time())
+            and self.selector.is_out_of_reach(service, route)
+        )
+
     @property
     def config(self) -> RoutingConfig | None:
         """Return the active configuration, None before the first."""
--- a/tests/test_gateway_peer_api.py
+++ b/tests/test_gateway_peer_api.py
@@ -14,11 +14,13 @@
 from heatherdyke.gateway.messages import ClientRequest
 from heatherdyke.gateway.messages import ClientResponse
 from heatherdyke.gateway.peer_api import PeerApi
-from heatherdyke.gateway.peer_call import _group_header
+from heatherdyke.gateway.peer_messages import FORWARD_PATH
 from heatherdyke.gateway.peer_messages import REMAINDER_PATH
 from heatherdyke.gateway.peer_messages import SEARCH_PATH
+from heatherdyke.gateway.peer_messages import ForwardRequest
 from heatherdyke.gateway.peer_messages import RemainderRequest
 from heatherdyke.gateway.peer_messages import encode_message
+from heatherdyke.gateway.peer_send import _expecting_header
 from heatherdyke.gateway.routing import RouteTable
 from heatherdyke.gateway.routing import RoutingConfig
 from heatherdyke.gateway.shared_state import SharedState
@@ -53,6 +55,24 @@
     return asyncio.run(main())
 
 
+def forward_request() -> ForwardRequest:
+    return ForwardRequest(
+        method=b"GET",
+        target=b"/o/x",
+        headers=[],
+        body=b"",
+        request_id=b"r1",
+        route="one",
+        service="s",
+        idempotent=True,
+        rank=1,
+        max_attempts=2,
+        objective_s=0.1,
+        home_regions=[],
+        limit_s=1.0,
+    )
+
+
 class TestPeerApi:
     """An instance that is isolated from the store lacks new shards."""
 
@@ -64,7 +84,14 @@
         body = encode_message(group_request(["s"]))
         assert respond_to(SEARCH_PATH, body, config=False).status == 503
 
+    def test_a_single_request_is_declined_likewise(self):
+        """The sender then knows that it has not run and asks another."""
+        body = encode_message(forward_request())
+        assert respond_to(FORWARD_PATH, body).status == 503
+        assert respond_to(FORWARD_PATH, body, config=False).status == 503
+
     def test_invalid_messages_are_rejected(self):
+        assert respond_to(FORWARD_PATH, b"\xff\x00").status == 400
         assert respond_to(SEARCH_PATH, b"\xff\x00").status == 400
         assert respond_to(REMAINDER_PATH, b"\xff\x00").status == 400
         assert (
@@ -82,7 +109,7 @@
 
     def test_a_group_request_names_its_recipient(self):
         entry = LeafEntry("front-b-1", "peers", ADDRESS, "z2")
-        head = _group_header(Leaf(entry), 10).lower()
+        head = _expecting_header(Leaf(entry), SEARCH_PATH, 10).lower()
         assert b"\r\nx-expected-instance: front-b-1\r\n" in head
 
     def test_a_health_check_names_its_recipient(self):
