Cut off responses of leafs that do not end

Callers saw: nothing yet; a leaf that sends a head or a body without end until the connection is closed would have filled an instance's memory, so that the process is killed with all its requests.

Cause: a response was collected until it was complete, however long it was.

Fix: after 16 MiB the connection is closed and the attempt counts as broken, as after a reset: the request may have run.

Evidence: the three tests of test_gateway_endless_responses failed on (head, body without a length, declared length), pass now.

--- a/heatherdyke/gateway/leaf_connection.py
+++ b/heatherdyke/gateway/leaf_connection.py
@@ -21,6 +21,8 @@
 IDLE_MARGIN_S = 0.5
 DEFAULT_IDLE_TIMEOUT_S = 4.0
 STATUS_CONTINUE = 100
+# A leaf at fault may send a head or a body without end.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
 
 class ConnectionOwner(Protocol):
@@ -55,6 +57,7 @@
         "_idle_timeout_s",
         "_completed_response",
         "_reusable",
+        "_received_bytes",
     )
 
     def __init__(self, pool: ConnectionOwner) -> None:
@@ -71,6 +74,7 @@
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._completed_response: LeafResponse | None = None
         self._reusable = False
+        self._received_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -79,6 +83,7 @@
     def send(self, attempt: Attempt) -> None:
         """Send the attempt's message; its response is expected next."""
         self.attempt = attempt
+        self._received_bytes = 0
         attempt.connection = self
         self.transport.write(attempt.message)
 
@@ -92,6 +97,10 @@
         if self.attempt is None:
             self._close_now()
             return
+        self._received_bytes += len(data)
+        if self._received_bytes > MAX_RESPONSE_BYTES:
+            self._fail()
+            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
