--- a/heatherdyke/gateway/peer_api.py
+++ b/heatherdyke/gateway/peer_api.py
@@ -1,4 +1,4 @@
-"""Serves other instances: queries groups of shards and merges the parts."""
+"""Serves other instances: groups of shards and single requests."""
 
 import asyncio
 from collections.abc import Callable
--- a/heatherdyke/gateway/peer_call.py
+++ b/heatherdyke/gateway/peer_call.py
@@ -15,15 +15,13 @@
 from heatherdyke.gateway.peer_messages import RemainderRequest
 from heatherdyke.gateway.peer_messages import decode_group_result
 from heatherdyke.gateway.peer_messages import encode_message
+from heatherdyke.gateway.peer_send import MAX_RELAY_PEERS
 from heatherdyke.gateway.peer_send import PeerSend
 from heatherdyke.gateway.shared_state import SharedState
 from heatherdyke.gateway.timing import GROUP_RETURN_S
 
 # How long a request for the remainder of a group waits at the peer.
 REMAINDER_DUE_S = 0.05
-# A group whose leafs this instance cannot reach is requested from at most this
-# many peers, one after the other.
-MAX_RELAY_PEERS = 6
 
 
 class PeerCall:
--- a/heatherdyke/gateway/peer_forward.py
+++ b/heatherdyke/gateway/peer_forward.py
@@ -9,12 +9,12 @@
 from heatherdyke.gateway.leaf_table import Leaf
 from heatherdyke.gateway.messages import ClientResponse
 from heatherdyke.gateway.messages import LeafResponse
-from heatherdyke.gateway.peer_call import MAX_RELAY_PEERS
 from heatherdyke.gateway.peer_messages import FORWARD_PATH
 from heatherdyke.gateway.peer_messages import ForwardResult
 from heatherdyke.gateway.peer_messages import decode_forward_result
 from heatherdyke.gateway.peer_messages import encode_message
 from heatherdyke.gateway.peer_messages import forward_message
+from heatherdyke.gateway.peer_send import MAX_RELAY_PEERS
 from heatherdyke.gateway.peer_send import PeerSend
 from heatherdyke.gateway.routing import Route
 from heatherdyke.gateway.shared_state import SharedState
--- a/heatherdyke/gateway/peer_messages.py
+++ b/heatherdyke/gateway/peer_messages.py
@@ -1,4 +1,4 @@
-"""Messages between instances about groups of shards of a search.
+"""Messages between instances: groups of shards and single requests.
 
 They are encoded as MessagePack, as records and signatures are raw bytes.
 Structs are encoded as arrays: the order of their fields is the format.
--- a/heatherdyke/gateway/peer_send.py
+++ b/heatherdyke/gateway/peer_send.py
@@ -18,6 +18,9 @@
 # How long the peer may take to continue, as a share of the route's objective.
 CONTINUE_SHARE = 0.15
 CONTINUE_MIN_S = 0.015
+# What this instance cannot send to leafs is sent to at most this many peers,
+# one after the other.
+MAX_RELAY_PEERS = 6
 # A peer lacks leafs for a request, or can reach none.
 STATUS_DECLINED = 503
 STATUS_LEAFS_UNREACHABLE = 424
