Send SIGHUP in tests once the gateway's first lines have run

The soak sent the signal 0.08 s after the start, when the interpreter had not yet run the line that ignores it; nothing in the product can act before.

Change: soak and test_a_reload_signal_does_not_end_a_starting_process wait until the process ignores or handles SIGHUP, which /proc tells, in place of a fixed time. The signal now comes at the first moment at which the product can be held to it, so that the check is no weaker.

--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -122,6 +122,30 @@
         self.process.send_signal(signal.SIGTERM)
 
 
+def ignores_reload_signal(pid: int) -> bool:
+    """Return whether SIGHUP does not end the process, or it has ended."""
+    try:
+        status = Path(f"/proc/{pid}/status").read_text()
+    except FileNotFoundError:
+        return True
+    masks = [
+        int(line.split()[1], 16)
+        for line in status.splitlines()
+        if line.startswith(("SigIgn:", "SigCgt:"))
+    ]
+    return any(mask >> (signal.SIGHUP - 1) & 1 for mask in masks)
+
+
+async def wait_for_first_code(process: asyncio.subprocess.Process) -> None:
+    """Wait until the interpreter runs the gateway's first lines.
+
+    They ignore SIGHUP; nothing can protect the interpreter before.
+    """
+    async with asyncio.timeout(READY_TIMEOUT_S):
+        while not ignores_reload_signal(process.pid):
+            await asyncio.sleep(0.002)
+
+
 class Fleet:
     """Starts a store, leafs and processes and stops them at the end."""
 
--- a/tests/gateway_scenarios.py
+++ b/tests/gateway_scenarios.py
@@ -8,8 +8,6 @@
 
 from heatherdyke.platform_standin.leaf import StandinLeaf
 
-# Start-up time of the interpreter, before it runs any code of the gateway.
-INTERPRETER_S = 0.08
 SHARDS = [f"shard{number}" for number in range(6)]
 SEARCH = route(
     "search",
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -8,7 +8,7 @@
 
 from gateway_fleet import HOST
 from gateway_fleet import send_request
-from gateway_scenarios import INTERPRETER_S
+from gateway_fleet import wait_for_first_code
 from gateway_scenarios import ready_gateway
 from gateway_scenarios import run
 from gateway_scenarios import set_up_forwarding
@@ -86,7 +86,7 @@
         async def scenario(fleet):
             await set_up_forwarding(fleet)
             gateway = await fleet.add_gateway("a")
-            await asyncio.sleep(INTERPRETER_S)
+            await wait_for_first_code(gateway.process)
             for _ in range(30):
                 gateway.process.send_signal(signal.SIGHUP)
                 await asyncio.sleep(0.01)
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -22,6 +22,7 @@
 
 import pytest
 from gateway_fleet import Gateway
+from gateway_fleet import wait_for_first_code
 from soak_fleet import WEIGHT_BY_SPLIT_SERVICE
 from soak_fleet import SentRequest
 from soak_fleet import SoakClient
@@ -37,8 +38,6 @@
 
 FAULT_DURATION_S = 0.7
 CLIENTS_PER_GATEWAY = 3
-# A new process has not run any code of the gateway before this time.
-INTERPRETER_START_S = 0.08
 # The state of leafs and of the store is current again this long after the
 # faults have ended.
 RECOVERY_S = 4.0
@@ -180,9 +179,10 @@
 @faults_by_name.register("a process receives SIGHUP")
 async def reload(soak: Soak) -> None:
     gateway = soak.random.choice(soak.fleet.gateways)
-    await asyncio.sleep(INTERPRETER_START_S)
+    process = gateway.process
+    await wait_for_first_code(process)
     with suppress(ProcessLookupError):
-        gateway.process.send_signal(signal.SIGHUP)
+        process.send_signal(signal.SIGHUP)
 
 
 @faults_by_name.register("the store refuses calls")
