--- a/heatherdyke/platform_standin/leaf.py
+++ b/heatherdyke/platform_standin/leaf.py
@@ -10,6 +10,7 @@
 
 from heatherdyke.gateway.exchange import Exchange
 from heatherdyke.gateway.header_rules import find_header
+from heatherdyke.gateway.messages import ClientRequest
 from heatherdyke.gateway.messages import ClientResponse
 from heatherdyke.gateway.messages import HeaderList
 from heatherdyke.platform import headers as names
@@ -51,6 +52,18 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """The end of a leaf while it ran a request; ``at`` is loop time."""
+
+    request_id: bytes
+    at: float
+
+
+def _crashes_on_nothing(request: ClientRequest) -> bool:
+    return False
+
+
 @dataclass(slots=True)
 class StandinLeaf:
     """A leaf that executes requests in ``processing_s`` each.
@@ -59,6 +72,9 @@
     ``rate_limit`` is the rate that all responses state, None for no rate.
     ``runs`` lists the ids of the executed requests.  Requests meant for
     another leaf are refused with 421 and not recorded.
+
+    A request for which ``crashes_on`` is true crashes the leaf once it has
+    run: for ``down_s`` seconds nothing listens at its address.
     """
 
     leaf_id: str
@@ -69,19 +85,39 @@
     cold_s: float = 0.0
     rate_limit: float | None = None
     behaviour: Behaviour = Behaviour.SERVE
+    crashes_on: Callable[[ClientRequest], bool] = _crashes_on_nothing
+    down_s: float = 1.5
+    crashes: list[Crash] = field(default_factory=list)
     born_ms: int = 1
     sequence: int = 1
     received_requests: list[ReceivedRequest] = field(default_factory=list)
     runs: list[bytes] = field(default_factory=list)
     health_checks: int = 0
     listener: Listener | None = None
+    is_stopped: bool = False
     random: Random = field(default_factory=lambda: Random(1))
+    _restarts: set[asyncio.Task] = field(default_factory=set)
 
     async def start(self) -> None:
         """Listen on a free port."""
         self.listener = Listener(self._handle)
         await self.listener.start()
 
+    async def crash(self, request_id: bytes = b"") -> None:
+        """End at once; listen again at the same address after ``down_s``."""
+        loop = asyncio.get_running_loop()
+        self.crashes.append(Crash(request_id, loop.time()))
+        port = self.listener.address.port
+        await self.listener.stop()
+        await asyncio.sleep(self.down_s)
+        if not self.is_stopped:
+            await self.listener.start(port)
+
+    async def stop(self) -> None:
+        """End for good."""
+        self.is_stopped = True
+        await self.listener.stop()
+
     def entry(self, draining: bool = False) -> dict[str, Any]:
         """Return the entry that registers the leaf in the store."""
         return {
@@ -141,7 +177,12 @@
         loop.call_later(self.processing_s, finish, exchange)
 
     def _finish(self, exchange: Exchange) -> None:
-        if exchange.answered:
+        if exchange.answered or self.listener.is_stopped:
+            return
+        if self.crashes_on(exchange.request):
+            task = asyncio.create_task(self.crash(exchange.request.request_id))
+            self._restarts.add(task)
+            task.add_done_callback(self._restarts.discard)
             return
         if self.behaviour is Behaviour.RESET_AFTER_RUN:
             for connection in list(self.listener.connections):
--- a/heatherdyke/platform_standin/listener.py
+++ b/heatherdyke/platform_standin/listener.py
@@ -39,6 +39,11 @@
         self._handle = handle
         self._server: asyncio.Server | None = None
 
+    @property
+    def is_stopped(self) -> bool:
+        """Return whether nothing listens at the address."""
+        return self._server is None
+
     @property
     def limits(self) -> ClientLimits:
         """Return the limits for connections, wide enough for any test."""
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -166,7 +166,7 @@
                 process.kill()
             await process.wait()
         for leaf in self.leafs:
-            await leaf.listener.stop()
+            await leaf.stop()
         await self.store.listener.stop()
 
     async def add_leaf(self, leaf: StandinLeaf) -> StandinLeaf:
@@ -224,12 +224,14 @@
     method: str = "GET",
     body: bytes = b"",
     wait_ms: int = 1500,
+    caller: str = "",
 ):
     """Send one request on a new connection and return its response."""
     host, port = gateway.front.split(":")
     reader, writer = await asyncio.open_connection(host, int(port))
+    credentials = f"Authorization: Bearer {caller}\r\n" if caller else ""
     head = (
-        f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n"
+        f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n{credentials}"
         f"X-Request-Id: {request_id}\r\nX-Deadline-Remaining: {wait_ms}\r\n"
         f"Connection: close\r\nContent-Length: {len(body)}\r\n\r\n"
     )
