--- a/heatherdyke/gateway/attempt_sender.py
+++ b/heatherdyke/gateway/attempt_sender.py
@@ -32,6 +32,7 @@
     __slots__ = (
         "shared",
         "request",
+        "route",
         "latency",
         "deadline_at",
         "sent",
@@ -48,9 +49,11 @@
         latency: LatencyEstimate,
         deadline_at: float,
         on_end: Callable[[Attempt, AttemptOutcome], None],
+        route: str = "",
     ) -> None:
         self.shared = shared
         self.request = request
+        self.route = route
         self.latency = latency
         self.deadline_at = deadline_at
         self.sent = 0
@@ -149,6 +152,7 @@
         leaf.finish(attempt.number)
         now = self.shared.loop.time()
         record_outcome(leaf, self.latency, attempt, outcome, now)
+        self._record_end(attempt, outcome)
         if outcome.response is not None:
             self.shared.links.record_response(leaf, now)
             self.shared.pools.record_rate(
@@ -159,6 +163,18 @@
         if not self._finished:
             self._on_end(attempt, outcome)
 
+    def _record_end(self, attempt: Attempt, outcome: AttemptOutcome) -> None:
+        """Record whether the leaf survived the request."""
+        if outcome.not_run:
+            return
+        crashes = self.shared.crashes
+        leaf_id = attempt.pool.leaf.leaf_id
+        if outcome.response is not None:
+            crashes.record_completed(self.request, leaf_id, attempt.sent_at)
+        else:
+            crashes.record_broken(self.request, self.route, leaf_id)
+            self.shared.pools.check_after_break(attempt.pool)
+
 
 def record_outcome(
     leaf: Leaf,
--- a/heatherdyke/gateway/events.py
+++ b/heatherdyke/gateway/events.py
@@ -307,6 +307,37 @@
         ("request_id", "route", "peers", "status", "why", "elapsed_ms"),
     )
 )
+CRASH_SIGHTED = register(
+    EventKind(
+        7309,
+        "crash_sighted",
+        Severity.INFO,
+        "A leaf crashed while it ran a request; no other leaf crashed at the "
+        "same time without running it, if alone.",
+        ("request_id", "key", "leaf", "route", "alone"),
+    )
+)
+QUARANTINE_CHANGED = register(
+    EventKind(
+        7310,
+        "quarantine_changed",
+        Severity.WARNING,
+        "A request seems to crash the leafs that run it. While suspect it is "
+        "sent to one leaf at a time, while crashing to none; clear ends that.",
+        (
+            "key",
+            "quarantine",
+            "route",
+            "target",
+            "crashes",
+            "attempts",
+            "decided_by",
+            "age_s",
+            "why",
+        ),
+        "Mend the leafs, then lift it with \"heatherdyke quarantine lift\".",
+    )
+)
 STORE_LOST = register(
     EventKind(
         7601,
--- a/heatherdyke/gateway/forwarded_request.py
+++ b/heatherdyke/gateway/forwarded_request.py
@@ -4,9 +4,9 @@
 
 from heatherdyke.gateway.attempt import Attempt
 from heatherdyke.gateway.attempt_sender import AttemptSender
+from heatherdyke.gateway.crash_guard import Admission
 from heatherdyke.gateway.events import CLIENT_DISCONNECTED
 from heatherdyke.gateway.events import REQUEST_FAILED
-from heatherdyke.gateway.events import REQUEST_REFUSED
 from heatherdyke.gateway.events import REQUEST_SERVED
 from heatherdyke.gateway.exchange import Exchange
 from heatherdyke.gateway.header_rules import forwarded_headers
@@ -14,10 +14,13 @@
 from heatherdyke.gateway.mechanisms import Mechanism
 from heatherdyke.gateway.messages import AttemptOutcome
 from heatherdyke.gateway.messages import ClientResponse
+from heatherdyke.gateway.messages import Failure
 from heatherdyke.gateway.messages import LeafResponse
 from heatherdyke.gateway.peer_forward import PeerForward
 from heatherdyke.gateway.refusal import RefusalReason
 from heatherdyke.gateway.refusal import make_refusal
+from heatherdyke.gateway.refused_request import refuse_quarantined
+from heatherdyke.gateway.refused_request import send_refusal
 from heatherdyke.gateway.routing import Route
 from heatherdyke.gateway.shared_state import SharedState
 from heatherdyke.gateway.timing import answer_due_at
@@ -43,6 +46,8 @@
         "_due_at",
         "_timer",
         "_may_have_run",
+        "_careful",
+        "_broken_count",
         "_last_failure",
         "_refusal_reason",
         "_may_relay",
@@ -80,10 +85,13 @@
             self._latency,
             self._deadline_at,
             self._on_attempt_end,
+            route.name,
         )
         self._tried_leafs: list[Leaf] = []
         self._timer: asyncio.TimerHandle | None = None
         self._may_have_run = False
+        self._careful = False
+        self._broken_count = 0
         self._last_failure: LeafResponse | None = None
         self._refusal_reason = RefusalReason.NO_LEAF
         self._may_relay = may_relay
@@ -100,6 +108,11 @@
         if now >= self._deadline_at:
             self._refuse(RefusalReason.NO_TIME_LEFT)
             return
+        admission = shared.crashes.admission(self._exchange.request)
+        if admission is Admission.REFUSED:
+            refuse_quarantined(shared, self._exchange, self._route.name)
+            return
+        self._careful = admission is Admission.CAREFUL
         self._exchange.on_disconnect(self._on_client_disconnect)
         if shared.has_lost_leafs and self._start_relay():
             return
@@ -164,6 +177,8 @@
     def _send_extra(self, reason: str) -> bool:
         """Send a retry or hedge if the limits and the budget allow it."""
         shared = self._shared
+        if self._careful or shared.crashes.may_crash_more(self._broken_count):
+            return False
         if len(self._tried_leafs) >= self._route.max_attempts:
             return False
         if shared.loop.time() >= self._deadline_at:
@@ -183,6 +198,8 @@
         response = outcome.response
         if not outcome.not_run:
             self._may_have_run = True
+        if outcome.failure is Failure.BROKEN:
+            self._broken_count += 1
         if response is not None and _is_final(response):
             self._pass_on(response)
             return
@@ -274,16 +291,13 @@
             elapsed_s = shared.loop.time() - request.arrived_at
             remaining_s = max(0.0, request.wait_s - elapsed_s)
         refusal = make_refusal(reason, remaining_s, shared.random, min_after_s)
-        self._exchange.answer(refusal.answer)
-        shared.metrics.count("answers", "503")
-        shared.log.record(
-            REQUEST_REFUSED,
-            request_id=request.id_text,
-            route=self._route.name,
-            status=503,
-            why=reason.value,
-            retry_after_s=round(refusal.retry_after_s, 3),
-            inputs=f"sent to {[leaf.leaf_id for leaf in self._tried_leafs]}; "
+        send_refusal(
+            shared,
+            self._exchange,
+            self._route.name,
+            reason,
+            refusal,
+            f"sent to {[leaf.leaf_id for leaf in self._tried_leafs]}; "
             f"{shared.selector.describe(self._service)}",
         )
 
--- a/heatherdyke/gateway/leaf_pools.py
+++ b/heatherdyke/gateway/leaf_pools.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Protocol
 
 from heatherdyke.gateway.attempt import Attempt
 from heatherdyke.gateway.connection_share import connection_share
@@ -20,10 +21,22 @@
 from heatherdyke.platform.headers import EXPECTED_LEAF
 
 CHECK_TIMEOUT_S = 1.0
+# A leaf that crashes closes all its connections within this time.
+CLOSING_S = 0.05
 # Another leaf answers at the address.
 STATUS_MISDIRECTED = 421
 
 
+class LeafObserver(Protocol):
+    """Is notified whether a leaf is alive."""
+
+    def record_alive(self, leaf_id: str, sent_at: float) -> None:
+        """Handle the response to a health check of ``sent_at``."""
+
+    def record_down(self, leaf_id: str) -> None:
+        """Handle that nothing, or another leaf, is at the address."""
+
+
 class LeafPools:
     """The pool of each leaf, created on first use, and the health checks."""
 
@@ -32,6 +45,7 @@
         "rates",
         "_log",
         "_links",
+        "_observer",
         "_instances",
         "_service_of",
         "_pool_by_leaf",
@@ -46,9 +60,11 @@
         links: ZoneLinks,
         service_of: Callable[[str], Service],
         rates: LeafRateLimiter,
+        observer: LeafObserver | None = None,
     ) -> None:
         self.loop = loop
         self.rates = rates
+        self._observer = observer
         self._log = log
         self._links = links
         self._instances = 0
@@ -129,6 +145,15 @@
                     limited_s=round(limited_s, 3),
                 )
 
+    def check_after_break(self, pool: LeafPool) -> None:
+        """Check a leaf if all its connections are closed soon after one."""
+        self.loop.call_later(CLOSING_S, self._check_if_unconnected, pool)
+
+    def _check_if_unconnected(self, pool: LeafPool) -> None:
+        is_known = pool.closed or pool.leaf.unverified
+        if pool.open_count == 0 and not is_known:
+            self.on_connections_broken(pool)
+
     def on_connections_broken(self, pool: LeafPool) -> None:
         """Check a leaf whose last connection broke: it may have restarted."""
         leaf = pool.leaf
@@ -156,6 +181,8 @@
     ) -> None:
         """Suspend a leaf after a failed connection attempt."""
         self._links.record_connect_failure(pool.leaf, sent_at)
+        if isinstance(error, ConnectionRefusedError):
+            self._record_down(pool.leaf)
         self._suspect(pool, type(error).__name__)
 
     def on_silent(self, pool: LeafPool, sent_at: float) -> None:
@@ -175,6 +202,10 @@
             pause_s=round(leaf.suspect_until - now, 3),
         )
 
+    def _record_down(self, leaf: Leaf) -> None:
+        if self._observer is not None:
+            self._observer.record_down(leaf.leaf_id)
+
     def _start_check(
         self, pool: LeafPool, on_new_connection: bool = False
     ) -> None:
@@ -226,8 +257,11 @@
         own_id = response.leaf_id == leaf.leaf_id.encode()
         if own_id:
             self.record_rate(leaf, response, attempt.sent_at)
+            if self._observer is not None:
+                self._observer.record_alive(leaf.leaf_id, attempt.sent_at)
         if response.leaf_id is not None and not own_id:
             leaf.misdirected = True
+            self._record_down(leaf)
         elif response.status == 200 and own_id:
             leaf.verify(now, response.cold_s)
             self._log.record(
--- a/heatherdyke/gateway/mechanisms.py
+++ b/heatherdyke/gateway/mechanisms.py
@@ -37,6 +37,8 @@
     LIVE_LEAFS = "live-leafs"
     # Other instances query leafs that this one cannot reach.
     RELAYS = "relays"
+    # Requests that crash leafs are sent to no further leafs.
+    QUARANTINE = "quarantine"
     # Leafs are kept for a while when the store lost entries in an outage.
     OUTAGE_GRACE = "outage-grace"
     # A resharded configuration waits for its shards' leafs to become warm.
--- a/heatherdyke/gateway/messages.py
+++ b/heatherdyke/gateway/messages.py
@@ -13,6 +13,7 @@
 
     ``wait_s`` is how long the client waits for the response, None if it did
     not say; ``arrived_at`` is monotonic.  Header names keep their case.
+    ``key`` caches what ``request_key`` returns.
     """
 
     method: bytes
@@ -24,6 +25,7 @@
     wait_s: float | None
     arrived_at: float
     first_on_connection: bool = False
+    key: str = ""
 
     @property
     def path(self) -> str:
--- a/heatherdyke/gateway/peer_api.py
+++ b/heatherdyke/gateway/peer_api.py
@@ -12,20 +12,24 @@
 from heatherdyke.gateway.part_collector import PartCollector
 from heatherdyke.gateway.peer_messages import FORWARD_PATH
 from heatherdyke.gateway.peer_messages import HEALTH_PATH
+from heatherdyke.gateway.peer_messages import NEWS_PATH
 from heatherdyke.gateway.peer_messages import REMAINDER_PATH
 from heatherdyke.gateway.peer_messages import SEARCH_PATH
 from heatherdyke.gateway.peer_messages import ForwardResult
 from heatherdyke.gateway.peer_messages import GroupRequest
 from heatherdyke.gateway.peer_messages import GroupResult
+from heatherdyke.gateway.peer_messages import QuarantineNews
 from heatherdyke.gateway.peer_messages import client_request_of
 from heatherdyke.gateway.peer_messages import decode_forward_request
 from heatherdyke.gateway.peer_messages import decode_group_request
+from heatherdyke.gateway.peer_messages import decode_quarantine_news
 from heatherdyke.gateway.peer_messages import decode_remainder_request
 from heatherdyke.gateway.peer_messages import encode_message
 from heatherdyke.gateway.peer_messages import forward_route_of
 from heatherdyke.gateway.peer_messages import route_of
 from heatherdyke.gateway.peer_send import STATUS_DECLINED
 from heatherdyke.gateway.peer_send import STATUS_LEAFS_UNREACHABLE
+from heatherdyke.gateway.peer_send import STATUS_QUARANTINED
 from heatherdyke.gateway.record_merge import top_records
 from heatherdyke.gateway.routing import ClientLimits
 from heatherdyke.gateway.search_progress import Decision
@@ -55,6 +59,7 @@
         "_shared",
         "_exchange",
         "_message",
+        "_request",
         "_route",
         "_collector",
         "_search",
@@ -89,9 +94,9 @@
         self._collector = PartCollector(
             shared.loop, progress, self._on_decision
         )
-        request = client_request_of(message, now)
+        self._request = client_request_of(message, now)
         self._search = ShardSearch(
-            shared, request, self._route, message.shards, self._collector
+            shared, self._request, self._route, message.shards, self._collector
         )
 
     def start(self) -> None:
@@ -100,6 +105,13 @@
         The sender has a leaf for each shard in its own state, which may be
         more recent.
         """
+        entry = self._shared.crashes.entry_of(self._request)
+        if entry is not None:
+            self._shared.metrics.count("groups_served", "quarantined")
+            verdict = entry.to_verdict(self._shared.loop.time())
+            body = encode_message(QuarantineNews(verdicts=[verdict]))
+            self._exchange.answer(ClientResponse(STATUS_QUARANTINED, [], body))
+            return
         if self._lacks_leafs():
             self._shared.metrics.count("groups_served", "declined")
             status = _decline_status(self._shared)
@@ -188,15 +200,22 @@
 
 
 class PeerApi(BaseConnectionManager):
-    """Serves the listener for other instances."""
+    """Serves the listener for other instances.
+
+    ``on_news`` applies quarantine news and returns the news to reply.
+    """
 
-    __slots__ = ("_on_config_version", "_open_by_key")
+    __slots__ = ("_on_config_version", "_on_news", "_open_by_key")
 
     def __init__(
-        self, shared: SharedState, on_config_version: Callable[[int], None]
+        self,
+        shared: SharedState,
+        on_config_version: Callable[[int], None],
+        on_news: Callable[[QuarantineNews], QuarantineNews],
     ) -> None:
         super().__init__(shared)
         self._on_config_version = on_config_version
+        self._on_news = on_news
         self._open_by_key: dict[tuple[bytes, str], GroupSearch] = {}
 
     @property
@@ -205,7 +224,7 @@
         return PEER_LIMITS
 
     def handle(self, exchange: Exchange) -> None:
-        """Serve a group search, a remainder request or a health check."""
+        """Serve a request of another instance, by its path."""
         target = exchange.request.target
         if target == SEARCH_PATH:
             self._serve_search(exchange)
@@ -213,6 +232,8 @@
             self._serve_forward(exchange)
         elif target == REMAINDER_PATH:
             self._serve_remainder(exchange)
+        elif target == NEWS_PATH:
+            self._serve_news(exchange)
         elif target == HEALTH_PATH.encode():
             name = self._shared.settings.name.encode()
             status = 503 if self.stopping else 200
@@ -273,6 +294,15 @@
             shared, inner, route, message.service, may_relay=False
         ).start()
 
+    def _serve_news(self, exchange: Exchange) -> None:
+        try:
+            news = decode_quarantine_news(exchange.request.body)
+        except msgspec.MsgspecError:
+            exchange.answer(ClientResponse(400))
+            return
+        reply = encode_message(self._on_news(news))
+        exchange.answer(ClientResponse(200, [], reply))
+
     def _decline(self, exchange: Exchange) -> None:
         exchange.answer(ClientResponse(_decline_status(self._shared)))
 
--- a/heatherdyke/gateway/peer_messages.py
+++ b/heatherdyke/gateway/peer_messages.py
@@ -1,4 +1,4 @@
-"""Messages between instances: groups of shards and single requests.
+"""Messages between instances: shards, single requests, quarantine news.
 
 They are encoded as MessagePack, as records and signatures are raw bytes.
 Structs are encoded as arrays: the order of their fields is the format.
@@ -6,12 +6,15 @@
 
 import msgspec
 
+from heatherdyke.gateway.leaf_crashes import CrashSighting
 from heatherdyke.gateway.messages import ClientRequest
+from heatherdyke.gateway.quarantine import Verdict
 from heatherdyke.gateway.routing import Route
 
 SEARCH_PATH = b"/peer/search"
 REMAINDER_PATH = b"/peer/search/rest"
 FORWARD_PATH = b"/peer/forward"
+NEWS_PATH = b"/peer/quarantine"
 HEALTH_PATH = "/peer/health"
 
 
@@ -95,12 +98,23 @@
     body: bytes
 
 
+class QuarantineNews(msgspec.Struct, array_like=True):
+    """Crashes that one instance has seen, and verdicts on requests.
+
+    The response to news has verdicts only.
+    """
+
+    sightings: list[CrashSighting] = []
+    verdicts: list[Verdict] = []
+
+
 _encoder = msgspec.msgpack.Encoder()
 _request_decoder = msgspec.msgpack.Decoder(GroupRequest)
 _remainder_decoder = msgspec.msgpack.Decoder(RemainderRequest)
 _result_decoder = msgspec.msgpack.Decoder(GroupResult)
 _forward_decoder = msgspec.msgpack.Decoder(ForwardRequest)
 _forward_result_decoder = msgspec.msgpack.Decoder(ForwardResult)
+_news_decoder = msgspec.msgpack.Decoder(QuarantineNews)
 
 
 def encode_message(
@@ -108,7 +122,8 @@
     | GroupResult
     | RemainderRequest
     | ForwardRequest
-    | ForwardResult,
+    | ForwardResult
+    | QuarantineNews,
 ) -> bytes:
     """Return the encoded message."""
     return _encoder.encode(message)
@@ -139,6 +154,11 @@
     return _forward_result_decoder.decode(body)
 
 
+def decode_quarantine_news(body: bytes) -> QuarantineNews:
+    """Decode quarantine news; raises MsgspecError if invalid."""
+    return _news_decoder.decode(body)
+
+
 def group_request(
     request: ClientRequest,
     route: Route,
--- a/heatherdyke/gateway/peer_send.py
+++ b/heatherdyke/gateway/peer_send.py
@@ -24,10 +24,18 @@
 # A peer lacks leafs for a request, or can reach none.
 STATUS_DECLINED = 503
 STATUS_LEAFS_UNREACHABLE = 424
+# A peer takes the request for one that crashes leafs; the body has its news.
+STATUS_QUARANTINED = 422
 # Statuses of a peer that has not queried a leaf and will not.  An instance of
 # an earlier version answers 404 to a path that it does not know.
 NOT_RUN_STATUSES = frozenset(
-    (400, 404, STATUS_DECLINED, STATUS_LEAFS_UNREACHABLE)
+    (
+        400,
+        404,
+        STATUS_QUARANTINED,
+        STATUS_DECLINED,
+        STATUS_LEAFS_UNREACHABLE,
+    )
 )
 
 
@@ -137,6 +145,8 @@
                 self.may_have_run = False
             if response.status == STATUS_LEAFS_UNREACHABLE:
                 self._shared.peers.record_leafs_unreachable(self.peer)
+            if response.status == STATUS_QUARANTINED:
+                self._shared.crashes.on_news(response.body)
         if response is None or response.status != 200:
             self.peer.record_failure(self._shared.loop.time())
             status = response.status if response is not None else None
--- a/heatherdyke/gateway/peers.py
+++ b/heatherdyke/gateway/peers.py
@@ -87,6 +87,14 @@
             peer.entry.zone for peer in self._table.of_service(PEER_SERVICE)
         }
 
+    def names(self) -> list[str]:
+        """Return the names of the other instances."""
+        return list(self._table.leaf_by_id)
+
+    def find(self, name: str) -> Leaf | None:
+        """Return another instance by its name, None if it is unknown."""
+        return self._table.leaf_by_id.get(name)
+
     def zones(self) -> set[str]:
         """Return the zones with another instance that can reach leafs."""
         return {peer.entry.zone for peer in self._usable()}
--- a/heatherdyke/gateway/process.py
+++ b/heatherdyke/gateway/process.py
@@ -29,6 +29,8 @@
 from heatherdyke.gateway.mechanisms import Mechanism
 from heatherdyke.gateway.pause_detector import PauseDetector
 from heatherdyke.gateway.peer_api import PeerApi
+from heatherdyke.gateway.quarantine_store import QuarantineStore
+from heatherdyke.gateway.quarantine_sync import QuarantineSync
 from heatherdyke.gateway.settings import GatewaySettings
 from heatherdyke.gateway.shared_state import SharedState
 from heatherdyke.gateway.state_updater import StateUpdater
@@ -64,6 +66,7 @@
         "_leaf_watcher",
         "_zone_watcher",
         "_instance_registry",
+        "_quarantine_store",
         "_peer_api",
         "_metrics_port",
         "_stopping",
@@ -108,7 +111,13 @@
             shared, self._config_watcher, self._leaf_watcher
         )
         self._client_api = ClientApi(shared, self._dispatcher)
-        self._peer_api = PeerApi(shared, state_updater.on_peer_config_version)
+        quarantine_sync = QuarantineSync(shared)
+        self._quarantine_store = QuarantineStore(shared, quarantine_sync)
+        self._peer_api = PeerApi(
+            shared,
+            state_updater.on_peer_config_version,
+            quarantine_sync.handle,
+        )
         self._metrics_port = metrics_port
         self._stopping = asyncio.Event()
         self._pause_detector = PauseDetector(MAINTENANCE_INTERVAL_S)
@@ -173,6 +182,7 @@
             self._leaf_watcher,
             self._zone_watcher,
             self._instance_registry,
+            self._quarantine_store,
         )
         tasks = [loop.create_task(runner.run()) for runner in background]
         tasks.append(loop.create_task(self._serve_held()))
@@ -230,6 +240,7 @@
             self._zone_watcher,
         ):
             watcher.relist()
+        self._quarantine_store.relist()
 
     def _update_isolation(self, now: float) -> None:
         """Log when an isolation starts or ends."""
--- /dev/null
+++ b/heatherdyke/gateway/quarantine_store.py
@@ -0,0 +1,94 @@
+"""Keeps quarantined requests in the platform's store.
+
+An instance that starts learns from there which requests crash leafs, and
+operators lift them there.
+"""
+
+import asyncio
+import time
+
+from heatherdyke.errors import PlatformUnavailable
+from heatherdyke.gateway.events import STORE_LOST
+from heatherdyke.gateway.quarantine import RETENTION_S
+from heatherdyke.gateway.quarantine import Verdict
+from heatherdyke.gateway.quarantine_sync import QuarantineSync
+from heatherdyke.gateway.shared_state import SharedState
+from heatherdyke.platform.quarantines import KIND
+from heatherdyke.platform.quarantines import decode_quarantine
+from heatherdyke.platform.quarantines import encode_quarantine
+from heatherdyke.platform.store import StoreClient
+
+RETRY_S = 1.0
+# A list may be some seconds old, so the second one follows early.
+FIRST_LIST_INTERVAL_S = 3.0
+LIST_INTERVAL_S = 20.0
+# Verdicts that wait for the store; more are left to other instances' memory.
+MAX_WAITING = 256
+
+
+class QuarantineStore:
+    """Lists the quarantined requests regularly; writes new verdicts."""
+
+    __slots__ = ("_shared", "_sync", "_store", "_waiting_by_key", "_wake")
+
+    def __init__(self, shared: SharedState, sync: QuarantineSync) -> None:
+        self._shared = shared
+        self._sync = sync
+        self._store = StoreClient(shared.settings.store.address)
+        self._waiting_by_key: dict[str, Verdict] = {}
+        self._wake = asyncio.Event()
+        sync.persist = self.write
+
+    def write(self, verdict: Verdict) -> None:
+        """Write a verdict soon."""
+        if len(self._waiting_by_key) < MAX_WAITING:
+            self._waiting_by_key[verdict.key] = verdict
+            self._wake.set()
+
+    def relist(self) -> None:
+        """List again soon, as changes may have been missed."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """List and write until cancelled."""
+        interval_s = FIRST_LIST_INTERVAL_S
+        while True:
+            self._wake.clear()
+            try:
+                await self._write_waiting()
+                await self._list()
+            except PlatformUnavailable as error:
+                self._shared.log.record(
+                    STORE_LOST, kind=KIND, reason=error.detail
+                )
+                spread = 1.0 + self._shared.random.random()
+                await asyncio.sleep(RETRY_S * spread)
+                continue
+            try:
+                async with asyncio.timeout(interval_s):
+                    await self._wake.wait()
+            except TimeoutError:
+                interval_s = LIST_INTERVAL_S
+
+    async def _write_waiting(self) -> None:
+        while self._waiting_by_key:
+            key, verdict = next(iter(self._waiting_by_key.items()))
+            spec = encode_quarantine(verdict, time.time())
+            await self._store.put(KIND, key, spec)
+            if self._waiting_by_key.get(key) is verdict:
+                del self._waiting_by_key[key]
+
+    async def _list(self) -> None:
+        listing = await self._store.list(KIND, allow_stale=True)
+        shared = self._shared
+        wall_s = time.time()
+        for stored in listing.objects:
+            verdict = decode_quarantine(stored.name, stored.spec, wall_s)
+            if verdict is None:
+                continue
+            if verdict.age_s > RETENTION_S:
+                await self._store.delete(KIND, stored.name)
+                continue
+            now = shared.loop.time()
+            if shared.crashes.quarantine.apply_listed(verdict, now):
+                self._sync.on_listed(verdict)
--- /dev/null
+++ b/heatherdyke/gateway/quarantine_sync.py
@@ -0,0 +1,255 @@
+"""Exchanges with other instances which requests crash leafs.
+
+The crashes under one request are counted by a few instances, its owners,
+which follow from the list of instances.  Their verdicts go to all instances;
+one of which a leaf has completed the request replies that it is clear.
+"""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+
+import msgspec
+
+from heatherdyke.gateway.connection_share import rendezvous_weight
+from heatherdyke.gateway.crash_evidence import CrashEvidence
+from heatherdyke.gateway.crash_evidence import Evidence
+from heatherdyke.gateway.crash_evidence import Level
+from heatherdyke.gateway.events import CRASH_SIGHTED
+from heatherdyke.gateway.events import QUARANTINE_CHANGED
+from heatherdyke.gateway.leaf_crashes import CrashSighting
+from heatherdyke.gateway.messages import LeafResponse
+from heatherdyke.gateway.peer_messages import NEWS_PATH
+from heatherdyke.gateway.peer_messages import QuarantineNews
+from heatherdyke.gateway.peer_messages import decode_quarantine_news
+from heatherdyke.gateway.peer_messages import encode_message
+from heatherdyke.gateway.peer_send import PeerSend
+from heatherdyke.gateway.quarantine import Verdict
+from heatherdyke.gateway.shared_state import SharedState
+
+OWNER_COUNT = 3
+# News that an instance does not confirm is sent to it again.
+RETRY_S = 1.0
+MAX_SENDS = 30
+
+
+def ranked_instances(key: str, instances: Sequence[str]) -> list[str]:
+    """Return the instances in a request's rendezvous order, first owner first.
+
+    The order is the same at all instances with the same list.
+    """
+    return sorted(
+        instances,
+        key=lambda name: (rendezvous_weight(key, name), name),
+        reverse=True,
+    )
+
+
+class QuarantineSync:
+    """Counts crashes as an owner, and passes on sightings and verdicts.
+
+    ``persist`` is called with verdicts of this instance that others which
+    start later must know.
+    """
+
+    __slots__ = ("persist", "_shared", "_evidence")
+
+    def __init__(self, shared: SharedState) -> None:
+        self.persist: Callable[[Verdict], None] = lambda verdict: None
+        self._shared = shared
+        self._evidence = CrashEvidence()
+        shared.crashes.on_sightings = self.report
+        shared.crashes.on_cleared = self.clear
+        shared.crashes.on_news = self.apply_reply
+        shared.crashes.may_probe = self._is_lead
+
+    def report(self, sightings: list[CrashSighting]) -> None:
+        """Pass on sightings of this instance to the owners."""
+        by_owner: dict[str, list[CrashSighting]] = {}
+        for sighting in sightings:
+            self._log_sighting(sighting)
+            for owner in self._owners(sighting.key):
+                by_owner.setdefault(owner, []).append(sighting)
+        own = by_owner.pop(self._own_name, [])
+        self._judge(own)
+        for owner, owned in by_owner.items():
+            self._send(owner, QuarantineNews(sightings=owned))
+
+    def handle(self, news: QuarantineNews) -> QuarantineNews:
+        """Apply another instance's news; return the verdicts to reply."""
+        self._judge(news.sightings)
+        keys = {sighting.key for sighting in news.sightings}
+        replies = [self._known(key) for key in keys]
+        for verdict in news.verdicts:
+            replies.append(self._check(verdict))
+        return QuarantineNews(verdicts=[x for x in replies if x is not None])
+
+    def apply(self, verdict: Verdict, source: str) -> None:
+        """Apply a verdict and log a change of the request's level."""
+        shared = self._shared
+        quarantine = shared.crashes.quarantine
+        if verdict.level == Level.CLEAR:
+            self._evidence.clear(verdict.key)
+        if quarantine.apply(verdict, shared.loop.time()):
+            self.log_change(verdict, source)
+
+    def apply_reply(self, body: bytes) -> None:
+        """Apply the verdicts with which another instance responded."""
+        try:
+            news = decode_quarantine_news(body)
+        except msgspec.MsgspecError:
+            return
+        quarantine = self._shared.crashes.quarantine
+        for verdict in news.verdicts:
+            is_objection = verdict.level == Level.CLEAR
+            if is_objection and verdict.key in quarantine.entry_by_key:
+                self.clear(verdict.key)
+            else:
+                self._check(verdict)
+
+    def clear(self, key: str) -> None:
+        """Lift a request everywhere, as a leaf has completed it."""
+        entry = self._shared.crashes.quarantine.entry_by_key.get(key)
+        was_quarantined = entry is not None and entry.level is Level.CRASHING
+        verdict = Verdict(key, Level.CLEAR, decided_by=self._own_name)
+        self.apply(verdict, "completed")
+        self._broadcast(verdict)
+        if was_quarantined:
+            self.persist(verdict)
+
+    def on_listed(self, verdict: Verdict) -> None:
+        """Handle a change that came with a list of the store."""
+        if verdict.level == Level.CLEAR:
+            self._evidence.clear(verdict.key)
+        self.log_change(verdict, "store")
+
+    def log_change(self, verdict: Verdict, source: str) -> None:
+        """Log that the level of a request has changed here."""
+        shared = self._shared
+        level = Level(verdict.level).name.lower()
+        shared.metrics.count("quarantine", level)
+        shared.log.record(
+            QUARANTINE_CHANGED,
+            key=verdict.key,
+            quarantine=level,
+            route=verdict.route,
+            target=verdict.target,
+            crashes=verdict.crashes,
+            attempts=verdict.attempts,
+            decided_by=verdict.decided_by,
+            age_s=round(verdict.age_s, 3),
+            why=source,
+        )
+
+    @property
+    def _own_name(self) -> str:
+        return self._shared.settings.name
+
+    def _owners(self, key: str) -> list[str]:
+        """Return the first owners, and more where some do not respond."""
+        now = self._shared.loop.time()
+        owners: list[str] = []
+        reachable = 0
+        for name in self._ranked(key):
+            peer = self._shared.peers.find(name)
+            owners.append(name)
+            reachable += peer is None or peer.is_usable(now)
+            if reachable == OWNER_COUNT:
+                break
+        return owners
+
+    def _ranked(self, key: str) -> list[str]:
+        instances = self._shared.instances or [self._own_name]
+        return ranked_instances(key, instances)
+
+    def _is_lead(self, key: str) -> bool:
+        """Return whether this is the first instance that responds."""
+        now = self._shared.loop.time()
+        for name in self._ranked(key):
+            if name == self._own_name:
+                return True
+            peer = self._shared.peers.find(name)
+            if peer is not None and peer.is_usable(now):
+                return False
+        return True
+
+    def _judge(self, sightings: list[CrashSighting]) -> None:
+        """Count sightings as an owner; pass on a verdict that they change."""
+        shared = self._shared
+        now = shared.loop.time()
+        quarantine = shared.crashes.quarantine
+        for sighting in sightings:
+            if shared.crashes.completions.is_recent(sighting.key, now):
+                continue
+            evidence = self._evidence.add(sighting, now)
+            known = quarantine.find(sighting.key, now)
+            if evidence.level > (
+                Level.CLEAR if known is None else known.level
+            ):
+                self._decide(sighting.key, evidence)
+
+    def _decide(self, key: str, evidence: Evidence) -> None:
+        verdict = Verdict(
+            key,
+            evidence.level,
+            evidence.crashes,
+            len(evidence.attempt_by_id),
+            evidence.route,
+            evidence.target,
+            self._own_name,
+        )
+        self.apply(verdict, "crashes")
+        self._broadcast(verdict)
+        if evidence.level is Level.CRASHING:
+            self.persist(verdict)
+
+    def _known(self, key: str) -> Verdict | None:
+        """Return what this instance knows of a request, None if nothing."""
+        shared = self._shared
+        now = shared.loop.time()
+        if shared.crashes.completions.is_recent(key, now):
+            return Verdict(key, Level.CLEAR, decided_by=self._own_name)
+        entry = shared.crashes.quarantine.find(key, now)
+        return None if entry is None else entry.to_verdict(now)
+
+    def _check(self, verdict: Verdict) -> Verdict | None:
+        """Apply another's verdict, or return that the request is clear."""
+        shared = self._shared
+        is_clear = shared.crashes.completions.is_recent(
+            verdict.key, shared.loop.time()
+        )
+        if is_clear and verdict.level != Level.CLEAR:
+            return Verdict(verdict.key, Level.CLEAR, decided_by=self._own_name)
+        self.apply(verdict, "peer")
+        return None
+
+    def _broadcast(self, verdict: Verdict) -> None:
+        for name in self._shared.peers.names():
+            self._send(name, QuarantineNews(verdicts=[verdict]))
+
+    def _send(self, name: str, news: QuarantineNews, sends: int = 1) -> None:
+        """Send news to an instance until it confirms them."""
+        shared = self._shared
+        peer = shared.peers.find(name)
+        if peer is None:
+            return
+
+        def on_end(response: LeafResponse | None, reason: str) -> None:
+            if response is not None:
+                self.apply_reply(response.body)
+            elif sends < MAX_SENDS:
+                shared.loop.call_later(
+                    RETRY_S, self._send, name, news, sends + 1
+                )
+
+        body = encode_message(news)
+        PeerSend(shared, peer, lambda: body, on_end).start_at_once(NEWS_PATH)
+
+    def _log_sighting(self, sighting: CrashSighting) -> None:
+        self._shared.log.record(
+            CRASH_SIGHTED,
+            request_id=sighting.request_id,
+            key=sighting.key,
+            leaf=sighting.leaf,
+            route=sighting.route,
+            alone=sighting.alone,
+        )
--- a/heatherdyke/gateway/refusal.py
+++ b/heatherdyke/gateway/refusal.py
@@ -15,6 +15,7 @@
 # Clients honour a time only up to this share of their remaining time.
 MAX_REMAINING_SHARE = 0.3
 MIN_RETRY_AFTER_S = 0.01
+RETRY_AFTER = b"Retry-After"
 
 
 class RefusalReason(Enum):
@@ -32,6 +33,10 @@
     SHARE_NOT_REACHED = "share_not_reached"
     NO_TIME_LEFT = "no_time_left"
     MALFORMED = "malformed"
+    # The request seems to crash the leafs that run it.
+    QUARANTINED = "quarantined"
+    # It may, and no leaf is available to find out.
+    SUSPECT = "suspect"
 
 
 RETRY_AFTER_S_BY_REASON = {
@@ -44,6 +49,8 @@
     RefusalReason.LEAF_RATES: 0.3,
     RefusalReason.RETRY_BUDGET: 0.15,
     RefusalReason.NO_TIME_LEFT: 0.1,
+    # The leaf that a suspect request needs may be back by then.
+    RefusalReason.SUSPECT: 1.0,
 }
 
 
@@ -73,7 +80,17 @@
     if remaining_s is not None:
         after_s = min(after_s, MAX_REMAINING_SHARE * remaining_s)
     after_s = max(MIN_RETRY_AFTER_S, after_s)
-    headers = [(b"Retry-After", b"%.3f" % after_s)]
+    headers = [(RETRY_AFTER, b"%.3f" % after_s)]
+    return Refusal(ClientResponse(503, headers), after_s)
+
+
+def make_quarantine_refusal(after_s: float, random: Random) -> Refusal:
+    """Return a 503 response to a request that no leaf gets for ``after_s``.
+
+    Unlike others it does not end within the time that the client still waits.
+    """
+    after_s *= 1.0 + JITTER * random.random()
+    headers = [(RETRY_AFTER, b"%.0f" % after_s)]
     return Refusal(ClientResponse(503, headers), after_s)
 
 
--- a/heatherdyke/gateway/search.py
+++ b/heatherdyke/gateway/search.py
@@ -4,9 +4,10 @@
 near the leafs, as ``group_shards`` decides.
 """
 
+from heatherdyke.gateway.canary import Canary
+from heatherdyke.gateway.crash_guard import Admission
 from heatherdyke.gateway.events import CLIENT_DISCONNECTED
 from heatherdyke.gateway.events import REQUEST_FAILED
-from heatherdyke.gateway.events import REQUEST_REFUSED
 from heatherdyke.gateway.events import REQUEST_SERVED
 from heatherdyke.gateway.events import SEARCH_PARTIAL
 from heatherdyke.gateway.exchange import Exchange
@@ -14,7 +15,9 @@
 from heatherdyke.gateway.grouping import group_shards
 from heatherdyke.gateway.grouping import relayed_groups
 from heatherdyke.gateway.leaf_selection import DIRECT_ACCESS
+from heatherdyke.gateway.leaf_selection import ZoneAccess
 from heatherdyke.gateway.messages import ClientResponse
+from heatherdyke.gateway.messages import LeafResponse
 from heatherdyke.gateway.part_collector import PartCollector
 from heatherdyke.gateway.peer_call import PeerCall
 from heatherdyke.gateway.peer_messages import GroupResult
@@ -23,7 +26,10 @@
 from heatherdyke.gateway.refusal import RefusalReason
 from heatherdyke.gateway.refusal import make_failure_answer
 from heatherdyke.gateway.refusal import make_refusal
+from heatherdyke.gateway.refused_request import refuse_quarantined
+from heatherdyke.gateway.refused_request import send_refusal
 from heatherdyke.gateway.routing import Route
+from heatherdyke.gateway.search_plan import SearchPlan
 from heatherdyke.gateway.search_plan import plan_search
 from heatherdyke.gateway.search_progress import Decision
 from heatherdyke.gateway.search_progress import SearchProgress
@@ -57,6 +63,7 @@
         "_sent",
         "_extra_sends",
         "_may_have_run",
+        "_canary",
     )
 
     def __init__(
@@ -91,11 +98,19 @@
         self._sent = 0
         self._extra_sends = 0
         self._may_have_run = False
+        self._canary: Canary | None = None
 
     def start(self) -> None:
-        """Query the shards; refuse without time or leafs for enough shards."""
+        """Query the shards; refuse without time or leafs for enough shards.
+
+        A search that may crash leafs is sent to one of them first.
+        """
         shared = self._shared
         route = self._route
+        admission = shared.crashes.admission(self._exchange.request)
+        if admission is Admission.REFUSED:
+            refuse_quarantined(shared, self._exchange, route.name)
+            return
         access = shared.selector.zone_access()
         plan = plan_search(shared, route, access, route.shards)
         if not plan.meets_min_share(route):
@@ -105,6 +120,15 @@
             self._refuse(RefusalReason.NO_TIME_LEFT, ())
             return
         self._exchange.on_disconnect(self._on_client_disconnect)
+        if admission is Admission.CAREFUL:
+            self._start_canary(plan)
+        else:
+            self._query(plan, access)
+            self._collector.start()
+
+    def _query(self, plan: SearchPlan, access: ZoneAccess) -> None:
+        """Send to the leafs of the planned shards, directly or in groups."""
+        shared = self._shared
         grouping = group_shards(
             plan.direct,
             plan.zones_by_shard,
@@ -117,7 +141,36 @@
             self._query_peer(group)
         if grouping.own:
             self._query_leafs(grouping.own)
-        self._collector.start()
+
+    def _start_canary(self, plan: SearchPlan) -> None:
+        self._canary = Canary(
+            self._shared,
+            self._exchange.request,
+            self._route,
+            self._collector.progress.deadline_at,
+            self._on_canary_end,
+        )
+        if self._canary.start(plan.direct):
+            self._collector.start()
+        else:
+            self._refuse(RefusalReason.SUSPECT, ())
+
+    def _on_canary_end(self, shard: str, part: LeafResponse | None) -> None:
+        """Query the other shards once a leaf has completed the search."""
+        collector = self._collector
+        if collector.closed:
+            return
+        if part is None:
+            collector.close()
+            self._give_up()
+            return
+        collector.add_part(shard, part.signature, part.body)
+        access = self._shared.selector.zone_access()
+        others = tuple(x for x in self._route.shards if x != shard)
+        plan = plan_search(self._shared, self._route, access, others)
+        self._query(plan, access)
+        self._lose(plan.without_leaf)
+        collector.decide()
 
     def _query_leafs(self, shards: tuple[str, ...]) -> None:
         search = ShardSearch(
@@ -155,6 +208,9 @@
 
     def _query_declined(self, shards: tuple[str, ...]) -> None:
         """Query shards of a declined group directly or by other peers."""
+        if self._shared.crashes.entry_of(self._exchange.request) is not None:
+            self._lose(shards)
+            return
         plan = plan_search(self._shared, self._route, DIRECT_ACCESS, shards)
         if plan.direct or plan.without_leaf:
             self._query_leafs(plan.direct + plan.without_leaf)
@@ -304,6 +360,9 @@
             search.may_have_run or search.running
             for search in self._leaf_searches
         )
+        canary = self._canary
+        if canary is not None and (canary.may_have_run or canary.running):
+            return True
         return own or bool(self._peer_calls) or bool(self._collector.bodies)
 
     def _refuse_without_leafs(self, without_leaf: tuple[str, ...]) -> None:
@@ -336,16 +395,13 @@
             shared.random,
             max(min_after_s, shared.isolation.clients_moved_in_s(now)),
         )
-        shared.metrics.count("answers", "503")
-        self._exchange.answer(refusal.answer)
-        shared.log.record(
-            REQUEST_REFUSED,
-            request_id=self._exchange.request.id_text,
-            route=self._route.name,
-            status=503,
-            why=reason.value,
-            retry_after_s=round(refusal.retry_after_s, 3),
-            inputs=f"{len(without_leaf)} of {len(self._route.shards)} shards "
+        send_refusal(
+            shared,
+            self._exchange,
+            self._route.name,
+            reason,
+            refusal,
+            f"{len(without_leaf)} of {len(self._route.shards)} shards "
             f"without a leaf, a share of {self._route.min_share} required; "
             f"{'; '.join(described)}",
         )
@@ -363,6 +419,8 @@
         )
 
     def _abandon(self) -> None:
+        if self._canary is not None:
+            self._canary.abandon()
         for search in self._leaf_searches:
             search.abandon()
         self._abandon_calls()
--- a/heatherdyke/gateway/shard_search.py
+++ b/heatherdyke/gateway/shard_search.py
@@ -8,6 +8,7 @@
 from heatherdyke.gateway.mechanisms import Mechanism
 from heatherdyke.gateway.messages import AttemptOutcome
 from heatherdyke.gateway.messages import ClientRequest
+from heatherdyke.gateway.messages import Failure
 from heatherdyke.gateway.part_collector import PartCollector
 from heatherdyke.gateway.routing import Route
 from heatherdyke.gateway.shared_state import SharedState
@@ -30,6 +31,9 @@
         "_sender",
         "_tried_leafs_by_shard",
         "_in_flight_by_shard",
+        "_broken_count",
+        "_has_part",
+        "_postponed_shards",
         "_timer",
     )
 
@@ -54,9 +58,14 @@
             self._latency,
             collector.progress.deadline_at,
             self._on_attempt_end,
+            route.name,
         )
         self._tried_leafs_by_shard: dict[str, list[Leaf]] = {}
         self._in_flight_by_shard: dict[str, int] = {}
+        self._broken_count = 0
+        self._has_part = False
+        # Shards whose retry waits until a leaf has completed the search.
+        self._postponed_shards: list[str] = []
         self._timer: asyncio.TimerHandle | None = None
 
     @property
@@ -145,19 +154,50 @@
         response = outcome.response
         if not outcome.not_run:
             self.may_have_run = True
+        if outcome.failure is Failure.BROKEN:
+            self._broken_count += 1
         if response is not None and response.is_signed_success:
             collector.add_part(shard, response.signature, response.body)
+            self._has_part = True
         elif shard not in collector.progress.answered:
             reason = "rejected" if outcome.not_run else "failed"
-            sent = self._shared.has(Mechanism.RETRIES) and self._send_extra(
-                shard, reason
-            )
-            if not sent and self._in_flight_by_shard[shard] == 0:
-                collector.add_loss(shard)
+            self._retry(shard, reason)
+        if self._postponed_shards and (self._has_part or not self.running):
+            self._retry_postponed()
         collector.decide()
 
+    def _retry(self, shard: str, reason: str) -> None:
+        """Retry a shard, now or once the search seems not to crash leafs."""
+        if self._may_crash_leafs:
+            self._postponed_shards.append(shard)
+            return
+        sent = self._shared.has(Mechanism.RETRIES) and self._send_extra(
+            shard, reason
+        )
+        if not sent and self._in_flight_by_shard[shard] == 0:
+            self._collector.add_loss(shard)
+
+    def _retry_postponed(self) -> None:
+        """Retry the postponed shards, or lose them if no leaf is left."""
+        shards, self._postponed_shards = self._postponed_shards, []
+        for shard in shards:
+            if self._has_part:
+                self._retry(shard, "failed")
+            else:
+                self._collector.add_loss(shard)
+
+    @property
+    def _may_crash_leafs(self) -> bool:
+        """Return whether no leaf has completed the search and some broke."""
+        crashes = self._shared.crashes
+        return not self._has_part and crashes.may_crash_more(
+            self._broken_count
+        )
+
     def _hedge(self) -> None:
         self._timer = None
+        if self._may_crash_leafs:
+            return
         answered = self._collector.progress.answered
         for shard, in_flight in list(self._in_flight_by_shard.items()):
             if in_flight > 0 and shard not in answered:
--- a/heatherdyke/gateway/shared_state.py
+++ b/heatherdyke/gateway/shared_state.py
@@ -3,6 +3,7 @@
 import asyncio
 from random import Random
 
+from heatherdyke.gateway.crash_guard import CrashGuard
 from heatherdyke.gateway.event_log import EventLog
 from heatherdyke.gateway.isolation import IsolationDetector
 from heatherdyke.gateway.leaf_entry import LeafEntry
@@ -39,6 +40,7 @@
         "leafs",
         "isolation",
         "links",
+        "crashes",
         "pools",
         "peers",
         "relays",
@@ -71,12 +73,19 @@
         self._set_leaf_times()
         self.isolation = IsolationDetector(settings.zone)
         self.links = LeafLinks(self.isolation, self.leafs)
+        self.crashes = CrashGuard(
+            loop,
+            self.metrics,
+            self.has(Mechanism.QUARANTINE),
+            self.links,
+        )
         self.pools = LeafPools(
             loop,
             log,
             self.links,
             self.service,
             LeafRateLimiter(settings.name),
+            self.crashes,
         )
         self.peers = Peers(
             loop, log, self.isolation, settings.name, settings.zone, random
@@ -178,3 +187,4 @@
         """Close the connections of a leaf that is no longer used."""
         self.pools.drop(leaf)
         self.selector.forget(leaf)
+        self.crashes.forget(leaf.leaf_id)
--- a/heatherdyke/gateway/state_updater.py
+++ b/heatherdyke/gateway/state_updater.py
@@ -36,6 +36,8 @@
 PEER_VERSION_CHECK_DELAY_S = 0.5
 # A relist cancels the call in flight; a slow store gets this long to answer.
 MIN_RELIST_INTERVAL_S = 5.0
+# The reason why a leaf is dropped that a new incarnation replaces.
+RESTARTED = "restarted"
 
 
 class StateUpdater:
@@ -139,7 +141,7 @@
             return
         leaf = self._shared.leafs.apply(entry, now)
         if leaf is not None:
-            self._on_leaf_dropped(leaf, "restarted")
+            self._on_leaf_dropped(leaf, RESTARTED)
         self._log_entry(entry)
 
     def expire_absent_leafs(self, now: float) -> None:
@@ -224,6 +226,8 @@
         shared.leafs.set_zones_out(zones, shared.loop.time(), cold_s)
 
     def _on_leaf_dropped(self, leaf: Leaf, reason: str) -> None:
+        if reason == RESTARTED:
+            self._shared.crashes.record_down(leaf.leaf_id)
         self._shared.drop_leaf(leaf)
         self._shared.log.record(
             LEAF_REMOVED,
--- a/heatherdyke/platform/headers.py
+++ b/heatherdyke/platform/headers.py
@@ -20,6 +20,10 @@
 RATE_LIMIT = b"server-limit"
 RETRY_AFTER = b"retry-after"
 
+# Credentials, by which requests of different callers are told apart; the
+# platform defines no field of its own for them.
+CALLER_FIELDS = frozenset((b"authorization", b"cookie", b"x-api-key"))
+
 READY_PATH = b"/api/readiness"
 
 
--- /dev/null
+++ b/heatherdyke/platform/quarantines.py
@@ -0,0 +1,54 @@
+"""Encodes and decodes the objects that keep quarantined requests."""
+
+import msgspec
+
+from heatherdyke.gateway.crash_evidence import Level
+from heatherdyke.gateway.quarantine import Verdict
+
+KIND = "heatherdyke-quarantines"
+MS_PER_S = 1000.0
+
+
+class _WireQuarantine(msgspec.Struct, rename="kebab"):
+    # Unix time of the verdict.
+    since_ms: int
+    # Set by an operator, or once a leaf has completed the request.
+    lifted: bool = False
+    crashes: int = 0
+    attempts: int = 0
+    route: str = ""
+    target: str = ""
+    decided_by: str = ""
+
+
+def encode_quarantine(verdict: Verdict, wall_s: float) -> _WireQuarantine:
+    """Return the object for a verdict; ``wall_s`` is the Unix time now."""
+    return _WireQuarantine(
+        since_ms=int((wall_s - verdict.age_s) * MS_PER_S),
+        lifted=verdict.level == Level.CLEAR,
+        crashes=verdict.crashes,
+        attempts=verdict.attempts,
+        route=verdict.route,
+        target=verdict.target,
+        decided_by=verdict.decided_by,
+    )
+
+
+def decode_quarantine(
+    name: str, spec: msgspec.Raw, wall_s: float
+) -> Verdict | None:
+    """Return the verdict, CLEAR if lifted; None if the object is invalid."""
+    try:
+        wire = msgspec.json.decode(spec, type=_WireQuarantine)
+    except msgspec.MsgspecError:
+        return None
+    return Verdict(
+        key=name,
+        level=Level.CLEAR if wire.lifted else Level.CRASHING,
+        crashes=wire.crashes,
+        attempts=wire.attempts,
+        route=wire.route,
+        target=wire.target,
+        decided_by=wire.decided_by,
+        age_s=max(0.0, wall_s - wire.since_ms / MS_PER_S),
+    )
--- a/heatherdyke/platform/store.py
+++ b/heatherdyke/platform/store.py
@@ -1,4 +1,4 @@
-"""Client of the platform's store: list, watch and create objects."""
+"""Client of the platform's store: list, watch and write objects."""
 
 from dataclasses import dataclass
 from urllib.parse import quote
@@ -22,6 +22,11 @@
 STATUS_CREATED = 201
 STATUS_CONFLICT = 409
 STATUS_GONE = 410
+STATUS_NO_CONTENT = 204
+STATUS_NOT_FOUND = 404
+ACCEPTED = frozenset((STATUS_OK, STATUS_CREATED, STATUS_NO_CONTENT))
+ACCEPTED_BY_CREATE = ACCEPTED | {STATUS_CONFLICT}
+ACCEPTED_BY_DELETE = ACCEPTED | {STATUS_NOT_FOUND}
 
 
 class HistoryGone(PlatformUnavailable):
@@ -150,10 +155,27 @@
         """Create the object; return False if it already exists."""
         body = msgspec.json.encode({"meta": {"name": name}, "spec": spec})
         response = await self._call(
-            "POST", f"/api/objects/{kind}", body=body, accept_conflict=True
+            "POST",
+            f"/api/objects/{kind}",
+            body=body,
+            accepted=ACCEPTED_BY_CREATE,
         )
         return response.status != STATUS_CONFLICT
 
+    async def put(self, kind: str, name: str, spec: object) -> None:
+        """Create the object, or replace the spec of an existing one."""
+        if await self.create(kind, name, spec):
+            return
+        body = msgspec.json.encode({"meta": {"name": name}, "spec": spec})
+        await self._call(
+            "PUT", f"/api/objects/{kind}/{quote(name, '')}", body=body
+        )
+
+    async def delete(self, kind: str, name: str) -> None:
+        """Delete the object; one that is gone changes nothing."""
+        target = f"/api/objects/{kind}/{quote(name, '')}"
+        await self._call("DELETE", target, accepted=ACCEPTED_BY_DELETE)
+
     def close(self) -> None:
         """Close the connection; a call in progress fails."""
         if self._connection is not None:
@@ -166,7 +188,7 @@
         target: str,
         timeout_s: float = CALL_TIMEOUT_S,
         body: bytes = b"",
-        accept_conflict: bool = False,
+        accepted: frozenset[int] = ACCEPTED,
     ) -> HttpResponse:
         self.calls += 1
         try:
@@ -183,10 +205,7 @@
                 f"{target}: the revision is no longer in the history",
                 "list again",
             )
-        accepted = status in (STATUS_OK, STATUS_CREATED) or (
-            accept_conflict and status == STATUS_CONFLICT
-        )
-        if not accepted:
+        if status not in accepted:
             raise PlatformUnavailable(
                 f"the store responded {status} to {method} {target}",
                 "try again",
--- a/heatherdyke/platform_standin/store.py
+++ b/heatherdyke/platform_standin/store.py
@@ -136,6 +136,11 @@
             exchange.answer(ClientResponse(status))
         elif request.method == b"POST":
             self._create(exchange, kind)
+        elif request.method == b"PUT":
+            self._replace(exchange, kind, unquote(name))
+        elif request.method == b"DELETE":
+            self.delete(kind, unquote(name))
+            exchange.answer(ClientResponse(204))
         elif name:
             self._get(exchange, kind, unquote(name))
         else:
@@ -157,6 +162,14 @@
         self.put(kind, name, body.get("spec"))
         _reply(exchange, 201, self._items_by_kind[kind][name].to_wire())
 
+    def _replace(self, exchange: Exchange, kind: str, name: str) -> None:
+        if name not in self._items_by_kind.get(kind, {}):
+            exchange.answer(ClientResponse(404))
+            return
+        body = msgspec.json.decode(exchange.request.body)
+        self.put(kind, name, body.get("spec"))
+        _reply(exchange, 200, self._items_by_kind[kind][name].to_wire())
+
     def _get(self, exchange: Exchange, kind: str, name: str) -> None:
         item = self._items_by_kind.get(kind, {}).get(name)
         if item is None:
--- a/tests/test_gateway_load_patterns.py
+++ b/tests/test_gateway_load_patterns.py
@@ -31,6 +31,7 @@
 from heatherdyke.gateway.peer_messages import SEARCH_PATH
 from heatherdyke.gateway.peer_messages import encode_message
 from heatherdyke.gateway.peers import PEER_SERVICE
+from heatherdyke.gateway.quarantine_sync import QuarantineSync
 from heatherdyke.gateway.refusal import RefusalReason
 from heatherdyke.gateway.refusal import make_refusal
 from heatherdyke.gateway.routing import Route
@@ -119,9 +120,9 @@
         arrived_at=shared.loop.time(),
     )
     answers: list[ClientResponse] = []
-    PeerApi(shared, lambda version: None).handle(
-        Exchange(request, answers.append)
-    )
+    PeerApi(
+        shared, lambda version: None, QuarantineSync(shared).handle
+    ).handle(Exchange(request, answers.append))
     return answers[0]
 
 
--- a/tests/test_gateway_peer_api.py
+++ b/tests/test_gateway_peer_api.py
@@ -21,6 +21,7 @@
 from heatherdyke.gateway.peer_messages import RemainderRequest
 from heatherdyke.gateway.peer_messages import encode_message
 from heatherdyke.gateway.peer_send import _expecting_header
+from heatherdyke.gateway.quarantine_sync import QuarantineSync
 from heatherdyke.gateway.routing import RouteTable
 from heatherdyke.gateway.routing import RoutingConfig
 from heatherdyke.gateway.shared_state import SharedState
@@ -47,9 +48,9 @@
             arrived_at=loop.time(),
         )
         answers: list[ClientResponse] = []
-        PeerApi(shared, lambda version: None).handle(
-            Exchange(request, answers.append)
-        )
+        PeerApi(
+            shared, lambda version: None, QuarantineSync(shared).handle
+        ).handle(Exchange(request, answers.append))
         return answers[0]
 
     return asyncio.run(main())
