--- a/heatherdyke/platform_standin/store.py
+++ b/heatherdyke/platform_standin/store.py
@@ -110,6 +110,10 @@
         """Return the names of all objects of a kind, sorted."""
         return sorted(self._items_by_kind.get(kind, {}))
 
+    def spec(self, kind: str, name: str) -> Any:
+        """Return an object's spec; raises KeyError if it does not exist."""
+        return self._items_by_kind[kind][name].spec
+
     def compact_history(self) -> None:
         """Discard the history; watches from older revisions get 410."""
         self._history.clear()
--- a/tests/crash_load.py
+++ b/tests/crash_load.py
@@ -10,10 +10,16 @@
 from gateway_fleet import send_request
 from gateway_scenarios import CONFIG
 from gateway_scenarios import SHARDS
+from gateway_scenarios import until
 
 from heatherdyke.gateway.header_rules import find_header
+from heatherdyke.gateway.instance_registry import FIRST_LIST_INTERVAL_S
 from heatherdyke.gateway.messages import ClientRequest
+from heatherdyke.platform.instances import KIND as INSTANCE_KIND
 from heatherdyke.platform_standin.leaf import StandinLeaf
+from heatherdyke.standin.fault_proxy_model import RouteConfig
+from heatherdyke.standin.fault_proxy_model import RouteFaults
+from heatherdyke.standin.fault_proxy_tcp import TcpRoute
 
 # After the third crash the instances have this long to learn of it; later
 # the request may reach leafs in LATE_ARRIVALS more retries.
@@ -59,6 +65,7 @@
     """A client's request and how it ended; ``status`` 0 without answer."""
 
     request_id: str
+    path: str
     at: float
     took_s: float
     status: int
@@ -76,6 +83,33 @@
         self.others: list[Sent] = []
         self.stopping = False
         self._number = 0
+        self._peer_proxies: list[TcpRoute] = []
+
+    async def put_peers_behind_proxies(self) -> None:
+        """Register a proxy as the address of each instance."""
+        store = self.fleet.store
+        await until(
+            lambda: len(store.names(INSTANCE_KIND)) == len(self.fleet.gateways)
+        )
+        for gateway in self.fleet.gateways:
+            spec = dict(store.spec(INSTANCE_KIND, gateway.name))
+            config = RouteConfig(gateway.name, "127.0.0.1:0", spec["address"])
+            proxy = TcpRoute(config)
+            await proxy.start()
+            self._peer_proxies.append(proxy)
+            spec["address"] = proxy.address
+            store.put(INSTANCE_KIND, gateway.name, spec)
+        # The instances list each other again.
+        await asyncio.sleep(FIRST_LIST_INTERVAL_S + 0.5)
+
+    def cut_peers(self, cut: bool) -> None:
+        """Reset connections between instances, or let them be again."""
+        for proxy in self._peer_proxies:
+            proxy.set_faults(RouteFaults(cut=cut))
+
+    async def stop_proxies(self) -> None:
+        for proxy in self._peer_proxies:
+            await proxy.stop()
 
     def now(self) -> float:
         return asyncio.get_running_loop().time()
@@ -151,7 +185,9 @@
             status = answer.status
             header = answer.value_by_header.get("retry-after")
             retry_after_s = None if header is None else float(header)
-        return Sent(request_id, at, self.now() - at, status, retry_after_s)
+        return Sent(
+            request_id, path, at, self.now() - at, status, retry_after_s
+        )
 
 
 def quarantined_ids(fleet: Fleet) -> set[str]:
--- a/tests/test_gateway_crashing_requests.py
+++ b/tests/test_gateway_crashing_requests.py
@@ -1,7 +1,9 @@
 """A request that crashes its leafs, at real instances."""
 
 import asyncio
-from contextlib import suppress
+import signal
+from collections.abc import Awaitable
+from collections.abc import Callable
 
 import pytest
 from crash_load import LATE_ARRIVALS
@@ -18,18 +20,33 @@
 # How long arrivals are counted after the instances had time to learn.
 COUNTED_S = 4.0
 CLIENTS = 3
+TROUBLE_S = 3.0
+# All other requests are served in the last seconds.
+SERVED_S = 2.0
 DOWN_S = 1.5
 SEED = 26
 
 
-async def play(fleet: Fleet, prefix: str, instances: int) -> CrashLoad:
+Trouble = Callable[[CrashLoad], Awaitable[None]]
+
+
+async def no_trouble(load: CrashLoad) -> None:
+    """Let the instances and leafs be."""
+
+
+async def play(
+    fleet: Fleet, prefix: str, instances: int, trouble: Trouble = no_trouble
+) -> CrashLoad:
     """Play a caller with a crashing request beside other clients."""
     await set_up_leafs(fleet, DOWN_S)
     for number in range(instances):
         await ready_gateway(fleet, f"g{number}")
     load = CrashLoad(fleet, prefix, SEED)
+    if trouble is cut_instances_apart:
+        await load.put_peers_behind_proxies()
     tasks = [asyncio.create_task(load.send_others()) for _ in range(CLIENTS)]
     tasks.append(asyncio.create_task(load.repeat_crashing()))
+    tasks.append(asyncio.create_task(trouble(load)))
     try:
         await until(lambda: len(load.crash_times()) >= THIRD, 15.0)
         third_at = load.crash_times()[THIRD - 1]
@@ -37,11 +54,73 @@
         await asyncio.sleep(counted_from + COUNTED_S - load.now())
     finally:
         load.stopping = True
-        with suppress(asyncio.CancelledError):
-            await asyncio.gather(*tasks)
+        await asyncio.gather(*tasks)
+        await load.stop_proxies()
     return load
 
 
+async def restart_all(load: CrashLoad) -> None:
+    """Kill and start all instances when they must know of the request."""
+    await until(lambda: len(load.crash_times()) >= THIRD, 15.0)
+    await asyncio.sleep(STABILITY_S)
+    gateways = load.fleet.gateways
+    for gateway in gateways:
+        gateway.kill()
+    for gateway in gateways:
+        await gateway.process.wait()
+        await load.fleet.start_process(gateway)
+
+
+async def restart_in_turn(load: CrashLoad) -> None:
+    """Stop and start one instance after the other."""
+    for gateway in load.fleet.gateways:
+        gateway.terminate()
+        await gateway.process.wait()
+        await load.fleet.start_process(gateway)
+
+
+async def freeze_half(load: CrashLoad) -> None:
+    """Pause half of the instances while the first leafs crash."""
+    gateways = load.fleet.gateways[::2]
+    for gateway in gateways:
+        gateway.process.send_signal(signal.SIGSTOP)
+    await asyncio.sleep(TROUBLE_S)
+    for gateway in gateways:
+        gateway.process.send_signal(signal.SIGCONT)
+
+
+async def cut_instances_apart(load: CrashLoad) -> None:
+    """Reset the connections between all instances for a while."""
+    load.cut_peers(True)
+    await asyncio.sleep(TROUBLE_S)
+    load.cut_peers(False)
+
+
+async def crash_leafs(load: CrashLoad) -> None:
+    """Crash leafs that are not to blame, singly and many at once."""
+    end_at = load.now() + TROUBLE_S
+    crashes = []
+    while load.now() < end_at:
+        count = load.random.choice([1, 1, 2, 6])
+        for leaf in load.random.sample(load.fleet.leafs, count):
+            if not leaf.listener.is_stopped:
+                crashes.append(asyncio.create_task(leaf.crash()))
+        await asyncio.sleep(0.3)
+    await asyncio.gather(*crashes)
+
+
+def check(load: CrashLoad) -> None:
+    """Check the limit, that refusals are true, and who else was refused."""
+    counted_from = load.crash_times()[THIRD - 1] + STABILITY_S
+    assert load.arrivals_after(counted_from) <= LATE_ARRIVALS
+    for sent in load.crashing + load.others:
+        if sent.status == 503:
+            assert sent.retry_after_s > 0
+            assert not load.ran(sent.request_id) or sent.path[1] != "u"
+    other_ids = {sent.request_id for sent in load.others}
+    assert quarantined_ids(load.fleet) & other_ids == set()
+
+
 class TestCrashingRequest:
     # Guards against instances that send a request on to leaf after leaf
     # although it has crashed each leaf that ran it.
@@ -52,17 +131,43 @@
     ):
         async def scenario(fleet):
             load = await play(fleet, prefix, instances)
+            check(load)
             counted_from = load.crash_times()[THIRD - 1] + STABILITY_S
-            assert load.arrivals_after(counted_from) <= LATE_ARRIVALS
             late = [x for x in load.crashing if x.at > counted_from]
             assert late
             for sent in late:
                 assert sent.status == 503
-                assert sent.retry_after_s > 0
                 assert not load.ran(sent.request_id)
             served = [x.status for x in load.others if x.at > counted_from]
             assert set(served) == {200}
-            other_ids = {sent.request_id for sent in load.others}
-            assert quarantined_ids(fleet) & other_ids == set()
+
+        run(scenario, tmp_path)
+
+    # Guards against instances that forget which requests crash leafs, never
+    # learn it, or take other requests for such ones.
+    @pytest.mark.parametrize("prefix", ["/o/", "/u/", "/s/"])
+    @pytest.mark.parametrize(
+        "trouble",
+        [
+            restart_all,
+            restart_in_turn,
+            freeze_half,
+            cut_instances_apart,
+            crash_leafs,
+        ],
+    )
+    def test_the_same_holds_beside_other_trouble(
+        self, tmp_path, prefix, trouble
+    ):
+        async def scenario(fleet):
+            load = await play(fleet, prefix, 4, trouble)
+            check(load)
+            end_at = load.now()
+            served = {
+                sent.status
+                for sent in load.others
+                if end_at - sent.at < SERVED_S
+            }
+            assert served == {200}
 
         run(scenario, tmp_path)
