Try a quarantined request again at fixed times of fixed instances

Each of the first three instances in the request's rendezvous order tries it once, 60, 600 and 3600 s after the verdict, so that instances that are cut from each other don't each try it: three retries in all, by construction. Bound the objects in the store; report how a search ended in a module of its own.

Pure decisions, the real runs with 1 and 3 instances, a cut and restarts of all: passed.

--- a/heatherdyke/gateway/canary.py
+++ b/heatherdyke/gateway/canary.py
@@ -51,10 +51,10 @@
         return self._sender.running
 
     def start(self, shards: tuple[str, ...]) -> bool:
-        """Send to a leaf of the first shard that has one; False if none."""
+        """Send to a leaf of any of the shards; return False without one."""
         shared = self._shared
         median_s = self._sender.latency.median_s
-        for shard in shards:
+        for shard in shared.random.sample(shards, len(shards)):
             leaf = shared.selector.choose(shard, self._route, (), median_s)
             if leaf is not None:
                 shared.budget.count_request(shard, shared.loop.time())
--- a/heatherdyke/gateway/crash_guard.py
+++ b/heatherdyke/gateway/crash_guard.py
@@ -48,8 +48,8 @@
     The owner sets ``on_sightings``, which is called with new sightings,
     ``on_cleared``, called with the key of a suspect or quarantined request
     that a leaf has completed, ``on_news``, called with the news in another
-    instance's refusal, and ``may_probe``, which tells whether this instance
-    tries a quarantined request again.
+    instance's refusal, and ``rank_for``, which returns this instance's rank
+    for a request's key, 0 first.
     """
 
     __slots__ = (
@@ -57,7 +57,7 @@
         "completions",
         "on_sightings",
         "on_cleared",
-        "may_probe",
+        "rank_for",
         "on_news",
         "_loop",
         "_metrics",
@@ -78,7 +78,7 @@
         self.on_sightings: Callable[[list[CrashSighting]], None] = _ignore
         self.on_cleared: Callable[[str], None] = _ignore
         self.on_news: Callable[[bytes], None] = _ignore
-        self.may_probe: Callable[[str], bool] = lambda key: True
+        self.rank_for: Callable[[str], int] = lambda key: 0
         self._loop = loop
         self._metrics = metrics
         self._is_enabled = is_enabled
@@ -92,9 +92,8 @@
             return Admission.NORMAL
         if entry.level is Level.SUSPECT:
             return Admission.CAREFUL
-        key = entry.verdict.key
-        now = self._loop.time()
-        if self.may_probe(key) and self.quarantine.take_probe(entry, now):
+        rank = self.rank_for(entry.verdict.key)
+        if entry.take_probe(rank, self._loop.time()):
             self._metrics.count("quarantine", "probed")
             return Admission.CAREFUL
         entry.refused += 1
--- a/heatherdyke/gateway/explain.py
+++ b/heatherdyke/gateway/explain.py
@@ -34,6 +34,7 @@
         "gateway_started",
         "gateway_ready",
         "gateway_stopping",
+        "quarantine_changed",
     )
 )
 OUTCOME_EVENTS = frozenset(
--- a/heatherdyke/gateway/quarantine.py
+++ b/heatherdyke/gateway/quarantine.py
@@ -1,8 +1,9 @@
 """The requests that this instance sends with care, or not at all (pure).
 
-A leaf's new version may serve a request that crashed the earlier one.  So one
-instance, the lead, tries a quarantined request again a few times.  All times
-are monotonic seconds.
+A leaf's new version may serve a request that crashed the earlier one.  So a
+few instances try a quarantined request again, each once and at its own time:
+however little they hear of each other, it reaches few leafs.  All times are
+monotonic seconds.
 """
 
 from collections import OrderedDict
@@ -16,8 +17,9 @@
 RETENTION_S = 24 * 3600.0
 # A suspect request that does not crash another leaf is forgotten.
 SUSPECT_S = 600.0
-# Waits before each time that a quarantined request is tried at one leaf.
-PROBE_WAITS_S = (60.0, 600.0, 3600.0)
+# When a quarantined request is tried again at one leaf, by the instance of
+# the first, second and third rank for it.
+PROBE_TIMES_S = (60.0, 600.0, 3600.0)
 MAX_ENTRIES = 1024
 # A request that a leaf has completed this recently does not crash leafs.
 COMPLETION_S = 10.0
@@ -29,8 +31,7 @@
 class Verdict(msgspec.Struct, array_like=True):
     """What an instance has concluded about a request.
 
-    ``age_s`` is the time since then, ``probes`` how often it was tried again
-    in quarantine.
+    ``age_s`` is the time since then.
     """
 
     key: str
@@ -41,17 +42,20 @@
     target: str = ""
     decided_by: str = ""
     age_s: float = 0.0
-    probes: int = 0
 
 
 @dataclass(slots=True)
 class QuarantineEntry:
-    """A request that is suspected or quarantined; ``since`` is monotonic."""
+    """A request that is suspected or quarantined.
+
+    ``since`` is the time of the verdict and ``changed_at`` that at which this
+    instance learned it.
+    """
 
     verdict: Verdict
     since: float
     changed_at: float
-    next_probe_at: float
+    probed: bool = False
     refused: int = 0
 
     @property
@@ -65,9 +69,24 @@
         return now - self.since > kept_s
 
     def retry_after_s(self, now: float) -> float:
-        """Return when the request may next be tried."""
-        ends_at = self.since + RETENTION_S
-        return max(1.0, min(self.next_probe_at, ends_at) - now)
+        """Return when the request is next tried, by some instance."""
+        age_s = now - self.since
+        times_s = (*PROBE_TIMES_S, RETENTION_S)
+        return min((x for x in times_s if x > age_s), default=age_s) - age_s
+
+    def take_probe(self, rank: int, now: float) -> bool:
+        """Return whether the instance of this rank tries it now, once.
+
+        One that has learned of the request after its time may have tried it
+        before it was restarted.
+        """
+        if self.probed or rank >= len(PROBE_TIMES_S):
+            return False
+        probe_at = self.since + PROBE_TIMES_S[rank]
+        if now < probe_at or self.changed_at >= probe_at:
+            return False
+        self.probed = True
+        return True
 
     def to_verdict(self, now: float) -> Verdict:
         """Return the verdict with its present age."""
@@ -100,8 +119,6 @@
             return known is not None
         if known is not None:
             known.verdict.crashes = max(known.verdict.crashes, verdict.crashes)
-            if verdict.probes > known.verdict.probes:
-                self._count_probes(known, verdict.probes, now)
             if verdict.level <= known.level:
                 return False
         self._add(verdict, now)
@@ -125,30 +142,13 @@
         if len(self._cleared_at_by_key) > MAX_ENTRIES:
             self._cleared_at_by_key.popitem(last=False)
 
-    def take_probe(self, entry: QuarantineEntry, now: float) -> bool:
-        """Return whether to try the request again now, and count it."""
-        if now < entry.next_probe_at:
-            return False
-        self._count_probes(entry, entry.verdict.probes + 1, now)
-        return True
-
     def _add(self, verdict: Verdict, now: float) -> None:
-        entry = QuarantineEntry(verdict, now - verdict.age_s, now, 0.0)
-        self._count_probes(entry, verdict.probes, now)
+        entry = QuarantineEntry(verdict, now - verdict.age_s, now)
         self.entry_by_key.pop(verdict.key, None)
         self.entry_by_key[verdict.key] = entry
         if len(self.entry_by_key) > MAX_ENTRIES:
             self.entry_by_key.popitem(last=False)
 
-    def _count_probes(
-        self, entry: QuarantineEntry, probes: int, now: float
-    ) -> None:
-        entry.verdict.probes = probes
-        if probes < len(PROBE_WAITS_S):
-            entry.next_probe_at = now + PROBE_WAITS_S[probes]
-        else:
-            entry.next_probe_at = float("inf")
-
 
 class Completions:
     """When leafs last completed requests, by key."""
--- a/heatherdyke/gateway/quarantine_store.py
+++ b/heatherdyke/gateway/quarantine_store.py
@@ -22,26 +22,35 @@
 # A list may be some seconds old, so the second one follows early.
 FIRST_LIST_INTERVAL_S = 3.0
 LIST_INTERVAL_S = 20.0
-# Verdicts that wait for the store; more are left to other instances' memory.
-MAX_WAITING = 256
+# Bound of the objects in the store, against callers with many different
+# requests; the instances' memory may hold more.
+MAX_OBJECTS = 1024
 
 
 class QuarantineStore:
     """Lists the quarantined requests regularly; writes new verdicts."""
 
-    __slots__ = ("_shared", "_sync", "_store", "_waiting_by_key", "_wake")
+    __slots__ = (
+        "_shared",
+        "_sync",
+        "_store",
+        "_object_count",
+        "_waiting_by_key",
+        "_wake",
+    )
 
     def __init__(self, shared: SharedState, sync: QuarantineSync) -> None:
         self._shared = shared
         self._sync = sync
         self._store = StoreClient(shared.settings.store.address)
+        self._object_count = 0
         self._waiting_by_key: dict[str, Verdict] = {}
         self._wake = asyncio.Event()
         sync.persist = self.write
 
     def write(self, verdict: Verdict) -> None:
         """Write a verdict soon."""
-        if len(self._waiting_by_key) < MAX_WAITING:
+        if self._object_count + len(self._waiting_by_key) < MAX_OBJECTS:
             self._waiting_by_key[verdict.key] = verdict
             self._wake.set()
 
@@ -81,13 +90,15 @@
     async def _list(self) -> None:
         listing = await self._store.list(KIND, allow_stale=True)
         shared = self._shared
+        self._object_count = len(listing.objects)
         wall_s = time.time()
         for stored in listing.objects:
             verdict = decode_quarantine(stored.name, stored.spec, wall_s)
             if verdict is None:
                 continue
             if verdict.age_s > RETENTION_S:
-                await self._store.delete(KIND, stored.name)
+                if self._sync.rank_for(verdict.key) == 0:
+                    await self._store.delete(KIND, stored.name)
                 continue
             now = shared.loop.time()
             if shared.crashes.quarantine.apply_listed(verdict, now):
--- a/heatherdyke/gateway/quarantine_sync.py
+++ b/heatherdyke/gateway/quarantine_sync.py
@@ -60,7 +60,7 @@
         shared.crashes.on_sightings = self.report
         shared.crashes.on_cleared = self.clear
         shared.crashes.on_news = self.apply_reply
-        shared.crashes.may_probe = self._is_lead
+        shared.crashes.rank_for = self.rank_for
 
     def report(self, sightings: list[CrashSighting]) -> None:
         """Pass on sightings of this instance to the owners."""
@@ -140,6 +140,13 @@
             why=source,
         )
 
+    def rank_for(self, key: str) -> int:
+        """Return this instance's rank for a request, 0 first."""
+        ranked = self._ranked(key)
+        if self._own_name not in ranked:
+            return len(ranked)
+        return ranked.index(self._own_name)
+
     @property
     def _own_name(self) -> str:
         return self._shared.settings.name
@@ -161,17 +168,6 @@
         instances = self._shared.instances or [self._own_name]
         return ranked_instances(key, instances)
 
-    def _is_lead(self, key: str) -> bool:
-        """Return whether this is the first instance that responds."""
-        now = self._shared.loop.time()
-        for name in self._ranked(key):
-            if name == self._own_name:
-                return True
-            peer = self._shared.peers.find(name)
-            if peer is not None and peer.is_usable(now):
-                return False
-        return True
-
     def _judge(self, sightings: list[CrashSighting]) -> None:
         """Count sightings as an owner; pass on a verdict that they change."""
         shared = self._shared
--- a/heatherdyke/gateway/refusal.py
+++ b/heatherdyke/gateway/refusal.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from math import ceil
 from random import Random
 
 from heatherdyke.gateway.messages import ClientResponse
@@ -89,8 +90,8 @@
 
     Unlike others it does not end within the time that the client still waits.
     """
-    after_s *= 1.0 + JITTER * random.random()
-    headers = [(RETRY_AFTER, b"%.0f" % after_s)]
+    after_s = ceil(after_s * (1.0 + JITTER * random.random()))
+    headers = [(RETRY_AFTER, b"%d" % after_s)]
     return Refusal(ClientResponse(503, headers), after_s)
 
 
--- a/heatherdyke/gateway/search.py
+++ b/heatherdyke/gateway/search.py
@@ -6,10 +6,6 @@
 
 from heatherdyke.gateway.canary import Canary
 from heatherdyke.gateway.crash_guard import Admission
-from heatherdyke.gateway.events import CLIENT_DISCONNECTED
-from heatherdyke.gateway.events import REQUEST_FAILED
-from heatherdyke.gateway.events import REQUEST_SERVED
-from heatherdyke.gateway.events import SEARCH_PARTIAL
 from heatherdyke.gateway.exchange import Exchange
 from heatherdyke.gateway.grouping import Group
 from heatherdyke.gateway.grouping import group_shards
@@ -34,11 +30,11 @@
 from heatherdyke.gateway.search_progress import Decision
 from heatherdyke.gateway.search_progress import SearchProgress
 from heatherdyke.gateway.search_progress import required_shards
+from heatherdyke.gateway.search_report import SearchReport
 from heatherdyke.gateway.shard_search import ShardSearch
 from heatherdyke.gateway.shared_state import SharedState
 from heatherdyke.gateway.timing import answer_due_at
 from heatherdyke.gateway.timing import final_answer_deadline
-from heatherdyke.gateway.timing import is_late
 from heatherdyke.platform.headers import merged_response_headers
 
 # The remainder of an open group is requested this much after the response is
@@ -64,6 +60,7 @@
         "_extra_sends",
         "_may_have_run",
         "_canary",
+        "_report",
     )
 
     def __init__(
@@ -99,6 +96,7 @@
         self._extra_sends = 0
         self._may_have_run = False
         self._canary: Canary | None = None
+        self._report = SearchReport(shared, request, route)
 
     def start(self) -> None:
         """Query the shards; refuse without time or leafs for enough shards.
@@ -151,6 +149,7 @@
             self._on_canary_end,
         )
         if self._canary.start(plan.direct):
+            self._sent += 1
             self._collector.start()
         else:
             self._refuse(RefusalReason.SUSPECT, ())
@@ -291,34 +290,14 @@
         self._abandon_calls()
 
     def _report_answer(self) -> None:
-        shared = self._shared
-        elapsed_s = shared.loop.time() - self._exchange.request.arrived_at
-        shared.metrics.record_latency("search", self._route.name, elapsed_s)
-        shared.metrics.count("answers", "200")
-        shared.isolation.record_request(refused=False)
-        late = is_late(elapsed_s, self._route.objective_s)
         missing = self._collector.progress.missing
         if missing:
-            shared.metrics.count("missing_shards", "", missing)
-            shared.log.record(
-                SEARCH_PARTIAL,
-                request_id=self._exchange.request.id_text,
-                route=self._route.name,
-                missing=self._describe_missing(),
-                elapsed_ms=round(elapsed_s * 1000, 1),
-                attempts=self._attempts(),
-                late=late,
+            self._report.answered_in_part(
+                missing, self._describe_missing(), self._attempts()
             )
             return
-        shared.log.record(
-            REQUEST_SERVED,
-            request_id=self._exchange.request.id_text,
-            route=self._route.name,
-            elapsed_ms=round(elapsed_s * 1000, 1),
-            extra_sends=self._extra_sends
-            + sum(search.extra_sends for search in self._leaf_searches),
-            late=late,
-        )
+        extra_sends = sum(search.extra_sends for search in self._leaf_searches)
+        self._report.answered(self._extra_sends + extra_sends)
 
     def _describe_missing(self) -> list[str]:
         """Return the missing shards with the leafs that were queried."""
@@ -340,18 +319,9 @@
         )
         not_run = not self._may_have_run and not self._has_reached_leafs()
         answer = make_failure_answer(reason, not_run, shared.random)
-        shared.metrics.count("answers", str(answer.status))
-        shared.isolation.record_request(refused=True)
         self._exchange.answer(answer)
-        shared.log.record(
-            REQUEST_FAILED,
-            request_id=self._exchange.request.id_text,
-            route=self._route.name,
-            status=answer.status,
-            why=f"{reason.value}: {self._describe_missing()}",
-            elapsed_ms=self._elapsed_ms(),
-            attempts=self._attempts(),
-        )
+        why = f"{reason.value}: {self._describe_missing()}"
+        self._report.failed(answer.status, why, self._attempts())
         self._abandon()
 
     def _has_reached_leafs(self) -> bool:
@@ -410,13 +380,7 @@
         self._collector.close()
         self._open_calls.clear()
         self._abandon()
-        self._shared.metrics.count("clients_left", self._route.name)
-        self._shared.log.record(
-            CLIENT_DISCONNECTED,
-            request_id=self._exchange.request.id_text,
-            route=self._route.name,
-            elapsed_ms=self._elapsed_ms(),
-        )
+        self._report.client_left()
 
     def _abandon(self) -> None:
         if self._canary is not None:
@@ -429,7 +393,3 @@
         for call in self._peer_calls:
             call.abandon()
         self._peer_calls.clear()
-
-    def _elapsed_ms(self) -> float:
-        now = self._shared.loop.time()
-        return round((now - self._exchange.request.arrived_at) * 1000, 1)
--- a/tests/test_gateway_crash_decisions.py
+++ b/tests/test_gateway_crash_decisions.py
@@ -16,7 +16,7 @@
 from heatherdyke.gateway.quarantine import COMPLETION_S
 from heatherdyke.gateway.quarantine import MAX_COMPLETIONS
 from heatherdyke.gateway.quarantine import MAX_ENTRIES
-from heatherdyke.gateway.quarantine import PROBE_WAITS_S
+from heatherdyke.gateway.quarantine import PROBE_TIMES_S
 from heatherdyke.gateway.quarantine import RETENTION_S
 from heatherdyke.gateway.quarantine import STALE_LIST_S
 from heatherdyke.gateway.quarantine import SUSPECT_S
@@ -198,26 +198,33 @@
         assert quarantine.apply(Verdict("k", Level.CLEAR), 2.0)
         assert quarantine.find("k", 2.0) is None
 
-    def test_it_is_tried_again_three_times_at_growing_intervals(self):
-        quarantine = Quarantine()
-        quarantine.apply(self.crashing(), 0.0)
-        entry = quarantine.find("k", 0.0)
+    # Guards against a request that each instance of a partition tries again.
+    def test_it_is_tried_again_three_times_by_all_instances_together(self):
+        entries = []
+        for _ in range(6):
+            quarantine = Quarantine()
+            quarantine.apply(self.crashing(), 0.0)
+            entries.append(quarantine.find("k", 0.0))
         probes = [
             second
             for second in range(int(RETENTION_S))
-            if quarantine.take_probe(entry, float(second))
+            for rank, entry in enumerate(entries)
+            if entry.take_probe(rank, float(second))
         ]
-        assert len(probes) == len(PROBE_WAITS_S)
-        gaps = [b - a for a, b in zip([0, *probes], probes, strict=False)]
-        assert gaps == sorted(gaps)
+        assert probes == list(PROBE_TIMES_S)
+
+    def test_an_instance_that_restarts_after_its_time_does_not_try_it(self):
+        quarantine = Quarantine()
+        quarantine.apply(self.crashing(age_s=PROBE_TIMES_S[0] + 1), 1000.0)
+        assert not quarantine.find("k", 1000.0).take_probe(0, 1001.0)
 
     def test_the_time_to_come_back_is_that_of_the_next_try(self):
         quarantine = Quarantine()
         quarantine.apply(self.crashing(), 0.0)
         entry = quarantine.find("k", 0.0)
-        assert entry.retry_after_s(10.0) == PROBE_WAITS_S[0] - 10.0
-        quarantine.apply(self.crashing(probes=len(PROBE_WAITS_S)), 20.0)
-        assert entry.retry_after_s(100.0) == RETENTION_S - 100.0
+        assert entry.retry_after_s(10.0) == PROBE_TIMES_S[0] - 10.0
+        last = PROBE_TIMES_S[-1]
+        assert entry.retry_after_s(last) == RETENTION_S - last
 
     def test_entries_end(self):
         quarantine = Quarantine()
