Add a caller with a crashing request to the soak

Half of the runs have one, on a service, an unsafe route or a search. When all faults have ended, each instance gets its request three times: not more than three reach a leaf. Other callers' requests are never refused as crashing. The clients of the soak move to a module of their own.

--- a/tests/crash_load.py
+++ b/tests/crash_load.py
@@ -23,6 +23,7 @@
 
 # After the third crash the instances have this long to learn of it; later
 # the request may reach leafs in LATE_ARRIVALS more retries.
+THIRD = 3
 STABILITY_S = 4.0
 LATE_ARRIVALS = 3
 CRASHING_CALLER = "crashing"
@@ -195,7 +196,11 @@
     found = set()
     for gateway in fleet.gateways:
         for line in fleet.read_log(gateway).splitlines():
-            entry = json.loads(line)
+            try:
+                entry = json.loads(line)
+            except ValueError:
+                # A process that was killed while it wrote the line.
+                continue
             if entry.get("why") == "quarantined":
                 found.add(entry["request_id"])
     return found
--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -2,16 +2,15 @@
 
 import asyncio
 from dataclasses import dataclass
-from dataclasses import field
 from pathlib import Path
 from random import Random
 
-from gateway_fleet import HOST
+from crash_load import crashes
 from gateway_fleet import Fleet
 from gateway_fleet import Gateway
-from gateway_fleet import RawAnswer
 from gateway_fleet import config
 from gateway_fleet import route
+from soak_crashing import ProxiedLeaf
 
 from heatherdyke.platform_standin.leaf import StandinLeaf
 from heatherdyke.standin.fault_proxy_model import RouteConfig
@@ -21,12 +20,9 @@
 WEIGHT_BY_SPLIT_SERVICE = {"three": 3, "two": 1}
 SERVICES = [*SHARDS, "one", *WEIGHT_BY_SPLIT_SERVICE]
 ZONES = ["brescia", "verona"]
-WAIT_S = 0.6
 # How long after its deadline a request may be answered: the process of the
 # test runs leafs, proxies and clients in one event loop.
 LATE_TOLERANCE_S = 1.5
-# Requests after which a client opens a new connection.
-MAX_REQUESTS_PER_CONNECTION = 12
 
 
 def soak_config(version: int) -> dict:
@@ -60,23 +56,6 @@
     return set(WEIGHT_BY_SPLIT_SERVICE) if kind == "w" else {"one"}
 
 
-@dataclass
-class SentRequest:
-    """A request of a client and its outcome."""
-
-    request_id: str
-    gateway: str
-    began_at: float
-    ended_at: float = 0.0
-    answer: RawAnswer | None = None
-    reused: bool = False
-    fully_sent: bool = False
-
-    @property
-    def kind(self) -> str:
-        return self.request_id[0]
-
-
 @dataclass
 class SoakFleet(Fleet):
     """A fleet whose leafs and store are reached through proxies."""
@@ -86,7 +65,7 @@
         self.version = 0
         self.restarted_pids: set[int] = set()
         # The leafs whose addresses were not given to another leaf.
-        self.live: list[StandinLeaf] = []
+        self.live: list[ProxiedLeaf] = []
         self.route_by_leaf: dict[str, TcpRoute] = {}
         self.route_by_gateway: dict[str, TcpRoute] = {}
 
@@ -102,13 +81,14 @@
         ]
 
     async def add_leaf(
-        self, leaf: StandinLeaf, listen: str = "127.0.0.1:0"
-    ) -> StandinLeaf:
+        self, leaf: ProxiedLeaf, listen: str = "127.0.0.1:0"
+    ) -> ProxiedLeaf:
         await leaf.start()
         target = str(leaf.listener.address)
         proxied = TcpRoute(RouteConfig(leaf.leaf_id, listen, target))
         await proxied.start()
         self.route_by_leaf[leaf.leaf_id] = proxied
+        leaf.proxied = proxied
         self.leafs.append(leaf)
         self.live.append(leaf)
         self.publish(leaf)
@@ -136,7 +116,12 @@
         for service in SERVICES:
             for copy in range(2):
                 zone = random.choice(ZONES)
-                leaf = StandinLeaf(f"{service}-{copy}", service, zone=zone)
+                leaf = ProxiedLeaf(
+                    f"{service}-{copy}",
+                    service,
+                    zone=zone,
+                    crashes_on=crashes,
+                )
                 await self.add_leaf(leaf)
         self.publish_next_config()
         for number in range(gateways):
@@ -150,63 +135,3 @@
             )
         for gateway in self.gateways:
             await gateway.wait_ready()
-
-
-@dataclass
-class SoakClient:
-    """Sends requests one after the other on persistent connections."""
-
-    gateway: Gateway
-    random: Random
-    sent: list[SentRequest] = field(default_factory=list)
-    _streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
-    _requests_on_connection: int = 0
-
-    async def send(
-        self, path: str, request_id: str, method: str
-    ) -> SentRequest:
-        """Send a request; ``answer`` stays None if no response arrives."""
-        loop = asyncio.get_running_loop()
-        sent = SentRequest(request_id, self.gateway.name, loop.time())
-        self.sent.append(sent)
-        try:
-            async with asyncio.timeout(10):
-                sent.answer = await self._exchange(path, sent, method)
-        except (OSError, TimeoutError, ValueError, EOFError, IndexError):
-            self.close()
-        sent.ended_at = loop.time()
-        self._requests_on_connection += 1
-        if self._requests_on_connection >= MAX_REQUESTS_PER_CONNECTION:
-            self.close()
-        return sent
-
-    def close(self) -> None:
-        if self._streams is not None:
-            self._streams[1].transport.abort()
-        self._streams = None
-        self._requests_on_connection = 0
-
-    async def _exchange(
-        self, path: str, sent: SentRequest, method: str
-    ) -> RawAnswer:
-        if self._streams is None:
-            host, port = self.gateway.front.split(":")
-            self._streams = await asyncio.open_connection(host, int(port))
-        reader, writer = self._streams
-        sent.reused = self._requests_on_connection > 0
-        body = b"x" if method == "POST" else b""
-        head = (
-            f"{method} {path}{sent.request_id} HTTP/1.1\r\nHost: {HOST}\r\n"
-            f"X-Request-Id: {sent.request_id}\r\n"
-            f"X-Deadline-Remaining: {int(WAIT_S * 1000)}\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n"
-        )
-        writer.write(head.encode() + body)
-        sent.fully_sent = True
-        answer_head = await reader.readuntil(b"\r\n\r\n")
-        answer = RawAnswer.parse(answer_head)
-        length = int(answer.value_by_header.get("content-length", 0))
-        answer.body = await reader.readexactly(length)
-        if answer.value_by_header.get("connection") == "close":
-            self.close()
-        return answer
--- a/tests/soak_invariants.py
+++ b/tests/soak_invariants.py
@@ -3,10 +3,10 @@
 from collections import Counter
 from dataclasses import dataclass
 
+from soak_client import WAIT_S
+from soak_client import SentRequest
 from soak_fleet import LATE_TOLERANCE_S
 from soak_fleet import SHARDS
-from soak_fleet import WAIT_S
-from soak_fleet import SentRequest
 from soak_fleet import services_for
 
 from heatherdyke.platform_standin.leaf import StandinLeaf
--- a/tests/test_gateway_crashing_requests.py
+++ b/tests/test_gateway_crashing_requests.py
@@ -8,6 +8,7 @@
 import pytest
 from crash_load import LATE_ARRIVALS
 from crash_load import STABILITY_S
+from crash_load import THIRD
 from crash_load import CrashLoad
 from crash_load import quarantined_ids
 from crash_load import set_up_leafs
@@ -16,7 +17,6 @@
 from gateway_scenarios import run
 from gateway_scenarios import until
 
-THIRD = 3
 # How long arrivals are counted after the instances had time to learn.
 COUNTED_S = 4.0
 CLIENTS = 3
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -4,7 +4,8 @@
 and reload processes; proxies before leafs and the store that delay, reset,
 drop one direction or go silent; a store that refuses calls or loses its
 history; leafs that reject, fail, go silent, lose responses, drain, or whose
-address is reused by another service.  Clients keep connections open until the
+address is reused by another service; in half of the runs a caller whose
+request crashes the leafs that run it.  Clients keep connections open until the
 process has ended.  Wall clocks are not changed, as the processes use them only
 for log lines.
 
@@ -21,17 +22,20 @@
 from random import Random
 
 import pytest
+from crash_load import crashes
 from gateway_fleet import Gateway
 from gateway_fleet import wait_for_first_code
+from soak_client import SentRequest
+from soak_client import SoakClient
+from soak_crashing import CrashingCaller
+from soak_crashing import ProxiedLeaf
+from soak_crashing import wrongly_refused
 from soak_fleet import WEIGHT_BY_SPLIT_SERVICE
-from soak_fleet import SentRequest
-from soak_fleet import SoakClient
 from soak_fleet import SoakFleet
 from soak_invariants import SoakRecord
 from soak_invariants import violations
 
 from heatherdyke.platform_standin.leaf import Behaviour
-from heatherdyke.platform_standin.leaf import StandinLeaf
 from heatherdyke.registry import Registry
 from heatherdyke.standin.fault_proxy_model import Direction
 from heatherdyke.standin.fault_proxy_model import RouteFaults
@@ -208,7 +212,13 @@
     soak.fleet.publish(old, draining=True)
     name = f"{old.service}-n{soak.request_count}-{old.sequence}"
     await soak.fleet.add_leaf(
-        StandinLeaf(name, old.service, zone=old.zone, sequence=1)
+        ProxiedLeaf(
+            name,
+            old.service,
+            zone=old.zone,
+            sequence=1,
+            crashes_on=crashes,
+        )
     )
 
 
@@ -220,8 +230,12 @@
     proxied = soak.fleet.route_by_leaf.pop(old.leaf_id)
     others = [x for x in soak.fleet.live if x.service != old.service]
     other = soak.random.choice(others)
-    new_leaf = StandinLeaf(
-        f"{other.service}-r{soak.request_count}", other.service, zone=old.zone
+    old.is_replaced = True
+    new_leaf = ProxiedLeaf(
+        f"{other.service}-r{soak.request_count}",
+        other.service,
+        zone=old.zone,
+        crashes_on=crashes,
     )
     address = proxied.address
     await proxied.stop()
@@ -229,8 +243,11 @@
     await soak.fleet.add_leaf(new_leaf, address)
     soak.schedule_end(soak.fleet.store.delete, "servers", old.leaf_id)
     await soak.fleet.add_leaf(
-        StandinLeaf(
-            f"{old.leaf_id}-s{soak.request_count}", old.service, zone=old.zone
+        ProxiedLeaf(
+            f"{old.leaf_id}-s{soak.request_count}",
+            old.service,
+            zone=old.zone,
+            crashes_on=crashes,
         )
     )
 
@@ -320,16 +337,22 @@
                     for gateway in fleet.gateways
                     for _ in range(CLIENTS_PER_GATEWAY)
                 ]
+                caller = CrashingCaller(fleet.gateways, seed)
+                tasks.append(asyncio.create_task(caller.run()))
                 await soak.inject_faults(seconds)
-                soak.stopping = True
+                soak.stopping = caller.stopping = True
                 await asyncio.gather(*tasks)
                 await soak.end_faults()
-                found = []
+                found = await caller.violations(fleet.leafs)
                 for gateway in fleet.gateways:
                     found += await recovery_violations(soak, gateway)
                     found += await split_violations(soak, gateway)
+                ids = {sent.request_id for sent in soak.all_sent()}
+                found += wrongly_refused(fleet, ids)
                 record = SoakRecord(
-                    soak.all_sent(), fleet.leafs, soak.disruptions
+                    soak.all_sent() + caller.sent,
+                    fleet.leafs,
+                    soak.disruptions,
                 )
                 return soak, found + violations(record)
 
