Add commands that list and lift quarantined requests

heatherdyke quarantine list shows the evidence and its age from the store, lift marks an object; instances follow with their next list. Tested against the stand-in store, with what a starting instance learns.

--- a/heatherdyke/cli/app.py
+++ b/heatherdyke/cli/app.py
@@ -12,6 +12,7 @@
 from heatherdyke.cli.gateway import explain
 from heatherdyke.cli.observe import stats
 from heatherdyke.cli.observe import timeline
+from heatherdyke.cli.quarantine import quarantine_app
 from heatherdyke.cli.standin import app as standin
 from heatherdyke.cli.usage import usage
 from heatherdyke.cli.zone import zone_app
@@ -185,6 +186,7 @@
 app.add_typer(standin)
 app.add_typer(config_app)
 app.add_typer(zone_app)
+app.add_typer(quarantine_app)
 
 
 def main() -> None:
--- a/heatherdyke/errors.py
+++ b/heatherdyke/errors.py
@@ -44,6 +44,18 @@
         self.faults = faults
 
 
+class RequestNotQuarantined(HeatherdykeError):
+    """No request with this key is quarantined."""
+
+    kind = "not_quarantined"
+
+    def __init__(self, key: str) -> None:
+        super().__init__(
+            f"no request with the key {key} is quarantined",
+            "look for its key with \"heatherdyke quarantine list\"",
+        )
+
+
 class ConfigError(HeatherdykeError):
     """The configuration cannot be read, or not changed as requested."""
 
--- /dev/null
+++ b/tests/test_gateway_quarantine_store.py
@@ -0,0 +1,122 @@
+"""Quarantined requests in the platform's store, and their commands."""
+
+import asyncio
+from random import Random
+
+import pytest
+from gateway_entries import SETTINGS
+
+from heatherdyke.cli.quarantine import describe
+from heatherdyke.cli.quarantine import lift_request
+from heatherdyke.cli.quarantine import read_verdicts
+from heatherdyke.errors import RequestNotQuarantined
+from heatherdyke.gateway.crash_evidence import Level
+from heatherdyke.gateway.event_log import EventLog
+from heatherdyke.gateway.quarantine import RETENTION_S
+from heatherdyke.gateway.quarantine import Verdict
+from heatherdyke.gateway.quarantine_store import QuarantineStore
+from heatherdyke.gateway.quarantine_sync import QuarantineSync
+from heatherdyke.gateway.shared_state import SharedState
+from heatherdyke.platform.quarantines import KIND
+from heatherdyke.platform.store import StoreClient
+from heatherdyke.platform_standin.store import StandinStore
+
+VERDICT = Verdict(
+    "k1", Level.CRASHING, 3, 2, "route", "/s/x", "g1", age_s=100.0
+)
+
+
+def with_store(scenario) -> None:
+    async def main() -> None:
+        store = StandinStore()
+        await store.listener.start()
+        client = StoreClient(store.listener.address)
+        await scenario(store, client)
+        client.close()
+        await store.listener.stop()
+
+    asyncio.run(main())
+
+
+def make_instance(client: StoreClient) -> tuple[SharedState, QuarantineStore]:
+    """Return an instance that has just started, and its view of the store."""
+    loop = asyncio.get_running_loop()
+    shared = SharedState(SETTINGS, loop, EventLog(loop.time), Random(1))
+    quarantine_store = QuarantineStore(shared, QuarantineSync(shared))
+    quarantine_store._store = client
+    return shared, quarantine_store
+
+
+async def write(client: StoreClient, verdict: Verdict) -> None:
+    _, store = make_instance(client)
+    store.write(verdict)
+    await store._write_waiting()
+
+
+class TestQuarantineStore:
+    def test_an_instance_that_starts_learns_what_others_know(self):
+        async def scenario(store, client):
+            await write(client, VERDICT)
+            shared, quarantine_store = make_instance(client)
+            await quarantine_store._list()
+            now = shared.loop.time()
+            entry = shared.crashes.quarantine.find("k1", now)
+            assert entry.level is Level.CRASHING
+            assert entry.verdict.target == "/s/x"
+            assert now - entry.since >= 100.0
+
+        with_store(scenario)
+
+    def test_a_completed_request_is_lifted_for_those_that_start(self):
+        async def scenario(store, client):
+            await write(client, VERDICT)
+            await write(client, Verdict("k1", Level.CLEAR))
+            shared, quarantine_store = make_instance(client)
+            await quarantine_store._list()
+            assert not shared.crashes.quarantine.entry_by_key
+
+        with_store(scenario)
+
+    def test_old_objects_are_deleted(self):
+        async def scenario(store, client):
+            old = Verdict("k2", Level.CRASHING, age_s=RETENTION_S + 10.0)
+            await write(client, old)
+            shared, quarantine_store = make_instance(client)
+            await quarantine_store._list()
+            assert store.names(KIND) == []
+            assert not shared.crashes.quarantine.entry_by_key
+
+        with_store(scenario)
+
+    def test_invalid_objects_are_ignored(self):
+        async def scenario(store, client):
+            store.put(KIND, "k3", {"since-ms": "yesterday"})
+            shared, quarantine_store = make_instance(client)
+            await quarantine_store._list()
+            assert not shared.crashes.quarantine.entry_by_key
+
+        with_store(scenario)
+
+
+class TestCommands:
+    def test_an_operator_sees_and_lifts_a_request(self):
+        async def scenario(store, client):
+            await write(client, VERDICT)
+            (found,) = await read_verdicts(client)
+            assert "k1 quarantined for 100 s" in describe(found)
+            assert "3 leafs crashed in 2 attempts" in describe(found)
+            await lift_request(client, "k1")
+            shared, quarantine_store = make_instance(client)
+            await quarantine_store._list()
+            assert not shared.crashes.quarantine.entry_by_key
+            (lifted,) = await read_verdicts(client)
+            assert "k1 lifted" in describe(lifted)
+
+        with_store(scenario)
+
+    def test_a_request_that_is_not_quarantined_cannot_be_lifted(self):
+        async def scenario(store, client):
+            with pytest.raises(RequestNotQuarantined):
+                await lift_request(client, "k1")
+
+        with_store(scenario)
