--- a/tests/crash_load.py
+++ b/tests/crash_load.py
@@ -31,9 +31,12 @@
 LEAF_COUNT = 5
 COPIES = 3
 # Intervals of the crashing request and of each client beside it.
-CRASHING_INTERVAL_S = (0.2, 0.5)
+CRASHING_INTERVAL_S = (0.2, 0.9)
 CLIENT_INTERVAL_S = (0.05, 0.15)
 WAIT_MS = 800
+PROCESSING_S = 0.01
+# How long a leaf that crashed is down.
+DOWN_S = (1.5, 4.0)
 
 
 def crashes(request: ClientRequest) -> bool:
@@ -44,18 +47,16 @@
     ) and caller.endswith(CRASHING_CALLER.encode())
 
 
-async def set_up_leafs(
-    fleet: Fleet, down_s: float, processing_s: float = 0.01
-) -> None:
+async def set_up_leafs(fleet: Fleet, random: Random) -> None:
     """Add the leafs of one service and of the shards of a search."""
     services = ["one"] * LEAF_COUNT + SHARDS * COPIES
     for number, service in enumerate(services):
         leaf = StandinLeaf(
             f"{service}-{number}",
             service,
-            processing_s=processing_s,
+            processing_s=PROCESSING_S,
             crashes_on=crashes,
-            down_s=down_s,
+            down_s=random.uniform(*DOWN_S),
         )
         await fleet.add_leaf(leaf)
     fleet.set_config(CONFIG)
@@ -76,10 +77,10 @@
 class CrashLoad:
     """Clients beside a caller whose request crashes leafs."""
 
-    def __init__(self, fleet: Fleet, prefix: str, seed: int) -> None:
+    def __init__(self, fleet: Fleet, prefix: str, random: Random) -> None:
         self.fleet = fleet
         self.prefix = prefix
-        self.random = Random(seed)
+        self.random = random
         self.crashing: list[Sent] = []
         self.others: list[Sent] = []
         self.stopping = False
--- a/tests/test_gateway_crashing_requests.py
+++ b/tests/test_gateway_crashing_requests.py
@@ -1,9 +1,14 @@
-"""A request that crashes its leafs, at real instances."""
+"""A request that crashes its leafs, at real instances.
+
+``CRASH_SEEDS=30:40`` plays these seeds in place of the usual one.
+"""
 
 import asyncio
+import os
 import signal
 from collections.abc import Awaitable
 from collections.abc import Callable
+from random import Random
 
 import pytest
 from crash_load import LATE_ARRIVALS
@@ -23,8 +28,11 @@
 TROUBLE_S = 3.0
 # All other requests are served in the last seconds.
 SERVED_S = 2.0
-DOWN_S = 1.5
-SEED = 26
+
+
+def seeds() -> list[int]:
+    first, _, end = os.environ.get("CRASH_SEEDS", "26:27").partition(":")
+    return list(range(int(first), int(end)))
 
 
 Trouble = Callable[[CrashLoad], Awaitable[None]]
@@ -35,13 +43,18 @@
 
 
 async def play(
-    fleet: Fleet, prefix: str, instances: int, trouble: Trouble = no_trouble
+    fleet: Fleet,
+    prefix: str,
+    instances: int,
+    seed: int,
+    trouble: Trouble = no_trouble,
 ) -> CrashLoad:
     """Play a caller with a crashing request beside other clients."""
-    await set_up_leafs(fleet, DOWN_S)
+    random = Random(seed)
+    await set_up_leafs(fleet, random)
     for number in range(instances):
         await ready_gateway(fleet, f"g{number}")
-    load = CrashLoad(fleet, prefix, SEED)
+    load = CrashLoad(fleet, prefix, random)
     if trouble is cut_instances_apart:
         await load.put_peers_behind_proxies()
     tasks = [asyncio.create_task(load.send_others()) for _ in range(CLIENTS)]
@@ -121,16 +134,17 @@
     assert quarantined_ids(load.fleet) & other_ids == set()
 
 
+@pytest.mark.parametrize("seed", seeds())
 class TestCrashingRequest:
     # Guards against instances that send a request on to leaf after leaf
     # although it has crashed each leaf that ran it.
     @pytest.mark.parametrize("instances", [1, 3])
     @pytest.mark.parametrize("prefix", ["/o/", "/u/", "/s/"])
     def test_it_reaches_no_more_leafs_once_it_has_crashed_three(
-        self, tmp_path, prefix, instances
+        self, tmp_path, prefix, instances, seed
     ):
         async def scenario(fleet):
-            load = await play(fleet, prefix, instances)
+            load = await play(fleet, prefix, instances, seed)
             check(load)
             counted_from = load.crash_times()[THIRD - 1] + STABILITY_S
             late = [x for x in load.crashing if x.at > counted_from]
@@ -157,10 +171,10 @@
         ],
     )
     def test_the_same_holds_beside_other_trouble(
-        self, tmp_path, prefix, trouble
+        self, tmp_path, prefix, trouble, seed
     ):
         async def scenario(fleet):
-            load = await play(fleet, prefix, 4, trouble)
+            load = await play(fleet, prefix, 4, seed, trouble)
             check(load)
             end_at = load.now()
             served = {
