Check what is served beside a crashing request once other trouble is over

They are counted now in the last 2 s of 5 s after the trouble; the bound is as it was.

Leafs of the soak are down for 0.7 s now, as long as its other faults last.

--- a/tests/soak_crashing.py
+++ b/tests/soak_crashing.py
@@ -9,6 +9,7 @@
 from crash_load import LATE_ARRIVALS
 from crash_load import STABILITY_S
 from crash_load import THIRD
+from crash_load import crashes
 from crash_load import quarantined_ids
 from gateway_fleet import Gateway
 from gateway_fleet import send_request
@@ -21,6 +22,8 @@
 # Share of the runs with such a caller.
 SHARE = 0.5
 INTERVAL_S = (0.1, 0.4)
+# As long as other faults last: some services have two leafs only.
+DOWN_S = 0.7
 # How often each instance gets the request after all faults have ended.
 REPETITIONS = 3
 
@@ -28,9 +31,20 @@
 class ProxiedLeaf(StandinLeaf):
     """A leaf whose proxy refuses connections while it is down."""
 
-    proxied: TcpRoute | None = None
-    # Set once another leaf has its address.
-    is_replaced = False
+    def __init__(
+        self, leaf_id: str, service: str, zone: str, sequence: int = 1
+    ) -> None:
+        super().__init__(
+            leaf_id,
+            service,
+            zone=zone,
+            sequence=sequence,
+            crashes_on=crashes,
+            down_s=DOWN_S,
+        )
+        self.proxied: TcpRoute | None = None
+        # Set once another leaf has its address.
+        self.is_replaced = False
 
     async def crash(self, request_id: bytes = b"") -> None:
         """End with the proxy; listen again unless replaced meanwhile."""
@@ -72,13 +86,15 @@
         for gateway in self.gateways * REPETITIONS:
             await self._send(gateway)
         ids = {sent.request_id.encode() for sent in self.sent}
-        crashes = sorted(
+        crash_times = sorted(
             crash.at
             for leaf in leafs
             for crash in leaf.crashes
             if crash.request_id in ids
         )
-        if len(crashes) < THIRD or crashes[THIRD - 1] + STABILITY_S > began_at:
+        if len(crash_times) < THIRD:
+            return []
+        if crash_times[THIRD - 1] + STABILITY_S > began_at:
             return []
         arrivals = sum(
             received.at > began_at and received.request_id in ids
--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -5,7 +5,6 @@
 from pathlib import Path
 from random import Random
 
-from crash_load import crashes
 from gateway_fleet import Fleet
 from gateway_fleet import Gateway
 from gateway_fleet import config
@@ -116,12 +115,7 @@
         for service in SERVICES:
             for copy in range(2):
                 zone = random.choice(ZONES)
-                leaf = ProxiedLeaf(
-                    f"{service}-{copy}",
-                    service,
-                    zone=zone,
-                    crashes_on=crashes,
-                )
+                leaf = ProxiedLeaf(f"{service}-{copy}", service, zone)
                 await self.add_leaf(leaf)
         self.publish_next_config()
         for number in range(gateways):
--- a/tests/test_gateway_crashing_requests.py
+++ b/tests/test_gateway_crashing_requests.py
@@ -26,8 +26,10 @@
 COUNTED_S = 4.0
 CLIENTS = 3
 TROUBLE_S = 3.0
-# All other requests are served in the last seconds.
-SERVED_S = 2.0
+# All other requests are served in the last seconds, after the trouble; leafs
+# and connections need some time until then.
+SERVED_S = 5.0
+SERVED_CHECKED_S = 2.0
 
 
 def seeds() -> list[int]:
@@ -59,12 +61,16 @@
         await load.put_peers_behind_proxies()
     tasks = [asyncio.create_task(load.send_others()) for _ in range(CLIENTS)]
     tasks.append(asyncio.create_task(load.repeat_crashing()))
-    tasks.append(asyncio.create_task(trouble(load)))
+    ending = asyncio.create_task(trouble(load))
     try:
         await until(lambda: len(load.crash_times()) >= THIRD, 15.0)
         third_at = load.crash_times()[THIRD - 1]
         counted_from = third_at + STABILITY_S
         await asyncio.sleep(counted_from + COUNTED_S - load.now())
+        await ending
+        for gateway in fleet.gateways:
+            await gateway.wait_ready()
+        await asyncio.sleep(SERVED_S)
     finally:
         load.stopping = True
         await asyncio.gather(*tasks)
@@ -180,7 +186,7 @@
             served = {
                 sent.status
                 for sent in load.others
-                if end_at - sent.at < SERVED_S
+                if end_at - sent.at < SERVED_CHECKED_S
             }
             assert served == {200}
 
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -22,7 +22,6 @@
 from random import Random
 
 import pytest
-from crash_load import crashes
 from gateway_fleet import Gateway
 from gateway_fleet import wait_for_first_code
 from soak_client import SentRequest
@@ -52,6 +51,9 @@
 # Seeds that revealed a fault, with the cause.
 REGRESSION_SEEDS: tuple[int, ...] = (
     131,  # a reload signal ended a process that was starting
+    # The check of a crashing request ended leafs before the recovery check;
+    # 841 also: both leafs of a service were down for 1.5 s at a time.
+    *(821, 833, 836, 841),
 )
 
 faults_by_name: Registry = Registry("soak fault")
@@ -211,15 +213,7 @@
     old.sequence += 1
     soak.fleet.publish(old, draining=True)
     name = f"{old.service}-n{soak.request_count}-{old.sequence}"
-    await soak.fleet.add_leaf(
-        ProxiedLeaf(
-            name,
-            old.service,
-            zone=old.zone,
-            sequence=1,
-            crashes_on=crashes,
-        )
-    )
+    await soak.fleet.add_leaf(ProxiedLeaf(name, old.service, old.zone))
 
 
 @faults_by_name.register("an address is reused by another service")
@@ -232,10 +226,7 @@
     other = soak.random.choice(others)
     old.is_replaced = True
     new_leaf = ProxiedLeaf(
-        f"{other.service}-r{soak.request_count}",
-        other.service,
-        zone=old.zone,
-        crashes_on=crashes,
+        f"{other.service}-r{soak.request_count}", other.service, old.zone
     )
     address = proxied.address
     await proxied.stop()
@@ -244,10 +235,7 @@
     soak.schedule_end(soak.fleet.store.delete, "servers", old.leaf_id)
     await soak.fleet.add_leaf(
         ProxiedLeaf(
-            f"{old.leaf_id}-s{soak.request_count}",
-            old.service,
-            zone=old.zone,
-            crashes_on=crashes,
+            f"{old.leaf_id}-s{soak.request_count}", old.service, old.zone
         )
     )
 
@@ -343,10 +331,12 @@
                 soak.stopping = caller.stopping = True
                 await asyncio.gather(*tasks)
                 await soak.end_faults()
-                found = await caller.violations(fleet.leafs)
+                found = []
                 for gateway in fleet.gateways:
                     found += await recovery_violations(soak, gateway)
                     found += await split_violations(soak, gateway)
+                # Last, as its first repetitions may yet crash leafs.
+                found += await caller.violations(fleet.leafs)
                 ids = {sent.request_id for sent in soak.all_sent()}
                 found += wrongly_refused(fleet, ids)
                 record = SoakRecord(
