Name the crash guard as such, test the load of a crashing caller

Instance state for tests without network moves out of a test file into instance_scenarios. New pattern: one caller crashes leafs; its search is refused at once, a suspect one goes to one leaf, other instances do not query its shards, and a popular search that was in flight stays served.

--- a/heatherdyke/gateway/attempt_sender.py
+++ b/heatherdyke/gateway/attempt_sender.py
@@ -167,12 +167,14 @@
         """Record whether the leaf survived the request."""
         if outcome.not_run:
             return
-        crashes = self.shared.crashes
+        crash_guard = self.shared.crash_guard
         leaf_id = attempt.pool.leaf.leaf_id
         if outcome.response is not None:
-            crashes.record_completed(self.request, leaf_id, attempt.sent_at)
+            crash_guard.record_completed(
+                self.request, leaf_id, attempt.sent_at
+            )
         else:
-            crashes.record_broken(self.request, self.route, leaf_id)
+            crash_guard.record_broken(self.request, self.route, leaf_id)
             self.shared.pools.check_after_break(attempt.pool)
 
 
--- a/heatherdyke/gateway/forwarded_request.py
+++ b/heatherdyke/gateway/forwarded_request.py
@@ -108,7 +108,7 @@
         if now >= self._deadline_at:
             self._refuse(RefusalReason.NO_TIME_LEFT)
             return
-        admission = shared.crashes.admission(self._exchange.request)
+        admission = shared.crash_guard.admission(self._exchange.request)
         if admission is Admission.REFUSED:
             refuse_quarantined(shared, self._exchange, self._route.name)
             return
@@ -177,7 +177,9 @@
     def _send_extra(self, reason: str) -> bool:
         """Send a retry or hedge if the limits and the budget allow it."""
         shared = self._shared
-        if self._careful or shared.crashes.may_crash_more(self._broken_count):
+        if self._careful or shared.crash_guard.may_crash_more(
+            self._broken_count
+        ):
             return False
         if len(self._tried_leafs) >= self._route.max_attempts:
             return False
--- a/heatherdyke/gateway/peer_api.py
+++ b/heatherdyke/gateway/peer_api.py
@@ -105,7 +105,7 @@
         The sender has a leaf for each shard in its own state, which may be
         more recent.
         """
-        entry = self._shared.crashes.entry_of(self._request)
+        entry = self._shared.crash_guard.entry_of(self._request)
         if entry is not None:
             self._shared.metrics.count("groups_served", "quarantined")
             verdict = entry.to_verdict(self._shared.loop.time())
--- a/heatherdyke/gateway/peer_send.py
+++ b/heatherdyke/gateway/peer_send.py
@@ -146,7 +146,7 @@
             if response.status == STATUS_LEAFS_UNREACHABLE:
                 self._shared.peers.record_leafs_unreachable(self.peer)
             if response.status == STATUS_QUARANTINED:
-                self._shared.crashes.on_news(response.body)
+                self._shared.crash_guard.on_news(response.body)
         if response is None or response.status != 200:
             self.peer.record_failure(self._shared.loop.time())
             status = response.status if response is not None else None
--- a/heatherdyke/gateway/quarantine_store.py
+++ b/heatherdyke/gateway/quarantine_store.py
@@ -101,5 +101,5 @@
                     await self._store.delete(KIND, stored.name)
                 continue
             now = shared.loop.time()
-            if shared.crashes.quarantine.apply_listed(verdict, now):
+            if shared.crash_guard.quarantine.apply_listed(verdict, now):
                 self._sync.on_listed(verdict)
--- a/heatherdyke/gateway/quarantine_sync.py
+++ b/heatherdyke/gateway/quarantine_sync.py
@@ -57,10 +57,10 @@
         self.persist: Callable[[Verdict], None] = lambda verdict: None
         self._shared = shared
         self._evidence = CrashEvidence()
-        shared.crashes.on_sightings = self.report
-        shared.crashes.on_cleared = self.clear
-        shared.crashes.on_news = self.apply_reply
-        shared.crashes.rank_for = self.rank_for
+        shared.crash_guard.on_sightings = self.report
+        shared.crash_guard.on_cleared = self.clear
+        shared.crash_guard.on_news = self.apply_reply
+        shared.crash_guard.rank_for = self.rank_for
 
     def report(self, sightings: list[CrashSighting]) -> None:
         """Pass on sightings of this instance to the owners."""
@@ -86,7 +86,7 @@
     def apply(self, verdict: Verdict, source: str) -> None:
         """Apply a verdict and log a change of the request's level."""
         shared = self._shared
-        quarantine = shared.crashes.quarantine
+        quarantine = shared.crash_guard.quarantine
         if verdict.level == Level.CLEAR:
             self._evidence.clear(verdict.key)
         if quarantine.apply(verdict, shared.loop.time()):
@@ -98,7 +98,7 @@
             news = decode_quarantine_news(body)
         except msgspec.MsgspecError:
             return
-        quarantine = self._shared.crashes.quarantine
+        quarantine = self._shared.crash_guard.quarantine
         for verdict in news.verdicts:
             is_objection = verdict.level == Level.CLEAR
             if is_objection and verdict.key in quarantine.entry_by_key:
@@ -108,7 +108,7 @@
 
     def clear(self, key: str) -> None:
         """Lift a request everywhere, as a leaf has completed it."""
-        entry = self._shared.crashes.quarantine.entry_by_key.get(key)
+        entry = self._shared.crash_guard.quarantine.entry_by_key.get(key)
         was_quarantined = entry is not None and entry.level is Level.CRASHING
         verdict = Verdict(key, Level.CLEAR, decided_by=self._own_name)
         self.apply(verdict, "completed")
@@ -172,9 +172,9 @@
         """Count sightings as an owner; pass on a verdict that they change."""
         shared = self._shared
         now = shared.loop.time()
-        quarantine = shared.crashes.quarantine
+        quarantine = shared.crash_guard.quarantine
         for sighting in sightings:
-            if shared.crashes.completions.is_recent(sighting.key, now):
+            if shared.crash_guard.completions.is_recent(sighting.key, now):
                 continue
             evidence = self._evidence.add(sighting, now)
             known = quarantine.find(sighting.key, now)
@@ -202,15 +202,15 @@
         """Return what this instance knows of a request, None if nothing."""
         shared = self._shared
         now = shared.loop.time()
-        if shared.crashes.completions.is_recent(key, now):
+        if shared.crash_guard.completions.is_recent(key, now):
             return Verdict(key, Level.CLEAR, decided_by=self._own_name)
-        entry = shared.crashes.quarantine.find(key, now)
+        entry = shared.crash_guard.quarantine.find(key, now)
         return None if entry is None else entry.to_verdict(now)
 
     def _check(self, verdict: Verdict) -> Verdict | None:
         """Apply another's verdict, or return that the request is clear."""
         shared = self._shared
-        is_clear = shared.crashes.completions.is_recent(
+        is_clear = shared.crash_guard.completions.is_recent(
             verdict.key, shared.loop.time()
         )
         if is_clear and verdict.level != Level.CLEAR:
--- a/heatherdyke/gateway/refused_request.py
+++ b/heatherdyke/gateway/refused_request.py
@@ -34,7 +34,7 @@
     shared: SharedState, exchange: Exchange, route: str
 ) -> None:
     """Refuse a quarantined request, which has not been sent to a leaf."""
-    entry = shared.crashes.entry_of(exchange.request)
+    entry = shared.crash_guard.entry_of(exchange.request)
     now = shared.loop.time()
     verdict = entry.to_verdict(now)
     refusal = make_quarantine_refusal(entry.retry_after_s(now), shared.random)
--- a/heatherdyke/gateway/search.py
+++ b/heatherdyke/gateway/search.py
@@ -105,7 +105,7 @@
         """
         shared = self._shared
         route = self._route
-        admission = shared.crashes.admission(self._exchange.request)
+        admission = shared.crash_guard.admission(self._exchange.request)
         if admission is Admission.REFUSED:
             refuse_quarantined(shared, self._exchange, route.name)
             return
@@ -207,7 +207,10 @@
 
     def _query_declined(self, shards: tuple[str, ...]) -> None:
         """Query shards of a declined group directly or by other peers."""
-        if self._shared.crashes.entry_of(self._exchange.request) is not None:
+        if (
+            self._shared.crash_guard.entry_of(self._exchange.request)
+            is not None
+        ):
             self._lose(shards)
             return
         plan = plan_search(self._shared, self._route, DIRECT_ACCESS, shards)
--- a/heatherdyke/gateway/shard_search.py
+++ b/heatherdyke/gateway/shard_search.py
@@ -189,8 +189,8 @@
     @property
     def _may_crash_leafs(self) -> bool:
         """Return whether no leaf has completed the search and some broke."""
-        crashes = self._shared.crashes
-        return not self._has_part and crashes.may_crash_more(
+        crash_guard = self._shared.crash_guard
+        return not self._has_part and crash_guard.may_crash_more(
             self._broken_count
         )
 
--- a/heatherdyke/gateway/shared_state.py
+++ b/heatherdyke/gateway/shared_state.py
@@ -40,7 +40,7 @@
         "leafs",
         "isolation",
         "links",
-        "crashes",
+        "crash_guard",
         "pools",
         "peers",
         "relays",
@@ -73,7 +73,7 @@
         self._set_leaf_times()
         self.isolation = IsolationDetector(settings.zone)
         self.links = LeafLinks(self.isolation, self.leafs)
-        self.crashes = CrashGuard(
+        self.crash_guard = CrashGuard(
             loop,
             self.metrics,
             self.has(Mechanism.QUARANTINE),
@@ -85,7 +85,7 @@
             self.links,
             self.service,
             LeafRateLimiter(settings.name),
-            self.crashes,
+            self.crash_guard,
         )
         self.peers = Peers(
             loop, log, self.isolation, settings.name, settings.zone, random
@@ -187,4 +187,4 @@
         """Close the connections of a leaf that is no longer used."""
         self.pools.drop(leaf)
         self.selector.forget(leaf)
-        self.crashes.forget(leaf.leaf_id)
+        self.crash_guard.forget(leaf.leaf_id)
--- a/heatherdyke/gateway/state_updater.py
+++ b/heatherdyke/gateway/state_updater.py
@@ -227,7 +227,7 @@
 
     def _on_leaf_dropped(self, leaf: Leaf, reason: str) -> None:
         if reason == RESTARTED:
-            self._shared.crashes.record_down(leaf.leaf_id)
+            self._shared.crash_guard.record_down(leaf.leaf_id)
         self._shared.drop_leaf(leaf)
         self._shared.log.record(
             LEAF_REMOVED,
--- a/tests/test_gateway_load_patterns.py
+++ b/tests/test_gateway_load_patterns.py
@@ -4,138 +4,48 @@
 """
 
 import asyncio
-from dataclasses import replace
 from random import Random
 from unittest import mock
 
-from gateway_entries import ADDRESS
-from gateway_entries import SETTINGS
 from gateway_entries import entry
-from gateway_entries import group_request
+from instance_scenarios import CLIENT_WAIT_S
+from instance_scenarios import OTHER_ZONE
+from instance_scenarios import OWN_ZONE
+from instance_scenarios import SHARDS
+from instance_scenarios import add_leafs
+from instance_scenarios import client_request
+from instance_scenarios import make_shared
+from instance_scenarios import requests_in_flight
+from instance_scenarios import search
+from instance_scenarios import serve_group
+from instance_scenarios import with_shared
 
 from heatherdyke.gateway.cold_rate_limit import ColdRateLimiter
-from heatherdyke.gateway.event_log import EventLog
-from heatherdyke.gateway.exchange import Exchange
+from heatherdyke.gateway.crash_evidence import Level
 from heatherdyke.gateway.isolation import BALANCER_REACTION_S
 from heatherdyke.gateway.isolation import MIN_CONSECUTIVE_FAILURES
 from heatherdyke.gateway.isolation import IsolationDetector
 from heatherdyke.gateway.leaf_choice import choose_leaf
-from heatherdyke.gateway.leaf_entry import LeafEntry
+from heatherdyke.gateway.leaf_crashes import CrashSighting
 from heatherdyke.gateway.leaf_pool import SLOW_CONNECT_S
 from heatherdyke.gateway.leaf_table import SUSPECT_FIRST_S
 from heatherdyke.gateway.leaf_table import LeafTable
 from heatherdyke.gateway.leaf_table import Removal
-from heatherdyke.gateway.messages import ClientRequest
-from heatherdyke.gateway.messages import ClientResponse
-from heatherdyke.gateway.peer_api import PeerApi
-from heatherdyke.gateway.peer_messages import SEARCH_PATH
-from heatherdyke.gateway.peer_messages import encode_message
+from heatherdyke.gateway.peer_messages import QuarantineNews
+from heatherdyke.gateway.peer_send import STATUS_QUARANTINED
 from heatherdyke.gateway.peers import PEER_SERVICE
+from heatherdyke.gateway.quarantine import PROBE_TIMES_S
+from heatherdyke.gateway.quarantine import Verdict
 from heatherdyke.gateway.quarantine_sync import QuarantineSync
 from heatherdyke.gateway.refusal import RefusalReason
 from heatherdyke.gateway.refusal import make_refusal
-from heatherdyke.gateway.routing import Route
-from heatherdyke.gateway.routing import RouteTable
-from heatherdyke.gateway.routing import RoutingConfig
-from heatherdyke.gateway.routing import Service
-from heatherdyke.gateway.search import Search
+from heatherdyke.gateway.request_key import request_key
 from heatherdyke.gateway.shared_state import SharedState
 from heatherdyke.gateway.store_watcher import latest_changes
 from heatherdyke.platform.store import Change
 from heatherdyke.platform.store import StoredObject
 
 MEDIAN_S = 0.04
-OWN_ZONE = SETTINGS.zone
-OTHER_ZONE = "other"
-SHARDS = tuple(f"shard{number}" for number in range(10))
-ROUTE = Route(
-    name="search",
-    host="h",
-    path_prefix="/s/",
-    idempotent=True,
-    timeout_s=3.0,
-    objective_s=0.25,
-    rank=1,
-    max_attempts=2,
-    shards=SHARDS,
-    record_limit=10,
-    min_share=0.89,
-)
-CLIENT_WAIT_S = 9.0
-
-
-def make_shared(loop: asyncio.AbstractEventLoop) -> SharedState:
-    """Return the state of an instance that knows its list of instances."""
-    settings = replace(
-        SETTINGS, region_by_zone={OWN_ZONE: "r", OTHER_ZONE: "r"}
-    )
-    shared = SharedState(settings, loop, EventLog(loop.time), Random(1))
-    services = {shard: Service(shard, connection_limit=30) for shard in SHARDS}
-    shared.routes = RouteTable(RoutingConfig(1, (ROUTE,), services))
-    shared.set_instances(
-        [
-            LeafEntry(settings.name, PEER_SERVICE, ADDRESS, OWN_ZONE),
-            LeafEntry("b", PEER_SERVICE, ADDRESS, OTHER_ZONE),
-        ]
-    )
-    return shared
-
-
-def add_leafs(shared: SharedState, zone_by_shard: dict[str, str]) -> None:
-    now = shared.loop.time()
-    for shard, zone in zone_by_shard.items():
-        leaf = entry(f"{shard}-{zone}", shard, zone, address=ADDRESS)
-        shared.leafs.apply(leaf, now)
-
-
-def search(shared: SharedState) -> list[ClientResponse]:
-    """Start a search; return the list to which its response is added."""
-    request = ClientRequest(
-        method=b"GET",
-        target=b"/s/x",
-        headers=[],
-        body=b"",
-        host="h",
-        request_id=b"r1",
-        wait_s=CLIENT_WAIT_S,
-        arrived_at=shared.loop.time(),
-    )
-    answers: list[ClientResponse] = []
-    Search(shared, Exchange(request, answers.append), ROUTE).start()
-    return answers
-
-
-def serve_group(shared: SharedState) -> ClientResponse:
-    """Return the response to another instance's request for all shards."""
-    message = group_request(list(SHARDS))
-    message.limit_s = CLIENT_WAIT_S
-    request = ClientRequest(
-        method=b"POST",
-        target=SEARCH_PATH,
-        headers=[],
-        body=encode_message(message),
-        host="",
-        request_id=b"",
-        wait_s=None,
-        arrived_at=shared.loop.time(),
-    )
-    answers: list[ClientResponse] = []
-    PeerApi(
-        shared, lambda version: None, QuarantineSync(shared).handle
-    ).handle(Exchange(request, answers.append))
-    return answers[0]
-
-
-def requests_in_flight(shared: SharedState) -> int:
-    leafs = shared.leafs.leaf_by_id.values()
-    return sum(len(leaf.sent_at_by_attempt) for leaf in leafs)
-
-
-def with_shared(scenario) -> None:
-    async def main() -> None:
-        scenario(make_shared(asyncio.get_running_loop()))
-
-    asyncio.run(main())
 
 
 async def hang(*arguments, **options) -> None:
@@ -446,3 +356,73 @@
     def test_a_removal_that_is_noticed_late_is_not_put_off(self):
         table = self.table(responded_at=9.9)
         assert table.remove("x", 10.0, Removal.LATE) is not None
+
+
+class TestOneCallerCrashesLeafs:
+    """A search that crashes its leafs is repeated by its caller."""
+
+    def key_of_search(self, shared: SharedState) -> str:
+        return request_key(client_request(shared))
+
+    def take_for(self, shared: SharedState, level: Level) -> None:
+        verdict = Verdict(self.key_of_search(shared), level, crashes=3)
+        now = shared.loop.time()
+        shared.crash_guard.quarantine.apply(verdict, now)
+
+    def test_it_is_refused_at_once_with_the_time_of_the_next_try(self):
+        def scenario(shared: SharedState) -> None:
+            add_leafs(shared, dict.fromkeys(SHARDS, OWN_ZONE))
+            self.take_for(shared, Level.CRASHING)
+            (answer,) = search(shared)
+            assert answer.status == 503
+            ((_, after_s),) = answer.headers
+            assert float(after_s) >= PROBE_TIMES_S[0]
+            assert requests_in_flight(shared) == 0
+
+        with_shared(scenario)
+
+    def test_a_suspect_one_is_sent_to_one_leaf_first(self):
+        def scenario(shared: SharedState) -> None:
+            add_leafs(shared, dict.fromkeys(SHARDS, OWN_ZONE))
+            self.take_for(shared, Level.SUSPECT)
+            assert search(shared) == []
+            assert requests_in_flight(shared) == 1
+
+        with_shared(scenario)
+
+    def test_other_instances_do_not_query_its_shards(self):
+        def scenario(shared: SharedState) -> None:
+            add_leafs(shared, dict.fromkeys(SHARDS, OWN_ZONE))
+            self.take_for(shared, Level.SUSPECT)
+            answer = serve_group(shared)
+            assert answer.status == STATUS_QUARANTINED
+            assert requests_in_flight(shared) == 0
+
+        with_shared(scenario)
+
+    # Guards against callers that are refused a popular search because it was
+    # in flight when leafs crashed.
+    def test_a_search_that_another_leaf_has_completed_stays_served(self):
+        def scenario(shared: SharedState) -> None:
+            add_leafs(shared, dict.fromkeys(SHARDS, OWN_ZONE))
+            sync = QuarantineSync(shared)
+            request = client_request(shared)
+            shared.crash_guard.record_completed(request, "leaf", 0.0)
+            key = request_key(request)
+            sync.handle(
+                QuarantineNews(
+                    [
+                        CrashSighting(key, f"r{x}", f"l{x}", True, "s", "/s/x")
+                        for x in range(9)
+                    ]
+                )
+            )
+            reply = sync.handle(
+                QuarantineNews(verdicts=[Verdict(key, Level.CRASHING)])
+            )
+            (objection,) = reply.verdicts
+            assert objection.level == Level.CLEAR
+            assert search(shared) == []
+            assert requests_in_flight(shared) == len(SHARDS)
+
+        with_shared(scenario)
--- a/tests/test_gateway_quarantine_store.py
+++ b/tests/test_gateway_quarantine_store.py
@@ -60,7 +60,7 @@
             shared, quarantine_store = make_instance(client)
             await quarantine_store._list()
             now = shared.loop.time()
-            entry = shared.crashes.quarantine.find("k1", now)
+            entry = shared.crash_guard.quarantine.find("k1", now)
             assert entry.level is Level.CRASHING
             assert entry.verdict.target == "/s/x"
             assert now - entry.since >= 100.0
@@ -73,7 +73,7 @@
             await write(client, Verdict("k1", Level.CLEAR))
             shared, quarantine_store = make_instance(client)
             await quarantine_store._list()
-            assert not shared.crashes.quarantine.entry_by_key
+            assert not shared.crash_guard.quarantine.entry_by_key
 
         with_store(scenario)
 
@@ -84,7 +84,7 @@
             shared, quarantine_store = make_instance(client)
             await quarantine_store._list()
             assert store.names(KIND) == []
-            assert not shared.crashes.quarantine.entry_by_key
+            assert not shared.crash_guard.quarantine.entry_by_key
 
         with_store(scenario)
 
@@ -93,7 +93,7 @@
             store.put(KIND, "k3", {"since-ms": "yesterday"})
             shared, quarantine_store = make_instance(client)
             await quarantine_store._list()
-            assert not shared.crashes.quarantine.entry_by_key
+            assert not shared.crash_guard.quarantine.entry_by_key
 
         with_store(scenario)
 
@@ -108,7 +108,7 @@
             await lift_request(client, "k1")
             shared, quarantine_store = make_instance(client)
             await quarantine_store._list()
-            assert not shared.crashes.quarantine.entry_by_key
+            assert not shared.crash_guard.quarantine.entry_by_key
             (lifted,) = await read_verdicts(client)
             assert "k1 lifted" in describe(lifted)
 
--- a/tests/test_gateway_unreachable_leafs.py
+++ b/tests/test_gateway_unreachable_leafs.py
@@ -16,14 +16,14 @@
 from gateway_scenarios import set_up_forwarding
 from gateway_scenarios import set_up_search
 from gateway_scenarios import until
-from test_gateway_load_patterns import OTHER_ZONE
-from test_gateway_load_patterns import OWN_ZONE
-from test_gateway_load_patterns import SHARDS
-from test_gateway_load_patterns import add_leafs
-from test_gateway_load_patterns import requests_in_flight
-from test_gateway_load_patterns import search
-from test_gateway_load_patterns import serve_group
-from test_gateway_load_patterns import with_shared
+from instance_scenarios import OTHER_ZONE
+from instance_scenarios import OWN_ZONE
+from instance_scenarios import SHARDS
+from instance_scenarios import add_leafs
+from instance_scenarios import requests_in_flight
+from instance_scenarios import search
+from instance_scenarios import serve_group
+from instance_scenarios import with_shared
 
 from heatherdyke.gateway.isolation import IsolationDetector
 from heatherdyke.gateway.leaf_links import MIN_FAILED_LEAFS
