Send no verdict again that has been lifted; verdicts hold a level

Cause, found in reading: a verdict that an instance did not confirm was sent to it each second for 30 s, also after the request had been cleared, so that an instance that had been cut off could refuse an innocent request until its next list of the store. Test: test_a_lifted_verdict_is_not_sent_again; without the check the news is sent a second time.

--- a/heatherdyke/cli/quarantine.py
+++ b/heatherdyke/cli/quarantine.py
@@ -66,7 +66,7 @@
 async def lift_request(store: StoreClient, key: str) -> None:
     """Mark a request as lifted; raises RequestNotQuarantined."""
     for verdict in await read_verdicts(store):
-        if verdict.key == key and verdict.level == Level.CRASHING:
+        if verdict.key == key and verdict.level is Level.CRASHING:
             verdict.level = Level.CLEAR
             await store.put(KIND, key, encode_quarantine(verdict, time.time()))
             return
@@ -75,7 +75,7 @@
 
 def describe(verdict: Verdict) -> str:
     """Return a verdict as one line of text."""
-    state = "lifted" if verdict.level == Level.CLEAR else "quarantined"
+    state = "lifted" if verdict.level is Level.CLEAR else "quarantined"
     return (
         f"{verdict.key} {state} for {verdict.age_s:.0f} s: route "
         f"{verdict.route}, {verdict.target}, {verdict.crashes} leafs crashed "
--- a/heatherdyke/gateway/quarantine.py
+++ b/heatherdyke/gateway/quarantine.py
@@ -35,7 +35,7 @@
     """
 
     key: str
-    level: int
+    level: Level
     crashes: int = 0
     attempts: int = 0
     route: str = ""
@@ -61,7 +61,7 @@
     @property
     def level(self) -> Level:
         """Return what is believed of the request."""
-        return Level(self.verdict.level)
+        return self.verdict.level
 
     def is_expired(self, now: float) -> bool:
         """Return whether the entry no longer applies."""
@@ -114,7 +114,7 @@
     def apply(self, verdict: Verdict, now: float) -> bool:
         """Apply a verdict; return whether the request's level changed."""
         known = self.find(verdict.key, now)
-        if verdict.level == Level.CLEAR:
+        if verdict.level is Level.CLEAR:
             self.clear(verdict.key, now)
             return known is not None
         if known is not None:
--- a/heatherdyke/gateway/quarantine_sync.py
+++ b/heatherdyke/gateway/quarantine_sync.py
@@ -87,7 +87,7 @@
         """Apply a verdict and log a change of the request's level."""
         shared = self._shared
         quarantine = shared.crash_guard.quarantine
-        if verdict.level == Level.CLEAR:
+        if verdict.level is Level.CLEAR:
             self._evidence.clear(verdict.key)
         if quarantine.apply(verdict, shared.loop.time()):
             self.log_change(verdict, source)
@@ -100,7 +100,7 @@
             return
         quarantine = self._shared.crash_guard.quarantine
         for verdict in news.verdicts:
-            is_objection = verdict.level == Level.CLEAR
+            is_objection = verdict.level is Level.CLEAR
             if is_objection and verdict.key in quarantine.entry_by_key:
                 self.clear(verdict.key)
             else:
@@ -118,14 +118,14 @@
 
     def on_listed(self, verdict: Verdict) -> None:
         """Handle a change that came with a list of the store."""
-        if verdict.level == Level.CLEAR:
+        if verdict.level is Level.CLEAR:
             self._evidence.clear(verdict.key)
         self.log_change(verdict, "store")
 
     def log_change(self, verdict: Verdict, source: str) -> None:
         """Log that the level of a request has changed here."""
         shared = self._shared
-        level = Level(verdict.level).name.lower()
+        level = verdict.level.name.lower()
         shared.metrics.count("quarantine", level)
         shared.log.record(
             QUARANTINE_CHANGED,
@@ -213,7 +213,7 @@
         is_clear = shared.crash_guard.completions.is_recent(
             verdict.key, shared.loop.time()
         )
-        if is_clear and verdict.level != Level.CLEAR:
+        if is_clear and verdict.level is not Level.CLEAR:
             return Verdict(verdict.key, Level.CLEAR, decided_by=self._own_name)
         self.apply(verdict, "peer")
         return None
@@ -226,7 +226,7 @@
         """Send news to an instance until it confirms them."""
         shared = self._shared
         peer = shared.peers.find(name)
-        if peer is None:
+        if peer is None or not self._is_current(news):
             return
 
         def on_end(response: LeafResponse | None, reason: str) -> None:
@@ -240,6 +240,14 @@
         body = encode_message(news)
         PeerSend(shared, peer, lambda: body, on_end).start_at_once(NEWS_PATH)
 
+    def _is_current(self, news: QuarantineNews) -> bool:
+        """Return whether no verdict in the news has been lifted since."""
+        known = self._shared.crash_guard.quarantine.entry_by_key
+        return all(
+            verdict.level is Level.CLEAR or verdict.key in known
+            for verdict in news.verdicts
+        )
+
     def _log_sighting(self, sighting: CrashSighting) -> None:
         self._shared.log.record(
             CRASH_SIGHTED,
--- a/heatherdyke/platform/quarantines.py
+++ b/heatherdyke/platform/quarantines.py
@@ -25,7 +25,7 @@
     """Return the object for a verdict; ``wall_s`` is the Unix time now."""
     return _WireQuarantine(
         since_ms=int((wall_s - verdict.age_s) * MS_PER_S),
-        lifted=verdict.level == Level.CLEAR,
+        lifted=verdict.level is Level.CLEAR,
         crashes=verdict.crashes,
         attempts=verdict.attempts,
         route=verdict.route,
--- a/tests/test_gateway_load_patterns.py
+++ b/tests/test_gateway_load_patterns.py
@@ -426,3 +426,20 @@
             assert requests_in_flight(shared) == len(SHARDS)
 
         with_shared(scenario)
+
+    # Guards against an instance that was cut off and then learns of a verdict
+    # that has been lifted meanwhile.
+    def test_a_lifted_verdict_is_not_sent_again(self):
+        def scenario(shared: SharedState) -> None:
+            sync = QuarantineSync(shared)
+            verdict = Verdict("k", Level.SUSPECT)
+            sync.apply(verdict, "crashes")
+            (name,) = shared.peers.names()
+            peer = shared.peers.find(name)
+            sync._send(name, QuarantineNews(verdicts=[verdict]), sends=2)
+            assert len(peer.sent_at_by_attempt) == 1
+            sync.apply(Verdict("k", Level.CLEAR), "completed")
+            sync._send(name, QuarantineNews(verdicts=[verdict]), sends=3)
+            assert len(peer.sent_at_by_attempt) == 1
+
+        with_shared(scenario)
