Let a list of the store raise a suspect request to a quarantined one

What callers saw: an instance that had just started sent a request to one more leaf 3.2 s after the others had quarantined it (502 in place of 503).

Cause: the instance that decided had not yet listed it, so that it was not told. It lists the store 3 s after its start, and the verdict stood there, but it had learned 2.1 s before that the request was suspect, and a list changes nothing that is younger than 30 s. That guard is for lifts; a list may now raise a level at once.

Test seen failing before: test_a_list_of_the_store_raises_the_level_at_once.

--- a/heatherdyke/gateway/quarantine.py
+++ b/heatherdyke/gateway/quarantine.py
@@ -125,8 +125,13 @@
         return True
 
     def apply_listed(self, verdict: Verdict, now: float) -> bool:
-        """Apply a verdict of a list of the store, which may be old."""
+        """Apply a verdict of a list of the store, which may be old.
+
+        It may raise the level at once, but lift only what is not recent.
+        """
         known = self.find(verdict.key, now)
+        if known is not None and verdict.level > known.level:
+            return self.apply(verdict, now)
         changed_at = self._cleared_at_by_key.get(verdict.key)
         if known is not None:
             changed_at = known.changed_at
--- a/tests/test_gateway_crash_decisions.py
+++ b/tests/test_gateway_crash_decisions.py
@@ -247,6 +247,14 @@
         assert not quarantine.apply_listed(self.crashing(), 3.0)
         assert quarantine.apply_listed(self.crashing(), 3.0 + STALE_LIST_S)
 
+    # Guards against an instance that was told that a request is suspect, but
+    # not that it is quarantined, and sends it on.
+    def test_a_list_of_the_store_raises_the_level_at_once(self):
+        quarantine = Quarantine()
+        quarantine.apply(Verdict("k", Level.SUSPECT), 1.0)
+        assert quarantine.apply_listed(self.crashing(), 2.0)
+        assert quarantine.find("k", 2.0).level is Level.CRASHING
+
     def test_an_operator_lifts_an_entry_in_the_store(self):
         quarantine = Quarantine()
         quarantine.apply(self.crashing(), 1.0)
