Give no address of a fleet out twice before it is listened on

Cause: free_address drew a port at random and tested only that nothing is bound to it now.

One module has this for the demo, the experiment tool and the tests; the three earlier functions are gone.

--- a/heatherdyke/standin/demo.py
+++ b/heatherdyke/standin/demo.py
@@ -1,7 +1,6 @@
 """The demo: stand-ins, three instances and searches in one process."""
 
 import asyncio
-import socket
 from collections.abc import Callable
 from contextlib import AsyncExitStack
 from uuid import uuid4
@@ -32,6 +31,7 @@
 from heatherdyke.objects.client import ObjectClient
 from heatherdyke.run_once.client import RunClient
 from heatherdyke.settings import Settings
+from heatherdyke.standin.free_address import free_address
 from heatherdyke.standin.leaf import LeafStandin
 from heatherdyke.standin.leaf_model import LeafProfile
 from heatherdyke.standin.platform import PlatformStandin
@@ -137,8 +137,8 @@
         settings = Settings.from_values(
             name=f"entry-{zone}",
             zone=zone,
-            listen=f"127.0.0.1:{find_free_port()}",
-            internal_listen=f"127.0.0.1:{find_free_port()}",
+            listen=free_address(),
+            internal_listen=free_address(),
             platform=platform,
             peer_key=PEER_KEY,
             drain_s=1.0,
@@ -214,10 +214,3 @@
 
 def _archive_leaf_id(shard: int) -> str:
     return f"{ARCHIVE}-{shard}"
-
-
-def find_free_port() -> int:
-    """Return a TCP port of the loopback interface that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
--- a/heatherdyke_bench/fleet.py
+++ b/heatherdyke_bench/fleet.py
@@ -23,6 +23,7 @@
 from heatherdyke.objects.client import ObjectClient
 from heatherdyke.standin.announcer import ANNOUNCE_INTERVAL_S
 from heatherdyke.standin.announcer import announce_once
+from heatherdyke.standin.free_address import free_address
 from heatherdyke.standin.leaf_model import LeafProfile
 from heatherdyke.standin.leaf_model import LeafRecord
 from heatherdyke.standin.platform import PlatformRecord
@@ -32,7 +33,6 @@
 from heatherdyke_bench.deployments import Deployment
 from heatherdyke_bench.errors import FleetError
 from heatherdyke_bench.process import FleetProcess
-from heatherdyke_bench.process import free_address
 from heatherdyke_bench.zone_network import ZoneNetwork
 
 READY_TIMEOUT_S = 40.0
--- a/heatherdyke_bench/member_slopes.py
+++ b/heatherdyke_bench/member_slopes.py
@@ -31,9 +31,9 @@
 from heatherdyke.peers.authentication import require_peer_key
 from heatherdyke.peers.key import PeerKey
 from heatherdyke.settings import Settings
+from heatherdyke.standin.free_address import free_address
 from heatherdyke.standin.platform import PlatformStandin
 from heatherdyke_bench.fleet import PEER_KEY
-from heatherdyke_bench.process import free_address
 
 ZONE_SIZES = (2, 8, 16, 32, 55)
 ZONE = "measured"
--- a/heatherdyke_bench/process.py
+++ b/heatherdyke_bench/process.py
@@ -1,20 +1,15 @@
-"""Processes of a fleet, and addresses for them to listen on."""
+"""Processes of a fleet."""
 
 import asyncio
 import signal
-import socket
 import sys
 from pathlib import Path
-from secrets import randbelow
-from socket import SOCK_DGRAM
 
 from heatherdyke_bench.errors import FleetError
 
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 30.0
 LISTENING_PREFIX = "listening on "
-FIRST_PORT = 12000
-LAST_PORT = 32000
 
 
 class FleetProcess:
@@ -86,20 +81,3 @@
         except TimeoutError:
             self.send_signal(signal.SIGKILL)
             await self._process.wait()
-
-
-def free_address(host: str = "127.0.0.1") -> str:
-    """Return an address whose TCP and UDP ports are free now.
-
-    The port is below the ephemeral range: an outgoing connection could
-    take a port of that range before the caller listens on it.
-    """
-    while True:
-        port = FIRST_PORT + randbelow(LAST_PORT - FIRST_PORT)
-        with socket.socket() as tcp, socket.socket(type=SOCK_DGRAM) as udp:
-            try:
-                tcp.bind((host, port))
-                udp.bind((host, port))
-            except OSError:
-                continue
-            return f"{host}:{port}"
--- a/heatherdyke_bench/zone_network.py
+++ b/heatherdyke_bench/zone_network.py
@@ -9,8 +9,8 @@
 from heatherdyke.standin.fault_proxy_model import ProxyFaults
 from heatherdyke.standin.fault_proxy_model import RouteConfig
 from heatherdyke.standin.fault_proxy_model import RouteFaults
+from heatherdyke.standin.free_address import free_address
 from heatherdyke_bench.deployments import Deployment
-from heatherdyke_bench.process import free_address
 
 NO_ZONE = ""
 
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -11,7 +11,7 @@
 from heatherdyke.net.http_connection import HttpConnection
 from heatherdyke.platform_standin.leaf import StandinLeaf
 from heatherdyke.platform_standin.store import StandinStore
-from heatherdyke_bench.process import free_address
+from heatherdyke.standin.free_address import free_port
 
 HOST = "shop.example"
 READY_TIMEOUT_S = 15.0
@@ -39,11 +39,6 @@
 """
 
 
-def free_port() -> int:
-    """Return a port that the system does not assign to other sockets."""
-    return int(free_address().rpartition(":")[2])
-
-
 def route(name: str, prefix: str, **fields) -> dict:
     return {
         "name": name,
--- a/tests/small_fleet.py
+++ b/tests/small_fleet.py
@@ -16,6 +16,7 @@
 from heatherdyke.standin.fault_proxy import FaultProxy
 from heatherdyke.standin.fault_proxy import ProxyConfig
 from heatherdyke.standin.fault_proxy import RouteConfig
+from heatherdyke.standin.free_address import free_address
 from heatherdyke.standin.leaf_content import generate_items
 from heatherdyke.standin.leaf_model import LeafIncarnationRecord
 from heatherdyke.standin.leaf_model import LeafProfile
@@ -28,7 +29,6 @@
 from heatherdyke_bench.fleet import Fleet
 from heatherdyke_bench.fleet import Policy
 from heatherdyke_bench.process import FleetProcess
-from heatherdyke_bench.process import free_address
 
 TEAM = "permits"
 ZONES = ["brescia", "bergamo", "verona"]
--- a/tests/test_gateway_unreachable_leafs.py
+++ b/tests/test_gateway_unreachable_leafs.py
@@ -8,7 +8,6 @@
 import pytest
 from gateway_entries import entry
 from gateway_fleet import Fleet
-from gateway_fleet import free_port
 from gateway_fleet import send_request
 from gateway_scenarios import CONFIG
 from gateway_scenarios import ready_gateway
@@ -39,6 +38,7 @@
 from heatherdyke.gateway.shared_state import SharedState
 from heatherdyke.platform.instances import KIND as INSTANCE_KIND
 from heatherdyke.platform_standin.store import StandinStore
+from heatherdyke.standin.free_address import free_port
 
 LEAF_COUNT = 20
 # The instance has noticed by then; callers of that time are not counted.
--- a/tests/test_http_routes.py
+++ b/tests/test_http_routes.py
@@ -9,7 +9,7 @@
 from heatherdyke.net.http_routes import add_route
 from heatherdyke.net.http_routes import new_application
 from heatherdyke.net.server import HttpServer
-from heatherdyke.standin.demo import find_free_port
+from heatherdyke.standin.free_address import free_address
 
 
 class TestFailingHandler:
@@ -20,7 +20,7 @@
         async def request_failing_route():
             app = new_application()
             add_route(app, "GET", "/fail", fail)
-            address = f"127.0.0.1:{find_free_port()}"
+            address = free_address()
             server = HttpServer(app, address)
             await server.start()
             try:
--- a/tests/test_internal_listener.py
+++ b/tests/test_internal_listener.py
@@ -23,7 +23,7 @@
 from heatherdyke.observe.journal import EventPage
 from heatherdyke.peers.key import PeerKey
 from heatherdyke.settings import Settings
-from heatherdyke.standin.demo import find_free_port
+from heatherdyke.standin.free_address import free_address
 from heatherdyke.standin.platform import PlatformStandin
 
 SECRET = "a secret of this test"
@@ -55,8 +55,8 @@
     settings = Settings.from_values(
         name="a",
         zone="brescia",
-        listen=f"127.0.0.1:{find_free_port()}",
-        internal_listen=f"127.0.0.1:{find_free_port()}",
+        listen=free_address(),
+        internal_listen=free_address(),
         peer_key=SECRET,
         platform=platform.address,
         drain_s=0.1,
@@ -168,7 +168,7 @@
         async def run():
             app = new_application()
             add_route(app, "POST", "/size", respond)
-            address = f"127.0.0.1:{find_free_port()}"
+            address = free_address()
             server = HttpServer(app, address, LIMITS)
             await server.start()
             try:
@@ -204,7 +204,7 @@
     def test_a_slow_sender_gets_408_and_is_disconnected(self, sent):
         async def run():
             app = new_application()
-            address = f"127.0.0.1:{find_free_port()}"
+            address = free_address()
             server = HttpServer(app, address, LIMITS)
             await server.start()
             host, port = address.split(":")
@@ -223,7 +223,7 @@
     def test_an_incomplete_body_is_disconnected(self):
         async def run():
             app = new_application()
-            address = f"127.0.0.1:{find_free_port()}"
+            address = free_address()
             server = HttpServer(app, address, LIMITS)
             await server.start()
             host, port = address.split(":")
@@ -263,7 +263,7 @@
 
 @asynccontextmanager
 async def sender():
-    endpoint = await UdpEndpoint.open(f"127.0.0.1:{find_free_port()}")
+    endpoint = await UdpEndpoint.open(free_address())
     try:
         yield endpoint.send
     finally:
--- a/tests/test_proof_config.py
+++ b/tests/test_proof_config.py
@@ -16,6 +16,7 @@
 from heatherdyke.config.zone_state import ZoneStatus
 from heatherdyke.errors import EditConflict
 from heatherdyke.errors import TransportError
+from heatherdyke.standin.free_address import free_address
 from heatherdyke.standin.platform import PlatformFaults
 from heatherdyke_bench.admin_client import set_faults
 from heatherdyke_bench.config_delay import TEAM
@@ -26,7 +27,6 @@
 from heatherdyke_bench.config_delay import wait_for_version
 from heatherdyke_bench.fleet import PEER_KEY
 from heatherdyke_bench.process import FleetProcess
-from heatherdyke_bench.process import free_address
 from tests.small_fleet import wait_until
 
 ZONE_OUT_LIMIT_S = 3.0
--- a/tests/test_proof_homes.py
+++ b/tests/test_proof_homes.py
@@ -32,6 +32,7 @@
 from heatherdyke.standin.fault_proxy import ProxyFaults
 from heatherdyke.standin.fault_proxy import RouteConfig
 from heatherdyke.standin.fault_proxy import RouteFaults
+from heatherdyke.standin.free_address import free_address
 from heatherdyke.standin.platform import PlatformFaults
 from heatherdyke_bench.admin_client import set_faults
 from heatherdyke_bench.deployments import Deployment
@@ -40,7 +41,6 @@
 from heatherdyke_bench.fleet import PEER_KEY
 from heatherdyke_bench.fleet import Fleet
 from heatherdyke_bench.fleet import Policy
-from heatherdyke_bench.process import free_address
 from tests.small_fleet import TEAM
 from tests.small_fleet import URGENCY
 from tests.small_fleet import Callers
--- a/tests/test_shipping.py
+++ b/tests/test_shipping.py
@@ -4,7 +4,6 @@
 import os
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -19,6 +18,7 @@
 
 from heatherdyke.shipped_main import find_unpack_directory
 from heatherdyke.shipped_main import memory_mounts
+from heatherdyke.standin.free_address import free_address
 
 ROOT = Path(__file__).resolve().parent.parent
 ARCHIVE = ROOT / "dist" / "heatherdyke"
@@ -85,24 +85,18 @@
     shutil.rmtree(Path(unpack_directory()) / unpacked, ignore_errors=True)
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 @contextmanager
 def serving(command: list[str], **options):
     """Run ``serve`` and wait until it is live.
 
     The unpack directory is the only environment variable.
     """
-    port = free_port()
+    internal_address = free_address()
     command = [*command, "serve", "--name", "a", "--zone", "brescia"]
-    command += ["--listen", f"127.0.0.1:{free_port()}"]
-    command += ["--internal-listen", f"127.0.0.1:{port}"]
+    command += ["--listen", free_address()]
+    command += ["--internal-listen", internal_address]
     command += ["--peer-key", "a key for this test"]
-    command += ["--platform", f"127.0.0.1:{free_port()}"]
+    command += ["--platform", free_address()]
     command += ["--drain-s", "0.2"]
     environment = {"HEATHERDYKE_UNPACK_DIR": unpack_directory()}
     process = subprocess.Popen(
@@ -113,19 +107,19 @@
         **options,
     )
     try:
-        wait_until_live(process, port)
+        wait_until_live(process, internal_address)
         yield process
     finally:
         process.send_signal(signal.SIGTERM)
         assert process.wait(timeout=20) == 0
 
 
-def wait_until_live(process: subprocess.Popen, port: int) -> None:
+def wait_until_live(process: subprocess.Popen, address: str) -> None:
     deadline = time.monotonic() + START_TIMEOUT_S
     while time.monotonic() < deadline:
         assert children(process.pid) == []
         try:
-            urlopen(f"http://127.0.0.1:{port}/healthz", timeout=1).close()
+            urlopen(f"http://{address}/healthz", timeout=1).close()
         except URLError:
             time.sleep(0.02)
         else:
