Let a fault proxy that could not start stop without an error of its own

Cause: a route closed its server or socket also if it had none.

Change: a route that does not listen has nothing to close.

Result: TestStop in test_fault_proxy failed over TCP and UDP with that AttributeError before; it sees the OSError "in use" now.

--- a/heatherdyke/standin/fault_proxy_tcp.py
+++ b/heatherdyke/standin/fault_proxy_tcp.py
@@ -33,8 +33,9 @@
         self.address = f"{host}:{bound_port}"
 
     async def stop(self) -> None:
-        """Stop listening and close the connections."""
-        self._server.close()
+        """Stop listening, if it does, and close the connections."""
+        if self._server is not None:
+            self._server.close()
         self._close_connections()
 
     def set_faults(self, faults: RouteFaults) -> None:
--- a/heatherdyke/standin/fault_proxy_udp.py
+++ b/heatherdyke/standin/fault_proxy_udp.py
@@ -33,8 +33,9 @@
         self.address = f"{host}:{bound_port}"
 
     async def stop(self) -> None:
-        """Close every socket."""
-        self._transport.close()
+        """Close every socket that was opened."""
+        if self._transport is not None:
+            self._transport.close()
         for upstream in self._upstream_by_sender.values():
             upstream.close()
 
--- a/tests/test_fault_proxy.py
+++ b/tests/test_fault_proxy.py
@@ -9,6 +9,7 @@
 from heatherdyke.errors import TransportError
 from heatherdyke.net.http_connection import HttpConnection
 from heatherdyke.net.http_connection import set_source_host
+from heatherdyke.net.udp_endpoint import UdpEndpoint
 from heatherdyke.standin.fault_proxy import FaultProxy
 from heatherdyke.standin.fault_proxy_model import Direction
 from heatherdyke.standin.fault_proxy_model import ProxyConfig
@@ -48,6 +49,27 @@
     proxy.set_faults(ProxyFaults({"r": RouteFaults(**faults)}))
 
 
+class TestStop:
+    # Guards against: an address in use is reported as an AttributeError.
+    @pytest.mark.parametrize("udp", [False, True])
+    def test_after_a_start_that_failed_leaves_its_error(self, udp):
+        async def start_on_used_address():
+            server = HttpServer("127.0.0.1:0", _echo)
+            await server.start()
+            endpoint = await UdpEndpoint.open(server.address)
+            route = RouteConfig("r", server.address, server.address, udp=udp)
+            proxy = FaultProxy(ProxyConfig([route]))
+            try:
+                await proxy.start()
+            finally:
+                await proxy.stop()
+                endpoint.close()
+                await server.stop()
+
+        with pytest.raises(OSError, match="in use"):
+            asyncio.run(start_on_used_address())
+
+
 class TestTcpRoute:
     def test_delay_applies_in_both_directions(self):
         async def test(proxy, address):
