Convert and decode messages between instances in one way each

Cause: a message type needed a decoder and a function of its own (six of the same shape), and a client's request and its route were copied field by field in four functions of the module that also defines the wire format.

The bytes sent are the same.

--- a/heatherdyke/gateway/peer_api.py
+++ b/heatherdyke/gateway/peer_api.py
@@ -15,18 +15,16 @@
 from heatherdyke.gateway.peer_messages import NEWS_PATH
 from heatherdyke.gateway.peer_messages import REMAINDER_PATH
 from heatherdyke.gateway.peer_messages import SEARCH_PATH
+from heatherdyke.gateway.peer_messages import ForwardRequest
 from heatherdyke.gateway.peer_messages import ForwardResult
 from heatherdyke.gateway.peer_messages import GroupRequest
 from heatherdyke.gateway.peer_messages import GroupResult
 from heatherdyke.gateway.peer_messages import QuarantineNews
-from heatherdyke.gateway.peer_messages import client_request_of
-from heatherdyke.gateway.peer_messages import decode_forward_request
-from heatherdyke.gateway.peer_messages import decode_group_request
-from heatherdyke.gateway.peer_messages import decode_quarantine_news
-from heatherdyke.gateway.peer_messages import decode_remainder_request
+from heatherdyke.gateway.peer_messages import RemainderRequest
+from heatherdyke.gateway.peer_messages import decode_message
 from heatherdyke.gateway.peer_messages import encode_message
-from heatherdyke.gateway.peer_messages import forward_route_of
-from heatherdyke.gateway.peer_messages import route_of
+from heatherdyke.gateway.peer_requests import client_request_of
+from heatherdyke.gateway.peer_requests import route_of
 from heatherdyke.gateway.peer_send import STATUS_DECLINED
 from heatherdyke.gateway.peer_send import STATUS_LEAFS_UNREACHABLE
 from heatherdyke.gateway.peer_send import STATUS_QUARANTINED
@@ -246,7 +244,7 @@
             self._decline(exchange)
             return
         try:
-            message = decode_group_request(exchange.request.body)
+            message = decode_message(exchange.request.body, GroupRequest)
         except msgspec.MsgspecError:
             self._shared.metrics.count("groups_served", "malformed")
             exchange.answer(ClientResponse(400))
@@ -268,11 +266,11 @@
             self._decline(exchange)
             return
         try:
-            message = decode_forward_request(exchange.request.body)
+            message = decode_message(exchange.request.body, ForwardRequest)
         except msgspec.MsgspecError:
             exchange.answer(ClientResponse(400))
             return
-        route = forward_route_of(message)
+        route = route_of(message)
         if shared.config is None or not shared.selector.zones_with_leaf(
             message.service, route
         ):
@@ -296,7 +294,7 @@
 
     def _serve_news(self, exchange: Exchange) -> None:
         try:
-            news = decode_quarantine_news(exchange.request.body)
+            news = decode_message(exchange.request.body, QuarantineNews)
         except msgspec.MsgspecError:
             exchange.answer(ClientResponse(400))
             return
@@ -308,7 +306,7 @@
 
     def _serve_remainder(self, exchange: Exchange) -> None:
         try:
-            message = decode_remainder_request(exchange.request.body)
+            message = decode_message(exchange.request.body, RemainderRequest)
         except msgspec.MsgspecError:
             exchange.answer(ClientResponse(400))
             return
--- a/heatherdyke/gateway/peer_call.py
+++ b/heatherdyke/gateway/peer_call.py
@@ -13,7 +13,7 @@
 from heatherdyke.gateway.peer_messages import GroupRequest
 from heatherdyke.gateway.peer_messages import GroupResult
 from heatherdyke.gateway.peer_messages import RemainderRequest
-from heatherdyke.gateway.peer_messages import decode_group_result
+from heatherdyke.gateway.peer_messages import decode_message
 from heatherdyke.gateway.peer_messages import encode_message
 from heatherdyke.gateway.peer_send import MAX_RELAY_PEERS
 from heatherdyke.gateway.peer_send import PeerSend
@@ -136,7 +136,7 @@
     def _decode(self, response: LeafResponse) -> GroupResult | None:
         """Return the result; one that cannot be decoded ends the call."""
         try:
-            return decode_group_result(response.body)
+            return decode_message(response.body, GroupResult)
         except msgspec.MsgspecError as error:
             self._fail(str(error))
             return None
--- a/heatherdyke/gateway/peer_forward.py
+++ b/heatherdyke/gateway/peer_forward.py
@@ -11,9 +11,9 @@
 from heatherdyke.gateway.messages import LeafResponse
 from heatherdyke.gateway.peer_messages import FORWARD_PATH
 from heatherdyke.gateway.peer_messages import ForwardResult
-from heatherdyke.gateway.peer_messages import decode_forward_result
+from heatherdyke.gateway.peer_messages import decode_message
 from heatherdyke.gateway.peer_messages import encode_message
-from heatherdyke.gateway.peer_messages import forward_message
+from heatherdyke.gateway.peer_requests import forward_request
 from heatherdyke.gateway.peer_send import MAX_RELAY_PEERS
 from heatherdyke.gateway.peer_send import PeerSend
 from heatherdyke.gateway.routing import Route
@@ -56,7 +56,7 @@
         self._shared = shared
         self._exchange = exchange
         self._deadline_at = deadline_at
-        self._message = forward_message(
+        self._message = forward_request(
             exchange.request, route, service, shared.config.version
         )
         self._objective_s = route.objective_s
@@ -105,7 +105,7 @@
 
     def _decode(self, response: LeafResponse) -> ForwardResult | None:
         try:
-            return decode_forward_result(response.body)
+            return decode_message(response.body, ForwardResult)
         except msgspec.MsgspecError:
             return None
 
--- a/heatherdyke/gateway/peer_messages.py
+++ b/heatherdyke/gateway/peer_messages.py
@@ -4,12 +4,13 @@
 Structs are encoded as arrays: the order of their fields is the format.
 """
 
+from typing import TypeVar
+from typing import get_args
+
 import msgspec
 
 from heatherdyke.gateway.leaf_crashes import CrashSighting
-from heatherdyke.gateway.messages import ClientRequest
 from heatherdyke.gateway.quarantine import Verdict
-from heatherdyke.gateway.routing import Route
 
 SEARCH_PATH = b"/peer/search"
 REMAINDER_PATH = b"/peer/search/rest"
@@ -108,147 +109,28 @@
     verdicts: list[Verdict] = []
 
 
-_encoder = msgspec.msgpack.Encoder()
-_request_decoder = msgspec.msgpack.Decoder(GroupRequest)
-_remainder_decoder = msgspec.msgpack.Decoder(RemainderRequest)
-_result_decoder = msgspec.msgpack.Decoder(GroupResult)
-_forward_decoder = msgspec.msgpack.Decoder(ForwardRequest)
-_forward_result_decoder = msgspec.msgpack.Decoder(ForwardResult)
-_news_decoder = msgspec.msgpack.Decoder(QuarantineNews)
-
-
-def encode_message(
-    message: GroupRequest
+PeerMessage = (
+    GroupRequest
     | GroupResult
     | RemainderRequest
     | ForwardRequest
     | ForwardResult
-    | QuarantineNews,
-) -> bytes:
+    | QuarantineNews
+)
+T = TypeVar("T", bound=PeerMessage)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder_by_type = {
+    message_type: msgspec.msgpack.Decoder(message_type)
+    for message_type in get_args(PeerMessage)
+}
+
+
+def encode_message(message: PeerMessage) -> bytes:
     """Return the encoded message."""
     return _encoder.encode(message)
 
 
-def decode_group_request(body: bytes) -> GroupRequest:
-    """Decode a group request; raises MsgspecError if invalid."""
-    return _request_decoder.decode(body)
-
-
-def decode_remainder_request(body: bytes) -> RemainderRequest:
-    """Decode a remainder request; raises MsgspecError if invalid."""
-    return _remainder_decoder.decode(body)
-
-
-def decode_group_result(body: bytes) -> GroupResult:
-    """Decode a group result; raises MsgspecError if invalid."""
-    return _result_decoder.decode(body)
-
-
-def decode_forward_request(body: bytes) -> ForwardRequest:
-    """Decode a forward request; raises MsgspecError if invalid."""
-    return _forward_decoder.decode(body)
-
-
-def decode_forward_result(body: bytes) -> ForwardResult:
-    """Decode a forward result; raises MsgspecError if invalid."""
-    return _forward_result_decoder.decode(body)
-
-
-def decode_quarantine_news(body: bytes) -> QuarantineNews:
-    """Decode quarantine news; raises MsgspecError if invalid."""
-    return _news_decoder.decode(body)
-
-
-def group_request(
-    request: ClientRequest,
-    route: Route,
-    shards: tuple[str, ...],
-    config_version: int,
-) -> GroupRequest:
-    """Return the message that requests some shards of a client's search."""
-    return GroupRequest(
-        method=request.method,
-        target=request.target,
-        headers=request.headers,
-        body=request.body,
-        request_id=request.request_id,
-        route=route.name,
-        shards=list(shards),
-        record_limit=route.record_limit,
-        rank=route.rank,
-        max_attempts=route.max_attempts,
-        min_share=0.0,
-        objective_s=route.objective_s,
-        home_regions=sorted(route.home_regions),
-        config_version=config_version,
-    )
-
-
-def forward_message(
-    request: ClientRequest, route: Route, service: str, config_version: int
-) -> ForwardRequest:
-    """Return the message that has a client's request forwarded."""
-    return ForwardRequest(
-        method=request.method,
-        target=request.target,
-        headers=request.headers,
-        body=request.body,
-        request_id=request.request_id,
-        route=route.name,
-        service=service,
-        idempotent=route.idempotent,
-        rank=route.rank,
-        max_attempts=route.max_attempts,
-        objective_s=route.objective_s,
-        home_regions=sorted(route.home_regions),
-        config_version=config_version,
-    )
-
-
-def client_request_of(
-    message: GroupRequest | ForwardRequest, arrived_at: float
-) -> ClientRequest:
-    """Return the client's request that the message carries."""
-    return ClientRequest(
-        method=message.method,
-        target=message.target,
-        headers=message.headers,
-        body=message.body,
-        host="",
-        request_id=message.request_id,
-        wait_s=message.limit_s,
-        arrived_at=arrived_at,
-    )
-
-
-def forward_route_of(message: ForwardRequest) -> Route:
-    """Return the route that the message describes."""
-    return Route(
-        name=message.route,
-        host="",
-        path_prefix="",
-        idempotent=message.idempotent,
-        timeout_s=message.limit_s,
-        objective_s=message.objective_s,
-        rank=message.rank,
-        max_attempts=message.max_attempts,
-        home_regions=frozenset(message.home_regions),
-    )
-
-
-def route_of(message: GroupRequest) -> Route:
-    """Return the route that the message describes."""
-    return Route(
-        name=message.route,
-        host="",
-        path_prefix="",
-        idempotent=True,
-        timeout_s=message.limit_s,
-        objective_s=message.objective_s,
-        rank=message.rank,
-        max_attempts=message.max_attempts,
-        shards=tuple(message.shards),
-        record_limit=message.record_limit,
-        min_share=message.min_share,
-        home_regions=frozenset(message.home_regions),
-    )
+def decode_message(body: bytes, message_type: type[T]) -> T:
+    """Decode a message of this type; raises MsgspecError if invalid."""
+    return _decoder_by_type[message_type].decode(body)
--- a/heatherdyke/gateway/quarantine_sync.py
+++ b/heatherdyke/gateway/quarantine_sync.py
@@ -20,7 +20,7 @@
 from heatherdyke.gateway.messages import LeafResponse
 from heatherdyke.gateway.peer_messages import NEWS_PATH
 from heatherdyke.gateway.peer_messages import QuarantineNews
-from heatherdyke.gateway.peer_messages import decode_quarantine_news
+from heatherdyke.gateway.peer_messages import decode_message
 from heatherdyke.gateway.peer_messages import encode_message
 from heatherdyke.gateway.peer_send import PeerSend
 from heatherdyke.gateway.quarantine import Verdict
@@ -95,7 +95,7 @@
     def apply_reply(self, body: bytes) -> None:
         """Apply the verdicts with which another instance responded."""
         try:
-            news = decode_quarantine_news(body)
+            news = decode_message(body, QuarantineNews)
         except msgspec.MsgspecError:
             return
         quarantine = self._shared.crash_guard.quarantine
--- a/heatherdyke/gateway/search.py
+++ b/heatherdyke/gateway/search.py
@@ -17,7 +17,7 @@
 from heatherdyke.gateway.part_collector import PartCollector
 from heatherdyke.gateway.peer_call import PeerCall
 from heatherdyke.gateway.peer_messages import GroupResult
-from heatherdyke.gateway.peer_messages import group_request
+from heatherdyke.gateway.peer_requests import group_request
 from heatherdyke.gateway.record_merge import top_records
 from heatherdyke.gateway.refusal import RefusalReason
 from heatherdyke.gateway.refusal import make_failure_answer
