--- a/heatherdyke/gateway/events.py
+++ b/heatherdyke/gateway/events.py
@@ -1,368 +1,292 @@
 """Events of the gateway in the registry of numbered events."""
 
-from heatherdyke.observe.event_registry import EventKind
 from heatherdyke.observe.event_registry import Severity
 from heatherdyke.observe.event_registry import register
 
 GATEWAY_STARTED = register(
-    EventKind(
-        7001,
-        "gateway_started",
-        Severity.INFO,
-        "The process has read its settings and is listening.",
-        ("address", "zone", "version"),
-    )
+    7001,
+    "gateway_started",
+    Severity.INFO,
+    "The process has read its settings and is listening.",
+    ("address", "zone", "version"),
 )
 GATEWAY_READY = register(
-    EventKind(
-        7002,
-        "gateway_ready",
-        Severity.INFO,
-        "Configuration and leafs are loaded; requests are served.",
-        ("config_version", "leafs", "after_s"),
-    )
+    7002,
+    "gateway_ready",
+    Severity.INFO,
+    "Configuration and leafs are loaded; requests are served.",
+    ("config_version", "leafs", "after_s"),
 )
 GATEWAY_STOPPING = register(
-    EventKind(
-        7003,
-        "gateway_stopping",
-        Severity.INFO,
-        "The process received a stop signal and is draining.",
-        ("open_connections", "running"),
-    )
+    7003,
+    "gateway_stopping",
+    Severity.INFO,
+    "The process received a stop signal and is draining.",
+    ("open_connections", "running"),
 )
 GATEWAY_STOPPED = register(
-    EventKind(
-        7004,
-        "gateway_stopped",
-        Severity.INFO,
-        "The process is exiting.",
-        ("unfinished", "after_s"),
-    )
+    7004,
+    "gateway_stopped",
+    Severity.INFO,
+    "The process is exiting.",
+    ("unfinished", "after_s"),
 )
 SETTINGS_RELOADED = register(
-    EventKind(
-        7005,
-        "settings_reloaded",
-        Severity.INFO,
-        "Changed settings were reloaded from the settings file.",
-        ("changed",),
-    )
+    7005,
+    "settings_reloaded",
+    Severity.INFO,
+    "Changed settings were reloaded from the settings file.",
+    ("changed",),
 )
 SETTINGS_REJECTED = register(
-    EventKind(
-        7006,
-        "settings_rejected",
-        Severity.ERROR,
-        "The settings file is invalid; the previous settings stay active.",
-        ("reason",),
-        "Correct the named field; the file is read again periodically.",
-    )
+    7006,
+    "settings_rejected",
+    Severity.ERROR,
+    "The settings file is invalid; the previous settings stay active.",
+    ("reason",),
+    "Correct the named field; the file is read again periodically.",
 )
 PROCESS_PAUSED = register(
-    EventKind(
-        7007,
-        "process_paused",
-        Severity.WARNING,
-        "The process was paused; configuration, leafs and zones are listed "
-        "again.",
-        ("paused_s",),
-    )
+    7007,
+    "process_paused",
+    Severity.WARNING,
+    "The process was paused; configuration, leafs and zones are listed again.",
+    ("paused_s",),
 )
 LOG_LIMITED = register(
-    EventKind(
-        7008,
-        "log_limited",
-        Severity.WARNING,
-        "Log lines were dropped by the rate limit.",
-        ("left_out_by_event",),
-    )
+    7008,
+    "log_limited",
+    Severity.WARNING,
+    "Log lines were dropped by the rate limit.",
+    ("left_out_by_event",),
 )
 CONFIG_APPLIED = register(
-    EventKind(
-        7101,
-        "routing_adopted",
-        Severity.INFO,
-        "This process has applied a version of the configuration.",
-        ("version", "previous", "routes"),
-    )
+    7101,
+    "routing_adopted",
+    Severity.INFO,
+    "This process has applied a version of the configuration.",
+    ("version", "previous", "routes"),
 )
 CONFIG_HELD = register(
-    EventKind(
-        7104,
-        "routing_held",
-        Severity.INFO,
-        "A new configuration names shards whose leafs are still cold; the "
-        "previous one stays active for a limited time.",
-        ("version",),
-    )
+    7104,
+    "routing_held",
+    Severity.INFO,
+    "A new configuration names shards whose leafs are still cold; the "
+    "previous one stays active for a limited time.",
+    ("version",),
 )
 CONFIG_BEHIND = register(
-    EventKind(
-        7105,
-        "routing_behind",
-        Severity.WARNING,
-        "Another instance has applied a newer configuration, which this "
-        "instance has not received; it is requested from the store again.",
-        ("version", "known"),
-        "Look for connections to the store that are open but stalled.",
-    )
+    7105,
+    "routing_behind",
+    Severity.WARNING,
+    "Another instance has applied a newer configuration, which this "
+    "instance has not received; it is requested from the store again.",
+    ("version", "known"),
+    "Look for connections to the store that are open but stalled.",
 )
 CLIENTS_TURNED_AWAY = register(
-    EventKind(
-        7206,
-        "turned_away",
-        Severity.WARNING,
-        "This instance is isolated from the other zones and reports not "
-        "ready, so that the load balancer sends clients to other zones.",
-        ("failures", "silent_s", "refused_share"),
-        "Check the network between this zone and the others.",
-    )
+    7206,
+    "turned_away",
+    Severity.WARNING,
+    "This instance is isolated from the other zones and reports not "
+    "ready, so that the load balancer sends clients to other zones.",
+    ("failures", "silent_s", "refused_share"),
+    "Check the network between this zone and the others.",
 )
 CLIENTS_READMITTED = register(
-    EventKind(
-        7207,
-        "rejoined",
-        Severity.INFO,
-        "The instance reports ready again after an isolation: leafs of "
-        "other zones respond, or requests are no longer refused.",
-        ("turned_away_s",),
-    )
+    7207,
+    "rejoined",
+    Severity.INFO,
+    "The instance reports ready again after an isolation: leafs of "
+    "other zones respond, or requests are no longer refused.",
+    ("turned_away_s",),
 )
 CONFIG_REJECTED = register(
-    EventKind(
-        7102,
-        "routing_rejected",
-        Severity.ERROR,
-        "A configuration is invalid and ignored; the active one is kept.",
-        ("reason",),
-        "Compare the operator's newest configuration with the active one.",
-    )
+    7102,
+    "routing_rejected",
+    Severity.ERROR,
+    "A configuration is invalid and ignored; the active one is kept.",
+    ("reason",),
+    "Compare the operator's newest configuration with the active one.",
 )
 ZONES_OUT_CHANGED = register(
-    EventKind(
-        7103,
-        "zones_out_changed",
-        Severity.INFO,
-        "Operators took availability zones out of service or returned them.",
-        ("zones",),
-    )
+    7103,
+    "zones_out_changed",
+    Severity.INFO,
+    "Operators took availability zones out of service or returned them.",
+    ("zones",),
 )
 LEAF_UPDATED = register(
-    EventKind(
-        7201,
-        "leaf_entry",
-        Severity.INFO,
-        "Discovery added a leaf or changed its state.",
-        ("leaf", "service", "zone", "state", "cold_s", "sequence"),
-    )
+    7201,
+    "leaf_entry",
+    Severity.INFO,
+    "Discovery added a leaf or changed its state.",
+    ("leaf", "service", "zone", "state", "cold_s", "sequence"),
 )
 LEAF_REMOVED = register(
-    EventKind(
-        7202,
-        "leaf_removed",
-        Severity.INFO,
-        "A leaf is no longer used.",
-        ("leaf", "service", "why"),
-    )
+    7202,
+    "leaf_removed",
+    Severity.INFO,
+    "A leaf is no longer used.",
+    ("leaf", "service", "why"),
 )
 LEAF_ENTRY_INVALID = register(
-    EventKind(
-        7203,
-        "leaf_entry_unreadable",
-        Severity.WARNING,
-        "A discovery entry is invalid; its leaf is treated as unregistered.",
-        ("leaf",),
-    )
+    7203,
+    "leaf_entry_unreadable",
+    Severity.WARNING,
+    "A discovery entry is invalid; its leaf is treated as unregistered.",
+    ("leaf",),
 )
 LEAF_SUSPECTED = register(
-    EventKind(
-        7204,
-        "leaf_doubted",
-        Severity.INFO,
-        "A leaf is suspected to be down; it gets no requests until a health "
-        "check succeeds.",
-        ("leaf", "service", "why", "pause_s"),
-    )
+    7204,
+    "leaf_doubted",
+    Severity.INFO,
+    "A leaf is suspected to be down; it gets no requests until a health "
+    "check succeeds.",
+    ("leaf", "service", "why", "pause_s"),
 )
 LEAF_VERIFIED = register(
-    EventKind(
-        7205,
-        "leaf_verified",
-        Severity.INFO,
-        "A health check of a suspected leaf succeeded.",
-        ("leaf", "service", "cold_s"),
-    )
+    7205,
+    "leaf_verified",
+    Severity.INFO,
+    "A health check of a suspected leaf succeeded.",
+    ("leaf", "service", "cold_s"),
 )
 REQUEST_REFUSED = register(
-    EventKind(
-        7301,
-        "request_refused",
-        Severity.WARNING,
-        "A request was refused; no leaf has run it.",
-        ("request_id", "route", "status", "why", "retry_after_s", "inputs"),
-    )
+    7301,
+    "request_refused",
+    Severity.WARNING,
+    "A request was refused; no leaf has run it.",
+    ("request_id", "route", "status", "why", "retry_after_s", "inputs"),
 )
 REQUEST_FAILED = register(
-    EventKind(
-        7302,
-        "request_failed",
-        Severity.WARNING,
-        "A request failed after it was sent to leafs.",
-        ("request_id", "route", "status", "why", "elapsed_ms", "attempts"),
-    )
+    7302,
+    "request_failed",
+    Severity.WARNING,
+    "A request failed after it was sent to leafs.",
+    ("request_id", "route", "status", "why", "elapsed_ms", "attempts"),
 )
 SEARCH_PARTIAL = register(
-    EventKind(
-        7303,
-        "search_partial",
-        Severity.INFO,
-        "A search was answered with some shards missing.",
-        ("request_id", "route", "missing", "elapsed_ms", "attempts", "late"),
-    )
+    7303,
+    "search_partial",
+    Severity.INFO,
+    "A search was answered with some shards missing.",
+    ("request_id", "route", "missing", "elapsed_ms", "attempts", "late"),
 )
 REQUEST_SERVED = register(
-    EventKind(
-        7304,
-        "request_served",
-        Severity.DEBUG,
-        "A request was answered successfully.",
-        ("request_id", "route", "elapsed_ms", "extra_sends", "late"),
-    )
+    7304,
+    "request_served",
+    Severity.DEBUG,
+    "A request was answered successfully.",
+    ("request_id", "route", "elapsed_ms", "extra_sends", "late"),
 )
 CLIENT_DISCONNECTED = register(
-    EventKind(
-        7305,
-        "client_left",
-        Severity.INFO,
-        "A client disconnected before the response.",
-        ("request_id", "route", "elapsed_ms"),
-    )
+    7305,
+    "client_left",
+    Severity.INFO,
+    "A client disconnected before the response.",
+    ("request_id", "route", "elapsed_ms"),
 )
 EXTRA_SEND = register(
-    EventKind(
-        7306,
-        "extra_send",
-        Severity.DEBUG,
-        "A request was sent to another leaf as a retry or hedge.",
-        ("request_id", "service", "leaf", "why"),
-    )
+    7306,
+    "extra_send",
+    Severity.DEBUG,
+    "A request was sent to another leaf as a retry or hedge.",
+    ("request_id", "service", "leaf", "why"),
 )
 GROUP_FAILED = register(
-    EventKind(
-        7307,
-        "group_failed",
-        Severity.WARNING,
-        "Another instance returned no result for a group of shards.",
-        ("request_id", "peer", "shards", "begun", "why"),
-        "If it had not begun, this instance queried the shards itself.",
-    )
+    7307,
+    "group_failed",
+    Severity.WARNING,
+    "Another instance returned no result for a group of shards.",
+    ("request_id", "peer", "shards", "begun", "why"),
+    "If it had not begun, this instance queried the shards itself.",
 )
 LEAF_RATE_LIMITED = register(
-    EventKind(
-        7208,
-        "leaf_rate_limited",
-        Severity.WARNING,
-        "A leaf states how many requests per second it accepts from all "
-        "instances together.",
-        ("leaf", "service", "rate"),
-        "If the other leafs of the service cannot serve its load, add leafs.",
-    )
+    7208,
+    "leaf_rate_limited",
+    Severity.WARNING,
+    "A leaf states how many requests per second it accepts from all "
+    "instances together.",
+    ("leaf", "service", "rate"),
+    "If the other leafs of the service cannot serve its load, add leafs.",
 )
 LEAF_RATE_UNLIMITED = register(
-    EventKind(
-        7209,
-        "leaf_rate_unlimited",
-        Severity.INFO,
-        "A leaf no longer states a limit.",
-        ("leaf", "service", "limited_s"),
-    )
+    7209,
+    "leaf_rate_unlimited",
+    Severity.INFO,
+    "A leaf no longer states a limit.",
+    ("leaf", "service", "limited_s"),
 )
 LEAFS_UNREACHABLE = register(
-    EventKind(
-        7210,
-        "leafs_unreachable",
-        Severity.WARNING,
-        "No leaf accepts this instance's connections; where it has none, "
-        "other instances query the leafs for it.",
-        ("failed_leafs", "silent_s"),
-        "If the leafs run, check the network between them and the instance.",
-    )
+    7210,
+    "leafs_unreachable",
+    Severity.WARNING,
+    "No leaf accepts this instance's connections; where it has none, "
+    "other instances query the leafs for it.",
+    ("failed_leafs", "silent_s"),
+    "If the leafs run, check the network between them and the instance.",
 )
 LEAFS_REACHABLE = register(
-    EventKind(
-        7211,
-        "leafs_reachable",
-        Severity.INFO,
-        "A leaf accepts connections again after none did.",
-        ("unreachable_s",),
-    )
+    7211,
+    "leafs_reachable",
+    Severity.INFO,
+    "A leaf accepts connections again after none did.",
+    ("unreachable_s",),
 )
 REQUEST_RELAYED = register(
-    EventKind(
-        7308,
-        "request_relayed",
-        Severity.INFO,
-        "Another instance forwarded a request, or none of those asked could.",
-        ("request_id", "route", "peers", "status", "why", "elapsed_ms"),
-    )
+    7308,
+    "request_relayed",
+    Severity.INFO,
+    "Another instance forwarded a request, or none of those asked could.",
+    ("request_id", "route", "peers", "status", "why", "elapsed_ms"),
 )
 CRASH_SIGHTED = register(
-    EventKind(
-        7309,
-        "crash_sighted",
-        Severity.INFO,
-        "A leaf crashed while it ran a request; no other leaf crashed at the "
-        "same time without running it, if alone.",
-        ("request_id", "key", "leaf", "route", "alone"),
-    )
+    7309,
+    "crash_sighted",
+    Severity.INFO,
+    "A leaf crashed while it ran a request; no other leaf crashed at the "
+    "same time without running it, if alone.",
+    ("request_id", "key", "leaf", "route", "alone"),
 )
 QUARANTINE_CHANGED = register(
-    EventKind(
-        7310,
-        "quarantine_changed",
-        Severity.WARNING,
-        "A request seems to crash the leafs that run it. While suspect it is "
-        "sent to one leaf at a time, while crashing to none; clear ends that.",
-        (
-            "key",
-            "quarantine",
-            "route",
-            "target",
-            "crashes",
-            "attempts",
-            "decided_by",
-            "age_s",
-            "why",
-        ),
-        "Mend the leafs, then lift it with \"heatherdyke quarantine lift\".",
-    )
+    7310,
+    "quarantine_changed",
+    Severity.WARNING,
+    "A request seems to crash the leafs that run it. While suspect it is "
+    "sent to one leaf at a time, while crashing to none; clear ends that.",
+    (
+        "key",
+        "quarantine",
+        "route",
+        "target",
+        "crashes",
+        "attempts",
+        "decided_by",
+        "age_s",
+        "why",
+    ),
+    "Mend the leafs, then lift it with \"heatherdyke quarantine lift\".",
 )
 STORE_LOST = register(
-    EventKind(
-        7601,
-        "store_lost",
-        Severity.WARNING,
-        "The platform's store is unavailable; the last known state is used.",
-        ("kind", "reason"),
-    )
+    7601,
+    "store_lost",
+    Severity.WARNING,
+    "The platform's store is unavailable; the last known state is used.",
+    ("kind", "reason"),
 )
 STORE_REGAINED = register(
-    EventKind(
-        7602,
-        "store_regained",
-        Severity.INFO,
-        "The platform's store is available again.",
-        ("kind", "lost_s"),
-    )
+    7602,
+    "store_regained",
+    Severity.INFO,
+    "The platform's store is available again.",
+    ("kind", "lost_s"),
 )
 UNEXPECTED_ERROR = register(
-    EventKind(
-        7901,
-        "unexpected_error",
-        Severity.ERROR,
-        "An unexpected exception ended a task or a request.",
-        ("where", "error"),
-        "Report it with the surrounding log lines.",
-    )
+    7901,
+    "unexpected_error",
+    Severity.ERROR,
+    "An unexpected exception ended a task or a request.",
+    ("where", "error"),
+    "Report it with the surrounding log lines.",
 )
--- a/heatherdyke/observe/event_registry.py
+++ b/heatherdyke/observe/event_registry.py
@@ -37,9 +37,17 @@
 kind_by_number: dict[int, EventKind] = {}
 
 
-def register(kind: EventKind) -> EventKind:
-    """Register ``kind``; raises ValueError if its number is taken."""
-    if kind.number in kind_by_number:
-        raise ValueError(f"event number {kind.number} is registered twice")
-    kind_by_number[kind.number] = kind
+def register(
+    number: int,
+    name: str,
+    severity: Severity,
+    summary: str,
+    fields: tuple[str, ...] = (),
+    action: str = "",
+) -> EventKind:
+    """Register a kind; raises ValueError if its number is taken."""
+    if number in kind_by_number:
+        raise ValueError(f"event number {number} is registered twice")
+    kind = EventKind(number, name, severity, summary, fields, action)
+    kind_by_number[number] = kind
     return kind
