--- a/heatherdyke/callers/authentication.py
+++ b/heatherdyke/callers/authentication.py
@@ -12,9 +12,9 @@
 from heatherdyke.component import ConfigView
 from heatherdyke.config.model import ConfigDocument
 from heatherdyke.config.model import SectionConfig
-from heatherdyke.errors import Forbidden
-from heatherdyke.errors import UnknownKey
-from heatherdyke.errors import UnknownService
+from heatherdyke.request_errors import Forbidden
+from heatherdyke.request_errors import UnknownKey
+from heatherdyke.request_errors import UnknownService
 
 SCHEME = "bearer"
 
--- a/heatherdyke/net/http_payloads.py
+++ b/heatherdyke/net/http_payloads.py
@@ -14,9 +14,9 @@
 from heatherdyke.codec import decode
 from heatherdyke.codec import encode
 from heatherdyke.errors import HeatherdykeError
-from heatherdyke.errors import InvalidRequest
-from heatherdyke.errors import RequestError
-from heatherdyke.errors import RunState
+from heatherdyke.request_errors import InvalidRequest
+from heatherdyke.request_errors import RequestError
+from heatherdyke.request_errors import RunState
 
 T = TypeVar("T")
 
--- a/heatherdyke/net/limited_protocol.py
+++ b/heatherdyke/net/limited_protocol.py
@@ -5,11 +5,11 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
-from heatherdyke.errors import BodyTooLarge
-from heatherdyke.errors import HeadersTooLarge
-from heatherdyke.errors import RequestError
-from heatherdyke.errors import RequestTooSlow
 from heatherdyke.net.http_payloads import encode_problem_response
+from heatherdyke.request_errors import BodyTooLarge
+from heatherdyke.request_errors import HeadersTooLarge
+from heatherdyke.request_errors import RequestError
+from heatherdyke.request_errors import RequestTooSlow
 
 
 @dataclass(frozen=True, slots=True)
--- a/heatherdyke/peers/api.py
+++ b/heatherdyke/peers/api.py
@@ -8,7 +8,6 @@
 from blacksheep import StreamedContent
 
 from heatherdyke.codec import encode
-from heatherdyke.errors import InvalidRequest
 from heatherdyke.errors import TransportError
 from heatherdyke.leaves.leaf_dispatcher import LeafDispatcher
 from heatherdyke.messages import LeafRunAnswer
@@ -20,6 +19,7 @@
 from heatherdyke.net.http_payloads import problem_response
 from heatherdyke.net.http_payloads import read_message
 from heatherdyke.net.http_routes import add_route
+from heatherdyke.request_errors import InvalidRequest
 
 NDJSON_TYPE = b"application/x-ndjson"
 NO_CONTENT = 204
--- a/heatherdyke/peers/authentication.py
+++ b/heatherdyke/peers/authentication.py
@@ -7,9 +7,9 @@
 from blacksheep import Request
 from blacksheep import Response
 
-from heatherdyke.errors import NotAPeer
 from heatherdyke.net.http_payloads import problem_response
 from heatherdyke.peers.key import PeerKey
+from heatherdyke.request_errors import NotAPeer
 
 PEER_PREFIX = "/peer/"
 
--- a/heatherdyke/run_once/outcome.py
+++ b/heatherdyke/run_once/outcome.py
@@ -1,13 +1,13 @@
 """Converts a run in memory into the response to a caller."""
 
-from heatherdyke.errors import RunAmbiguous
-from heatherdyke.errors import RunKeyReused
-from heatherdyke.errors import RunRecordUnavailable
-from heatherdyke.errors import RunRefused
-from heatherdyke.errors import RunState
-from heatherdyke.errors import UnknownRun
 from heatherdyke.messages import RunOutcome
 from heatherdyke.messages import RunOutcomeState
+from heatherdyke.request_errors import RunAmbiguous
+from heatherdyke.request_errors import RunKeyReused
+from heatherdyke.request_errors import RunRecordUnavailable
+from heatherdyke.request_errors import RunRefused
+from heatherdyke.request_errors import RunState
+from heatherdyke.request_errors import UnknownRun
 from heatherdyke.run_once.driver import LocalRun
 from heatherdyke.run_once.state_machine import RunPhase
 
--- a/heatherdyke/run_once/server.py
+++ b/heatherdyke/run_once/server.py
@@ -18,10 +18,6 @@
 from heatherdyke.config.model import SectionConfig
 from heatherdyke.config.model import ServiceConfig
 from heatherdyke.errors import HeatherdykeError
-from heatherdyke.errors import InvalidRequest
-from heatherdyke.errors import RequestError
-from heatherdyke.errors import RunRefused
-from heatherdyke.errors import RunState
 from heatherdyke.messages import PeerRunOnce
 from heatherdyke.messages import PeerRunOnceOutcome
 from heatherdyke.messages import RunOutcome
@@ -33,6 +29,10 @@
 from heatherdyke.net.http_payloads import read_message
 from heatherdyke.net.http_routes import Applications
 from heatherdyke.net.http_routes import add_route
+from heatherdyke.request_errors import InvalidRequest
+from heatherdyke.request_errors import RequestError
+from heatherdyke.request_errors import RunRefused
+from heatherdyke.request_errors import RunState
 from heatherdyke.run_once.driver import LocalRun
 from heatherdyke.run_once.outcome import key_reused_error
 from heatherdyke.run_once.outcome import raise_for_outcome
--- a/heatherdyke/search/coordinator.py
+++ b/heatherdyke/search/coordinator.py
@@ -1,9 +1,9 @@
 """Executes a caller's search and builds the answer from the parts."""
 
 from heatherdyke.component import ConfigView
-from heatherdyke.errors import SnapshotUnavailable
 from heatherdyke.messages import SearchAnswer
 from heatherdyke.messages import SearchRequest
+from heatherdyke.request_errors import SnapshotUnavailable
 from heatherdyke.search.context import SearchContext
 from heatherdyke.search.plan import SearchPlan
 from heatherdyke.search.plan import plan_search
--- a/heatherdyke/search/observer.py
+++ b/heatherdyke/search/observer.py
@@ -3,8 +3,6 @@
 from collections.abc import Iterable
 
 from heatherdyke.errors import HeatherdykeError
-from heatherdyke.errors import RequestError
-from heatherdyke.errors import RunState
 from heatherdyke.messages import PeerSearch
 from heatherdyke.messages import SearchAnswer
 from heatherdyke.observe.events import CONNECTION_SILENT
@@ -18,6 +16,8 @@
 from heatherdyke.observe.events import SNAPSHOT_RESTARTED
 from heatherdyke.observe.journal import Journal
 from heatherdyke.observe.metrics import Metrics
+from heatherdyke.request_errors import RequestError
+from heatherdyke.request_errors import RunState
 
 
 class SearchObserver:
--- a/heatherdyke/search/plan.py
+++ b/heatherdyke/search/plan.py
@@ -7,10 +7,10 @@
 from heatherdyke.config.index import ConfigIndex
 from heatherdyke.config.model import SectionConfig
 from heatherdyke.config.model import UrgencyConfig
-from heatherdyke.errors import Forbidden
-from heatherdyke.errors import InvalidRequest
-from heatherdyke.errors import UnknownService
 from heatherdyke.messages import SearchRequest
+from heatherdyke.request_errors import Forbidden
+from heatherdyke.request_errors import InvalidRequest
+from heatherdyke.request_errors import UnknownService
 
 MAX_LIMIT = 1000
 MAX_DEADLINE_MS = 600_000
--- a/heatherdyke/search/request_tracker.py
+++ b/heatherdyke/search/request_tracker.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
-from heatherdyke.errors import ShuttingDown
+from heatherdyke.request_errors import ShuttingDown
 
 RETRY_AFTER_S = 1.0
 
--- a/heatherdyke/search/scatter_gather.py
+++ b/heatherdyke/search/scatter_gather.py
@@ -3,8 +3,6 @@
 import asyncio
 
 from heatherdyke.errors import ConnectionRefused
-from heatherdyke.errors import DeadlineExceeded
-from heatherdyke.errors import RunState
 from heatherdyke.errors import TransportError
 from heatherdyke.mechanisms import Mechanism
 from heatherdyke.messages import Item
@@ -14,6 +12,8 @@
 from heatherdyke.messages import PeerCancel
 from heatherdyke.messages import PeerSearch
 from heatherdyke.messages import SearchRequest
+from heatherdyke.request_errors import DeadlineExceeded
+from heatherdyke.request_errors import RunState
 from heatherdyke.search.context import SearchContext
 from heatherdyke.search.coverage import CoverageTracker
 from heatherdyke.search.merge import merge_items
--- a/heatherdyke/search/search_admission.py
+++ b/heatherdyke/search/search_admission.py
@@ -7,8 +7,8 @@
 
 from heatherdyke.clock import Clock
 from heatherdyke.config.model import SpendingConfig
-from heatherdyke.errors import Overloaded
-from heatherdyke.errors import SpendingLimitReached
+from heatherdyke.request_errors import Overloaded
+from heatherdyke.request_errors import SpendingLimitReached
 from heatherdyke.search.admission import AdmissionController
 from heatherdyke.usage.counters import UsageCounters
 from heatherdyke.usage.spending_limiter import SpendingLimiter
--- a/heatherdyke_bench/load.py
+++ b/heatherdyke_bench/load.py
@@ -19,11 +19,11 @@
 
 from heatherdyke.codec import decode
 from heatherdyke.codec import encode
-from heatherdyke.errors import RunState
 from heatherdyke.errors import TransportError
 from heatherdyke.messages import SearchAnswer
 from heatherdyke.messages import SearchRequest
 from heatherdyke.net.http_connection import HttpConnection
+from heatherdyke.request_errors import RunState
 from heatherdyke.standin.leaf_content import generate_items
 from heatherdyke_bench.admin_client import is_ready
 from heatherdyke_bench.deployments import LoadClass
--- a/heatherdyke_bench/report.py
+++ b/heatherdyke_bench/report.py
@@ -8,7 +8,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from heatherdyke.errors import RunState
+from heatherdyke.request_errors import RunState
 from heatherdyke.standin.leaf_model import LeafRecord
 from heatherdyke_bench.load import MAX_LATENCY_US
 from heatherdyke_bench.load import SIGNIFICANT_DIGITS
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -3,7 +3,7 @@
 import pytest
 from hdrh.histogram import HdrHistogram
 
-from heatherdyke.errors import RunState
+from heatherdyke.request_errors import RunState
 from heatherdyke.standin.leaf_model import LeafIncarnationRecord
 from heatherdyke.standin.leaf_model import LeafRecord
 from heatherdyke_bench.actions import actions
--- a/tests/test_caller_keys.py
+++ b/tests/test_caller_keys.py
@@ -7,9 +7,9 @@
 from heatherdyke.config.model import ConfigDocument
 from heatherdyke.config.model import SectionConfig
 from heatherdyke.config.model import ServiceConfig
-from heatherdyke.errors import Forbidden
-from heatherdyke.errors import UnknownKey
-from heatherdyke.errors import UnknownService
+from heatherdyke.request_errors import Forbidden
+from heatherdyke.request_errors import UnknownKey
+from heatherdyke.request_errors import UnknownService
 
 
 def _keys() -> CallerKeys:
--- a/tests/test_http_routes.py
+++ b/tests/test_http_routes.py
@@ -3,12 +3,12 @@
 import asyncio
 
 from heatherdyke.codec import decode
-from heatherdyke.errors import RunState
 from heatherdyke.net.http_connection import HttpConnection
 from heatherdyke.net.http_payloads import Problem
 from heatherdyke.net.http_routes import add_route
 from heatherdyke.net.http_routes import new_application
 from heatherdyke.net.server import HttpServer
+from heatherdyke.request_errors import RunState
 from heatherdyke.standin.free_address import free_address
 
 
--- a/tests/test_proof_run_once.py
+++ b/tests/test_proof_run_once.py
@@ -14,10 +14,10 @@
 from heatherdyke.callers.client import RequestRefused
 from heatherdyke.config.model import RunOnceMode
 from heatherdyke.errors import HeatherdykeError
-from heatherdyke.errors import RunState
 from heatherdyke.errors import TransportError
 from heatherdyke.messages import RunOutcomeState
 from heatherdyke.messages import RunRequest
+from heatherdyke.request_errors import RunState
 from heatherdyke.run_once.client import RunClient
 from heatherdyke.standin.fault_proxy import ProxyFaults
 from heatherdyke.standin.fault_proxy import RouteFaults
--- a/tests/test_proof_spending.py
+++ b/tests/test_proof_spending.py
@@ -11,8 +11,8 @@
 from heatherdyke.callers.client import CallerClient
 from heatherdyke.callers.client import RequestRefused
 from heatherdyke.config.model import SpendingConfig
-from heatherdyke.errors import RunState
 from heatherdyke.messages import SearchRequest
+from heatherdyke.request_errors import RunState
 from heatherdyke.standin.platform import PlatformFaults
 from heatherdyke_bench.admin_client import set_faults
 from heatherdyke_bench.deployments import Deployment
