Report the end of searches and of forwarded requests in one place

Cause: ForwardedRequest had its own copy of the log lines and metrics that SearchReport writes, field for field.

Change: OutcomeReport serves both; a search counts itself for the detection of an isolated instance, as only searches do.

Result: the tests of forwarding, decisions, load patterns and explain pass.

--- a/heatherdyke/gateway/forwarded_request.py
+++ b/heatherdyke/gateway/forwarded_request.py
@@ -5,9 +5,6 @@
 from heatherdyke.gateway.attempt import Attempt
 from heatherdyke.gateway.attempt_sender import AttemptSender
 from heatherdyke.gateway.crash_guard import Admission
-from heatherdyke.gateway.events import CLIENT_DISCONNECTED
-from heatherdyke.gateway.events import REQUEST_FAILED
-from heatherdyke.gateway.events import REQUEST_SERVED
 from heatherdyke.gateway.exchange import Exchange
 from heatherdyke.gateway.header_rules import forwarded_headers
 from heatherdyke.gateway.leaf_table import Leaf
@@ -16,6 +13,7 @@
 from heatherdyke.gateway.messages import ClientResponse
 from heatherdyke.gateway.messages import Failure
 from heatherdyke.gateway.messages import LeafResponse
+from heatherdyke.gateway.outcome_report import OutcomeReport
 from heatherdyke.gateway.peer_forward import PeerForward
 from heatherdyke.gateway.refusal import RefusalReason
 from heatherdyke.gateway.refusal import make_refusal
@@ -25,7 +23,6 @@
 from heatherdyke.gateway.shared_state import SharedState
 from heatherdyke.gateway.timing import answer_due_at
 from heatherdyke.gateway.timing import final_answer_deadline
-from heatherdyke.gateway.timing import is_late
 
 # Statuses from which a client concludes that the request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -52,6 +49,7 @@
         "_refusal_reason",
         "_may_relay",
         "_relay",
+        "_report",
     )
 
     def __init__(
@@ -96,6 +94,7 @@
         self._refusal_reason = RefusalReason.NO_LEAF
         self._may_relay = may_relay
         self._relay: PeerForward | None = None
+        self._report = OutcomeReport(shared, request, route, "forward")
 
     def start(self) -> None:
         """Send the request to the best leaf, or refuse it without one.
@@ -244,7 +243,7 @@
         self._exchange.answer(answer)
         self._sender.abandon()
         if response.is_signed_success:
-            self._report_success()
+            self._report.answered(self._sender.sent - 1)
         else:
             self._report_failure(answer.status, "leaf_status")
 
@@ -305,13 +304,7 @@
 
     def _on_client_disconnect(self) -> None:
         """Cancel an idempotent request; let others complete at the leaf."""
-        self._shared.metrics.count("clients_left", self._route.name)
-        self._shared.log.record(
-            CLIENT_DISCONNECTED,
-            request_id=self._exchange.request.id_text,
-            route=self._route.name,
-            elapsed_ms=self._elapsed_ms(),
-        )
+        self._report.client_left()
         self._stop_timer()
         if self._relay is not None:
             self._relay.abandon()
@@ -320,37 +313,9 @@
         else:
             self._sender.finish(self._deadline_at)
 
-    def _report_success(self) -> None:
-        shared = self._shared
-        elapsed_ms = self._elapsed_ms()
-        shared.metrics.record_latency(
-            "forward", self._route.name, elapsed_ms / 1000
-        )
-        shared.metrics.count("answers", "200")
-        shared.log.record(
-            REQUEST_SERVED,
-            request_id=self._exchange.request.id_text,
-            route=self._route.name,
-            elapsed_ms=elapsed_ms,
-            extra_sends=self._sender.sent - 1,
-            late=is_late(elapsed_ms / 1000, self._route.objective_s),
-        )
-
     def _report_failure(self, status: int, reason: str) -> None:
-        self._shared.metrics.count("answers", str(status))
-        self._shared.log.record(
-            REQUEST_FAILED,
-            request_id=self._exchange.request.id_text,
-            route=self._route.name,
-            status=status,
-            why=f"{reason}: {[leaf.leaf_id for leaf in self._tried_leafs]}",
-            elapsed_ms=self._elapsed_ms(),
-            attempts=self._sender.sent,
-        )
-
-    def _elapsed_ms(self) -> float:
-        now = self._shared.loop.time()
-        return round((now - self._exchange.request.arrived_at) * 1000, 1)
+        why = f"{reason}: {[leaf.leaf_id for leaf in self._tried_leafs]}"
+        self._report.failed(status, why, self._sender.sent)
 
     def _stop_timer(self) -> None:
         if self._timer is not None:
--- a/heatherdyke/gateway/search_report.py
+++ b/heatherdyke/gateway/outcome_report.py
@@ -1,4 +1,4 @@
-"""Logs and counts how a search ended."""
+"""Logs and counts how a client's request ended."""
 
 from collections.abc import Sequence
 
@@ -12,20 +12,28 @@
 from heatherdyke.gateway.timing import is_late
 
 
-class SearchReport:
-    """The log lines and metrics of one search."""
+class OutcomeReport:
+    """The log lines and metrics of one request that was sent.
 
-    __slots__ = ("_shared", "_request", "_route")
+    ``kind`` labels its latency: "search" or "forward".
+    """
+
+    __slots__ = ("_shared", "_request", "_route", "_kind")
 
     def __init__(
-        self, shared: SharedState, request: ClientRequest, route: Route
+        self,
+        shared: SharedState,
+        request: ClientRequest,
+        route: Route,
+        kind: str,
     ) -> None:
         self._shared = shared
         self._request = request
         self._route = route
+        self._kind = kind
 
     def answered(self, extra_sends: int) -> None:
-        """Report an answer with all shards."""
+        """Report a complete answer."""
         elapsed_s = self._count_answer()
         self._shared.log.record(
             REQUEST_SERVED,
@@ -53,9 +61,8 @@
         )
 
     def failed(self, status: int, why: str, attempts: int) -> None:
-        """Report a search without an answer, after it was sent."""
+        """Report a request without an answer."""
         self._shared.metrics.count("answers", str(status))
-        self._shared.isolation.record_request(refused=True)
         self._shared.log.record(
             REQUEST_FAILED,
             request_id=self._request.id_text,
@@ -79,10 +86,9 @@
     def _count_answer(self) -> float:
         """Count an answer; return its time in seconds."""
         elapsed_s = self._elapsed_s()
-        shared = self._shared
-        shared.metrics.record_latency("search", self._route.name, elapsed_s)
-        shared.metrics.count("answers", "200")
-        shared.isolation.record_request(refused=False)
+        metrics = self._shared.metrics
+        metrics.record_latency(self._kind, self._route.name, elapsed_s)
+        metrics.count("answers", "200")
         return elapsed_s
 
     def _elapsed_s(self) -> float:
--- a/heatherdyke/gateway/search.py
+++ b/heatherdyke/gateway/search.py
@@ -14,6 +14,7 @@
 from heatherdyke.gateway.leaf_selection import ZoneAccess
 from heatherdyke.gateway.messages import ClientResponse
 from heatherdyke.gateway.messages import LeafResponse
+from heatherdyke.gateway.outcome_report import OutcomeReport
 from heatherdyke.gateway.part_collector import PartCollector
 from heatherdyke.gateway.peer_call import PeerCall
 from heatherdyke.gateway.peer_messages import GroupResult
@@ -30,7 +31,6 @@
 from heatherdyke.gateway.search_progress import Decision
 from heatherdyke.gateway.search_progress import SearchProgress
 from heatherdyke.gateway.search_progress import required_shards
-from heatherdyke.gateway.search_report import SearchReport
 from heatherdyke.gateway.shard_search import ShardSearch
 from heatherdyke.gateway.shared_state import SharedState
 from heatherdyke.gateway.timing import answer_due_at
@@ -96,7 +96,7 @@
         self._extra_sends = 0
         self._may_have_run = False
         self._canary: Canary | None = None
-        self._report = SearchReport(shared, request, route)
+        self._report = OutcomeReport(shared, request, route, "search")
 
     def start(self) -> None:
         """Query the shards; refuse without time or leafs for enough shards.
@@ -293,6 +293,7 @@
         self._abandon_calls()
 
     def _report_answer(self) -> None:
+        self._shared.isolation.record_request(refused=False)
         missing = self._collector.progress.missing
         if missing:
             self._report.answered_in_part(
@@ -323,6 +324,7 @@
         not_run = not self._may_have_run and not self._has_reached_leafs()
         answer = make_failure_answer(reason, not_run, shared.random)
         self._exchange.answer(answer)
+        shared.isolation.record_request(refused=True)
         why = f"{reason.value}: {self._describe_missing()}"
         self._report.failed(answer.status, why, self._attempts())
         self._abandon()
