--- a/heatherdyke/gateway/search.py
+++ b/heatherdyke/gateway/search.py
@@ -22,15 +22,14 @@
 from heatherdyke.gateway.record_merge import top_records
 from heatherdyke.gateway.refusal import RefusalReason
 from heatherdyke.gateway.refusal import make_failure_answer
-from heatherdyke.gateway.refusal import make_refusal
 from heatherdyke.gateway.refused_request import refuse_quarantined
-from heatherdyke.gateway.refused_request import send_refusal
 from heatherdyke.gateway.routing import Route
 from heatherdyke.gateway.search_plan import SearchPlan
 from heatherdyke.gateway.search_plan import plan_search
 from heatherdyke.gateway.search_progress import Decision
 from heatherdyke.gateway.search_progress import SearchProgress
-from heatherdyke.gateway.search_progress import required_shards
+from heatherdyke.gateway.search_refusal import refuse_search
+from heatherdyke.gateway.search_refusal import refuse_without_leafs
 from heatherdyke.gateway.shard_search import ShardSearch
 from heatherdyke.gateway.shared_state import SharedState
 from heatherdyke.gateway.timing import answer_due_at
@@ -40,8 +39,6 @@
 # The remainder of an open group is requested this much after the response is
 # due, so that a search that is answered on time sends no further request.
 REMAINDER_DELAY_S = 0.002
-# A logged refusal describes at most this many of the shards without a leaf.
-MAX_DESCRIBED_SHARDS = 4
 
 
 class Search:
@@ -112,10 +109,12 @@
         access = shared.selector.zone_access()
         plan = plan_search(shared, route, access, route.shards)
         if not plan.meets_min_share(route):
-            self._refuse_without_leafs(plan.without_leaf)
+            refuse_without_leafs(
+                shared, self._exchange, route, plan.without_leaf
+            )
             return
         if shared.loop.time() >= self._collector.progress.deadline_at:
-            self._refuse(RefusalReason.NO_TIME_LEFT, ())
+            self._refuse(RefusalReason.NO_TIME_LEFT)
             return
         self._exchange.on_disconnect(self._on_client_disconnect)
         if admission is Admission.CAREFUL:
@@ -152,7 +151,7 @@
             self._sent += 1
             self._collector.start()
         else:
-            self._refuse(RefusalReason.SUSPECT, ())
+            self._refuse(RefusalReason.SUSPECT)
 
     def _on_canary_end(self, shard: str, part: LeafResponse | None) -> None:
         """Query the other shards once a leaf has completed the search."""
@@ -340,46 +339,8 @@
             return True
         return own or bool(self._peer_calls) or bool(self._collector.bodies)
 
-    def _refuse_without_leafs(self, without_leaf: tuple[str, ...]) -> None:
-        route = self._route
-        shard_count = len(route.shards)
-        reachable = shard_count - len(without_leaf)
-        needed = required_shards(shard_count, route.min_share) - reachable
-        wait_s = self._shared.selector.rate_wait_s(without_leaf, route, needed)
-        if wait_s is None:
-            self._refuse(RefusalReason.NO_LEAF, without_leaf)
-        else:
-            self._refuse(RefusalReason.LEAF_RATES, without_leaf, wait_s)
-
-    def _refuse(
-        self,
-        reason: RefusalReason,
-        without_leaf: tuple[str, ...],
-        min_after_s: float = 0.0,
-    ) -> None:
-        shared = self._shared
-        described = [
-            shared.selector.describe(s)
-            for s in without_leaf[:MAX_DESCRIBED_SHARDS]
-        ]
-        now = shared.loop.time()
-        shared.isolation.record_request(refused=True)
-        refusal = make_refusal(
-            reason,
-            self._exchange.request.wait_s,
-            shared.random,
-            max(min_after_s, shared.isolation.clients_moved_in_s(now)),
-        )
-        send_refusal(
-            shared,
-            self._exchange,
-            self._route.name,
-            reason,
-            refusal,
-            f"{len(without_leaf)} of {len(self._route.shards)} shards "
-            f"without a leaf, a share of {self._route.min_share} required; "
-            f"{'; '.join(described)}",
-        )
+    def _refuse(self, reason: RefusalReason) -> None:
+        refuse_search(self._shared, self._exchange, self._route, reason)
 
     def _on_client_disconnect(self) -> None:
         self._collector.close()
