Let a stand-in that is down find its port free when it is back

Cause: leafs, the store and proxies let the system choose their port, which is an ephemeral one: while they are down, an outgoing connection of any process may take it.

Change: port 0 means one of the ranges that this process has reserved, below the ephemeral ones.

--- a/heatherdyke/platform_standin/listener.py
+++ b/heatherdyke/platform_standin/listener.py
@@ -7,6 +7,7 @@
 from heatherdyke.gateway.inbound_connection import InboundConnection
 from heatherdyke.gateway.routing import ClientLimits
 from heatherdyke.net.address import Address
+from heatherdyke.standin.free_address import free_port
 
 LIMITS = ClientLimits(
     max_body_bytes=4_194_304, idle_timeout_s=60.0, header_timeout_s=10.0
@@ -67,12 +68,12 @@
         self._handle(exchange)
 
     async def start(self, port: int = 0) -> None:
-        """Listen on ``port`` of the loopback address, 0 for a free port."""
+        """Listen; port 0 stands for one that stays free after a stop."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: InboundConnection(self),
             self.address.host,
-            port,
+            port or free_port(),
             reuse_address=True,
         )
         bound_port = self._server.sockets[0].getsockname()[1]
--- a/heatherdyke/standin/fault_proxy_tcp.py
+++ b/heatherdyke/standin/fault_proxy_tcp.py
@@ -8,6 +8,7 @@
 from heatherdyke.standin.fault_proxy_model import RouteConfig
 from heatherdyke.standin.fault_proxy_model import RouteFaults
 from heatherdyke.standin.fault_proxy_model import RouteRecord
+from heatherdyke.standin.free_address import free_port
 
 READ_BYTES = 65536
 
@@ -24,10 +25,10 @@
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
-        """Listen; port 0 lets the system choose one."""
+        """Listen; port 0 stands for one that stays free after a stop."""
         host, _, port = self.config.listen.rpartition(":")
         self._server = await asyncio.start_server(
-            self._accept, host, int(port)
+            self._accept, host, int(port) or free_port()
         )
         bound_port = self._server.sockets[0].getsockname()[1]
         self.address = f"{host}:{bound_port}"
