review: a stale second page hides a drain (case 5)

Cause: the list of leafs is watched from the revision of its first page, though a later page of a stale read may be older, so that the changes between are never seen.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,8 @@
-"""A machine is added to four while the leafs of some services are cold."""
+"""A long list of leafs is read stale, its second page staler than its first.
+
+The project's stand-in of the store serves both pages from its present state;
+the case answers the second one with what the store held some seconds before.
+"""
 
 import asyncio
 import sys
@@ -7,82 +11,111 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
+from fleet import GROWN_SITE  # noqa: E402
 from fleet import TROUBLE  # noqa: E402
+from fleet import CaseError  # noqa: E402
 from fleet import Fleet  # noqa: E402
 from fleet import config  # noqa: E402
 from fleet import now  # noqa: E402
 from fleet import route  # noqa: E402
 from fleet import run_case  # noqa: E402
 
+from heatherdyke.gateway.exchange import Exchange  # noqa: E402
+from heatherdyke.gateway.messages import ClientRequest  # noqa: E402
+from heatherdyke.gateway.messages import ClientResponse  # noqa: E402
+from heatherdyke.platform_standin import store as standin_store  # noqa: E402
 from heatherdyke.platform_standin.leaf import StandinLeaf  # noqa: E402
 
-ZONES = ("brescia", "bergamo", "verona", "brescia")
-SERVICE_COUNT = 8
-COLD_S = 60.0
-# cold-per-s x cold-burst-factor + cold-slack, with a cold-per-s of 0.
-BOUND = 0.0 * 1.5 + 5
-WINDOW_S = 1.0
-# The list of the machines has been read again by all of them after this.
-SETTLED_S = 4.0
-LOAD_S = 12.0
+# The pages say "about 500" objects in a response.
+PAGE_OBJECTS = 500
+OTHER_LEAFS = 520
+DRAIN_S = GROWN_SITE["drain_ms"] / 1000
+STABILITY_S = GROWN_SITE["stability_ms"] / 1000
+# How old the second page is when the gateway reads it, at least.
+STALE_S = 1.0
 
 
 async def case(fleet: Fleet) -> list[str]:
-    """Return the seconds in which a cold leaf got more than the bound."""
-    services = [f"registro-{number}" for number in range(SERVICE_COUNT)]
-    routes = [route(name, f"/{name}/", service=name) for name in services]
-    fleet.operator_writes(config(3, routes, services))
-    gateways = [
-        await fleet.add_gateway(f"front-{number}", zone)
-        for number, zone in enumerate(ZONES)
+    """Return the requests that reached a leaf long after its drain."""
+    fleet.bounds = GROWN_SITE
+    standin_store.MAX_OBJECTS_PER_PAGE = PAGE_OBJECTS
+    for number in range(OTHER_LEAFS):
+        put_other_leaf(fleet, number)
+    leafs = [
+        await fleet.add_leaf(StandinLeaf(f"z-{number}", "archivio"))
+        for number in range(3)
     ]
-    await asyncio.sleep(SETTLED_S)
-    for number, service in enumerate(services):
-        leaf = StandinLeaf(f"leaf-{number}", service, cold_s=COLD_S)
-        await fleet.add_leaf(leaf)
-    if TROUBLE:
-        gateways.append(await fleet.add_gateway("front-4", "bergamo"))
-    await asyncio.sleep(2.0)
-    ends_at = now() + LOAD_S
-    await asyncio.gather(
-        *(
-            send_steadily(fleet, gateway, service, ends_at)
-            for gateway in gateways
-            for service in services
-        )
-    )
-    return [text for leaf in fleet.leafs.values() for text in over(leaf)]
-
-
-async def send_steadily(fleet, gateway, service, ends_at) -> None:
-    """Send a client's requests for a service until ``ends_at``."""
-    number = 0
-    while now() < ends_at:
-        number += 1
-        request_id = f"{gateway.name}-{service}-{number}"
-        await fleet.ask(gateway, f"/{service}/x", request_id)
-        await asyncio.sleep(0.15)
-
-
-def over(leaf: StandinLeaf) -> list[str]:
-    """Return the leaf's worst second if it got more than the bound."""
-    times = [item.at for item in leaf.received_requests]
-    worst = max(
-        (
-            (sum(at <= other < at + WINDOW_S for other in times), at)
-            for at in times
-        ),
-        default=(0, 0.0),
-    )
-    if worst[0] <= BOUND:
-        return []
-    at = worst[1]
-    ids = " ".join(
-        item.request_id.decode()
-        for item in leaf.received_requests
-        if at <= item.at < at + WINDOW_S
+    fleet.operator_writes(
+        config(3, [route("archive", "/a/", service="archivio")], ["archivio"])
     )
-    return [f"FAILBACK: cold {leaf.leaf_id} got {worst[0]} in a second: {ids}"]
+    gateway = await fleet.add_gateway("front-1", "brescia")
+    await asyncio.sleep(STABILITY_S + 0.5)
+    fleet.terminate(gateway)
+    await gateway.process.wait()
+    old = read_second_page(fleet)
+    draining = leafs[0]
+    draining.sequence += 1
+    fleet.store.put("servers", draining.leaf_id, draining.entry(draining=True))
+    drained_at = now()
+    fleet.record.line(f"{draining.leaf_id} reported draining")
+    await asyncio.sleep(STALE_S)
+    pages = []
+
+    def reply_to(target: bytes) -> bytes | None:
+        """Return the old second page once, for a read that may be stale."""
+        is_list = b"/servers?after=" in target
+        if is_list:
+            pages.append(target)
+        is_second = is_list and b"?after=&" not in target
+        if TROUBLE and is_second and b"allow-stale=1" in target:
+            fleet.record.line(f"an old page to {target.decode()}")
+            return old
+        return None
+
+    gateway.door.reply_to = reply_to
+    await fleet.start_process(gateway)
+    await fleet.wait_ready(gateway)
+    if len(pages) != 2:
+        raise CaseError(f"the list was not read in two pages: {pages}")
+    await asyncio.sleep(STABILITY_S + 0.5)
+    for number in range(60):
+        await fleet.ask(gateway, "/a/x", f"a-{number}")
+    return [
+        f"DRAIN: {item.request_id.decode()} reached {draining.leaf_id} "
+        f"{item.at - drained_at:.2f} s after its drain"
+        for item in draining.received_requests
+        if item.at > drained_at + DRAIN_S
+    ]
+
+
+def put_other_leaf(fleet: Fleet, number: int) -> None:
+    """Register a leaf of a service that gets no requests."""
+    entry = {
+        "service": f"deposito-{number // 3}",
+        "address": "127.0.0.1:9",
+        "zone": "brescia",
+        "version": "v1",
+        "slots": 3,
+        "state": "ready",
+        "cold-remaining-ms": 0,
+        "sequence": 1,
+        "born": 1,
+    }
+    fleet.store.put("servers", f"a-{number:03}", entry)
+
+
+def read_second_page(fleet: Fleet) -> bytes:
+    """Return what the store answers now to a list of the second page."""
+    bodies: list[bytes] = []
+
+    def keep(response: ClientResponse) -> None:
+        bodies.append(response.body)
+
+    last = f"a-{PAGE_OBJECTS - 1:03}"
+    target = f"/api/objects/servers?after={last}&allow-stale=1".encode()
+    request = ClientRequest(b"GET", target, [], b"", "", b"", None, now())
+    fleet.store._handle(Exchange(request, keep))
+    return bodies[0]
 
 
 if __name__ == "__main__":
