--- a/review/fleet.py
+++ b/review/fleet.py
@@ -271,6 +271,11 @@
 
     async def start_process(self, gateway: Gateway) -> None:
         """Start the process with the command of the deploy file."""
+        if gateway.process is not None:
+            text = gateway.settings.read_text()
+            gateway.settings.write_text(
+                text.replace("first-start = true", "first-start = false")
+            )
         log = (self._temporary / f"{gateway.name}.log").open("ab")
         gateway.process = await asyncio.create_subprocess_exec(
             sys.executable,
