A stopping process closes no connection before its first request

What callers saw: on a process that drains, a connection that had just been opened was closed within 50 ms, before the request on it was read.

Cause: 2.2 s after SIGTERM all connections without a request were closed every 50 ms, however new they were. The balancer may send new ones until the process ends, if over half of a zone is out of rotation.

Change: such a connection is closed after 0.3 s without a request.

Evidence: the new test fails without the change (the connection is closed) and passes with it.

--- a/heatherdyke/gateway/client_api.py
+++ b/heatherdyke/gateway/client_api.py
@@ -1,12 +1,9 @@
 """Serves the clients' connections and enforces their time limits."""
 
-from collections.abc import Callable
-
 from heatherdyke.gateway.connection_manager import BaseConnectionManager
 from heatherdyke.gateway.dispatch import Dispatcher
 from heatherdyke.gateway.events import UNEXPECTED_ERROR
 from heatherdyke.gateway.exchange import Exchange
-from heatherdyke.gateway.inbound_connection import InboundConnection
 from heatherdyke.gateway.messages import ClientResponse
 from heatherdyke.gateway.routing import ClientLimits
 from heatherdyke.gateway.shared_state import SharedState
@@ -15,6 +12,9 @@
 # Idle connections are kept a little longer than the limit: a client that sends
 # a request just within the limit must not meet a closed connection.
 IDLE_MARGIN_S = 0.5
+# A connection of a stopping process is closed after this long without a
+# request: a client that has just connected is about to send one.
+STOPPING_IDLE_S = 0.3
 
 
 class ClientApi(BaseConnectionManager):
@@ -63,9 +63,8 @@
                 connection.close_if_idle()
 
     def close_idle(self) -> None:
-        """Close all connections without a request."""
-        self._for_each(InboundConnection.close_if_idle)
-
-    def _for_each(self, call: Callable[[InboundConnection], object]) -> None:
+        """Close the connections that have been without a request."""
+        idle_since = self.now() - STOPPING_IDLE_S
         for connection in list(self._connections):
-            call(connection)
+            if connection.last_active_at <= idle_since:
+                connection.close_if_idle()
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -14,6 +14,8 @@
 from gateway_scenarios import set_up_forwarding
 from gateway_scenarios import until
 
+from heatherdyke.gateway.isolation import BALANCER_REACTION_S
+
 
 class TestShutdown:
     def test_a_running_request_is_answered_before_the_process_exits(
@@ -36,6 +38,29 @@
 
         run(scenario, tmp_path)
 
+    def test_a_new_connection_has_time_to_send_a_request(self, tmp_path):
+        """It was closed within 50 ms while the process drained."""
+
+        async def scenario(fleet):
+            (leaf,) = await set_up_forwarding(fleet, 1)
+            leaf.processing_s = 60.0
+            gateway = await ready_gateway(fleet)
+            gateway.terminate()
+            await asyncio.sleep(1.0)
+            # The process does not end before this request.
+            running = asyncio.create_task(send_request(gateway, "/o/x", "r1"))
+            await asyncio.sleep(BALANCER_REACTION_S - 0.9)
+            host, port = gateway.front.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            await asyncio.sleep(0.15)
+            assert not running.done()
+            writer.write(b"GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert (await reader.readline()).startswith(b"HTTP/1.1 404")
+            writer.close()
+            await running
+
+        run(scenario, tmp_path)
+
 
 class TestInvalidInput:
     def test_malformed_and_oversized_requests_reach_no_leaf(self, tmp_path):
