--- a/heatherdyke/gateway/connection_manager.py
+++ b/heatherdyke/gateway/connection_manager.py
@@ -29,6 +29,11 @@
         """Return the number of connections with a request in progress."""
         return sum(not item.is_idle for item in self._connections)
 
+    def shut_down(self) -> None:
+        """Have all running requests answered now, as the process ends."""
+        for connection in list(self._connections):
+            connection.shut_down()
+
     def now(self) -> float:
         """Return monotonic seconds."""
         return self._shared.loop.time()
--- a/heatherdyke/gateway/dispatch.py
+++ b/heatherdyke/gateway/dispatch.py
@@ -6,9 +6,11 @@
 from heatherdyke.gateway.messages import ClientResponse
 from heatherdyke.gateway.refusal import RefusalReason
 from heatherdyke.gateway.refusal import make_refusal
+from heatherdyke.gateway.routing import Route
 from heatherdyke.gateway.search import Search
 from heatherdyke.gateway.shared_state import SharedState
 from heatherdyke.gateway.store_watcher import StoreWatcher
+from heatherdyke.gateway.timing import final_answer_deadline
 
 # Once the store has been unreachable for this long, a path without a route may
 # belong to a route that this instance has not received yet.
@@ -54,17 +56,30 @@
                 self._refuse(exchange, RefusalReason.UNSURE_ROUTE)
             else:
                 self._reject(exchange, 404, RefusalReason.NO_ROUTE)
-        elif route.shards:
-            Search(self._shared, exchange, route).start()
         else:
-            service = self._shared.pick_service(route)
-            ForwardedRequest(self._shared, exchange, route, service).start()
+            self._serve(exchange, route)
 
     def release_held(self) -> list[Exchange]:
         """Remove and return the held requests that are still open."""
         held, self._held = self._held, []
         return [exchange for exchange in held if not exchange.answered]
 
+    def _serve(self, exchange: Exchange, route: Route) -> None:
+        """Search or forward; a stopping process refuses what it cannot end."""
+        shared = self._shared
+        request = exchange.request
+        service = "" if route.shards else shared.pick_service(route)
+        deadline_at = final_answer_deadline(
+            request.arrived_at, request.wait_s, route.timeout_s
+        )
+        remaining_s = deadline_at - shared.loop.time()
+        if not shared.can_finish(route, service, remaining_s):
+            self._refuse(exchange, RefusalReason.STOPPING, route.name)
+        elif route.shards:
+            Search(shared, exchange, route).start()
+        else:
+            ForwardedRequest(shared, exchange, route, service).start()
+
     def _hold(self, exchange: Exchange) -> None:
         """Hold a request, or refuse it if the store is unavailable."""
         if (
@@ -74,6 +89,7 @@
             self._refuse(exchange, RefusalReason.STARTING)
             return
         self._held.append(exchange)
+        exchange.on_shutdown(lambda: self._on_hold_timeout(exchange))
         self._shared.loop.call_later(
             MAX_HOLD_S, self._on_hold_timeout, exchange
         )
@@ -87,12 +103,14 @@
     def _may_lack_routes(self) -> bool:
         return self._config_watcher.unavailable_for_s() > ROUTES_STALE_AFTER_S
 
-    def _refuse(self, exchange: Exchange, reason: RefusalReason) -> None:
+    def _refuse(
+        self, exchange: Exchange, reason: RefusalReason, route: str = ""
+    ) -> None:
         refusal = make_refusal(
             reason, exchange.request.wait_s, self._shared.random
         )
         exchange.answer(refusal.answer)
-        self._log(exchange, 503, reason, refusal.retry_after_s)
+        self._log(exchange, 503, reason, refusal.retry_after_s, route)
 
     def _reject(
         self, exchange: Exchange, status: int, reason: RefusalReason
@@ -106,19 +124,22 @@
         status: int,
         reason: RefusalReason,
         retry_after_s: float | None,
+        route: str = "",
     ) -> None:
         shared = self._shared
         config = shared.config
         request = exchange.request
+        remaining_s = shared.shutdown.remaining_s(shared.loop.time())
         shared.metrics.count("answers", str(status))
         shared.log.record(
             REQUEST_REFUSED,
             request_id=request.id_text,
-            route="",
+            route=route,
             status=status,
             why=reason.value,
             retry_after_s=retry_after_s,
             inputs=f"host {request.host}, path {request.path}, version "
             f"{config.version if config else None}, store lost for "
-            f"{self._config_watcher.unavailable_for_s():.1f} s",
+            f"{self._config_watcher.unavailable_for_s():.1f} s, process ends "
+            f"in {remaining_s:.1f} s",
         )
--- a/heatherdyke/gateway/exchange.py
+++ b/heatherdyke/gateway/exchange.py
@@ -7,9 +7,15 @@
 
 
 class Exchange:
-    """Passes on the response; notifies the handler of a disconnect."""
+    """Passes on the response; notifies the handler of an early end."""
 
-    __slots__ = ("request", "answered", "_send", "_on_disconnect")
+    __slots__ = (
+        "request",
+        "answered",
+        "_send",
+        "_on_disconnect",
+        "_on_shutdown",
+    )
 
     def __init__(
         self, request: ClientRequest, send: Callable[[ClientResponse], None]
@@ -18,11 +24,21 @@
         self.answered = False
         self._send = send
         self._on_disconnect: Callable[[], None] | None = None
+        self._on_shutdown: Callable[[], None] | None = None
 
     def on_disconnect(self, callback: Callable[[], None]) -> None:
         """Set the callback for a disconnect before the response."""
         self._on_disconnect = callback
 
+    def on_shutdown(self, callback: Callable[[], None]) -> None:
+        """Set the callback that answers at once, as the process is ending."""
+        self._on_shutdown = callback
+
+    def shut_down(self) -> None:
+        """Have the handler answer now unless it has."""
+        if not self.answered and self._on_shutdown is not None:
+            self._on_shutdown()
+
     def answer(self, response: ClientResponse) -> None:
         """Send the response; raises RuntimeError if one was sent already."""
         if self.answered:
--- a/heatherdyke/gateway/forwarded_request.py
+++ b/heatherdyke/gateway/forwarded_request.py
@@ -113,6 +113,7 @@
             return
         self._careful = admission is Admission.CAREFUL
         self._exchange.on_disconnect(self._on_client_disconnect)
+        self._exchange.on_shutdown(self._on_shutdown)
         if shared.has_lost_leafs and self._start_relay():
             return
         leaf = self._choose()
@@ -182,7 +183,11 @@
             return False
         if len(self._tried_leafs) >= self._route.max_attempts:
             return False
-        if shared.loop.time() >= self._deadline_at:
+        remaining_s = self._deadline_at - shared.loop.time()
+        if remaining_s <= 0.0:
+            return False
+        if not shared.can_finish(self._route, self._service, remaining_s):
+            self._refusal_reason = RefusalReason.STOPPING
             return False
         leaf = self._choose()
         if leaf is None:
@@ -259,14 +264,21 @@
             self._fail(502, RefusalReason.MAY_HAVE_RUN)
 
     def _on_deadline(self) -> None:
+        self._give_up(RefusalReason.TIMEOUT)
+
+    def _on_shutdown(self) -> None:
+        self._give_up(RefusalReason.STOPPING)
+
+    def _give_up(self, reason: RefusalReason) -> None:
+        """Answer without waiting for the attempts in flight."""
         if self._relay is not None:
             self._relay.abandon()
             self._may_have_run = self._relay.may_have_run
         not_run = not self._may_have_run and self._sender.running == 0
         if not_run:
-            self._refuse(RefusalReason.TIMEOUT)
+            self._refuse(reason)
         else:
-            self._fail(504, RefusalReason.TIMEOUT)
+            self._fail(504, reason)
 
     def _fail(self, status: int, reason: RefusalReason) -> None:
         self._stop_timer()
--- a/heatherdyke/gateway/inbound_connection.py
+++ b/heatherdyke/gateway/inbound_connection.py
@@ -138,6 +138,15 @@
         self.transport.close()
         return True
 
+    def shut_down(self) -> None:
+        """Have a running request answered; close the connection."""
+        if self.exchange is not None:
+            self.exchange.shut_down()
+        elif self.is_reading:
+            self.time_out()
+        else:
+            self.close_if_idle()
+
     def time_out(self) -> None:
         """Answer 408 to an incomplete request and close the connection."""
         self._reject(408)
--- a/heatherdyke/gateway/part_collector.py
+++ b/heatherdyke/gateway/part_collector.py
@@ -59,6 +59,13 @@
         self.progress.answer_at = answer_at
         self.start()
 
+    def end_now(self) -> None:
+        """Decide now, as if the search had reached its deadline."""
+        now = self._loop.time()
+        self.progress.answer_at = now
+        self.progress.deadline_at = now
+        self.decide()
+
     def close(self) -> None:
         """Accept no further parts."""
         self.closed = True
--- a/heatherdyke/gateway/peer_api.py
+++ b/heatherdyke/gateway/peer_api.py
@@ -116,6 +116,7 @@
             self._exchange.answer(ClientResponse(status))
             return
         self._exchange.on_disconnect(self._on_sender_disconnect)
+        self._exchange.on_shutdown(self._collector.end_now)
         self._search.start()
         self._collector.start()
 
@@ -134,6 +135,7 @@
         self._stop_timer()
         self._exchange = exchange
         exchange.on_disconnect(self._on_sender_disconnect)
+        exchange.on_shutdown(self._collector.end_now)
         self._collector.resume(self._shared.loop.time() + due_s)
 
     def _on_decision(self, decision: Decision) -> None:
@@ -249,12 +251,15 @@
             self._shared.metrics.count("groups_served", "malformed")
             exchange.answer(ClientResponse(400))
             return
-        if self._shared.config is None:
-            self._decline(exchange)
-            return
         if not message.shards:
             exchange.answer(ClientResponse(400))
             return
+        may_finish = self._shared.can_finish(
+            route_of(message), "", message.limit_s
+        )
+        if self._shared.config is None or not may_finish:
+            self._decline(exchange)
+            return
         self._shared.last_request_at = self._shared.loop.time()
         self._on_config_version(message.config_version)
         GroupSearch(self._shared, exchange, message, self._track_open).start()
@@ -276,6 +281,9 @@
         ):
             self._decline(exchange)
             return
+        if not shared.can_finish(route, message.service, message.limit_s):
+            self._decline(exchange)
+            return
         shared.last_request_at = shared.loop.time()
         self._on_config_version(message.config_version)
         request = client_request_of(message, shared.loop.time())
@@ -288,6 +296,7 @@
 
         inner = Exchange(request, answer)
         exchange.on_disconnect(inner.disconnect)
+        exchange.on_shutdown(inner.shut_down)
         ForwardedRequest(
             shared, inner, route, message.service, may_relay=False
         ).start()
--- a/heatherdyke/gateway/process.py
+++ b/heatherdyke/gateway/process.py
@@ -45,10 +45,9 @@
 
 MAINTENANCE_INTERVAL_S = 0.25
 LISTEN_BACKLOG = 512
-# Draining ends this long before the platform kills the process, also while
-# requests are running.
-KILL_MARGIN_S = 0.6
 DRAIN_POLL_S = 0.05
+# How long answers may take to be written when the process ends.
+FLUSH_S = 0.05
 # The settings file may change without a SIGHUP.
 RELOAD_INTERVAL_S = 2.0
 
@@ -304,7 +303,8 @@
     async def _drain(self, server: asyncio.Server) -> None:
         """Serve until clients have disconnected and groups have ended.
 
-        End earlier if the platform is about to kill the process.
+        Before the platform kills the process, the requests that are still
+        running get their final answers.
         """
         shared = self._shared
         started_at = shared.loop.time()
@@ -315,11 +315,9 @@
         )
         self._client_api.stopping = True
         self._peer_api.stopping = True
-        deadline_at = (
-            started_at + shared.settings.bounds.shutdown_s - KILL_MARGIN_S
-        )
+        shared.shutdown.begin(started_at, shared.settings.bounds.shutdown_s)
         balancer_reacted_at = started_at + BALANCER_REACTION_S
-        while shared.loop.time() < deadline_at:
+        while shared.shutdown.remaining_s(shared.loop.time()) > 0.0:
             await asyncio.sleep(DRAIN_POLL_S)
             if shared.loop.time() < balancer_reacted_at:
                 continue
@@ -327,10 +325,14 @@
             running = self._peer_api.running_count
             if self._client_api.open_count == 0 and running == 0:
                 break
+        unfinished = self._client_api.running_count
+        self._client_api.shut_down()
+        self._peer_api.shut_down()
+        await asyncio.sleep(FLUSH_S)
         server.close()
         shared.log.record(
             GATEWAY_STOPPED,
-            unfinished=self._client_api.running_count,
+            unfinished=unfinished,
             after_s=round(shared.loop.time() - started_at, 3),
         )
 
--- a/heatherdyke/gateway/refusal.py
+++ b/heatherdyke/gateway/refusal.py
@@ -23,6 +23,8 @@
     """The reason why a request is not served."""
 
     STARTING = "starting"
+    # The process ends before the request would.
+    STOPPING = "stopping"
     NO_ROUTE = "no_route"
     UNSURE_ROUTE = "unsure_route"
     NO_LEAF = "no_leaf"
@@ -42,6 +44,8 @@
 
 RETRY_AFTER_S_BY_REASON = {
     RefusalReason.STARTING: 0.5,
+    # Another instance can serve the request now.
+    RefusalReason.STOPPING: 0.05,
     RefusalReason.UNSURE_ROUTE: 0.5,
     # Suspect leafs are checked after 0.25 to 2 s.
     RefusalReason.NO_LEAF: 0.8,
--- a/heatherdyke/gateway/search.py
+++ b/heatherdyke/gateway/search.py
@@ -117,6 +117,7 @@
             self._refuse(RefusalReason.NO_TIME_LEFT)
             return
         self._exchange.on_disconnect(self._on_client_disconnect)
+        self._exchange.on_shutdown(self._collector.end_now)
         if admission is Admission.CAREFUL:
             self._start_canary(plan)
         else:
--- a/heatherdyke/gateway/shared_state.py
+++ b/heatherdyke/gateway/shared_state.py
@@ -23,6 +23,7 @@
 from heatherdyke.gateway.routing import Service
 from heatherdyke.gateway.routing import WeightedRoundRobin
 from heatherdyke.gateway.settings import GatewaySettings
+from heatherdyke.gateway.shutdown import Shutdown
 from heatherdyke.gateway.timing import LatencyEstimates
 from heatherdyke.observe.metrics import Metrics
 
@@ -49,6 +50,7 @@
         "budget",
         "instances",
         "last_request_at",
+        "shutdown",
         "_disabled",
         "_round_robin_by_route",
     )
@@ -106,6 +108,7 @@
         self.instances: list[str] = []
         # Time of the last request from a client or another instance.
         self.last_request_at = float("-inf")
+        self.shutdown = Shutdown()
         self.budget = RetryBudget(
             bounds.retry_share, bounds.retry_slack, bounds.retry_window_s
         )
@@ -129,6 +132,18 @@
             self.loop.time()
         )
 
+    def can_finish(self, route: Route, service: str, limit_s: float) -> bool:
+        """Return whether a request can be answered before this process ends.
+
+        ``service`` is the one that it is forwarded to, empty for a search.
+        """
+        expected_s: float | None = route.objective_s
+        if service:
+            expected_s = self.latencies.of(
+                route.name, service, route.objective_s
+            ).slowest_s
+        return self.shutdown.allows(self.loop.time(), limit_s, expected_s)
+
     def may_relay(self, service: str, route: Route) -> bool:
         """Return whether to ask other instances for a leaf of a service."""
         return (
--- a/heatherdyke/gateway/timing.py
+++ b/heatherdyke/gateway/timing.py
@@ -13,6 +13,10 @@
 SECOND_ANSWER_FACTOR = 1.4
 # Initial median as a share of the latency objective.
 INITIAL_MEDIAN_SHARE = 0.2
+# The slowest response is known after this many, and forgotten gradually: it
+# counts this share less with each further one.
+MIN_RESPONSES_FOR_SLOWEST = 8
+SLOWEST_DECAY = 0.02
 # Network round trip to the client, which counts towards the objective.
 CLIENT_ROUND_TRIP_S = 0.008
 # Processing of the last parts, merge and answer, on one full core.
@@ -27,10 +31,12 @@
 
 @dataclass(slots=True)
 class LatencyEstimate:
-    """Median and straggler latency of one kind of request."""
+    """Median, straggler and slowest latency of one kind of request."""
 
     median: LatencyQuantile
     straggler: LatencyQuantile
+    _slowest_s: float = 0.0
+    _responses: int = 0
 
     @classmethod
     def from_objective(cls, objective_s: float) -> "LatencyEstimate":
@@ -47,12 +53,22 @@
         """Add the time of one response."""
         self.median.add(duration_s)
         self.straggler.add(duration_s)
+        remembered_s = (1.0 - SLOWEST_DECAY) * self._slowest_s
+        self._slowest_s = max(duration_s, remembered_s)
+        self._responses += 1
 
     @property
     def median_s(self) -> float:
         """Return the median time."""
         return self.median.value_s
 
+    @property
+    def slowest_s(self) -> float | None:
+        """Return the slowest recent time, None with too few responses."""
+        if self._responses < MIN_RESPONSES_FOR_SLOWEST:
+            return None
+        return self._slowest_s
+
     def hedge_delay_s(self, remaining_s: float) -> float:
         """Return the delay after which a hedge is sent.
 
--- a/heatherdyke/platform_standin/leaf.py
+++ b/heatherdyke/platform_standin/leaf.py
@@ -69,9 +69,10 @@
     """A leaf that executes requests in ``processing_s`` each.
 
     A successful response has ``records`` random records of 16 bytes each.
-    ``rate_limit`` is the rate that all responses state, None for no rate.
-    ``runs`` lists the ids of the executed requests.  Requests meant for
-    another leaf are refused with 421 and not recorded.
+    Requests are rejected after ``reject_delay_s``, as by a leaf whose queue is
+    full for so long.  ``rate_limit`` is the rate that all responses state,
+    None for no rate.  ``runs`` lists the ids of the executed requests.
+    Requests meant for another leaf are refused with 421 and not recorded.
 
     A request for which ``crashes_on`` is true crashes the leaf once it has
     run: for ``down_s`` seconds nothing listens at its address.
@@ -85,6 +86,7 @@
     cold_s: float = 0.0
     rate_limit: float | None = None
     behaviour: Behaviour = Behaviour.SERVE
+    reject_delay_s: float = 0.0
     crashes_on: Callable[[ClientRequest], bool] = _crashes_on_nothing
     down_s: float = 1.5
     crashes: list[Crash] = field(default_factory=list)
@@ -168,14 +170,25 @@
         if self.behaviour is Behaviour.SILENT:
             return
         if self.behaviour is Behaviour.REJECT:
-            headers = [(names.NOT_RUN, b"1"), *self._rate_headers()]
-            exchange.answer(ClientResponse(503, headers))
+            self._reject(exchange)
             return
         self.runs.append(exchange.request.request_id)
         loop = asyncio.get_running_loop()
         finish: Callable[[Exchange], None] = self._finish
         loop.call_later(self.processing_s, finish, exchange)
 
+    def _reject(self, exchange: Exchange) -> None:
+        headers = [(names.NOT_RUN, b"1"), *self._rate_headers()]
+        response = ClientResponse(503, headers)
+        if not self.reject_delay_s:
+            exchange.answer(response)
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(
+            self.reject_delay_s,
+            lambda: exchange.answered or exchange.answer(response),
+        )
+
     def _finish(self, exchange: Exchange) -> None:
         if exchange.answered or self.listener.is_stopped:
             return
