--- a/heatherdyke/gateway/events.py
+++ b/heatherdyke/gateway/events.py
@@ -135,7 +135,7 @@
     "leaf_entry_unreadable",
     Severity.WARNING,
     "A discovery entry is invalid; its leaf is treated as unregistered.",
-    ("leaf",),
+    ("leaf", "why"),
 )
 LEAF_SUSPECTED = register(
     7204,
@@ -282,6 +282,15 @@
     "The platform's store is available again.",
     ("kind", "lost_s"),
 )
+STORE_OBJECTS_UNREADABLE = register(
+    7603,
+    "store_objects_unreadable",
+    Severity.ERROR,
+    "Not even the names of some objects in the store can be decoded; they "
+    "are ignored.",
+    ("kind", "count"),
+    "Look in the store for objects of the kind whose JSON is malformed.",
+)
 UNEXPECTED_ERROR = register(
     7901,
     "unexpected_error",
--- a/heatherdyke/gateway/peer_messages.py
+++ b/heatherdyke/gateway/peer_messages.py
@@ -133,4 +133,7 @@
 
 def decode_message(body: bytes, message_type: type[T]) -> T:
     """Decode a message of this type; raises MsgspecError if invalid."""
-    return _decoder_by_type[message_type].decode(body)
+    try:
+        return _decoder_by_type[message_type].decode(body)
+    except RecursionError as error:
+        raise msgspec.DecodeError("nested too deeply") from error
--- a/heatherdyke/gateway/state_updater.py
+++ b/heatherdyke/gateway/state_updater.py
@@ -21,11 +21,12 @@
 from heatherdyke.gateway.shared_state import SharedState
 from heatherdyke.platform.configuration import NAME as CONFIG_NAME
 from heatherdyke.platform.configuration import decode_configuration
+from heatherdyke.platform.discovery import LEAF_KIND
 from heatherdyke.platform.discovery import decode_leaf
 from heatherdyke.platform.instances import decode_instance
-from heatherdyke.platform.store import Change
 from heatherdyke.platform.store import Listing
-from heatherdyke.platform.store import StoredObject
+from heatherdyke.platform.store_pages import Change
+from heatherdyke.platform.store_pages import StoredObject
 
 # Minimum cold time of the leafs of a zone that returns to service.
 DEFAULT_COLD_S = 3.0
@@ -208,10 +209,15 @@
         )
 
     def _decode_entry(self, stored: StoredObject) -> LeafEntry | None:
-        entry = decode_leaf(stored.name, stored.spec)
-        if entry is None:
-            self._shared.log.record(LEAF_ENTRY_INVALID, leaf=stored.name)
-        return entry
+        try:
+            return decode_leaf(stored.name, stored.spec)
+        except UnreadableObject as error:
+            shared = self._shared
+            shared.metrics.count("unreadable_objects", LEAF_KIND)
+            shared.log.record(
+                LEAF_ENTRY_INVALID, leaf=stored.name, why=error.detail
+            )
+            return None
 
     def _set_zones(self, zones: frozenset[str]) -> None:
         shared = self._shared
--- a/heatherdyke/gateway/store_watcher.py
+++ b/heatherdyke/gateway/store_watcher.py
@@ -6,16 +6,17 @@
 
 from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.gateway.events import STORE_LOST
+from heatherdyke.gateway.events import STORE_OBJECTS_UNREADABLE
 from heatherdyke.gateway.events import STORE_REGAINED
 from heatherdyke.gateway.events import UNEXPECTED_ERROR
 from heatherdyke.gateway.leaf_table import Removal
 from heatherdyke.gateway.mechanisms import Mechanism
 from heatherdyke.gateway.settings import Bounds
 from heatherdyke.gateway.shared_state import SharedState
-from heatherdyke.platform.store import Change
 from heatherdyke.platform.store import HistoryGone
 from heatherdyke.platform.store import Listing
 from heatherdyke.platform.store import StoreClient
+from heatherdyke.platform.store_pages import Change
 
 # Bounds of a watch call's timeout; shorter calls would load the store for
 # little use.
@@ -122,6 +123,7 @@
         listing = await self._store.list(self.kind, self._list_may_be_stale)
         self._list_may_be_stale = False
         self._on_response()
+        self._count_unreadable(listing.nameless)
         removal = self._removal(was_interrupted=True)
         self._guard(lambda: self._on_listing(listing, removal))
         self.listed.set()
@@ -134,6 +136,7 @@
         page = await self._store.watch(self.kind, revision, timeout_s)
         was_interrupted = self._unavailable_since is not None
         self._on_response()
+        self._count_unreadable(page.nameless)
         removal = self._removal(was_interrupted)
         for change in latest_changes(page.changes):
             self._guard(lambda change=change: self._on_change(change, removal))
@@ -160,6 +163,14 @@
             STORE_REGAINED, kind=self.kind, lost_s=round(outage_s, 3)
         )
 
+    def _count_unreadable(self, nameless: int) -> None:
+        if nameless:
+            shared = self._shared
+            shared.metrics.count("unreadable_objects", self.kind, nameless)
+            shared.log.record(
+                STORE_OBJECTS_UNREADABLE, kind=self.kind, count=nameless
+            )
+
     def _removal(self, was_interrupted: bool) -> Removal:
         is_after_outage = (
             self._shared.loop.time() < self._entries_may_reappear_until
--- a/heatherdyke/platform/configuration.py
+++ b/heatherdyke/platform/configuration.py
@@ -2,12 +2,12 @@
 
 import msgspec
 
-from heatherdyke.errors import UnreadableObject
 from heatherdyke.gateway.routing import ClientLimits
 from heatherdyke.gateway.routing import Route
 from heatherdyke.gateway.routing import RoutingConfig
 from heatherdyke.gateway.routing import Service
 from heatherdyke.gateway.routing import WeightedService
+from heatherdyke.platform.json_decoding import decode_json
 
 KIND = "config"
 NAME = "main"
@@ -68,10 +68,7 @@
 
     Raises UnreadableObject if ``spec`` cannot be decoded.
     """
-    try:
-        wire = msgspec.json.decode(spec, type=_WireConfig)
-    except msgspec.MsgspecError as error:
-        raise UnreadableObject(NAME, str(error)) from error
+    wire = decode_json(spec, _WireConfig, NAME)
     return RoutingConfig(
         version=wire.version,
         routes=tuple(_decode_route(route) for route in wire.routes),
--- a/heatherdyke/platform/discovery.py
+++ b/heatherdyke/platform/discovery.py
@@ -5,8 +5,10 @@
 
 import msgspec
 
+from heatherdyke.errors import UnreadableObject
 from heatherdyke.gateway.leaf_entry import LeafEntry
 from heatherdyke.net.address import Address
+from heatherdyke.platform.json_decoding import decode_json
 
 # The platform's names for its kinds of objects: registered leafs, and zones
 # that are out of service.
@@ -31,18 +33,21 @@
     born: int = 0
 
 
-def decode_leaf(leaf_id: str, spec: msgspec.Raw) -> LeafEntry | None:
-    """Return the leaf's entry, or None if it is invalid.
+def decode_leaf(leaf_id: str, spec: msgspec.Raw) -> LeafEntry:
+    """Return the leaf's entry.
 
-    Writers other than the leaf can store invalid entries.
+    Raises UnreadableObject if it is invalid: writers other than the leaf can
+    store such entries.
     """
+    wire = decode_json(spec, _WireEntry, leaf_id)
     try:
-        wire = msgspec.json.decode(spec, type=_WireEntry)
         address = Address.parse(wire.address)
-    except (msgspec.MsgspecError, ValueError):
-        return None
-    if wire.state not in (STATE_READY, STATE_DRAINING) or wire.slots < 1:
-        return None
+    except ValueError as error:
+        raise UnreadableObject(leaf_id, str(error)) from error
+    if wire.state not in (STATE_READY, STATE_DRAINING):
+        raise UnreadableObject(leaf_id, f"no state is called {wire.state!r}")
+    if wire.slots < 1:
+        raise UnreadableObject(leaf_id, f"{wire.slots} slots")
     return LeafEntry(
         leaf_id=leaf_id,
         service=wire.service,
--- a/heatherdyke/platform/instances.py
+++ b/heatherdyke/platform/instances.py
@@ -2,9 +2,11 @@
 
 import msgspec
 
+from heatherdyke.errors import UnreadableObject
 from heatherdyke.gateway.leaf_entry import LeafEntry
 from heatherdyke.gateway.peers import PEER_SERVICE
 from heatherdyke.net.address import Address
+from heatherdyke.platform.json_decoding import decode_json
 
 KIND = "heatherdyke-instances"
 
@@ -22,8 +24,8 @@
 def decode_instance(name: str, spec: msgspec.Raw) -> LeafEntry | None:
     """Return the instance as a peer, None if the object is invalid."""
     try:
-        wire = msgspec.json.decode(spec, type=_WireInstance)
+        wire = decode_json(spec, _WireInstance, name)
         address = Address.parse(wire.address)
-    except (msgspec.MsgspecError, ValueError):
+    except (UnreadableObject, ValueError):
         return None
     return LeafEntry(name, PEER_SERVICE, address, wire.zone)
--- a/heatherdyke/platform/quarantines.py
+++ b/heatherdyke/platform/quarantines.py
@@ -2,8 +2,10 @@
 
 import msgspec
 
+from heatherdyke.errors import UnreadableObject
 from heatherdyke.gateway.crash_evidence import Level
 from heatherdyke.gateway.quarantine import Verdict
+from heatherdyke.platform.json_decoding import decode_json
 
 KIND = "heatherdyke-quarantines"
 MS_PER_S = 1000.0
@@ -39,8 +41,8 @@
 ) -> Verdict | None:
     """Return the verdict, CLEAR if lifted; None if the object is invalid."""
     try:
-        wire = msgspec.json.decode(spec, type=_WireQuarantine)
-    except msgspec.MsgspecError:
+        wire = decode_json(spec, _WireQuarantine, name)
+    except UnreadableObject:
         return None
     return Verdict(
         key=name,
--- a/heatherdyke/platform/settings.py
+++ b/heatherdyke/platform/settings.py
@@ -129,7 +129,7 @@
         raise SettingsError(
             [f"{path} cannot be read ({error.strerror}): create it"]
         ) from error
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise SettingsError(
             [f"{path} is not TOML ({error}): correct the syntax"]
         ) from error
--- a/heatherdyke/platform/store.py
+++ b/heatherdyke/platform/store.py
@@ -1,16 +1,25 @@
 """Client of the platform's store: list, watch and write objects."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TypeVar
 from urllib.parse import quote
 
 import msgspec
 
 from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.errors import TransportError
+from heatherdyke.errors import UnreadableObject
 from heatherdyke.net.address import Address
 from heatherdyke.net.http_connection import HttpConnection
 from heatherdyke.net.http_connection import HttpResponse
 from heatherdyke.net.tcp_keepalive import KeepAliveOptions
+from heatherdyke.platform.store_pages import Changes
+from heatherdyke.platform.store_pages import StoredObject
+from heatherdyke.platform.store_pages import decode_changes
+from heatherdyke.platform.store_pages import decode_list_page
+
+T = TypeVar("T")
 
 CONNECT_TIMEOUT_S = 1.0
 CALL_TIMEOUT_S = 2.0
@@ -38,63 +47,16 @@
     kind = "history_gone"
 
 
-class _WireMeta(msgspec.Struct):
-    name: str
-    revision: int = 0
-
-
-class _WireObject(msgspec.Struct):
-    meta: _WireMeta
-    spec: msgspec.Raw = msgspec.Raw(b"null")
-
-
-class _WirePage(msgspec.Struct, rename="kebab"):
-    items: list[_WireObject]
-    more: bool = False
-    # The store's revision at the time of the response.
-    at_revision: int = 0
-
-
-class _WireEvent(msgspec.Struct):
-    object: _WireObject
-    deleted: bool = False
-
-
-class _WireEvents(msgspec.Struct, rename="kebab"):
-    events: list[_WireEvent]
-    at_revision: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class StoredObject:
-    """An object of some kind; ``spec`` is undecoded JSON."""
-
-    name: str
-    spec: msgspec.Raw
-
-
 @dataclass(frozen=True, slots=True)
 class Listing:
-    """All objects of a kind, with the store revision to watch from."""
-
-    objects: list[StoredObject]
-    revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class Change:
-    """An object that was written or deleted."""
+    """All objects of a kind, with the store revision to watch from.
 
-    object: StoredObject
-    deleted: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Changes:
-    """Changes up to the store's ``revision``, oldest first."""
+    ``nameless`` counts those of which not even the name can be decoded.
+    """
 
-    changes: list[Change]
+    objects: list[StoredObject]
     revision: int
+    nameless: int = 0
 
 
 class StoreClient:
@@ -119,17 +81,25 @@
         """
         stale = "&allow-stale=1" if allow_stale else ""
         objects: list[StoredObject] = []
+        nameless = 0
         revision: int | None = None
         target = f"/api/objects/{kind}?after={stale}"
         while True:
-            page = _decode(await self._call("GET", target), _WirePage)
-            objects.extend(_to_stored_object(item) for item in page.items)
+            response = await self._call("GET", target)
+            page = _decode(response, decode_list_page)
+            objects += page.objects
+            nameless += page.nameless
             # A watch from the first page's revision reports all changes that
             # were made while the later pages were fetched.
-            revision = page.at_revision if revision is None else revision
-            if not page.more or not page.items:
-                return Listing(objects, revision)
-            after = quote(page.items[-1].meta.name, "")
+            revision = page.revision if revision is None else revision
+            if not page.has_more:
+                return Listing(objects, revision, nameless)
+            if not page.objects:
+                raise PlatformUnavailable(
+                    f"no object of a page of {kind} has a name",
+                    "correct these objects in the store",
+                )
+            after = quote(page.objects[-1].name, "")
             target = f"/api/objects/{kind}?after={after}{stale}"
 
     async def watch(self, kind: str, revision: int, wait_s: float) -> Changes:
@@ -144,12 +114,7 @@
         response = await self._call(
             "GET", target, wait_s + WATCH_TIMEOUT_MARGIN_S
         )
-        page = _decode(response, _WireEvents)
-        changes = [
-            Change(_to_stored_object(event.object), event.deleted)
-            for event in page.events
-        ]
-        return Changes(changes, page.at_revision)
+        return _decode(response, decode_changes)
 
     async def create(self, kind: str, name: str, spec: object) -> bool:
         """Create the object; return False if it already exists."""
@@ -224,14 +189,8 @@
         return connection
 
 
-def _to_stored_object(item: _WireObject) -> StoredObject:
-    return StoredObject(item.meta.name, item.spec)
-
-
-def _decode(response: HttpResponse, wire_type: type):
+def _decode(response: HttpResponse, decode: Callable[[bytes], T]) -> T:
     try:
-        return msgspec.json.decode(response.body, type=wire_type)
-    except msgspec.MsgspecError as error:
-        raise PlatformUnavailable(
-            f"the store's response cannot be decoded: {error}", "try again"
-        ) from error
+        return decode(response.body)
+    except UnreadableObject as error:
+        raise PlatformUnavailable(error.detail, "try again") from error
--- a/tests/test_gateway_config_activation.py
+++ b/tests/test_gateway_config_activation.py
@@ -29,8 +29,8 @@
 from heatherdyke.gateway.state_updater import PEER_VERSION_CHECK_DELAY_S
 from heatherdyke.gateway.state_updater import StateUpdater
 from heatherdyke.net.address import Address
-from heatherdyke.platform.store import Change
-from heatherdyke.platform.store import StoredObject
+from heatherdyke.platform.store_pages import Change
+from heatherdyke.platform.store_pages import StoredObject
 
 CONFIG_S = 3.0
 OLD = ("a1", "a2")
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -13,6 +13,7 @@
 from gateway_scenarios import set_up_forwarding
 from gateway_scenarios import set_up_search
 from gateway_scenarios import until
+from msgspec import Raw
 
 from heatherdyke.platform_standin.leaf import Behaviour
 from heatherdyke.platform_standin.leaf import StandinLeaf
@@ -202,6 +203,42 @@
 
         run(scenario, tmp_path)
 
+    def test_an_unreadable_entry_stops_neither_watches_nor_a_start(
+        self, tmp_path
+    ):
+        """One made all lists and watches of leafs fail (review/1)."""
+        unreadable = (
+            rb'{"service":"one","version":"v1 \ud83d"}',
+            b'{"service":"one","slots":NaN}',
+            b'{"service":"one","x":' + b"[" * 1100 + b"]" * 1100 + b"}",
+        )
+
+        async def scenario(fleet):
+            first, second, third = await set_up_forwarding(fleet, 3)
+            gateway = await ready_gateway(fleet)
+            for number, spec in enumerate(unreadable):
+                fleet.store.put("servers", f"odd-{number}", Raw(spec))
+            fleet.store.put("servers", third.leaf_id, Raw(unreadable[0]))
+            await until(
+                lambda: "leaf_entry_unreadable" in fleet.read_log(gateway)
+            )
+            second.sequence += 1
+            fleet.store.put("servers", "one-1", second.entry(draining=True))
+            await until(
+                lambda: '"state":"draining"' in fleet.read_log(gateway)
+            )
+            gateway.kill()
+            await gateway.process.wait()
+            await fleet.start_process(gateway)
+            await gateway.wait_ready()
+            for number in range(5):
+                answer = await send_request(gateway, "/o/x", f"r{number}")
+                assert answer.status == 200
+            assert len(first.runs) == 5
+            assert "unexpected_error" not in fleet.read_log(gateway)
+
+        run(scenario, tmp_path)
+
     def test_requests_are_served_while_the_store_is_down(self, tmp_path):
         async def scenario(fleet):
             await set_up_forwarding(fleet)
--- a/tests/test_gateway_load_patterns.py
+++ b/tests/test_gateway_load_patterns.py
@@ -33,8 +33,8 @@
 from heatherdyke.gateway.refusal import make_refusal
 from heatherdyke.gateway.shared_state import SharedState
 from heatherdyke.gateway.store_watcher import latest_changes
-from heatherdyke.platform.store import Change
-from heatherdyke.platform.store import StoredObject
+from heatherdyke.platform.store_pages import Change
+from heatherdyke.platform.store_pages import StoredObject
 
 MEDIAN_S = 0.04
 
--- /dev/null
+++ b/tests/test_store_pages.py
@@ -0,0 +1,162 @@
+"""Tests of pages of the store that hold objects nobody can decode."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+from msgspec import Raw
+
+from heatherdyke.errors import UnreadableObject
+from heatherdyke.platform.discovery import decode_leaf
+from heatherdyke.platform.instances import decode_instance
+from heatherdyke.platform.json_parts import split_array
+from heatherdyke.platform.json_parts import split_object
+from heatherdyke.platform.quarantines import decode_quarantine
+from heatherdyke.platform.store_pages import UNREADABLE_SPEC
+from heatherdyke.platform.store_pages import decode_changes
+from heatherdyke.platform.store_pages import decode_list_page
+
+UNREADABLE_SPECS = {
+    "half of a surrogate pair": rb'{"version":"v1 \ud83d"}',
+    "half of a surrogate pair as a name": rb'{"\ud83d":1}',
+    "not a number": b'{"slots":NaN}',
+    "a number with a leading zero": b'{"slots":007}',
+    "a control character": b'{"zone":"a\x01"}',
+    "an escape that JSON lacks": rb'{"zone":"\x41"}',
+    "nested lists": b'{"x":' + b"[" * 1100 + b"]" * 1100 + b"}",
+    "nested objects": b'{"x":' + b'{"x":' * 60_000 + b"1" + b"}" * 60_001,
+}
+by_label = pytest.mark.parametrize(
+    "spec", UNREADABLE_SPECS.values(), ids=UNREADABLE_SPECS.keys()
+)
+EXAMPLES = settings(max_examples=50, deadline=None)
+JSON_VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.floats(allow_nan=False)
+    | strategies.text(),
+    lambda values: (
+        strategies.lists(values)
+        | strategies.dictionaries(strategies.text(), values)
+    ),
+)
+
+
+def stored(name: str, spec: bytes = b'{"state":"ready"}') -> bytes:
+    """Return an object in the store's format."""
+    meta = b'{"name":"%s","revision":3,"finalizers":[]}' % name.encode()
+    return b'{"meta":%s,"spec":%s,"status":null}' % (meta, spec)
+
+
+def list_page(*items: bytes) -> bytes:
+    return b'{"items":[%s],"more":true,"at-revision":9}' % b",".join(items)
+
+
+def changes(*items: bytes) -> bytes:
+    events = b",".join(
+        b'{"object":%s,"deleted":false}' % item for item in items
+    )
+    return b'{"events":[%s],"at-revision":9}' % events
+
+
+class TestSplitting:
+    @EXAMPLES
+    @given(strategies.lists(JSON_VALUES), strategies.sampled_from([None, 1]))
+    def test_elements_are_those_of_the_array(self, values, indent):
+        text = json.dumps(values, indent=indent).encode()
+        assert [json.loads(part) for part in split_array(text)] == values
+
+    @EXAMPLES
+    @given(
+        strategies.dictionaries(strategies.text(), JSON_VALUES),
+        strategies.booleans(),
+    )
+    def test_members_are_those_of_the_object(self, values, ascii_only):
+        text = json.dumps(values, ensure_ascii=ascii_only).encode(
+            "utf-8", "surrogatepass"
+        )
+        found = {
+            json.loads(b'"%s"' % name): json.loads(value)
+            for name, value in split_object(text).items()
+        }
+        assert found == values
+
+    @given(strategies.binary())
+    def test_any_bytes_are_split_or_rejected(self, data):
+        for split in (split_array, split_object):
+            try:
+                split(data)
+            except ValueError:
+                pass
+
+    @pytest.mark.parametrize(
+        "text", [b"", b"1", b"[", b"[}", b"[[]", b"[]]", b'["a]', b"{1}"]
+    )
+    def test_other_text_is_rejected(self, text):
+        with pytest.raises(ValueError):
+            split_object(text) if text == b"{1}" else split_array(text)
+
+
+class TestUnreadableObject:
+    """One made all lists and watches of its kind fail (review/1)."""
+
+    @by_label
+    def test_the_others_of_a_list_are_decoded(self, spec):
+        page = decode_list_page(
+            list_page(stored("a"), stored("odd", spec), stored("b"))
+        )
+        assert [item.name for item in page.objects] == ["a", "odd", "b"]
+        assert page.objects[1].spec == UNREADABLE_SPEC
+        assert page.objects[2].spec == Raw(b'{"state":"ready"}')
+        assert (page.has_more, page.revision, page.nameless) == (True, 9, 0)
+
+    @by_label
+    def test_the_others_of_a_watch_are_decoded(self, spec):
+        result = decode_changes(
+            changes(stored("a"), stored("odd", spec), stored("b"))
+        )
+        names = [item.object.name for item in result.changes]
+        assert names == ["a", "odd", "b"]
+        assert result.changes[1].object.spec == UNREADABLE_SPEC
+        assert (result.revision, result.nameless) == (9, 0)
+
+    @pytest.mark.parametrize(
+        "item",
+        [
+            stored(r"\ud83d"),
+            stored("a").replace(b'"name"', b'"other"'),
+            b'{"spec":{}}',
+            b"7",
+            stored("a").replace(b'"a"', b'"\xff"'),
+        ],
+    )
+    def test_one_without_a_name_is_counted(self, item):
+        page = decode_list_page(list_page(stored("a"), item))
+        assert [x.name for x in page.objects] == ["a"]
+        assert page.nameless == 1
+        result = decode_changes(changes(item, stored("a")))
+        assert [x.object.name for x in result.changes] == ["a"]
+        assert result.nameless == 1
+
+    def test_a_deletion_is_still_one(self):
+        odd = stored("odd", UNREADABLE_SPECS["not a number"])
+        body = changes(odd).replace(b"false", b"true")
+        assert decode_changes(body).changes[0].deleted
+
+    @pytest.mark.parametrize("body", [b"", b"<html>", b'{"items":[{]}', b"[]"])
+    def test_a_page_that_is_none_is_rejected(self, body):
+        with pytest.raises(UnreadableObject):
+            decode_list_page(body)
+        with pytest.raises(UnreadableObject):
+            decode_changes(body)
+
+
+class TestUnreadableSpec:
+    @by_label
+    def test_unreadable_specs_are_rejected(self, spec):
+        with pytest.raises(UnreadableObject):
+            decode_leaf("x", Raw(spec))
+        assert decode_instance("x", Raw(spec)) is None
+        assert decode_quarantine("x", Raw(spec), 0.0) is None
