Numbers out of range in an entry name no leaf; tasks outlive exceptions

A quarantine with a time of 400 digits ended the task that reads quarantines, for good.

Cause: fields of entries were checked for their type, not for their range, and an exception in a background task ended it without a restart.

Change: numbers and ports of entries have ranges; entries beyond them are invalid, with the reason in the log. A background task that raises is logged and starts again after 1 s.

--- a/heatherdyke/gateway/process.py
+++ b/heatherdyke/gateway/process.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import signal
+from collections.abc import Awaitable
+from collections.abc import Callable
 from pathlib import Path
 from random import Random
 from time import CLOCK_BOOTTIME
@@ -23,6 +25,7 @@
 from heatherdyke.gateway.events import PROCESS_PAUSED
 from heatherdyke.gateway.events import SETTINGS_REJECTED
 from heatherdyke.gateway.events import SETTINGS_RELOADED
+from heatherdyke.gateway.events import UNEXPECTED_ERROR
 from heatherdyke.gateway.inbound_connection import InboundConnection
 from heatherdyke.gateway.instance_registry import InstanceRegistry
 from heatherdyke.gateway.isolation import BALANCER_REACTION_S
@@ -50,6 +53,7 @@
 FLUSH_S = 0.05
 # The settings file may change without a SIGHUP.
 RELOAD_INTERVAL_S = 2.0
+TASK_RESTART_DELAY_S = 1.0
 
 
 class GatewayProcess:
@@ -183,14 +187,25 @@
             self._instance_registry,
             self._quarantine_store,
         )
-        tasks = [loop.create_task(runner.run()) for runner in background]
-        tasks.append(loop.create_task(self._serve_held()))
-        tasks.append(loop.create_task(self._run_maintenance()))
+        runs = [runner.run for runner in background]
+        runs += [self._serve_held, self._run_maintenance]
+        tasks = [loop.create_task(self._keep_running(run)) for run in runs]
         await self._stopping.wait()
         await self._drain(server)
         for task in tasks:
             task.cancel()
 
+    async def _keep_running(self, run: Callable[[], Awaitable[None]]) -> None:
+        """Run a background task; start it again after an exception."""
+        while True:
+            try:
+                return await run()
+            except Exception as error:
+                self._shared.log.record(
+                    UNEXPECTED_ERROR, where=run.__qualname__, error=repr(error)
+                )
+            await asyncio.sleep(TASK_RESTART_DELAY_S)
+
     async def _listen(
         self, address: Address, manager: ClientApi | PeerApi | StatusApi
     ) -> asyncio.Server:
--- a/heatherdyke/net/address.py
+++ b/heatherdyke/net/address.py
@@ -25,6 +25,17 @@
         ip_address(host)
         return cls(host, int(port_text))
 
+    @classmethod
+    def parse_target(cls, text: str) -> "Address":
+        """Parse ``host:port`` of an address to connect to.
+
+        Raises ValueError if malformed or if the port is 0.
+        """
+        address = cls.parse(text)
+        if address.port == 0:
+            raise ValueError(f"{text!r} has the port 0")
+        return address
+
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
 
--- a/heatherdyke/platform/discovery.py
+++ b/heatherdyke/platform/discovery.py
@@ -3,11 +3,14 @@
 The names of kinds and fields are those of the platform.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from heatherdyke.errors import UnreadableObject
 from heatherdyke.gateway.leaf_entry import LeafEntry
 from heatherdyke.net.address import Address
+from heatherdyke.platform.json_decoding import Count
 from heatherdyke.platform.json_decoding import decode_json
 
 # The platform's names for its kinds of objects: registered leafs, and zones
@@ -17,6 +20,8 @@
 SECONDS_PER_MS = 1e-3
 STATE_READY = "ready"
 STATE_DRAINING = "draining"
+# Of all leafs of a service together, at the size to design for.
+MAX_SLOTS = 1_000_000
 
 
 class _WireEntry(msgspec.Struct, rename="kebab"):
@@ -27,10 +32,10 @@
     # How much longer the leaf will be cold, at the entry's last change.
     cold_remaining_ms: float
     # The number of heartbeats since the leaf's start.
-    sequence: int
-    slots: int = 1
+    sequence: Count
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)] = 1
     # The Unix time of the start in ms; it identifies the incarnation.
-    born: int = 0
+    born: Count = 0
 
 
 def decode_leaf(leaf_id: str, spec: msgspec.Raw) -> LeafEntry:
@@ -41,13 +46,11 @@
     """
     wire = decode_json(spec, _WireEntry, leaf_id)
     try:
-        address = Address.parse(wire.address)
+        address = Address.parse_target(wire.address)
     except ValueError as error:
         raise UnreadableObject(leaf_id, str(error)) from error
     if wire.state not in (STATE_READY, STATE_DRAINING):
         raise UnreadableObject(leaf_id, f"no state is called {wire.state!r}")
-    if wire.slots < 1:
-        raise UnreadableObject(leaf_id, f"{wire.slots} slots")
     return LeafEntry(
         leaf_id=leaf_id,
         service=wire.service,
--- a/heatherdyke/platform/instances.py
+++ b/heatherdyke/platform/instances.py
@@ -25,7 +25,7 @@
     """Return the instance as a peer, None if the object is invalid."""
     try:
         wire = decode_json(spec, _WireInstance, name)
-        address = Address.parse(wire.address)
+        address = Address.parse_target(wire.address)
     except (UnreadableObject, ValueError):
         return None
     return LeafEntry(name, PEER_SERVICE, address, wire.zone)
--- a/heatherdyke/platform/json_decoding.py
+++ b/heatherdyke/platform/json_decoding.py
@@ -1,11 +1,16 @@
 """Decodes JSON that others have written."""
 
+from typing import Annotated
 from typing import TypeVar
 
 import msgspec
 
 from heatherdyke.errors import UnreadableObject
 
+# Larger integers are not represented exactly by all JSON implementations.
+MAX_COUNT = 2**53
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+
 T = TypeVar("T")
 
 
--- a/heatherdyke/platform/quarantines.py
+++ b/heatherdyke/platform/quarantines.py
@@ -5,6 +5,7 @@
 from heatherdyke.errors import UnreadableObject
 from heatherdyke.gateway.crash_evidence import Level
 from heatherdyke.gateway.quarantine import Verdict
+from heatherdyke.platform.json_decoding import Count
 from heatherdyke.platform.json_decoding import decode_json
 
 KIND = "heatherdyke-quarantines"
@@ -13,11 +14,11 @@
 
 class _WireQuarantine(msgspec.Struct, rename="kebab"):
     # Unix time of the verdict.
-    since_ms: int
+    since_ms: Count
     # Set by an operator, or once a leaf has completed the request.
     lifted: bool = False
-    crashes: int = 0
-    attempts: int = 0
+    crashes: Count = 0
+    attempts: Count = 0
     route: str = ""
     target: str = ""
     decided_by: str = ""
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -5,7 +5,9 @@
 import signal
 import subprocess
 import sys
+from pathlib import Path
 
+from gateway_entries import SETTINGS
 from gateway_fleet import HOST
 from gateway_fleet import send_request
 from gateway_fleet import wait_for_first_code
@@ -15,6 +17,7 @@
 from gateway_scenarios import until
 
 from heatherdyke.gateway.isolation import BALANCER_REACTION_S
+from heatherdyke.gateway.process import GatewayProcess
 
 
 class TestShutdown:
@@ -62,6 +65,29 @@
         run(scenario, tmp_path)
 
 
+class TestBackgroundTask:
+    """An exception ended it for good, and with it a watch of the store."""
+
+    def test_runs_again_after_an_exception(self):
+        async def main() -> int:
+            loop = asyncio.get_running_loop()
+            process = GatewayProcess.from_settings(
+                Path("settings.toml"), SETTINGS, loop, 0
+            )
+            runs = 0
+
+            async def run_task() -> None:
+                nonlocal runs
+                runs += 1
+                if runs == 1:
+                    raise OverflowError("int too large to convert to float")
+
+            await process._keep_running(run_task)
+            return runs
+
+        assert asyncio.run(main()) == 2
+
+
 class TestInvalidInput:
     def test_malformed_and_oversized_requests_reach_no_leaf(self, tmp_path):
         async def scenario(fleet):
--- a/tests/test_store_pages.py
+++ b/tests/test_store_pages.py
@@ -153,10 +153,49 @@
             decode_changes(body)
 
 
-class TestUnreadableSpec:
+ENTRY = (
+    '{"service":"one","address":"10.0.0.1:80","zone":"a","state":"ready",'
+    '"cold-remaining-ms":0,"sequence":1,"slots":3,"born":1}'
+)
+
+
+class TestInvalidLeafEntry:
+    """Numbers out of range reached calculations and connections."""
+
+    def test_a_valid_entry_is_accepted(self):
+        assert decode_leaf("x", Raw(ENTRY.encode())).slots == 3
+
+    @pytest.mark.parametrize(
+        ("text", "odd"),
+        [
+            ('"slots":3', '"slots":0'),
+            ('"slots":3', '"slots":' + "9" * 400),
+            ('"sequence":1', '"sequence":' + "9" * 5000),
+            ('"sequence":1', '"sequence":-1'),
+            ('"born":1', '"born":1' + "0" * 30),
+            (":80", ":0"),
+            (":80", ":-5"),
+            (":80", ":99999"),
+            (":80", ":" + "8" * 5000),
+            ("10.0.0.1", "10.0.0.1\\u0000"),
+            ("10.0.0.1", "localhost"),
+            ('"state":"ready"', '"state":"asleep"'),
+            ('"zone":"a"', '"zone":null'),
+            ('"cold-remaining-ms":0', '"cold-remaining-ms":1e999'),
+        ],
+    )
+    def test_an_invalid_one_is_rejected(self, text, odd):
+        spec = Raw(ENTRY.replace(text, odd).encode())
+        with pytest.raises(UnreadableObject):
+            decode_leaf("x", spec)
+
     @by_label
     def test_unreadable_specs_are_rejected(self, spec):
         with pytest.raises(UnreadableObject):
             decode_leaf("x", Raw(spec))
         assert decode_instance("x", Raw(spec)) is None
         assert decode_quarantine("x", Raw(spec), 0.0) is None
+
+    def test_a_quarantine_with_a_huge_time_is_rejected(self):
+        spec = Raw(b'{"since-ms":1' + b"0" * 400 + b"}")
+        assert decode_quarantine("x", spec, 0.0) is None
