A response that switches protocols is malformed, not an exception

What callers saw: nothing but a broken attempt; from the store, an exception that nobody caught, which ended the watch that met it.

Cause: httptools raises HttpParserUpgrade for a 101, which is no HttpParserError. Found while testing cut responses (a leaf may send bytes that are no response).

Change: both are handled as a malformed response, at leafs and at the store.

Evidence: the three new tests fail without the change (HttpParserUpgrade) and pass with it.

--- a/heatherdyke/gateway/leaf_connection.py
+++ b/heatherdyke/gateway/leaf_connection.py
@@ -103,7 +103,7 @@
             return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._reusable = False
             if self._completed_response is None:
                 self._fail()
--- a/heatherdyke/net/http_connection.py
+++ b/heatherdyke/net/http_connection.py
@@ -234,7 +234,10 @@
             )
         try:
             parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
             raise TransportError(
                 f"{self.address} sent a malformed HTTP response: {error}",
                 sent=True,
--- a/tests/test_leaf_connection_cuts.py
+++ b/tests/test_leaf_connection_cuts.py
@@ -15,10 +15,13 @@
 from gateway_scenarios import ready_gateway
 from gateway_scenarios import run
 
+from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.gateway.attempt import Attempt
 from heatherdyke.gateway.leaf_connection import LeafConnection
 from heatherdyke.gateway.messages import AttemptOutcome
 from heatherdyke.gateway.messages import Failure
+from heatherdyke.net.address import Address
+from heatherdyke.platform.store import StoreClient
 from heatherdyke.standin.free_address import free_port
 
 BODY = bytes(range(65, 65 + 48))
@@ -171,6 +174,39 @@
         assert outcome.response.signature == b"s.r2"
 
 
+SWITCHING = (
+    b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\n"
+    b"Upgrade: h2c\r\n\r\n"
+)
+
+
+class TestResponseThatSwitchesProtocols:
+    """The parser raises an exception of another class than for others."""
+
+    @pytest.mark.parametrize("packet_bytes", [1, 10_000])
+    def test_is_no_response_of_a_leaf(self, packet_bytes):
+        data = SWITCHING + RESPONSES["length"]
+        outcome = outcome_after(data, packet_bytes, None, True)
+        assert outcome.failure is Failure.BROKEN
+
+    def test_is_no_response_of_the_store(self):
+        async def main() -> None:
+            async def serve(reader, writer) -> None:
+                writer.write(SWITCHING + b"x")
+                await reader.read()
+                writer.close()
+
+            port = free_port()
+            server = await asyncio.start_server(serve, "127.0.0.1", port)
+            store = StoreClient(Address("127.0.0.1", port))
+            with pytest.raises(PlatformUnavailable):
+                await store.list("servers")
+            server.close()
+            await asyncio.sleep(0.05)
+
+        asyncio.run(main())
+
+
 class CuttingLeaf:
     """Answers on kept connections; each second answer is cut at a byte."""
 
