A process that ends early passes nothing on in its last 50 ms

What callers saw: a request that arrived as a stopping process found no open connection and ended before its time was passed on, and cut 50 ms later.

Change: the listener closes first, and the end is set to now, so that what still arrives on open connections is refused.

--- a/heatherdyke/gateway/process.py
+++ b/heatherdyke/gateway/process.py
@@ -340,11 +340,13 @@
             running = self._peer_api.running_count
             if self._client_api.open_count == 0 and running == 0:
                 break
+        server.close()
+        # Refuses what still arrives on open connections.
+        shared.shutdown.end(shared.loop.time())
         unfinished = self._client_api.running_count
         self._client_api.shut_down()
         self._peer_api.shut_down()
         await asyncio.sleep(FLUSH_S)
-        server.close()
         shared.log.record(
             GATEWAY_STOPPED,
             unfinished=unfinished,
--- a/heatherdyke/gateway/shutdown.py
+++ b/heatherdyke/gateway/shutdown.py
@@ -24,6 +24,10 @@
         """Set the end; the platform kills the process in ``shutdown_s``."""
         self.ends_at = now + max(0.0, shutdown_s - KILL_MARGIN_S)
 
+    def end(self, now: float) -> None:
+        """Set the end to now, as nothing is running any more."""
+        self.ends_at = now
+
     def remaining_s(self, now: float) -> float:
         """Return the time until the end, infinite without one."""
         if self.ends_at is None:
@@ -41,4 +45,4 @@
         needed_s = limit_s
         if expected_s is not None:
             needed_s = min(limit_s, SAFETY_FACTOR * expected_s)
-        return self.remaining_s(now) >= needed_s
+        return self.remaining_s(now) > needed_s
--- a/tests/test_gateway_shutdown.py
+++ b/tests/test_gateway_shutdown.py
@@ -51,8 +51,15 @@
 
     def test_nothing_is_accepted_after_the_end(self):
         ends_at = 100.0 + GRACE_S - KILL_MARGIN_S
+        assert not stopping(100.0).allows(ends_at, 0.0, 0.0)
         assert not stopping(100.0).allows(ends_at + 0.01, 0.0, 0.0)
 
+    def test_nothing_is_accepted_after_an_early_end(self):
+        """The process ends early if no connection is open."""
+        shutdown = stopping(100.0)
+        shutdown.end(103.0)
+        assert not shutdown.allows(103.0, 1.0, 0.1)
+
 
 class TestSlowestLatency:
     """A single slow response decides what a stopping process accepts."""
@@ -191,6 +198,12 @@
     return gateway
 
 
+async def warm_up(gateway) -> None:
+    """Have the gateway learn how long unsafe requests take."""
+    for number in range(MIN_RESPONSES_FOR_SLOWEST):
+        assert (await ask(gateway, "/u/x", f"w{number}")).status == 200
+
+
 async def start_long_search(gateway, leafs) -> asyncio.Task:
     """Start a search that keeps a stopping process until its end."""
     leafs[-1].processing_s = 60.0
@@ -255,14 +268,43 @@
 
         run(scenario, tmp_path)
 
+    def test_none_is_passed_on_by_a_process_that_ends_early(self, tmp_path):
+        """Its last 50 ms, in which answers are written, were not the end."""
+
+        async def scenario(fleet):
+            leafs = await set_up(fleet, 0.08)
+            gateway = await ready_for_6_s(fleet)
+            await warm_up(gateway)
+            gateway.terminate()
+            outcomes = []
+            while gateway.process.returncode is None:
+                number = len(outcomes)
+                asked = [
+                    ask(gateway, "/u/x", f"r{number}-{client}")
+                    for client in range(2)
+                ]
+                outcomes.append(await asyncio.gather(*asked))
+                await asyncio.sleep(CLIENT_INTERVAL_S)
+            runs = {run_id.decode() for leaf in leafs for run_id in leaf.runs}
+            runs -= {f"w{x}" for x in range(MIN_RESPONSES_FOR_SLOWEST)}
+            answered = {
+                item.request_id
+                for pair in outcomes
+                for item in pair
+                if item is not None and item.status is not None
+            }
+            assert len(answered) > 10
+            assert runs <= answered
+
+        run(scenario, tmp_path)
+
     def test_a_retry_is_not_sent_to_a_leaf_that_cannot_finish(self, tmp_path):
         """The first leaf takes long to reject the request."""
 
         async def scenario(fleet):
             leafs = await set_up(fleet, 0.1)
             gateway = await ready_for_6_s(fleet)
-            for number in range(MIN_RESPONSES_FOR_SLOWEST):
-                assert (await ask(gateway, "/u/x", f"w{number}")).status == 200
+            await warm_up(gateway)
             running = await start_long_search(gateway, leafs)
             gateway.terminate()
             await asyncio.sleep(GRACE_S - KILL_MARGIN_S - 0.6)
