Log start, stop, reload and the store's loss also during a flood

What on-call saw: no `gateway_stopped` of a process that refused many requests in its last seconds: the rate limit of log lines dropped it.

Change: `gateway_*`, `settings_reloaded`, `store_lost` and `store_regained` are logged whatever the limit; they are rare.

--- a/heatherdyke/gateway/event_log.py
+++ b/heatherdyke/gateway/event_log.py
@@ -12,7 +12,14 @@
 import msgspec
 from loguru import logger
 
+from heatherdyke.gateway.events import GATEWAY_READY
+from heatherdyke.gateway.events import GATEWAY_STARTED
+from heatherdyke.gateway.events import GATEWAY_STOPPED
+from heatherdyke.gateway.events import GATEWAY_STOPPING
 from heatherdyke.gateway.events import LOG_LIMITED
+from heatherdyke.gateway.events import SETTINGS_RELOADED
+from heatherdyke.gateway.events import STORE_LOST
+from heatherdyke.gateway.events import STORE_REGAINED
 from heatherdyke.observe.event_registry import EventKind
 from heatherdyke.observe.event_registry import Severity
 
@@ -22,6 +29,18 @@
 # refused and failed requests take precedence over successful ones.
 RESERVED_LINES = 100.0
 REPORT_INTERVAL_S = 1.0
+# These are rare, and other lines cannot be understood without them.
+UNLIMITED = frozenset(
+    (
+        GATEWAY_READY,
+        GATEWAY_STARTED,
+        GATEWAY_STOPPED,
+        GATEWAY_STOPPING,
+        SETTINGS_RELOADED,
+        STORE_LOST,
+        STORE_REGAINED,
+    )
+)
 
 
 @dataclass(slots=True)
@@ -61,7 +80,8 @@
     def record(self, kind: EventKind, /, **fields: Any) -> None:
         """Log an event if the rate limit allows it, else count it."""
         now = self._now()
-        if not self._budget.take(kind.severity, now):
+        allowed = self._budget.take(kind.severity, now)
+        if not allowed and kind not in UNLIMITED:
             count = self._dropped_by_event.get(kind.name, 0)
             self._dropped_by_event[kind.name] = count + 1
             return
