--- a/heatherdyke/gateway/dispatch.py
+++ b/heatherdyke/gateway/dispatch.py
@@ -1,11 +1,12 @@
 """Routes each request of a client to its handler."""
 
-from heatherdyke.gateway.events import REQUEST_REFUSED
 from heatherdyke.gateway.exchange import Exchange
 from heatherdyke.gateway.forwarded_request import ForwardedRequest
 from heatherdyke.gateway.messages import ClientResponse
+from heatherdyke.gateway.refusal import Refusal
 from heatherdyke.gateway.refusal import RefusalReason
 from heatherdyke.gateway.refusal import make_refusal
+from heatherdyke.gateway.refused_request import send_refusal
 from heatherdyke.gateway.routing import Route
 from heatherdyke.gateway.search import Search
 from heatherdyke.gateway.shared_state import SharedState
@@ -109,36 +110,31 @@
         refusal = make_refusal(
             reason, exchange.request.wait_s, self._shared.random
         )
-        exchange.answer(refusal.answer)
-        self._log(exchange, 503, reason, refusal.retry_after_s, route)
+        self._send(exchange, reason, refusal, route)
 
     def _reject(
         self, exchange: Exchange, status: int, reason: RefusalReason
     ) -> None:
-        exchange.answer(ClientResponse(status))
-        self._log(exchange, status, reason, None)
+        self._send(exchange, reason, Refusal(ClientResponse(status), None))
 
-    def _log(
+    def _send(
         self,
         exchange: Exchange,
-        status: int,
         reason: RefusalReason,
-        retry_after_s: float | None,
+        refusal: Refusal,
         route: str = "",
     ) -> None:
         shared = self._shared
         config = shared.config
         request = exchange.request
         remaining_s = shared.shutdown.remaining_s(shared.loop.time())
-        shared.metrics.count("answers", str(status))
-        shared.log.record(
-            REQUEST_REFUSED,
-            request_id=request.id_text,
-            route=route,
-            status=status,
-            why=reason.value,
-            retry_after_s=retry_after_s,
-            inputs=f"host {request.host}, path {request.path}, version "
+        send_refusal(
+            shared,
+            exchange,
+            route,
+            reason,
+            refusal,
+            f"host {request.host}, path {request.path}, version "
             f"{config.version if config else None}, store lost for "
             f"{self._config_watcher.unavailable_for_s():.1f} s, process ends "
             f"in {remaining_s:.1f} s",
--- a/heatherdyke/gateway/process.py
+++ b/heatherdyke/gateway/process.py
@@ -13,22 +13,17 @@
 from heatherdyke.errors import SettingsError
 from heatherdyke.gateway.client_api import ClientApi
 from heatherdyke.gateway.dispatch import Dispatcher
+from heatherdyke.gateway.drain import Drain
 from heatherdyke.gateway.event_log import EventLog
-from heatherdyke.gateway.events import CLIENTS_READMITTED
-from heatherdyke.gateway.events import CLIENTS_TURNED_AWAY
 from heatherdyke.gateway.events import GATEWAY_READY
 from heatherdyke.gateway.events import GATEWAY_STARTED
-from heatherdyke.gateway.events import GATEWAY_STOPPED
-from heatherdyke.gateway.events import GATEWAY_STOPPING
-from heatherdyke.gateway.events import LEAFS_REACHABLE
-from heatherdyke.gateway.events import LEAFS_UNREACHABLE
 from heatherdyke.gateway.events import PROCESS_PAUSED
 from heatherdyke.gateway.events import SETTINGS_REJECTED
 from heatherdyke.gateway.events import SETTINGS_RELOADED
 from heatherdyke.gateway.events import UNEXPECTED_ERROR
 from heatherdyke.gateway.inbound_connection import InboundConnection
 from heatherdyke.gateway.instance_registry import InstanceRegistry
-from heatherdyke.gateway.isolation import BALANCER_REACTION_S
+from heatherdyke.gateway.link_monitor import LinkMonitor
 from heatherdyke.gateway.mechanisms import Mechanism
 from heatherdyke.gateway.pause_detector import PauseDetector
 from heatherdyke.gateway.peer_api import PeerApi
@@ -48,9 +43,6 @@
 
 MAINTENANCE_INTERVAL_S = 0.25
 LISTEN_BACKLOG = 512
-DRAIN_POLL_S = 0.05
-# How long answers may take to be written when the process ends.
-FLUSH_S = 0.05
 # The settings file may change without a SIGHUP.
 RELOAD_INTERVAL_S = 2.0
 TASK_RESTART_DELAY_S = 1.0
@@ -76,7 +68,7 @@
         "_pause_detector",
         "_started_at",
         "_ready_logged",
-        "_leafs_lost_since",
+        "_link_monitor",
         "_reload_at",
     )
 
@@ -126,7 +118,7 @@
         self._pause_detector = PauseDetector(MAINTENANCE_INTERVAL_S)
         self._started_at = shared.loop.time()
         self._ready_logged = False
-        self._leafs_lost_since: float | None = None
+        self._link_monitor = LinkMonitor(shared)
         self._reload_at = self._started_at + RELOAD_INTERVAL_S
 
     @classmethod
@@ -191,7 +183,7 @@
         runs += [self._serve_held, self._run_maintenance]
         tasks = [loop.create_task(self._keep_running(run)) for run in runs]
         await self._stopping.wait()
-        await self._drain(server)
+        await Drain(shared, self._client_api, self._peer_api).run(server)
         for task in tasks:
             task.cancel()
 
@@ -237,8 +229,7 @@
             shared.selector.check_unreachable_zones()
             self._client_api.maintain(now)
             self._state_updater.expire_absent_leafs(now)
-            self._update_isolation(now)
-            self._update_leaf_links(now)
+            self._link_monitor.update(now)
             if now >= self._reload_at:
                 self._reload_at = now + RELOAD_INTERVAL_S
                 self._reload_settings()
@@ -256,44 +247,6 @@
             watcher.relist()
         self._quarantine_store.relist()
 
-    def _update_isolation(self, now: float) -> None:
-        """Log when an isolation starts or ends."""
-        isolation = self._shared.isolation
-        isolated_since = isolation.unready_since
-        isolation.update(now)
-        if (isolated_since is None) == (isolation.unready_since is None):
-            return
-        if isolated_since is None:
-            self._shared.log.record(
-                CLIENTS_TURNED_AWAY,
-                failures=isolation.failures,
-                silent_s=round(now - isolation.last_response_at, 3),
-                refused_share=round(isolation.refused_share, 2),
-            )
-            return
-        away_s = round(now - isolated_since, 3)
-        self._shared.log.record(CLIENTS_READMITTED, turned_away_s=away_s)
-
-    def _update_leaf_links(self, now: float) -> None:
-        """Check leafs while all are lost; log when that starts or ends."""
-        shared = self._shared
-        lost = not shared.links.can_connect()
-        if lost:
-            shared.selector.check_lost_leafs()
-        if lost == (self._leafs_lost_since is not None):
-            return
-        if lost:
-            self._leafs_lost_since = now
-            shared.log.record(
-                LEAFS_UNREACHABLE,
-                failed_leafs=len(shared.links.failed_leafs),
-                silent_s=round(now - shared.links.last_response_at, 3),
-            )
-            return
-        lost_s = round(now - self._leafs_lost_since, 3)
-        self._leafs_lost_since = None
-        shared.log.record(LEAFS_REACHABLE, unreachable_s=lost_s)
-
     def _log_ready(self, now: float) -> None:
         self._ready_logged = True
         self._shared.log.record(
@@ -315,44 +268,6 @@
             self._shared.apply_settings(settings)
             self._shared.log.record(SETTINGS_RELOADED, changed=changed)
 
-    async def _drain(self, server: asyncio.Server) -> None:
-        """Serve until clients have disconnected and groups have ended.
-
-        Before the platform kills the process, the requests that are still
-        running get their final answers.
-        """
-        shared = self._shared
-        started_at = shared.loop.time()
-        shared.log.record(
-            GATEWAY_STOPPING,
-            open_connections=self._client_api.open_count,
-            running=self._client_api.running_count,
-        )
-        self._client_api.stopping = True
-        self._peer_api.stopping = True
-        shared.shutdown.begin(started_at, shared.settings.bounds.shutdown_s)
-        balancer_reacted_at = started_at + BALANCER_REACTION_S
-        while shared.shutdown.remaining_s(shared.loop.time()) > 0.0:
-            await asyncio.sleep(DRAIN_POLL_S)
-            if shared.loop.time() < balancer_reacted_at:
-                continue
-            self._client_api.close_idle()
-            running = self._peer_api.running_count
-            if self._client_api.open_count == 0 and running == 0:
-                break
-        server.close()
-        # Refuses what still arrives on open connections.
-        shared.shutdown.end(shared.loop.time())
-        unfinished = self._client_api.running_count
-        self._client_api.shut_down()
-        self._peer_api.shut_down()
-        await asyncio.sleep(FLUSH_S)
-        shared.log.record(
-            GATEWAY_STOPPED,
-            unfinished=unfinished,
-            after_s=round(shared.loop.time() - started_at, 3),
-        )
-
     def _render_metrics(self) -> str:
         settings = self._shared.settings
         page = self._shared.metrics.read(settings.name, settings.zone, "")
--- a/heatherdyke/gateway/refusal.py
+++ b/heatherdyke/gateway/refusal.py
@@ -61,10 +61,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
-    """A refusal's answer and its ``Retry-After`` value, for the log."""
+    """A refusal's answer and its ``Retry-After`` value, for the log.
+
+    The value is None if a retry would be refused too.
+    """
 
     answer: ClientResponse
-    retry_after_s: float
+    retry_after_s: float | None
 
 
 def make_refusal(
--- a/heatherdyke/gateway/refused_request.py
+++ b/heatherdyke/gateway/refused_request.py
@@ -17,6 +17,9 @@
     inputs: str,
 ) -> None:
     """Answer with a refusal; ``inputs`` is what decided it, for the log."""
+    retry_after_s = refusal.retry_after_s
+    if retry_after_s is not None:
+        retry_after_s = round(retry_after_s, 3)
     exchange.answer(refusal.answer)
     shared.metrics.count("answers", str(refusal.answer.status))
     shared.log.record(
@@ -25,7 +28,7 @@
         route=route,
         status=refusal.answer.status,
         why=reason.value,
-        retry_after_s=round(refusal.retry_after_s, 3),
+        retry_after_s=retry_after_s,
         inputs=inputs,
     )
 
--- a/heatherdyke/platform/store_pages.py
+++ b/heatherdyke/platform/store_pages.py
@@ -4,7 +4,9 @@
 others on its page.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TypeVar
 
 import msgspec
 
@@ -13,6 +15,8 @@
 from heatherdyke.platform.json_parts import split_array
 from heatherdyke.platform.json_parts import split_object
 
+T = TypeVar("T")
+
 # The spec of an object whose own cannot be decoded; no kind has such a one.
 UNREADABLE_SPEC = msgspec.Raw(b"null")
 
@@ -125,27 +129,26 @@
 def _salvage_list_page(body: bytes) -> ListPage:
     """Decode the objects of a page one by one."""
     position, parts = _split_page(body, b"items")
-    objects = []
-    for part in parts:
-        stored = _salvage_object(part)
-        if stored is not None:
-            objects.append(stored)
-    nameless = len(parts) - len(objects)
+    objects, nameless = _salvage_each(parts, _salvage_object)
     return ListPage(objects, position.more, position.at_revision, nameless)
 
 
 def _salvage_changes(body: bytes) -> Changes:
     """Decode the changes of a response one by one."""
     position, parts = _split_page(body, b"events")
-    changes = []
-    for part in parts:
-        change = _salvage_change(part)
-        if change is not None:
-            changes.append(change)
-    nameless = len(parts) - len(changes)
+    changes, nameless = _salvage_each(parts, _salvage_change)
     return Changes(changes, position.at_revision, nameless)
 
 
+def _salvage_each(
+    parts: list[bytes], salvage: Callable[[bytes], T | None]
+) -> tuple[list[T], int]:
+    """Return what can be salvaged, and the number of other parts."""
+    salvaged = [salvage(part) for part in parts]
+    found = [item for item in salvaged if item is not None]
+    return found, len(parts) - len(found)
+
+
 def _split_page(body: bytes, name: bytes) -> tuple[_WirePosition, list[bytes]]:
     """Return a page's position and the texts of its array ``name``."""
     try:
--- a/tests/test_gateway_config_activation.py
+++ b/tests/test_gateway_config_activation.py
@@ -148,18 +148,20 @@
 class TestPeerVersion:
     """An instance serves groups by the version active on the requester."""
 
+    def holding_version_2(self) -> tuple[SharedState, StateUpdater]:
+        loop = asyncio.get_running_loop()
+        shared = SharedState(SETTINGS, loop, EventLog(loop.time), Random(1))
+        shared.routes = RouteTable(config(1, OLD))
+        for shard in OLD:
+            shared.leafs.apply(leaf_entry(shard), loop.time())
+        updater = StateUpdater(shared)
+        updater.on_config_changed(change(2, NEW), Removal.TIMELY)
+        assert shared.config.version == 1
+        return shared, updater
+
     def active_after(self, peer_version: int) -> int:
         async def main() -> int:
-            loop = asyncio.get_running_loop()
-            shared = SharedState(
-                SETTINGS, loop, EventLog(loop.time), Random(1)
-            )
-            shared.routes = RouteTable(config(1, OLD))
-            for shard in OLD:
-                shared.leafs.apply(leaf_entry(shard), loop.time())
-            updater = StateUpdater(shared)
-            updater.on_config_changed(change(2, NEW), Removal.TIMELY)
-            assert shared.config.version == 1
+            shared, updater = self.holding_version_2()
             updater.on_peer_config_version(peer_version)
             return shared.config.version
 
@@ -169,16 +171,7 @@
         """It was lost on the way, so that it may be due already."""
 
         async def main() -> int:
-            loop = asyncio.get_running_loop()
-            shared = SharedState(
-                SETTINGS, loop, EventLog(loop.time), Random(1)
-            )
-            shared.routes = RouteTable(config(1, OLD))
-            for shard in OLD:
-                shared.leafs.apply(leaf_entry(shard), loop.time())
-            updater = StateUpdater(shared)
-            updater.on_config_changed(change(2, NEW), Removal.TIMELY)
-            assert shared.config.version == 1
+            shared, updater = self.holding_version_2()
             updater.on_config_changed(change(3, NEW), Removal.LATE)
             return shared.config.version
 
