A draining connection answers the pipelined requests that it has read

What callers saw: requests that were pipelined behind a running one had been read, and the connection closed after the first answer when the process was stopped.

Cause: each answer of a draining process closed its connection.

Change: it closes with the answer to the last request that has been read.

Evidence: the new test fails without the change (1 of 3 answers) and passes.

--- a/heatherdyke/gateway/inbound_connection.py
+++ b/heatherdyke/gateway/inbound_connection.py
@@ -235,7 +235,9 @@
         self.last_active_at = self.manager.now()
         if self.transport.is_closing():
             return
-        close = self.manager.is_draining or not self._keep_alive
+        # A pipelined request has been read, so it is answered too.
+        is_last = self.manager.is_draining and not self._pipelined
+        close = is_last or not self._keep_alive
         is_head = request.method == b"HEAD"
         self.transport.write(encode_answer(answer, is_head, close))
         if close:
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -64,6 +64,28 @@
 
         run(scenario, tmp_path)
 
+    def test_a_pipelined_request_is_answered(self, tmp_path):
+        """It had been read, and its connection closed after the first."""
+
+        async def scenario(fleet):
+            (leaf,) = await set_up_forwarding(fleet, 1)
+            leaf.processing_s = 0.3
+            gateway = await ready_gateway(fleet)
+            host, port = gateway.front.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            for number in range(3):
+                head = f"GET /o/x HTTP/1.1\r\nHost: {HOST}\r\n"
+                writer.write(f"{head}X-Request-Id: r{number}\r\n\r\n".encode())
+            await until(lambda: leaf.runs == [b"r0"])
+            gateway.terminate()
+            data = await reader.read()
+            writer.close()
+            assert data.count(b"HTTP/1.1 200") == 3
+            assert data.count(b"Connection: close") == 1
+            assert leaf.runs == [b"r0", b"r1", b"r2"]
+
+        run(scenario, tmp_path)
+
 
 class TestBackgroundTask:
     """An exception ended it for good, and with it a watch of the store."""
