--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -313,6 +313,16 @@
     return found
 
 
+def outcomes(sent: list[SentRequest]) -> Counter:
+    """Count the requests by status, or by the error without an answer."""
+    return Counter(
+        type(item.error).__name__
+        if item.answer is None
+        else item.answer.status
+        for item in sent
+    )
+
+
 class TestSoak:
     @pytest.mark.parametrize("seed", seeds())
     def test_invariants_hold_under_faults(self, seed, tmp_path):
@@ -358,6 +368,6 @@
         served = [
             s for s in sent if s.answer is not None and s.answer.status == 200
         ]
-        assert len(served) > len(sent) / 4
+        assert len(served) > len(sent) / 4, outcomes(sent)
         for path in tmp_path.glob("*.log"):
             assert "unexpected_error" not in path.read_text()
