A page of the store without its list is no empty page

Change: the list is required again, also where a page is salvaged.

Evidence: the two new cases of test_store_pages fail without the change.

--- a/heatherdyke/platform/store_pages.py
+++ b/heatherdyke/platform/store_pages.py
@@ -39,8 +39,8 @@
     at_revision: int = 0
 
 
-class _WirePage(_WirePosition, rename="kebab"):
-    items: list[_WireObject] = []
+class _WirePage(_WirePosition, rename="kebab", kw_only=True):
+    items: list[_WireObject]
 
 
 class _WireEvent(msgspec.Struct):
@@ -48,8 +48,8 @@
     deleted: bool = False
 
 
-class _WireEvents(_WirePosition, rename="kebab"):
-    events: list[_WireEvent] = []
+class _WireEvents(_WirePosition, rename="kebab", kw_only=True):
+    events: list[_WireEvent]
 
 
 class _WireDeletion(msgspec.Struct):
@@ -153,7 +153,7 @@
     """Return a page's position and the texts of its array ``name``."""
     try:
         value_by_name = split_object(body)
-        parts = split_array(value_by_name.pop(name, b"[]"))
+        parts = split_array(value_by_name.get(name, b""))
     except ValueError as error:
         raise UnreadableObject("page", str(error)) from error
     members = [
--- a/tests/soak_background.py
+++ b/tests/soak_background.py
@@ -5,10 +5,12 @@
 """
 
 import asyncio
+from dataclasses import dataclass
 from random import Random
 
 from gateway_fleet import Gateway
 from msgspec import Raw
+from soak_client import SentRequest
 from soak_client import SoakClient
 from soak_crashing import ProxiedLeaf
 from soak_fleet import LONG_TIMEOUT_MS
@@ -27,18 +29,19 @@
 LONG_CLIENT_INTERVAL_S = 0.1
 
 
+@dataclass
 class LongClient(SoakClient):
     """Sends requests of a route whose leafs take long."""
 
+    wait_s: float = LONG_TIMEOUT_MS / 1000
+    is_stopping: bool = False
+
     async def run(self, name: str) -> None:
-        self.wait_s = LONG_TIMEOUT_MS / 1000
         while not self.is_stopping:
             await self.send("/l/", f"l{name}-{len(self.sent)}", "POST")
             await asyncio.sleep(LONG_CLIENT_INTERVAL_S)
         self.close()
 
-    is_stopping = False
-
 
 class ForeignWriter:
     """Stores odd entries, some under the name of a leaf for a while."""
@@ -92,5 +95,5 @@
             client.is_stopping = True
 
     @property
-    def sent(self) -> list:
+    def sent(self) -> list[SentRequest]:
         return [sent for client in self.clients for sent in client.sent]
--- a/tests/test_store_pages.py
+++ b/tests/test_store_pages.py
@@ -145,8 +145,12 @@
         body = changes(odd).replace(b"false", b"true")
         assert decode_changes(body).changes[0].deleted
 
-    @pytest.mark.parametrize("body", [b"", b"<html>", b'{"items":[{]}', b"[]"])
+    @pytest.mark.parametrize(
+        "body",
+        [b"", b"<html>", b'{"items":[{]}', b"[]", b"{}", b'{"more":false}'],
+    )
     def test_a_page_that_is_none_is_rejected(self, body):
+        """Taken for an empty one it would remove all objects."""
         with pytest.raises(UnreadableObject):
             decode_list_page(body)
         with pytest.raises(UnreadableObject):
