--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -230,10 +230,12 @@
         f"X-Request-Id: {request_id}\r\nX-Deadline-Remaining: {wait_ms}\r\n"
         f"Connection: close\r\nContent-Length: {len(body)}\r\n\r\n"
     )
-    writer.write(head.encode() + body)
-    async with asyncio.timeout(10):
-        data = await reader.read()
-    writer.close()
+    try:
+        writer.write(head.encode() + body)
+        async with asyncio.timeout(10):
+            data = await reader.read()
+    finally:
+        writer.close()
     return RawAnswer.parse(data)
 
 
