--- a/heatherdyke/gateway/watch_timing.py
+++ b/heatherdyke/gateway/watch_timing.py
@@ -67,7 +67,7 @@
 def lost_change_due_s(bounds: Bounds) -> float:
     """Return how long after it a change must be active despite a loss.
 
-    An instance is excused for as long as connections take to be stable, but
-    not for longer than a change may take anyway.
+    An instance is excused until its connections count as stable again, or
+    until the change is due anyway if that is later.
     """
     return max(bounds.stable_s, min(bounds.config_s, bounds.drain_s))
--- a/heatherdyke/platform/discovery.py
+++ b/heatherdyke/platform/discovery.py
@@ -20,7 +20,7 @@
 SECONDS_PER_MS = 1e-3
 STATE_READY = "ready"
 STATE_DRAINING = "draining"
-# Of all leafs of a service together, at the size to design for.
+# Far more than any leaf has; larger numbers are errors of the writer.
 MAX_SLOTS = 1_000_000
 
 
--- a/heatherdyke/platform/json_parts.py
+++ b/heatherdyke/platform/json_parts.py
@@ -1,8 +1,8 @@
 """Splits JSON text into its parts without decoding them.
 
-An array or object can so be read although some of its parts cannot: those
-with half of a surrogate pair, a number that is no JSON number, or nesting
-deeper than the decoder follows.  Only strings and brackets are looked at.
+The other parts of an array or object can be read even if one cannot: one with
+half of a surrogate pair, with a number that JSON lacks, or nested more deeply
+than the decoder follows.  Only strings and brackets are looked at.
 """
 
 import re
