--- a/heatherdyke/gateway/inbound_connection.py
+++ b/heatherdyke/gateway/inbound_connection.py
@@ -108,9 +108,7 @@
         if self._in_head or not self._in_message:
             self._head_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(400)
+            self._parse(data)
         except httptools.HttpParserError:
             self._reject(400)
         if self._in_head and (
@@ -151,6 +149,36 @@
         """Answer 408 to an incomplete request and close the connection."""
         self._reject(408)
 
+    def _parse(self, data: bytes) -> None:
+        """Feed the parser; ignore offers to switch to another protocol.
+
+        The parser takes what follows the head of such a request for the other
+        protocol, so the head is parsed again without the offer.
+        """
+        while data:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as offer:
+                if self._parser.get_method() == b"CONNECT":
+                    self._reject(400)
+                    return
+                rest = data[offer.args[0] :]
+                data = self._head_without_offer() + rest
+
+    def _head_without_offer(self) -> bytes:
+        parts = [
+            self._parser.get_method(),
+            b" ",
+            self._target,
+            b" HTTP/%s\r\n" % self._parser.get_http_version().encode(),
+        ]
+        for name, value in self._headers:
+            if name.lower() != b"upgrade":
+                parts += (name, b": ", value, b"\r\n")
+        parts.append(b"\r\n")
+        return b"".join(parts)
+
     # Callbacks of the httptools parser.
 
     def on_message_begin(self) -> None:
@@ -172,6 +200,8 @@
 
     def on_headers_complete(self) -> None:
         """Check the header size; answer ``Expect: 100-continue``."""
+        if self._parser.should_upgrade():
+            return
         self._in_head = False
         self._head_bytes = 0
         header_bytes = sum(
@@ -196,6 +226,8 @@
 
     def on_message_complete(self) -> None:
         """Serve the request, or queue it behind the current one."""
+        if self._parser.should_upgrade():
+            return
         self._in_message = False
         if self._closing:
             return
