--- a/heatherdyke/gateway/leaf_connection.py
+++ b/heatherdyke/gateway/leaf_connection.py
@@ -1,8 +1,9 @@
 """A connection to a leaf that sends a request and reads its response.
 
-Responses are parsed by httptools.  A response with the id of another request
-is a late one and is ignored.  Bytes received without a request in progress
-close the connection.
+Responses are parsed by httptools.  A response that does not name the request
+is ignored: it is a late one, or bytes of a faulty leaf, and says nothing of
+whether the request ran.  Bytes received without a request in progress close
+the connection.
 """
 
 import asyncio
@@ -185,8 +186,9 @@
             self.transport.write(attempt.continuation())
 
     def _complete(self, reusable: bool) -> None:
-        echoed = find_request_id(self._headers)
-        if echoed is not None and echoed != self.attempt.request_id:
+        """Keep the response as the attempt's if it names the request."""
+        request_id = self.attempt.request_id
+        if request_id and find_request_id(self._headers) != request_id:
             return
         self._is_close_delimited = False
         self._reusable = reusable
--- a/heatherdyke/platform_standin/leaf.py
+++ b/heatherdyke/platform_standin/leaf.py
@@ -141,7 +141,10 @@
             return
         expected = find_header(request.headers, names.EXPECTED_LEAF)
         if expected is not None and expected != self.leaf_id.encode():
-            headers = [(names.LEAF_ID, self.leaf_id.encode())]
+            headers = [
+                (names.REQUEST_ID, request.request_id),
+                (names.LEAF_ID, self.leaf_id.encode()),
+            ]
             exchange.answer(ClientResponse(421, headers))
             return
         self.received_requests.append(
@@ -178,7 +181,11 @@
         loop.call_later(self.processing_s, finish, exchange)
 
     def _reject(self, exchange: Exchange) -> None:
-        headers = [(names.NOT_RUN, b"1"), *self._rate_headers()]
+        headers = [
+            (names.REQUEST_ID, exchange.request.request_id),
+            (names.NOT_RUN, b"1"),
+            *self._rate_headers(),
+        ]
         response = ClientResponse(503, headers)
         if not self.reject_delay_s:
             exchange.answer(response)
