--- a/heatherdyke/gateway/quarantine.py
+++ b/heatherdyke/gateway/quarantine.py
@@ -63,9 +63,14 @@
         """Return what is believed of the request."""
         return self.verdict.level
 
+    @property
+    def is_quarantined(self) -> bool:
+        """Return whether the request is sent to no leaf."""
+        return self.level is Level.CRASHING
+
     def is_expired(self, now: float) -> bool:
         """Return whether the entry no longer applies."""
-        kept_s = RETENTION_S if self.level is Level.CRASHING else SUSPECT_S
+        kept_s = RETENTION_S if self.is_quarantined else SUSPECT_S
         return now - self.since > kept_s
 
     def retry_after_s(self, now: float) -> float:
--- a/heatherdyke/gateway/quarantine_store.py
+++ b/heatherdyke/gateway/quarantine_store.py
@@ -103,3 +103,7 @@
             now = shared.loop.time()
             if shared.crash_guard.quarantine.apply_listed(verdict, now):
                 self._sync.on_listed(verdict)
+        names = {stored.name for stored in listing.objects}
+        for verdict in self._sync.find_unlisted(names):
+            # Written with the next list, as this one may be an old one.
+            self._waiting_by_key.setdefault(verdict.key, verdict)
--- a/heatherdyke/gateway/quarantine_sync.py
+++ b/heatherdyke/gateway/quarantine_sync.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Sequence
 
 import msgspec
@@ -23,6 +24,7 @@
 from heatherdyke.gateway.peer_messages import decode_message
 from heatherdyke.gateway.peer_messages import encode_message
 from heatherdyke.gateway.peer_send import PeerSend
+from heatherdyke.gateway.quarantine import STALE_LIST_S
 from heatherdyke.gateway.quarantine import Verdict
 from heatherdyke.gateway.shared_state import SharedState
 
@@ -84,13 +86,24 @@
         return QuarantineNews(verdicts=[x for x in replies if x is not None])
 
     def apply(self, verdict: Verdict, source: str) -> None:
-        """Apply a verdict and log a change of the request's level."""
+        """Apply a verdict; log a change of the request's level.
+
+        Each owner writes what changes a quarantine into the store, as the
+        instance that has decided it may end before it can.
+        """
         shared = self._shared
+        now = shared.loop.time()
         quarantine = shared.crash_guard.quarantine
+        known = quarantine.find(verdict.key, now)
+        was_quarantined = known is not None and known.is_quarantined
         if verdict.level is Level.CLEAR:
             self._evidence.clear(verdict.key)
-        if quarantine.apply(verdict, shared.loop.time()):
-            self.log_change(verdict, source)
+        if not quarantine.apply(verdict, now):
+            return
+        self.log_change(verdict, source)
+        concerns_store = was_quarantined or verdict.level is Level.CRASHING
+        if concerns_store and self._is_owner(verdict.key):
+            self.persist(verdict)
 
     def apply_reply(self, body: bytes) -> None:
         """Apply the verdicts with which another instance responded."""
@@ -109,7 +122,7 @@
     def clear(self, key: str) -> None:
         """Lift a request everywhere, as a leaf has completed it."""
         entry = self._shared.crash_guard.quarantine.entry_by_key.get(key)
-        was_quarantined = entry is not None and entry.level is Level.CRASHING
+        was_quarantined = entry is not None and entry.is_quarantined
         verdict = Verdict(key, Level.CLEAR, decided_by=self._own_name)
         self.apply(verdict, "completed")
         self._broadcast(verdict)
@@ -122,6 +135,23 @@
             self._evidence.clear(verdict.key)
         self.log_change(verdict, "store")
 
+    def find_unlisted(self, listed: Collection[str]) -> list[Verdict]:
+        """Return the verdicts that the store's list should have but has not.
+
+        Only those that this instance owns, and that are older than the list
+        may be.
+        """
+        now = self._shared.loop.time()
+        entry_by_key = self._shared.crash_guard.quarantine.entry_by_key
+        return [
+            entry.to_verdict(now)
+            for key, entry in entry_by_key.items()
+            if entry.is_quarantined
+            and key not in listed
+            and now - entry.changed_at > STALE_LIST_S
+            and self._is_owner(key)
+        ]
+
     def log_change(self, verdict: Verdict, source: str) -> None:
         """Log that the level of a request has changed here."""
         shared = self._shared
@@ -164,6 +194,9 @@
                 break
         return owners
 
+    def _is_owner(self, key: str) -> bool:
+        return self._own_name in self._owners(key)
+
     def _ranked(self, key: str) -> list[str]:
         instances = self._shared.instances or [self._own_name]
         return ranked_instances(key, instances)
--- a/tests/test_gateway_quarantine_store.py
+++ b/tests/test_gateway_quarantine_store.py
@@ -1,8 +1,10 @@
 """Quarantined requests in the platform's store, and their commands."""
 
 import asyncio
+from dataclasses import replace
 from random import Random
 
+import msgspec
 import pytest
 from gateway_entries import SETTINGS
 
@@ -12,10 +14,14 @@
 from heatherdyke.errors import RequestNotQuarantined
 from heatherdyke.gateway.crash_evidence import Level
 from heatherdyke.gateway.event_log import EventLog
+from heatherdyke.gateway.peer_messages import QuarantineNews
 from heatherdyke.gateway.quarantine import RETENTION_S
+from heatherdyke.gateway.quarantine import STALE_LIST_S
 from heatherdyke.gateway.quarantine import Verdict
 from heatherdyke.gateway.quarantine_store import QuarantineStore
+from heatherdyke.gateway.quarantine_sync import OWNER_COUNT
 from heatherdyke.gateway.quarantine_sync import QuarantineSync
+from heatherdyke.gateway.quarantine_sync import ranked_instances
 from heatherdyke.gateway.shared_state import SharedState
 from heatherdyke.platform.quarantines import KIND
 from heatherdyke.platform.store import StoreClient
@@ -38,15 +44,23 @@
     asyncio.run(main())
 
 
-def make_instance(client: StoreClient) -> tuple[SharedState, QuarantineStore]:
+def make_instance(
+    client: StoreClient, name: str = SETTINGS.name
+) -> tuple[SharedState, QuarantineStore]:
     """Return an instance that has just started, and its view of the store."""
     loop = asyncio.get_running_loop()
-    shared = SharedState(SETTINGS, loop, EventLog(loop.time), Random(1))
+    settings = replace(SETTINGS, name=name)
+    shared = SharedState(settings, loop, EventLog(loop.time), Random(1))
     quarantine_store = QuarantineStore(shared, QuarantineSync(shared))
     quarantine_store._store = client
     return shared, quarantine_store
 
 
+def decided_now(verdict: Verdict) -> Verdict:
+    """Return a copy of the verdict that was decided just now."""
+    return msgspec.structs.replace(verdict, age_s=0.0)
+
+
 async def write(client: StoreClient, verdict: Verdict) -> None:
     _, store = make_instance(client)
     store.write(verdict)
@@ -98,6 +112,69 @@
         with_store(scenario)
 
 
+class TestLossOfTheInstanceThatDecided:
+    """The others were told its verdict, and the store never had it."""
+
+    INSTANCES = [f"g{number}" for number in range(195)]
+
+    def told(self, client, name) -> tuple[SharedState, QuarantineStore]:
+        """Return an instance that another one has told the verdict."""
+        shared, quarantine_store = make_instance(client, name)
+        shared.instances = self.INSTANCES
+        news = QuarantineNews(verdicts=[decided_now(VERDICT)])
+        quarantine_store._sync.handle(news)
+        return shared, quarantine_store
+
+    def test_each_owner_that_was_told_writes_the_verdict(self):
+        async def scenario(store, client):
+            for owner in ranked_instances("k1", self.INSTANCES)[:OWNER_COUNT]:
+                _, quarantine_store = self.told(client, owner)
+                await quarantine_store._write_waiting()
+                assert store.names(KIND) == ["k1"]
+                store.delete(KIND, "k1")
+
+        with_store(scenario)
+
+    def test_the_others_of_a_large_fleet_do_not(self):
+        async def scenario(store, client):
+            for name in ranked_instances("k1", self.INSTANCES)[OWNER_COUNT:]:
+                _, quarantine_store = self.told(client, name)
+                await quarantine_store._write_waiting()
+            assert store.names(KIND) == []
+
+        with_store(scenario)
+
+    def test_a_verdict_that_the_store_has_lost_is_written_again(self):
+        async def scenario(store, client):
+            owner = ranked_instances("k1", self.INSTANCES)[0]
+            shared, quarantine_store = self.told(client, owner)
+            await quarantine_store._write_waiting()
+            store.delete(KIND, "k1")
+            await quarantine_store._list()
+            await quarantine_store._write_waiting()
+            assert store.names(KIND) == []
+            entry = shared.crash_guard.quarantine.entry_by_key["k1"]
+            entry.changed_at -= STALE_LIST_S + 1.0
+            await quarantine_store._list()
+            await quarantine_store._write_waiting()
+            assert store.names(KIND) == ["k1"]
+
+        with_store(scenario)
+
+    def test_a_request_that_was_lifted_meanwhile_stays_lifted(self):
+        async def scenario(store, client):
+            owner = ranked_instances("k1", self.INSTANCES)[0]
+            _, quarantine_store = self.told(client, owner)
+            lifted = QuarantineNews(verdicts=[Verdict("k1", Level.CLEAR)])
+            quarantine_store._sync.handle(lifted)
+            await quarantine_store._write_waiting()
+            shared, starting = make_instance(client)
+            await starting._list()
+            assert not shared.crash_guard.quarantine.entry_by_key
+
+        with_store(scenario)
+
+
 class TestCommands:
     def test_an_operator_sees_and_lifts_a_request(self):
         async def scenario(store, client):
