Refuse with 503 what no leaf has got when its time ends

Cause: a request whose time ended, or whose process stopped, while all its connections were still being opened got 504 (a search 502 or 504), as an attempt in flight counted as one that a leaf may have run. The same held for a group that its peer had not yet agreed to take. In a cut that drops packets these are most requests, and an unsafe one can't be sent again after 504.

Change: only an attempt that has been written to a connection counts, and a group from the peer's 100 Continue on. The others are abandoned together with the answer, so that they are never sent.

--- a/heatherdyke/gateway/attempt_sender.py
+++ b/heatherdyke/gateway/attempt_sender.py
@@ -67,6 +67,17 @@
         """Return the number of attempts in flight."""
         return len(self._attempts)
 
+    @property
+    def has_reached_leafs(self) -> bool:
+        """Return whether a leaf may have got a request that is in flight.
+
+        It has not while the connection to it is being opened, and will not
+        once the attempts are abandoned.
+        """
+        return any(
+            attempt.connection is not None for attempt in self._attempts
+        )
+
     def send(
         self, leaf: Leaf, service: str, at_most_once: bool = False
     ) -> Attempt:
--- a/heatherdyke/gateway/canary.py
+++ b/heatherdyke/gateway/canary.py
@@ -46,9 +46,9 @@
         self._on_end = on_end
 
     @property
-    def running(self) -> int:
-        """Return the number of attempts in flight, at most one."""
-        return self._sender.running
+    def has_reached_leaf(self) -> bool:
+        """Return whether the leaf may have run the search."""
+        return self.may_have_run or self._sender.has_reached_leafs
 
     def start(self, shards: tuple[str, ...]) -> bool:
         """Send to a leaf of any of the shards; return False without one."""
--- a/heatherdyke/gateway/forwarded_request.py
+++ b/heatherdyke/gateway/forwarded_request.py
@@ -274,11 +274,11 @@
         if self._relay is not None:
             self._relay.abandon()
             self._may_have_run = self._relay.may_have_run
-        not_run = not self._may_have_run and self._sender.running == 0
-        if not_run:
-            self._refuse(reason)
-        else:
+        if self._may_have_run or self._sender.has_reached_leafs:
             self._fail(504, reason)
+        else:
+            self._sender.abandon()
+            self._refuse(reason)
 
     def _fail(self, status: int, reason: RefusalReason) -> None:
         self._stop_timer()
--- a/heatherdyke/gateway/peer_call.py
+++ b/heatherdyke/gateway/peer_call.py
@@ -62,6 +62,12 @@
         self._on_end = on_end
         self._send: PeerSend | None = None
 
+    @property
+    def has_begun(self) -> bool:
+        """Return whether the peer may have queried leafs, or may yet."""
+        is_continued = self._send is not None and self._send.may_have_run
+        return self.may_have_run or is_continued
+
     def start(self) -> bool:
         """Send the request to the best peer; return False if there is none."""
         shared = self._shared
--- a/heatherdyke/gateway/search.py
+++ b/heatherdyke/gateway/search.py
@@ -331,14 +331,13 @@
 
     def _has_reached_leafs(self) -> bool:
         """Return whether a leaf may have run the request or may yet do so."""
-        own = any(
-            search.may_have_run or search.running
-            for search in self._leaf_searches
-        )
-        canary = self._canary
-        if canary is not None and (canary.may_have_run or canary.running):
+        if self._canary is not None and self._canary.has_reached_leaf:
             return True
-        return own or bool(self._peer_calls) or bool(self._collector.bodies)
+        return (
+            bool(self._collector.bodies)
+            or any(item.has_reached_leafs for item in self._leaf_searches)
+            or any(call.has_begun for call in self._peer_calls)
+        )
 
     def _refuse(self, reason: RefusalReason) -> None:
         refuse_search(self._shared, self._exchange, self._route, reason)
--- a/heatherdyke/gateway/shard_search.py
+++ b/heatherdyke/gateway/shard_search.py
@@ -69,9 +69,9 @@
         self._timer: asyncio.TimerHandle | None = None
 
     @property
-    def running(self) -> int:
-        """Return the number of attempts in flight."""
-        return self._sender.running
+    def has_reached_leafs(self) -> bool:
+        """Return whether a leaf may have run the search."""
+        return self.may_have_run or self._sender.has_reached_leafs
 
     @property
     def sent(self) -> int:
@@ -162,7 +162,9 @@
         elif shard not in collector.progress.answered:
             reason = "rejected" if outcome.not_run else "failed"
             self._retry(shard, reason)
-        if self._postponed_shards and (self._has_part or not self.running):
+        if self._postponed_shards and (
+            self._has_part or not self._sender.running
+        ):
             self._retry_postponed()
         collector.decide()
 
