Keep no idle connection that is rarely used where they may fill a leaf's limit

Cause: with many instances each may open more than its share of a leaf's connections, as only the few that serve its group do. When groups fail, every instance sends directly, and each kept the connection that it had to open: up to 195 idle ones to a leaf that accepts 120, which then reset new ones.

Change: where all shares together exceed the limit, a connection is kept idle only if the pool was last used so recently that two more uses can be expected before the leaf closes it.

--- a/heatherdyke/gateway/connection_share.py
+++ b/heatherdyke/gateway/connection_share.py
@@ -3,7 +3,9 @@
 A leaf accepts a limited number of connections from all instances together.
 Each instance may open an equal share.  With many instances that share is too
 small for the few that send to the leaf: a group of shards is requested by few
-instances at a time, so each instance may then open more than its share.
+instances at a time, so each instance may then open more than its share.  It
+then keeps only those that it uses again soon: in a fault any instance may have
+to send to any leaf, and idle connections would use up the limit.
 """
 
 from collections.abc import Sequence
@@ -38,6 +40,11 @@
     )
 
 
+def may_exceed_limit(limit: int, instances: int) -> bool:
+    """Return whether all shares together exceed what the leaf accepts."""
+    return connection_share(limit, instances) * instances > limit
+
+
 def connection_share(limit: int, instances: int) -> int:
     """Return how many connections this instance may open to a leaf.
 
--- a/heatherdyke/gateway/leaf_pool.py
+++ b/heatherdyke/gateway/leaf_pool.py
@@ -19,6 +19,9 @@
 # the leaf for at least MIN_FRESH_REMAINING_S more.
 MAX_FRESH_IDLE_S = 0.25
 MIN_FRESH_REMAINING_S = 1.0
+# Where idle connections may use up a leaf's limit, one is kept if it can be
+# expected to carry this many requests until the leaf closes it.
+MIN_EXPECTED_USES = 2.0
 TCP_KEEPALIVE = KeepAliveOptions(idle_s=1, interval_s=1, probes=2)
 
 
@@ -48,26 +51,33 @@
 class LeafPool:
     """Opens, reuses and closes the connections to a leaf.
 
-    ``send`` does not enforce ``limit``: call ``has_capacity`` first.
+    ``send`` does not enforce ``limit``: call ``has_capacity`` first.  With
+    ``closes_unused`` connections that are rarely used are not kept idle.
     """
 
     __slots__ = (
         "leaf",
         "limit",
+        "closes_unused",
         "open_count",
         "closed",
         "_observer",
         "_idle",
+        "_last_release_at",
         "_tasks",
     )
 
-    def __init__(self, leaf: Leaf, observer: PoolObserver, limit: int) -> None:
+    def __init__(
+        self, leaf: Leaf, observer: PoolObserver, limit: int = 1
+    ) -> None:
         self.leaf = leaf
         self.limit = limit
+        self.closes_unused = False
         self.open_count = 0
         self.closed = False
         self._observer = observer
         self._idle: list[LeafConnection] = []
+        self._last_release_at = float("-inf")
         self._tasks: set[asyncio.Task] = set()
 
     def now(self) -> float:
@@ -119,10 +129,16 @@
 
     def release(self, connection: LeafConnection, reusable: bool) -> None:
         """Return a connection to the pool, or close it."""
+        now = self.now()
+        interval_s = now - self._last_release_at
+        self._last_release_at = now
+        if self.closes_unused:
+            kept_s = connection.idle_until - now
+            reusable = reusable and MIN_EXPECTED_USES * interval_s < kept_s
         if not reusable or self.closed or connection.is_closed:
             connection.transport.close()
             return
-        connection.idle_since = self.now()
+        connection.idle_since = now
         self._idle.append(connection)
 
     def connection_lost(
--- a/heatherdyke/gateway/leaf_pools.py
+++ b/heatherdyke/gateway/leaf_pools.py
@@ -6,6 +6,7 @@
 
 from heatherdyke.gateway.attempt import Attempt
 from heatherdyke.gateway.connection_share import connection_share
+from heatherdyke.gateway.connection_share import may_exceed_limit
 from heatherdyke.gateway.event_log import EventLog
 from heatherdyke.gateway.events import LEAF_RATE_LIMITED
 from heatherdyke.gateway.events import LEAF_RATE_UNLIMITED
@@ -82,15 +83,16 @@
         """Return the leaf's pool."""
         pool = self._pool_by_leaf.get(leaf)
         if pool is None:
-            pool = LeafPool(leaf, self, self._limit_of(leaf))
+            pool = LeafPool(leaf, self)
+            self._set_limit(pool)
             self._pool_by_leaf[leaf] = pool
         return pool
 
     def set_instances(self, instances: int) -> None:
         """Divide the leafs' connections among this many instances."""
         self._instances = instances
-        for leaf, pool in self._pool_by_leaf.items():
-            pool.limit = self._limit_of(leaf)
+        for pool in self._pool_by_leaf.values():
+            self._set_limit(pool)
 
     def drop(self, leaf: Leaf) -> None:
         """Close a leaf's connections once their responses are complete."""
@@ -283,6 +285,7 @@
         self._links.record_failure(leaf, attempt.sent_at)
         leaf.record_unreachable(self.loop.time())
 
-    def _limit_of(self, leaf: Leaf) -> int:
-        service = self._service_of(leaf.entry.service)
-        return connection_share(service.connection_limit, self._instances)
+    def _set_limit(self, pool: LeafPool) -> None:
+        limit = self._service_of(pool.leaf.entry.service).connection_limit
+        pool.limit = connection_share(limit, self._instances)
+        pool.closes_unused = may_exceed_limit(limit, self._instances)
