--- a/heatherdyke/gateway/process.py
+++ b/heatherdyke/gateway/process.py
@@ -93,14 +93,12 @@
             shared,
             state_updater.on_leafs_listed,
             state_updater.on_leaf_changed,
-            first_list_may_be_stale=True,
         )
         self._zone_watcher = StoreWatcher(
             ZONE_OUT_KIND,
             shared,
             state_updater.on_zones_listed,
             state_updater.on_zone_changed,
-            first_list_may_be_stale=True,
         )
         self._instance_registry = InstanceRegistry(shared, state_updater)
         self._dispatcher = Dispatcher(
--- a/heatherdyke/gateway/store_watcher.py
+++ b/heatherdyke/gateway/store_watcher.py
@@ -37,11 +37,10 @@
     """Lists a kind, then watches it; relists when the watch cannot resume.
 
     ``on_listing`` is called with all objects, ``on_change`` with one change.
-    Their second argument states what is known about a missing entry.  With
-    ``first_list_may_be_stale`` the first list may be some seconds old, as the
-    watch that follows delivers later changes; all further lists are current.
-    ``last_response_at`` is the time of the store's last response, ``listed``
-    is set after the first list.
+    Their second argument states what is known about a missing entry.  The
+    first list may be some seconds old, as the watch that follows delivers
+    later changes; all further lists are current.  ``last_response_at`` is the
+    time of the store's last response, ``listed`` is set after the first list.
     """
 
     __slots__ = (
@@ -57,6 +56,7 @@
         "_retry_s",
         "_batch_changes",
         "_list_may_be_stale",
+        "_has_stale_list",
         "_relist_requested",
         "_timing",
     )
@@ -68,7 +68,6 @@
         on_listing: Callable[[Listing, Removal], None],
         on_change: Callable[[Change, Removal], None],
         batch_changes: bool = True,
-        first_list_may_be_stale: bool = False,
     ) -> None:
         self.kind = kind
         self.last_response_at = 0.0
@@ -81,7 +80,8 @@
         self._entries_may_reappear_until = 0.0
         self._retry_s = RETRY_FIRST_S
         self._batch_changes = batch_changes
-        self._list_may_be_stale = first_list_may_be_stale
+        self._list_may_be_stale = True
+        self._has_stale_list = False
         self._relist_requested = False
         self._timing = WatchTiming()
 
@@ -117,6 +117,7 @@
         began_at = self._shared.loop.time()
         listing = await self._store.list(self.kind, self._list_may_be_stale)
         self._timing.add_delay(self._shared.loop.time() - began_at)
+        self._has_stale_list = self._list_may_be_stale
         self._list_may_be_stale = False
         self._on_response()
         self._count_unreadable(listing.nameless)
@@ -137,7 +138,11 @@
         if not page.changes:
             elapsed_s = self._shared.loop.time() - began_at
             self._timing.add_delay(elapsed_s - duration.wait_s)
-        was_interrupted = self._unavailable_since is not None
+        # What a stale list lacks may have changed some time ago.
+        was_interrupted = (
+            self._unavailable_since is not None or self._has_stale_list
+        )
+        self._has_stale_list = False
         self._on_response()
         self._count_unreadable(page.nameless)
         removal = self._removal(was_interrupted)
--- a/heatherdyke/platform_standin/store.py
+++ b/heatherdyke/platform_standin/store.py
@@ -77,6 +77,7 @@
         "_history",
         "_first_revision",
         "_watches",
+        "_stale_lists",
     )
 
     def __init__(self) -> None:
@@ -88,6 +89,16 @@
         self._history: list[HistoryEntry] = []
         self._first_revision = 1
         self._watches: list[PendingWatch] = []
+        self._stale_lists: tuple[int, dict[str, dict[str, StoredItem]]] | None
+        self._stale_lists = None
+
+    def freeze_stale_lists(self) -> None:
+        """Answer lists that may be stale with the present objects for ever."""
+        items = {
+            kind: dict(by_name)
+            for kind, by_name in self._items_by_kind.items()
+        }
+        self._stale_lists = (self._revision, items)
 
     def put(self, kind: str, name: str, spec: Any) -> None:
         """Create or replace an object, as an operator or a leaf would."""
@@ -154,7 +165,7 @@
             if "watch" in arguments:
                 self._watch(exchange, kind, arguments)
             else:
-                self._list(exchange, kind, arguments.get("after", ""))
+                self._list(exchange, kind, arguments)
 
     def _create(self, exchange: Exchange, kind: str) -> None:
         body = msgspec.json.decode(exchange.request.body)
@@ -181,8 +192,14 @@
         else:
             _reply(exchange, 200, item.to_wire())
 
-    def _list(self, exchange: Exchange, kind: str, after: str) -> None:
-        items = self._items_by_kind.get(kind, {})
+    def _list(
+        self, exchange: Exchange, kind: str, arguments: dict[str, str]
+    ) -> None:
+        revision, items_by_kind = self._revision, self._items_by_kind
+        if self._stale_lists is not None and "allow-stale" in arguments:
+            revision, items_by_kind = self._stale_lists
+        after = arguments.get("after", "")
+        items = items_by_kind.get(kind, {})
         names = [name for name in sorted(items) if name > after]
         page = names[:MAX_OBJECTS_PER_PAGE]
         _reply(
@@ -191,7 +208,7 @@
             {
                 "items": [items[name].to_wire() for name in page],
                 "more": len(names) > len(page),
-                "at-revision": self._revision,
+                "at-revision": revision,
             },
         )
 
--- /dev/null
+++ b/tests/test_gateway_stale_lists.py
@@ -0,0 +1,100 @@
+"""Lists of the store that are some seconds old when an instance starts."""
+
+import asyncio
+from dataclasses import replace
+from random import Random
+
+from gateway_entries import SETTINGS
+
+from heatherdyke.gateway.event_log import EventLog
+from heatherdyke.gateway.leaf_table import Removal
+from heatherdyke.gateway.settings import StoreSettings
+from heatherdyke.gateway.shared_state import SharedState
+from heatherdyke.gateway.store_watcher import StoreWatcher
+from heatherdyke.platform.store import Listing
+from heatherdyke.platform.store_pages import Change
+from heatherdyke.platform_standin.store import StandinStore
+
+KIND = "config"
+
+
+class Recorder:
+    """Keeps what a watcher reports."""
+
+    def __init__(self) -> None:
+        self.listed: list[str] = []
+        self.changed: list[tuple[str, bool, Removal]] = []
+
+    def on_listing(self, listing: Listing, removal: Removal) -> None:
+        self.listed += [stored.name for stored in listing.objects]
+
+    def on_change(self, change: Change, removal: Removal) -> None:
+        self.changed.append((change.object.name, change.deleted, removal))
+
+
+def watch(prepare, change_later=lambda store: None) -> Recorder:
+    """Return what a watcher reports.
+
+    ``prepare`` sets up the store and ``change_later`` changes it once the
+    watcher runs.
+    """
+
+    async def main() -> Recorder:
+        store = StandinStore()
+        await store.listener.start()
+        prepare(store)
+        loop = asyncio.get_running_loop()
+        address = store.listener.address
+        settings = replace(SETTINGS, store=StoreSettings(address))
+        shared = SharedState(settings, loop, EventLog(loop.time), Random(1))
+        recorder = Recorder()
+        watcher = StoreWatcher(
+            KIND, shared, recorder.on_listing, recorder.on_change
+        )
+        task = asyncio.create_task(watcher.run())
+        await asyncio.sleep(0.3)
+        change_later(store)
+        await asyncio.sleep(1.0)
+        task.cancel()
+        watcher._store.close()
+        await store.listener.stop()
+        return recorder
+
+    return asyncio.run(main())
+
+
+def with_stale_lists(store: StandinStore) -> None:
+    """Change the store after the state that stale lists show."""
+    store.put(KIND, "kept", 1)
+    store.put(KIND, "removed", 1)
+    store.freeze_stale_lists()
+    store.put(KIND, "added", 1)
+    store.delete(KIND, "removed")
+
+
+class TestStaleFirstList:
+    def test_the_watch_reports_what_it_lacks(self):
+        recorder = watch(with_stale_lists)
+        assert recorder.listed == ["kept", "removed"]
+        reported = [(name, deleted) for name, deleted, _ in recorder.changed]
+        assert reported == [("added", False), ("removed", True)]
+
+    # Guards against a configuration that is held for leafs to become warm
+    # although it has been due for some time.
+    def test_what_it_lacks_may_have_changed_some_time_ago(self):
+        recorder = watch(with_stale_lists)
+        assert {item[2] for item in recorder.changed} == {Removal.LATE}
+
+    def test_later_changes_are_timely(self):
+        recorder = watch(
+            with_stale_lists, lambda store: store.put(KIND, "later", 1)
+        )
+        assert recorder.changed[-1] == ("later", False, Removal.TIMELY)
+
+    def test_a_list_after_a_lost_history_is_current(self):
+        def prepare(store: StandinStore) -> None:
+            with_stale_lists(store)
+            store.compact_history()
+
+        recorder = watch(prepare)
+        assert recorder.listed == ["kept", "removed", "added", "kept"]
