--- a/heatherdyke/platform/store.py
+++ b/heatherdyke/platform/store.py
@@ -87,9 +87,9 @@
             page = _decode(response, decode_list_page)
             objects += page.objects
             nameless += page.nameless
-            # A watch from the first page's revision reports all changes that
-            # were made while the later pages were fetched.
-            revision = page.revision if revision is None else revision
+            # A watch from the oldest page's revision reports all changes that
+            # some page lacks.  A later page may be the older one if stale.
+            revision = min(revision or page.revision, page.revision)
             if not page.has_more:
                 return Listing(objects, revision, nameless)
             if not page.objects:
--- a/tests/test_gateway_stale_lists.py
+++ b/tests/test_gateway_stale_lists.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import replace
 from random import Random
+from unittest import mock
 
 from gateway_entries import SETTINGS
 
@@ -11,7 +12,10 @@
 from heatherdyke.gateway.settings import StoreSettings
 from heatherdyke.gateway.shared_state import SharedState
 from heatherdyke.gateway.store_watcher import StoreWatcher
+from heatherdyke.net.address import Address
+from heatherdyke.net.http_connection import HttpResponse
 from heatherdyke.platform.store import Listing
+from heatherdyke.platform.store import StoreClient
 from heatherdyke.platform.store_pages import Change
 from heatherdyke.platform_standin.store import StandinStore
 
@@ -98,3 +102,24 @@
 
         recorder = watch(prepare)
         assert recorder.listed == ["kept", "removed", "added", "kept"]
+
+
+class TestPagesOfDifferentAge:
+    # Guards against a drain that is never noticed: it happened after the
+    # second page was recorded, and before the first one was.
+    def test_the_watch_starts_at_the_oldest_one(self):
+        pages = [
+            b'{"items":[{"meta":{"name":"a","revision":3}}],"more":true,'
+            b'"at-revision":9}',
+            b'{"items":[{"meta":{"name":"b","revision":2}}],"more":false,'
+            b'"at-revision":5}',
+        ]
+
+        async def call(*arguments, **options) -> HttpResponse:
+            return HttpResponse(200, pages.pop(0))
+
+        client = StoreClient(Address("127.0.0.1", 1))
+        with mock.patch.object(StoreClient, "_call", call):
+            listing = asyncio.run(client.list(KIND, allow_stale=True))
+        assert [stored.name for stored in listing.objects] == ["a", "b"]
+        assert listing.revision == 5
