Split the groups of a search from the search

group_calls requests groups from other instances and collects their parts; search decides what becomes of the shards. No change of what is done; the tests of searches pass as before.

--- a/heatherdyke/gateway/part_collector.py
+++ b/heatherdyke/gateway/part_collector.py
@@ -105,6 +105,11 @@
         """Record that no part of the shard is expected any more."""
         self.progress.add_loss(shard)
 
+    def add_losses(self, shards: Iterable[str]) -> None:
+        """Record that no parts of these shards are expected any more."""
+        for shard in shards:
+            self.add_loss(shard)
+
     def decide(self) -> None:
         """Report the decision if the search need not wait any longer."""
         if self.closed or self.decided:
--- a/heatherdyke/gateway/search.py
+++ b/heatherdyke/gateway/search.py
@@ -7,6 +7,7 @@
 from heatherdyke.gateway.canary import Canary
 from heatherdyke.gateway.crash_guard import Admission
 from heatherdyke.gateway.exchange import Exchange
+from heatherdyke.gateway.group_calls import GroupCalls
 from heatherdyke.gateway.grouping import Group
 from heatherdyke.gateway.grouping import group_shards
 from heatherdyke.gateway.grouping import relayed_groups
@@ -16,9 +17,6 @@
 from heatherdyke.gateway.messages import LeafResponse
 from heatherdyke.gateway.outcome_report import OutcomeReport
 from heatherdyke.gateway.part_collector import PartCollector
-from heatherdyke.gateway.peer_call import PeerCall
-from heatherdyke.gateway.peer_messages import GroupResult
-from heatherdyke.gateway.peer_requests import group_request
 from heatherdyke.gateway.record_merge import top_records
 from heatherdyke.gateway.refusal import RefusalReason
 from heatherdyke.gateway.refusal import make_failure_answer
@@ -38,9 +36,6 @@
 from heatherdyke.gateway.zone_probes import PROBE_TIMEOUT_S
 from heatherdyke.platform.headers import merged_response_headers
 
-# The remainder of an open group is requested this much after the response is
-# due, so that a search that is answered on time sends no further request.
-REMAINDER_DELAY_S = 0.002
 # A search of which a group failed looks this often whether the zones of its
 # other shards respond.
 ZONE_CHECK_INTERVAL_S = PROBE_TIMEOUT_S / 2
@@ -55,12 +50,7 @@
         "_route",
         "_collector",
         "_leaf_searches",
-        "_peer_calls",
-        "_open_calls",
-        "_missing",
-        "_sent",
-        "_extra_sends",
-        "_may_have_run",
+        "_groups",
         "_canary",
         "_checks_zones",
         "_report",
@@ -92,12 +82,14 @@
             shared.loop, progress, self._on_decision
         )
         self._leaf_searches: list[ShardSearch] = []
-        self._peer_calls: set[PeerCall] = set()
-        self._open_calls: dict[PeerCall, GroupResult] = {}
-        self._missing: list[str] = []
-        self._sent = 0
-        self._extra_sends = 0
-        self._may_have_run = False
+        self._groups = GroupCalls(
+            shared,
+            request,
+            route,
+            self._collector,
+            self._on_group_declined,
+            self._on_group_failed,
+        )
         self._canary: Canary | None = None
         self._checks_zones = False
         self._report = OutcomeReport(shared, request, route, "search")
@@ -157,7 +149,6 @@
             self._on_canary_end,
         )
         if self._canary.start(plan.direct):
-            self._sent += 1
             self._collector.start()
         else:
             self._refuse(RefusalReason.SUSPECT)
@@ -176,7 +167,7 @@
         others = tuple(x for x in self._route.shards if x != shard)
         plan = plan_search(self._shared, self._route, access, others)
         self._query(plan, access)
-        self._lose(plan.without_leaf)
+        collector.add_losses(plan.without_leaf)
         collector.decide()
 
     def _query_leafs(self, shards: tuple[str, ...]) -> None:
@@ -191,68 +182,34 @@
         search.start()
 
     def _query_peer(self, group: Group) -> None:
-        progress = self._collector.progress
-        message = group_request(
-            self._exchange.request,
-            self._route,
-            group.shards,
-            self._shared.config.version,
-        )
-        call = PeerCall(
-            self._shared,
-            group,
-            message,
-            progress.answer_at,
-            progress.deadline_at,
-            self._on_group_end,
-        )
-        if call.start():
-            self._peer_calls.add(call)
-        elif group.relayed:
-            self._lose(group.shards)
+        if self._groups.start(group):
+            return
+        if group.relayed:
+            self._collector.add_losses(group.shards)
         else:
             self._query_leafs(group.shards)
 
-    def _query_declined(self, shards: tuple[str, ...]) -> None:
-        """Query shards of a declined group directly or by other peers."""
-        if (
-            self._shared.crash_guard.entry_of(self._exchange.request)
-            is not None
-        ):
-            self._lose(shards)
+    def _on_group_declined(self, group: Group) -> None:
+        """Query the shards directly or by others, but no relayed ones."""
+        shared = self._shared
+        if group.relayed:
+            now = shared.loop.time()
+            shared.relays.record_failure(group.shards, now)
+            self._collector.add_losses(group.shards)
             return
-        plan = plan_search(self._shared, self._route, DIRECT_ACCESS, shards)
+        if shared.crash_guard.entry_of(self._exchange.request) is not None:
+            self._collector.add_losses(group.shards)
+            return
+        plan = plan_search(shared, self._route, DIRECT_ACCESS, group.shards)
         if plan.direct or plan.without_leaf:
             self._query_leafs(plan.direct + plan.without_leaf)
-        for group in relayed_groups(plan.relayed, self._shared.settings.zone):
-            self._query_peer(group)
-
-    def _lose(self, shards: tuple[str, ...]) -> None:
-        for shard in shards:
-            self._collector.add_loss(shard)
+        for relayed in relayed_groups(plan.relayed, shared.settings.zone):
+            self._query_peer(relayed)
 
-    def _on_group_end(
-        self, call: PeerCall, result: GroupResult | None
-    ) -> None:
-        self._peer_calls.discard(call)
-        if self._collector.closed:
-            return
-        if result is not None:
-            self._add_result(call, result)
-        elif call.may_have_run:
-            self._may_have_run = True
-            self._lose(call.group.shards)
-        elif call.group.relayed:
-            self._shared.relays.record_failure(
-                call.group.shards, self._shared.loop.time()
-            )
-            self._lose(call.group.shards)
-        else:
-            self._query_declined(call.group.shards)
-        if result is None and not self._checks_zones:
+    def _on_group_failed(self) -> None:
+        if not self._checks_zones:
             self._checks_zones = True
             self._check_zones()
-        self._collector.decide()
 
     def _check_zones(self) -> None:
         """Give up once too many shards are in zones that do not respond."""
@@ -282,36 +239,9 @@
             count - out_of_reach, count, route.min_share
         )
 
-    def _add_result(self, call: PeerCall, result: GroupResult) -> None:
-        self._may_have_run = True
-        self._collector.add_merged(result.parts, result.records)
-        if result.is_open:
-            self._open_calls[call] = result
-            loop = self._shared.loop
-            at = max(loop.time(), self._collector.progress.answer_at)
-            loop.call_at(at + REMAINDER_DELAY_S, self._request_remainder, call)
-            return
-        self._add_final_counts(result)
-        self._lose(call.group.shards)
-
-    def _request_remainder(self, call: PeerCall) -> None:
-        """Request the remainder of a group if the search is still open."""
-        if self._open_calls.pop(call, None) is None:
-            return
-        if not self._collector.closed:
-            self._peer_calls.add(call)
-            call.request_remainder()
-
-    def _add_final_counts(self, result: GroupResult) -> None:
-        self._sent += result.sent
-        self._extra_sends += result.extra_sends
-        self._missing += result.missing
-
     def _on_decision(self, decision: Decision) -> None:
         self._collector.close()
-        for result in self._open_calls.values():
-            self._add_final_counts(result)
-        self._open_calls.clear()
+        self._groups.close()
         if decision is Decision.ANSWER:
             self._answer()
         else:
@@ -329,7 +259,7 @@
         for search in self._leaf_searches:
             search.finish()
         self._report_answer()
-        self._abandon_calls()
+        self._groups.abandon()
 
     def _report_answer(self) -> None:
         self._shared.isolation.record_request(refused=False)
@@ -340,19 +270,19 @@
             )
             return
         extra_sends = sum(search.extra_sends for search in self._leaf_searches)
-        self._report.answered(self._extra_sends + extra_sends)
+        self._report.answered(self._groups.extra_sends + extra_sends)
 
     def _describe_missing(self) -> list[str]:
         """Return the missing shards with the leafs that were queried."""
-        missing = list(self._missing)
+        missing = self._groups.describe_missing()
         for search in self._leaf_searches:
             missing += search.describe_missing()
-        for call in self._peer_calls:
-            missing.append(f"{len(call.group.shards)} at {call.group.zone}")
         return missing
 
     def _attempts(self) -> int:
-        return self._sent + sum(search.sent for search in self._leaf_searches)
+        canary_sent = 0 if self._canary is None else 1
+        own_sent = sum(search.sent for search in self._leaf_searches)
+        return self._groups.sent + canary_sent + own_sent
 
     def _give_up(self) -> None:
         shared = self._shared
@@ -360,8 +290,9 @@
         reason = (
             RefusalReason.TIMEOUT if late else RefusalReason.SHARE_NOT_REACHED
         )
-        not_run = not self._may_have_run and not self._has_reached_leafs()
-        answer = make_failure_answer(reason, not_run, shared.random)
+        answer = make_failure_answer(
+            reason, not self._has_reached_leafs(), shared.random
+        )
         self._exchange.answer(answer)
         shared.isolation.record_request(refused=True)
         why = f"{reason.value}: {self._describe_missing()}"
@@ -375,7 +306,7 @@
         return (
             bool(self._collector.bodies)
             or any(item.has_reached_leafs for item in self._leaf_searches)
-            or any(call.has_begun for call in self._peer_calls)
+            or self._groups.have_reached_leafs
         )
 
     def _refuse(self, reason: RefusalReason) -> None:
@@ -383,7 +314,7 @@
 
     def _on_client_disconnect(self) -> None:
         self._collector.close()
-        self._open_calls.clear()
+        self._groups.close()
         self._abandon()
         self._report.client_left()
 
@@ -392,9 +323,4 @@
             self._canary.abandon()
         for search in self._leaf_searches:
             search.abandon()
-        self._abandon_calls()
-
-    def _abandon_calls(self) -> None:
-        for call in self._peer_calls:
-            call.abandon()
-        self._peer_calls.clear()
+        self._groups.abandon()
