Probe no leaf that is cold or whose zone is out of service

A probe of a silent zone is a request to a leaf: it counts for a cold leaf's rate, and a zone that operators took out gets nothing.

--- a/heatherdyke/gateway/link_monitor.py
+++ b/heatherdyke/gateway/link_monitor.py
@@ -20,7 +20,7 @@
 
     def update(self, now: float) -> None:
         """Compare with the state at the last update."""
-        self._zone_probes.update(now)
+        self._zone_probes.update()
         self._update_isolation(now)
         self._update_leaf_links(now)
 
--- a/heatherdyke/gateway/zone_probes.py
+++ b/heatherdyke/gateway/zone_probes.py
@@ -65,22 +65,23 @@
         if report.zone == shared.settings.zone:
             self._probe(set(report.silent_zones) & self._other_zones())
 
-    def update(self, now: float) -> None:
+    def update(self) -> None:
         """Probe silent zones again; check what the own zone can serve.
 
         Once one of them responds again, all the others are probed.
         """
         shared = self._shared
         silent = shared.isolation.zones.silent_zones()
-        count = REPROBED_ZONES
-        if len(silent) < self._silent_count:
-            count = len(silent)
+        has_fewer = len(silent) < self._silent_count
         self._silent_count = len(silent)
-        for zone in shared.random.sample(
-            sorted(silent), min(count, len(silent))
-        ):
-            leafs = int(shared.random.random() < LEAF_PROBE_SHARE)
-            self._send_probes(zone, instances=1 - leafs, leafs=leafs)
+        count = len(silent) if has_fewer else REPROBED_ZONES
+        chosen = shared.random.sample(sorted(silent), min(count, len(silent)))
+        for zone in chosen:
+            takes_leaf = shared.random.random() < LEAF_PROBE_SHARE
+            if takes_leaf or not shared.peers.of_zone(zone):
+                self._send_probes(zone, instances=0, leafs=1)
+            else:
+                self._send_probes(zone, instances=1, leafs=0)
         self._update_cut_off(silent)
 
     def _on_suspect(self, zone: str) -> None:
@@ -110,38 +111,48 @@
             reachability.record_probe(zone, now)
         if probed:
             shared.loop.call_later(
-                PROBE_TIMEOUT_S, self._conclude, probed, now
+                PROBE_TIMEOUT_S, self._end_probes, probed, now
             )
 
     def _send_probes(self, zone: str, instances: int, leafs: int) -> bool:
         """Check some instances and leafs; return False if there are none."""
         shared = self._shared
         peers = self._sample(shared.peers.of_zone(zone), instances)
-        near = [
-            leaf
-            for leaf in shared.leafs.leaf_by_id.values()
-            if leaf.entry.zone == zone and not leaf.entry.draining
-        ]
-        found = self._sample(near, leafs)
+        found = self._sample(self._leafs_to_probe(zone), leafs)
         _check(shared.peers.pools, peers)
         _check(shared.pools, found)
         return bool(peers or found)
 
+    def _leafs_to_probe(self, zone: str) -> list[Leaf]:
+        """Return the leafs of a zone that bear a health check."""
+        shared = self._shared
+        now = shared.loop.time()
+        if zone in shared.leafs.zones_out:
+            return []
+        return [
+            leaf
+            for leaf in shared.leafs.leaf_by_id.values()
+            if leaf.entry.zone == zone
+            and not leaf.entry.draining
+            and not leaf.is_cold(now)
+        ]
+
     def _sample(self, leafs: Sequence[Leaf], count: int) -> list[Leaf]:
         return self._shared.random.sample(leafs, min(count, len(leafs)))
 
-    def _conclude(self, zones: Sequence[str], probed_at: float) -> None:
-        """Take zones that did not answer for silent; tell the own zone."""
-        shared = self._shared
-        if shared.loop.time() - probed_at > 2 * PROBE_TIMEOUT_S:
-            # This process was paused and may have answers to read first.
-            shared.loop.call_later(
-                PROBE_TIMEOUT_S, self._conclude_late, zones, probed_at
-            )
-            return
-        self._conclude_late(zones, probed_at)
+    def _end_probes(self, zones: Sequence[str], probed_at: float) -> None:
+        """Judge the zones, later if this process was paused.
+
+        It may then have answers to read first.
+        """
+        loop = self._shared.loop
+        if loop.time() - probed_at > 2 * PROBE_TIMEOUT_S:
+            loop.call_later(PROBE_TIMEOUT_S, self._judge, zones, probed_at)
+        else:
+            self._judge(zones, probed_at)
 
-    def _conclude_late(self, zones: Sequence[str], probed_at: float) -> None:
+    def _judge(self, zones: Sequence[str], probed_at: float) -> None:
+        """Take zones that did not answer for silent; tell the own zone."""
         shared = self._shared
         reachability = shared.isolation.zones
         silent = [
--- a/tests/test_gateway_silent_zones.py
+++ b/tests/test_gateway_silent_zones.py
@@ -331,14 +331,50 @@
             zone.fail_groups("g3")
             await until(lambda: zone.ready_count() == 0)
             zone.reachable = True
-            now = zone.loop.time()
             for probes in zone.probes_by_name.values():
-                probes.update(now)
+                probes.update()
             await until(lambda: zone.ready_count() == 7)
 
         run(scenario)
 
 
+class TestLeafsThatAreProbed:
+    def probed(self, prepare) -> set[str]:
+        """Return the leafs of zone ``b`` that get a health check."""
+        found: set[str] = set()
+
+        async def scenario(zone: Zone) -> None:
+            shared = zone.shared_by_name["g0"]
+            prepare(shared)
+            for _ in range(50):
+                zone.probes_by_name["g0"]._send_probes("b", 0, 1)
+            found.update(
+                leaf.leaf_id
+                for leaf in shared.leafs.leaf_by_id.values()
+                if leaf.sent_at_by_attempt
+            )
+
+        run(scenario, 1)
+        return found
+
+    def test_those_of_other_zones_are_not(self):
+        assert self.probed(lambda shared: None) <= {f"{x}-b" for x in SHARDS}
+
+    def test_cold_ones_are_not(self):
+        def prepare(shared: SharedState) -> None:
+            for shard in SHARDS[1:]:
+                leaf = shared.leafs.leaf_by_id[f"{shard}-b"]
+                leaf.cold_until = shared.loop.time() + 60.0
+
+        assert self.probed(prepare) == {f"{SHARDS[0]}-b"}
+
+    def test_none_is_in_a_zone_that_operators_took_out(self):
+        def prepare(shared: SharedState) -> None:
+            shared.leafs.zones_out = {"b"}
+
+        assert self.probed(prepare) == set()
+
+
 class TestInstanceThatIsWrong:
     """It reports zones as silent that the others reach."""
 
