Heed leafs that say that they leave or want a pause

Change: leaf_statements applies what a response of the leaf itself states, in requests, parts of searches and health checks. A leaf that leaves counts as draining until a new incarnation, also if the store loses its entry and lists it again. One that asks for a pause gets no request, retry, hedge, probe or health check until its end; what only such leafs could serve is refused at once with that time. Malformed values are logged and ignored, huge ones are bounded. The stated rates moved there from the pools.

Open: an answer that another instance forwarded names no leaf, so what it states of one is not heeded here.

--- a/heatherdyke/gateway/attempt_sender.py
+++ b/heatherdyke/gateway/attempt_sender.py
@@ -166,7 +166,7 @@
         self._record_end(attempt, outcome)
         if outcome.response is not None:
             self.shared.links.record_response(leaf, now)
-            self.shared.pools.record_rate(
+            self.shared.pools.record_statements(
                 leaf, outcome.response, attempt.sent_at
             )
         elif outcome.failure is Failure.BROKEN:
--- a/heatherdyke/gateway/events.py
+++ b/heatherdyke/gateway/events.py
@@ -244,6 +244,28 @@
     "A leaf accepts connections again after none did.",
     ("unreachable_s",),
 )
+LEAF_PAUSED = register(
+    7213,
+    "leaf_paused",
+    Severity.INFO,
+    "A leaf rejected a request and wants none of this instance for a time.",
+    ("leaf", "service", "pause_s"),
+)
+LEAF_LEAVING = register(
+    7214,
+    "leaf_leaving",
+    Severity.INFO,
+    "A leaf's response says that it is about to end; it gets no requests.",
+    ("leaf", "service"),
+)
+LEAF_HEADER_UNREADABLE = register(
+    7215,
+    "leaf_header_unreadable",
+    Severity.WARNING,
+    "The value of a header in a leaf's response is malformed and ignored.",
+    ("leaf", "header", "value"),
+    "Look at the leaf's version.",
+)
 REQUEST_RELAYED = register(
     7308,
     "request_relayed",
--- a/heatherdyke/gateway/leaf_connection.py
+++ b/heatherdyke/gateway/leaf_connection.py
@@ -224,6 +224,10 @@
                 response.cold_s = names.parse_milliseconds(value) or 0.0
             elif lower == names.RATE_LIMIT:
                 response.rate_limit = names.parse_rate(value)
+            elif lower == names.LEAVING:
+                response.is_leaving = value.strip() == names.LEAVING_VALUE
+            elif lower == names.RETRY_AFTER:
+                response.retry_after = value
         if response.status == 421:
             response.not_run = True
         return response
--- a/heatherdyke/gateway/leaf_pools.py
+++ b/heatherdyke/gateway/leaf_pools.py
@@ -8,13 +8,12 @@
 from heatherdyke.gateway.connection_share import connection_share
 from heatherdyke.gateway.connection_share import may_exceed_limit
 from heatherdyke.gateway.event_log import EventLog
-from heatherdyke.gateway.events import LEAF_RATE_LIMITED
-from heatherdyke.gateway.events import LEAF_RATE_UNLIMITED
 from heatherdyke.gateway.events import LEAF_SUSPECTED
 from heatherdyke.gateway.events import LEAF_VERIFIED
 from heatherdyke.gateway.leaf_links import ZoneLinks
 from heatherdyke.gateway.leaf_pool import LeafPool
 from heatherdyke.gateway.leaf_rate_limit import LeafRateLimiter
+from heatherdyke.gateway.leaf_statements import LeafStatements
 from heatherdyke.gateway.leaf_table import Leaf
 from heatherdyke.gateway.messages import AttemptOutcome
 from heatherdyke.gateway.messages import LeafResponse
@@ -47,6 +46,7 @@
         "_log",
         "_links",
         "_observer",
+        "_statements",
         "_instances",
         "_service_of",
         "_pool_by_leaf",
@@ -67,6 +67,7 @@
         self.rates = rates
         self._observer = observer
         self._log = log
+        self._statements = LeafStatements(log, rates)
         self._links = links
         self._instances = 0
         self._service_of = service_of
@@ -117,35 +118,13 @@
         """Check a leaf's health; without a response it is suspect."""
         self._start_check(self.of(leaf), on_new_connection)
 
-    def record_rate(
+    def record_statements(
         self, leaf: Leaf, response: LeafResponse, sent_at: float
     ) -> None:
-        """Record the rate that a leaf's response states, or states no more.
-
-        Only a success shows that a rate has ended: a failure may come from
-        something between the leaf and this instance.
-        """
-        if response.status == STATUS_MISDIRECTED:
-            return
-        now = self.loop.time()
-        rate = response.rate_limit
-        if rate is not None:
-            if self.rates.record_rate(leaf.leaf_id, rate, now):
-                self._log.record(
-                    LEAF_RATE_LIMITED,
-                    leaf=leaf.leaf_id,
-                    service=leaf.entry.service,
-                    rate=rate,
-                )
-        elif response.is_signed_success:
-            limited_s = self.rates.record_no_rate(leaf.leaf_id, sent_at, now)
-            if limited_s is not None:
-                self._log.record(
-                    LEAF_RATE_UNLIMITED,
-                    leaf=leaf.leaf_id,
-                    service=leaf.entry.service,
-                    limited_s=round(limited_s, 3),
-                )
+        """Record what a leaf's response states about further requests."""
+        if response.status != STATUS_MISDIRECTED:
+            now = self.loop.time()
+            self._statements.record(leaf, response, sent_at, now)
 
     def check_after_break(self, pool: LeafPool) -> None:
         """Check a leaf if all its connections are closed soon after one."""
@@ -218,7 +197,7 @@
         if leaf in self._leafs_in_check or not has_connection:
             return
         now = self.loop.time()
-        if self.rates.wait_s(leaf.leaf_id, now) > 0.0:
+        if leaf.is_paused(now) or self.rates.wait_s(leaf.leaf_id, now) > 0.0:
             return
         self.rates.count_send(leaf.leaf_id, now)
         self._leafs_in_check.add(leaf)
@@ -258,7 +237,7 @@
         self._links.record_response(leaf, now)
         own_id = response.leaf_id == leaf.leaf_id.encode()
         if own_id:
-            self.record_rate(leaf, response, attempt.sent_at)
+            self.record_statements(leaf, response, attempt.sent_at)
             if self._observer is not None:
                 self._observer.record_alive(leaf.leaf_id, attempt.sent_at)
         if response.leaf_id is not None and not own_id:
--- a/heatherdyke/gateway/leaf_selection.py
+++ b/heatherdyke/gateway/leaf_selection.py
@@ -177,7 +177,7 @@
         return any(
             cannot_connect or leaf.is_suspect(now) or leaf.entry.zone in silent
             for leaf in self._allowed(service, route)
-            if not leaf.entry.draining and not leaf.misdirected
+            if not leaf.is_draining and not leaf.misdirected
         )
 
     def check_lost_leafs(self) -> None:
@@ -185,7 +185,7 @@
         leafs = [
             leaf
             for leaf in self._leafs.leaf_by_id.values()
-            if not leaf.entry.draining
+            if not leaf.is_draining
         ]
         count = min(LOST_CHECK_COUNT, len(leafs))
         for leaf in self._random.sample(leafs, count):
@@ -244,17 +244,18 @@
     ) -> float | None:
         """Return when ``needed`` of the services have a leaf again.
 
-        Only leafs that just their stated rates exclude are considered; None
-        if too few services have one.  Another instance may send to them
-        before this one, and within a window some instance may.
+        Only leafs that just what they state excludes are considered; None if
+        too few services have one.  Another instance may send to one with a
+        rate before this one, and within a window some instance may.
         """
         now = self._loop.time()
         wait_by_service = {
             service: min(
                 (
-                    self._pools.rates.wait_s(leaf.leaf_id, now)
+                    self._stated_wait_s(leaf, now)
                     for leaf in self._usable(service, route)
-                    if self._pools.rates.is_limited(leaf.leaf_id)
+                    if leaf.is_paused(now)
+                    or self._pools.rates.is_limited(leaf.leaf_id)
                 ),
                 default=inf,
             )
@@ -263,7 +264,12 @@
         waits = sorted(wait_by_service.values())[:needed]
         if len(waits) < needed or waits[-1] == inf:
             return None
-        return min(waits[-1], WINDOW_S)
+        return waits[-1]
+
+    def _stated_wait_s(self, leaf: Leaf, now: float) -> float:
+        """Return how long a leaf's rate and pause exclude it at most."""
+        rate_s = self._pools.rates.wait_s(leaf.leaf_id, now)
+        return max(leaf.paused_until - now, min(rate_s, WINDOW_S))
 
     def warm_share(self, route: Route) -> float:
         """Return the share of a route's shards that have a warm leaf."""
@@ -301,6 +307,8 @@
         warm: list[Leaf] = []
         cold: list[Leaf] = []
         for leaf in self._usable(service, route):
+            if leaf.is_paused(now):
+                continue
             if rates.wait_s(leaf.leaf_id, now) == 0.0:
                 (cold if leaf.is_cold(now) else warm).append(leaf)
         return warm or cold
@@ -330,6 +338,8 @@
         if leaf.entry.zone in self._silent_zones():
             return "zone_silent"
         state = leaf.state(now)
+        if state == "usable" and leaf.is_paused(now):
+            return "paused"
         if state == "usable" and self._pools.rates.wait_s(leaf.leaf_id, now):
             return "rate_reached"
         if state == "usable" and not self._pools.of(leaf).has_capacity():
--- a/heatherdyke/gateway/leaf_table.py
+++ b/heatherdyke/gateway/leaf_table.py
@@ -4,6 +4,7 @@
 All times are monotonic seconds.
 """
 
+from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
@@ -32,6 +33,8 @@
 # A leaf without a response for this many median times counts as stalled.
 STALL_FACTOR = 2.5
 STALL_MIN_S = 0.03
+# Leafs that have left are remembered until so many more have.
+MAX_LEAVING = 4096
 
 
 class Removal(Enum):
@@ -59,6 +62,8 @@
     applies.  ``absent_until`` is set while its entry is missing: when the
     leaf is dropped.  ``misdirected`` is set if another leaf responds at its
     address, ``unverified`` if it needs a health check before it gets requests.
+    ``is_leaving`` is set if its responses say that it is about to end, and
+    until ``paused_until`` it wants no request of this instance.
     """
 
     entry: LeafEntry
@@ -67,6 +72,8 @@
     absent_until: float | None = None
     misdirected: bool = False
     unverified: bool = False
+    is_leaving: bool = False
+    paused_until: float = 0.0
     suspect_until: float = 0.0
     unreachable_count: int = 0
     slowness: float = 1.0
@@ -80,6 +87,15 @@
         """Return the id of the leaf's entry."""
         return self.entry.leaf_id
 
+    @property
+    def is_draining(self) -> bool:
+        """Return whether the leaf or its entry says that it is leaving."""
+        return self.entry.draining or self.is_leaving
+
+    def is_paused(self, now: float) -> bool:
+        """Return whether the leaf has asked this instance to wait."""
+        return now < self.paused_until
+
     def is_cold(self, now: float) -> bool:
         """Return whether the leaf may only receive the cold rate."""
         return now < max(self.cold_until, self.reported_cold_until)
@@ -87,7 +103,7 @@
     def is_usable(self, now: float) -> bool:
         """Return whether requests may be sent, apart from the cold rate."""
         return not (
-            self.entry.draining or self.misdirected or self.is_suspect(now)
+            self.is_draining or self.misdirected or self.is_suspect(now)
         )
 
     def is_suspect(self, now: float) -> bool:
@@ -96,7 +112,7 @@
 
     def state(self, now: float) -> str:
         """Return the state as one word, for log lines."""
-        if self.entry.draining:
+        if self.is_draining:
             return "draining"
         if self.misdirected:
             return "another_at_its_address"
@@ -195,6 +211,7 @@
         "leaf_by_id",
         "zones_out",
         "_leafs_by_service",
+        "_leaving_by_id",
         "_expiry_s",
         "_drain_s",
     )
@@ -204,6 +221,8 @@
         self.leaf_by_id: dict[str, Leaf] = {}
         self.zones_out: frozenset[str] = frozenset()
         self._leafs_by_service: dict[str, list[Leaf]] = {}
+        # The last entries of dropped leafs that said that they were leaving.
+        self._leaving_by_id: OrderedDict[str, LeafEntry] = OrderedDict()
 
     def set_times(self, expiry_s: float, drain_s: float) -> None:
         """Set how long entries and leaving leafs last."""
@@ -227,13 +246,7 @@
         known = leaf.entry
         if _is_older(entry, known):
             return None
-        replaced = (
-            entry.born_ms != known.born_ms
-            or entry.address != known.address
-            or entry.service != known.service
-            or entry.sequence < known.sequence
-        )
-        if replaced:
+        if _is_replacement(entry, known):
             self._drop(leaf)
             self._add(entry, now)
             return leaf
@@ -270,7 +283,7 @@
         is alive: either the store has lost its reports, or the leaf is
         leaving without having said so and serves for the drain time.
         """
-        if leaf.entry.draining:
+        if leaf.is_draining:
             return 0.0
         if removal is Removal.AFTER_OUTAGE:
             return REAPPEARANCE_GRACE_S
@@ -320,6 +333,8 @@
 
     def _add(self, entry: LeafEntry, now: float) -> None:
         leaf = Leaf(entry=entry, last_observed_at=now)
+        left = self._leaving_by_id.get(entry.leaf_id)
+        leaf.is_leaving = left is not None and not _is_replacement(entry, left)
         self.leaf_by_id[entry.leaf_id] = leaf
         self._leafs_by_service.setdefault(entry.service, []).append(leaf)
         self._update_cold(leaf, now)
@@ -327,6 +342,10 @@
     def _drop(self, leaf: Leaf) -> None:
         del self.leaf_by_id[leaf.leaf_id]
         self._leafs_by_service[leaf.entry.service].remove(leaf)
+        if leaf.is_leaving:
+            self._leaving_by_id[leaf.leaf_id] = leaf.entry
+            if len(self._leaving_by_id) > MAX_LEAVING:
+                self._leaving_by_id.popitem(last=False)
 
     def _update_cold(self, leaf: Leaf, now: float) -> None:
         cold_s = leaf.entry.cold_s
@@ -335,6 +354,16 @@
             leaf.reported_cold_until = now + cold_s + COLD_MARGIN_S
 
 
+def _is_replacement(entry: LeafEntry, known: LeafEntry) -> bool:
+    """Return whether an entry is that of another incarnation or leaf."""
+    return (
+        entry.born_ms != known.born_ms
+        or entry.address != known.address
+        or entry.service != known.service
+        or entry.sequence < known.sequence
+    )
+
+
 def _is_older(entry: LeafEntry, known: LeafEntry) -> bool:
     """Return whether an entry was reported before the known one.
 
--- a/heatherdyke/gateway/messages.py
+++ b/heatherdyke/gateway/messages.py
@@ -45,7 +45,8 @@
     ``signature`` proves that the response comes from the leaf; ``not_run``
     is the leaf's statement that it did not run the request.  ``rate_limit``
     is how many requests per second it accepts from all instances, None if it
-    states no limit.
+    states no limit; ``is_leaving`` states that it is about to end, and
+    ``retry_after`` is the undecoded value of the header, None if absent.
     """
 
     status: int
@@ -57,6 +58,8 @@
     leaf_id: bytes | None = None
     cold_s: float = 0.0
     rate_limit: float | None = None
+    is_leaving: bool = False
+    retry_after: bytes | None = None
 
     @property
     def is_signed_success(self) -> bool:
--- a/heatherdyke/gateway/zone_probes.py
+++ b/heatherdyke/gateway/zone_probes.py
@@ -133,7 +133,7 @@
             leaf
             for leaf in shared.leafs.leaf_by_id.values()
             if leaf.entry.zone == zone
-            and not leaf.entry.draining
+            and not leaf.is_draining
             and not leaf.is_cold(now)
         ]
 
--- a/heatherdyke/platform/headers.py
+++ b/heatherdyke/platform/headers.py
@@ -18,6 +18,10 @@
 # The requests per second that the leaf accepts from all instances together,
 # a decimal number; present in its responses for as long as it applies.
 RATE_LIMIT = b"server-limit"
+# In all responses of a leaf that is about to end, with this value.
+LEAVING = b"server-leaving"
+LEAVING_VALUE = b"1"
+# In a leaf's 503: it wants nothing from this instance for so many seconds.
 RETRY_AFTER = b"retry-after"
 
 # Credentials, by which requests of different callers are told apart; the
@@ -56,6 +60,15 @@
         return None
 
 
+def parse_seconds(value: bytes) -> float | None:
+    """Return a number of seconds, None if negative or not a number."""
+    try:
+        seconds = float(value)
+    except ValueError:
+        return None
+    return seconds if seconds >= 0.0 else None
+
+
 def parse_rate(value: bytes) -> float | None:
     """Return the requests per second, None if not a positive number."""
     try:
--- a/heatherdyke/platform_standin/leaf.py
+++ b/heatherdyke/platform_standin/leaf.py
@@ -71,8 +71,10 @@
     A successful response has ``records`` random records of 16 bytes each.
     Requests are rejected after ``reject_delay_s``, as by a leaf whose queue is
     full for so long.  ``rate_limit`` is the rate that all responses state,
-    None for no rate.  ``runs`` lists the ids of the executed requests.
-    Requests meant for another leaf are refused with 421 and not recorded.
+    None for no rate; with ``is_leaving`` they state that the leaf is about to
+    end.  ``retry_after`` is that of its rejections, None for none.  ``runs``
+    lists the ids of the executed requests.  Requests meant for another leaf
+    are refused with 421 and not recorded.
 
     A request for which ``crashes_on`` is true crashes the leaf once it has
     run: for ``down_s`` seconds nothing listens at its address.
@@ -85,6 +87,8 @@
     records: int = 10
     cold_s: float = 0.0
     rate_limit: float | None = None
+    is_leaving: bool = False
+    retry_after: bytes | None = None
     behaviour: Behaviour = Behaviour.SERVE
     reject_delay_s: float = 0.0
     crashes_on: Callable[[ClientRequest], bool] = _crashes_on_nothing
@@ -164,7 +168,7 @@
         headers = [
             (names.LEAF_ID, self.leaf_id.encode()),
             (names.COLD_REMAINING, b"%d" % int(self.cold_s * 1000)),
-            *self._rate_headers(),
+            *self._statement_headers(),
         ]
         if self.behaviour is not Behaviour.SILENT:
             exchange.answer(ClientResponse(200, headers))
@@ -184,8 +188,10 @@
         headers = [
             (names.REQUEST_ID, exchange.request.request_id),
             (names.NOT_RUN, b"1"),
-            *self._rate_headers(),
+            *self._statement_headers(),
         ]
+        if self.retry_after is not None:
+            headers.append((names.RETRY_AFTER, self.retry_after))
         response = ClientResponse(503, headers)
         if not self.reject_delay_s:
             exchange.answer(response)
@@ -214,7 +220,7 @@
         headers = [
             (names.REQUEST_ID, request.request_id),
             (names.SIGNATURE, signature),
-            *self._rate_headers(),
+            *self._statement_headers(),
         ]
         status = STATUS_BY_FAILURE.get(self.behaviour)
         if status is not None:
@@ -226,7 +232,10 @@
             )
         )
 
-    def _rate_headers(self) -> HeaderList:
-        if self.rate_limit is None:
-            return []
-        return [(names.RATE_LIMIT, b"%.1f" % self.rate_limit)]
+    def _statement_headers(self) -> HeaderList:
+        headers: HeaderList = []
+        if self.is_leaving:
+            headers.append((names.LEAVING, names.LEAVING_VALUE))
+        if self.rate_limit is not None:
+            headers.append((names.RATE_LIMIT, b"%.1f" % self.rate_limit))
+        return headers
