--- /dev/null
+++ b/tests/test_gateway_instance_registry.py
@@ -0,0 +1,64 @@
+"""The entry of an instance in a store that comes back from an older copy."""
+
+import asyncio
+from random import Random
+
+from gateway_entries import SETTINGS
+
+from heatherdyke.gateway.event_log import EventLog
+from heatherdyke.gateway.instance_registry import STALE_LIST_S
+from heatherdyke.gateway.instance_registry import InstanceRegistry
+from heatherdyke.gateway.shared_state import SharedState
+from heatherdyke.gateway.state_updater import StateUpdater
+from heatherdyke.platform.instances import KIND
+from heatherdyke.platform.store import StoreClient
+from heatherdyke.platform_standin.store import StandinStore
+
+
+def with_registry(scenario) -> None:
+    async def main() -> None:
+        store = StandinStore()
+        await store.listener.start()
+        loop = asyncio.get_running_loop()
+        shared = SharedState(SETTINGS, loop, EventLog(loop.time), Random(1))
+        registry = InstanceRegistry(shared, StateUpdater(shared))
+        registry._store = StoreClient(store.listener.address)
+        await registry._register_and_list()
+        assert store.names(KIND) == [SETTINGS.name]
+        await scenario(store, registry)
+        registry._store.close()
+        await store.listener.stop()
+
+    asyncio.run(main())
+
+
+class TestInstanceRegistry:
+    # Guards against an instance that the others do not know for the rest of
+    # its life, so that they share fleet-wide limits without it.
+    def test_a_lost_entry_is_written_again(self):
+        async def scenario(store, registry) -> None:
+            store.delete(KIND, SETTINGS.name)
+            registry._created_at -= STALE_LIST_S + 1.0
+            await registry._register_and_list()
+            assert store.names(KIND) == [SETTINGS.name]
+
+        with_registry(scenario)
+
+    def test_an_old_list_that_lacks_it_costs_no_call(self):
+        async def scenario(store, registry) -> None:
+            store.delete(KIND, SETTINGS.name)
+            store.freeze_stale_lists()
+            creations = store.calls[f"POST {KIND}"]
+            await registry._register_and_list()
+            assert store.calls[f"POST {KIND}"] == creations
+
+        with_registry(scenario)
+
+    def test_an_entry_that_exists_is_left_alone(self):
+        async def scenario(store, registry) -> None:
+            creations = store.calls[f"POST {KIND}"]
+            registry._created_at -= STALE_LIST_S + 1.0
+            await registry._register_and_list()
+            assert store.calls[f"POST {KIND}"] == creations
+
+        with_registry(scenario)
