--- a/heatherdyke/gateway/inbound_connection.py
+++ b/heatherdyke/gateway/inbound_connection.py
@@ -201,6 +201,7 @@
     def on_headers_complete(self) -> None:
         """Check the header size; answer ``Expect: 100-continue``."""
         if self._parser.should_upgrade():
+            # The head is about to be parsed again, without the offer.
             return
         self._in_head = False
         self._head_bytes = 0
@@ -227,6 +228,7 @@
     def on_message_complete(self) -> None:
         """Serve the request, or queue it behind the current one."""
         if self._parser.should_upgrade():
+            # Likewise; the body follows then.
             return
         self._in_message = False
         if self._closing:
--- a/heatherdyke/gateway/mechanisms.py
+++ b/heatherdyke/gateway/mechanisms.py
@@ -31,7 +31,8 @@
     LINGERING = "lingering"
     # An instance that is cut off from other zones reports not ready.
     ISOLATION = "isolation"
-    # Searches that need an unreachable zone are refused before any send.
+    # Zones that do not respond are probed and avoided, and searches that need
+    # one are refused before any send.
     UNREACHABLE_ZONES = "unreachable-zones"
     # A leaf that responds is kept for a while without a discovery entry.
     LIVE_LEAFS = "live-leafs"
--- a/heatherdyke/gateway/zone_probes.py
+++ b/heatherdyke/gateway/zone_probes.py
@@ -13,6 +13,7 @@
 from heatherdyke.gateway.events import ZONE_SILENT
 from heatherdyke.gateway.leaf_pools import LeafPools
 from heatherdyke.gateway.leaf_table import Leaf
+from heatherdyke.gateway.mechanisms import Mechanism
 from heatherdyke.gateway.messages import LeafResponse
 from heatherdyke.gateway.peer_messages import ZONE_PATH
 from heatherdyke.gateway.peer_messages import ZoneReport
@@ -99,6 +100,8 @@
     def _probe(self, zones: Collection[str]) -> None:
         """Probe the zones that have not been since their last response."""
         shared = self._shared
+        if not shared.has(Mechanism.UNREACHABLE_ZONES):
+            return
         now = shared.loop.time()
         reachability = shared.isolation.zones
         probed = [
