--- a/heatherdyke_bench/capacity.py
+++ b/heatherdyke_bench/capacity.py
@@ -2,7 +2,7 @@
 
 ``python -m heatherdyke_bench.capacity measure [NAME...]`` measures and
 stores slopes; ``python -m heatherdyke_bench.capacity page >
-docs/CAPACITY.md`` computes the page from the stored slopes.
+docs/CAPACITY-OWN-INTERFACE.md`` computes the page from the stored slopes.
 """
 
 from pathlib import Path
@@ -56,7 +56,7 @@
 
 @app.command()
 def page() -> None:
-    """Print docs/CAPACITY.md, computed from the stored slopes."""
+    """Print the page, computed from the stored slopes."""
     typer.echo(render_page(read_slopes()), nl=False)
 
 
--- a/heatherdyke_bench/capacity_page.py
+++ b/heatherdyke_bench/capacity_page.py
@@ -1,4 +1,4 @@
-"""Renders docs/CAPACITY.md from measured slopes."""
+"""Renders docs/CAPACITY-OWN-INTERFACE.md from measured slopes."""
 
 from importlib.resources import files
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -18,9 +18,10 @@
 
 class TestCapacityPage:
     def test_page_is_rendered_from_the_stored_slopes(self):
-        page = (ROOT / "docs" / "CAPACITY.md").read_text()
+        page = (ROOT / "docs" / "CAPACITY-OWN-INTERFACE.md").read_text()
         assert page == render_page(read_slopes()), (
-            "run python -m heatherdyke_bench.capacity page > docs/CAPACITY.md"
+            "run python -m heatherdyke_bench.capacity page "
+            "> docs/CAPACITY-OWN-INTERFACE.md"
         )
 
     def test_each_slope_has_enough_points(self):
