--- a/tests/test_gateway_silent_zones.py
+++ b/tests/test_gateway_silent_zones.py
@@ -21,6 +21,7 @@
 from instance_scenarios import add_leafs
 from instance_scenarios import client_request
 from instance_scenarios import make_shared
+from virtual_time import run_in_virtual_time
 
 from heatherdyke.gateway.event_log import EventLog
 from heatherdyke.gateway.exchange import Exchange
@@ -262,7 +263,7 @@
         ):
             await scenario(zone)
 
-    asyncio.run(main())
+    run_in_virtual_time(main())
 
 
 async def until(condition, timeout_s: float = NOTICE_S) -> None:
