State why a process ends, and its memory against the limit

A process that ended left no line that said why, and nothing showed its memory: the hypotheses of the incident could not be told apart. The last line is now gateway_stopped with the signal, or gateway_failed (7009) with reason and exit code; exceptions of callbacks are logged and counted like those of tasks; the metrics page has heatherdyke_memory_bytes, _peak_bytes and _limit_bytes, the latter from limits.memory-mb, which was not read.

--- a/heatherdyke/gateway/drain.py
+++ b/heatherdyke/gateway/drain.py
@@ -30,12 +30,15 @@
         self._client_api = client_api
         self._peer_api = peer_api
 
-    async def run(self, client_listener: asyncio.Server) -> None:
+    async def run(
+        self, client_listener: asyncio.Server, stop_signal: str
+    ) -> None:
         """Drain, and close the listener for clients."""
         shared = self._shared
         started_at = shared.loop.time()
         shared.log.record(
             GATEWAY_STOPPING,
+            signal=stop_signal,
             open_connections=self._client_api.open_count,
             running=self._client_api.running_count,
         )
@@ -47,6 +50,7 @@
         unfinished = await self._answer_unfinished()
         shared.log.record(
             GATEWAY_STOPPED,
+            signal=stop_signal,
             unfinished=unfinished,
             after_s=round(shared.loop.time() - started_at, 3),
         )
--- a/heatherdyke/gateway/event_log.py
+++ b/heatherdyke/gateway/event_log.py
@@ -12,6 +12,7 @@
 import msgspec
 from loguru import logger
 
+from heatherdyke.gateway.events import GATEWAY_FAILED
 from heatherdyke.gateway.events import GATEWAY_READY
 from heatherdyke.gateway.events import GATEWAY_STARTED
 from heatherdyke.gateway.events import GATEWAY_STOPPED
@@ -32,6 +33,7 @@
 # These are rare, and other lines cannot be understood without them.
 UNLIMITED = frozenset(
     (
+        GATEWAY_FAILED,
         GATEWAY_READY,
         GATEWAY_STARTED,
         GATEWAY_STOPPED,
--- a/heatherdyke/gateway/events.py
+++ b/heatherdyke/gateway/events.py
@@ -22,14 +22,23 @@
     "gateway_stopping",
     Severity.INFO,
     "The process received a stop signal and is draining.",
-    ("open_connections", "running"),
+    ("signal", "open_connections", "running"),
 )
 GATEWAY_STOPPED = register(
     7004,
     "gateway_stopped",
     Severity.INFO,
-    "The process is exiting.",
-    ("unfinished", "after_s"),
+    "The process is exiting after a stop signal.",
+    ("signal", "unfinished", "after_s"),
+)
+GATEWAY_FAILED = register(
+    7009,
+    "gateway_failed",
+    Severity.ERROR,
+    "The process ends because of an error, its last line says which.",
+    ("reason", "exit_code"),
+    "Read the reason; a process that ends without this line or "
+    "gateway_stopped was killed, for example for its memory.",
 )
 SETTINGS_RELOADED = register(
     7005,
--- a/heatherdyke/gateway/process.py
+++ b/heatherdyke/gateway/process.py
@@ -8,6 +8,7 @@
 from random import Random
 from time import CLOCK_BOOTTIME
 from time import clock_gettime
+from typing import Any
 
 from heatherdyke import __version__
 from heatherdyke.errors import SettingsError
@@ -27,6 +28,9 @@
 from heatherdyke.gateway.mechanisms import Mechanism
 from heatherdyke.gateway.pause_detector import PauseDetector
 from heatherdyke.gateway.peer_api import PeerApi
+from heatherdyke.gateway.process_memory import CURRENT_FIELD
+from heatherdyke.gateway.process_memory import PEAK_FIELD
+from heatherdyke.gateway.process_memory import read_memory_bytes
 from heatherdyke.gateway.quarantine_store import QuarantineStore
 from heatherdyke.gateway.quarantine_sync import QuarantineSync
 from heatherdyke.gateway.settings import GatewaySettings
@@ -36,6 +40,7 @@
 from heatherdyke.gateway.store_watcher import StoreWatcher
 from heatherdyke.gateway.zone_probes import ZoneProbes
 from heatherdyke.net.address import Address
+from heatherdyke.observe.prometheus_text import render_gauges
 from heatherdyke.observe.prometheus_text import render_metrics
 from heatherdyke.platform.configuration import KIND as CONFIG_KIND
 from heatherdyke.platform.discovery import LEAF_KIND
@@ -47,6 +52,7 @@
 # The settings file may change without a SIGHUP.
 RELOAD_INTERVAL_S = 2.0
 TASK_RESTART_DELAY_S = 1.0
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 class GatewayProcess:
@@ -66,6 +72,7 @@
         "_peer_api",
         "_metrics_port",
         "_stopping",
+        "_stop_signal",
         "_pause_detector",
         "_started_at",
         "_ready_logged",
@@ -116,6 +123,7 @@
         )
         self._metrics_port = metrics_port
         self._stopping = asyncio.Event()
+        self._stop_signal = ""
         self._pause_detector = PauseDetector(MAINTENANCE_INTERVAL_S)
         self._started_at = shared.loop.time()
         self._ready_logged = False
@@ -154,8 +162,9 @@
         """Serve until a stop signal, then drain."""
         shared = self._shared
         loop = shared.loop
-        loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
-        loop.add_signal_handler(signal.SIGINT, self._stopping.set)
+        loop.set_exception_handler(self._on_unhandled)
+        for number in STOP_SIGNALS:
+            loop.add_signal_handler(number, self._stop, number)
         loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
         settings = shared.settings
         server = await self._listen(settings.client_address, self._client_api)
@@ -184,16 +193,24 @@
         runs += [self._serve_held, self._run_maintenance]
         tasks = [loop.create_task(self._keep_running(run)) for run in runs]
         await self._stopping.wait()
-        await Drain(shared, self._client_api, self._peer_api).run(server)
+        drain = Drain(shared, self._client_api, self._peer_api)
+        await drain.run(server, self._stop_signal)
         for task in tasks:
             task.cancel()
 
+    def _stop(self, number: signal.Signals) -> None:
+        """Begin to drain; further stop signals change nothing."""
+        if not self._stopping.is_set():
+            self._stop_signal = number.name
+            self._stopping.set()
+
     async def _keep_running(self, run: Callable[[], Awaitable[None]]) -> None:
         """Run a background task; start it again after an exception."""
         while True:
             try:
                 return await run()
             except Exception as error:
+                self._shared.metrics.count("unexpected_errors", "task")
                 self._shared.log.record(
                     UNEXPECTED_ERROR, where=run.__qualname__, error=repr(error)
                 )
@@ -272,4 +289,21 @@
     def _render_metrics(self) -> str:
         settings = self._shared.settings
         page = self._shared.metrics.read(settings.name, settings.zone, "")
-        return render_metrics(page)
+        gauges = {
+            "memory_bytes": read_memory_bytes(CURRENT_FIELD),
+            "memory_peak_bytes": read_memory_bytes(PEAK_FIELD),
+            "memory_limit_bytes": settings.memory_bytes,
+            "uptime_seconds": self._shared.loop.time() - self._started_at,
+        }
+        return render_metrics(page) + render_gauges(gauges)
+
+    def _on_unhandled(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        """Log an exception that a callback of the event loop raised."""
+        self._shared.metrics.count("unexpected_errors", "callback")
+        self._shared.log.record(
+            UNEXPECTED_ERROR,
+            where=context["message"],
+            error=repr(context.get("exception")),
+        )
--- a/heatherdyke/gateway/run.py
+++ b/heatherdyke/gateway/run.py
@@ -3,15 +3,23 @@
 import asyncio
 import os
 import sys
+import time
+import traceback
 
 from heatherdyke.errors import SettingsError
+from heatherdyke.gateway.event_log import EventLog
 from heatherdyke.gateway.event_log import write_events_to_stdout
+from heatherdyke.gateway.events import GATEWAY_FAILED
 from heatherdyke.gateway.mechanisms import DISABLE_VARIABLE
 from heatherdyke.gateway.mechanisms import parse_disabled
 from heatherdyke.gateway.process import GatewayProcess
 from heatherdyke.platform.settings import load_settings
 from heatherdyke.platform.settings import settings_path
 
+EXIT_CODE_UNEXPECTED = 1
+# Frames of an unexpected error that the last line of the log names.
+MAX_FRAMES = 5
+
 
 async def serve(metrics_port: int) -> None:
     """Run a gateway with the settings file until it is stopped."""
@@ -28,10 +36,31 @@
 
 def main() -> int:
     """Run the process; return its exit code."""
-    metrics_port = int(sys.argv[1]) if len(sys.argv) > 1 else 0
+    # Until the settings are known, lines do not name the instance.
+    write_events_to_stdout("")
     try:
+        metrics_port = int(sys.argv[1]) if len(sys.argv) > 1 else 0
         asyncio.run(serve(metrics_port))
     except SettingsError as error:
-        sys.stderr.write(f"{error}\n")
-        return SettingsError.exit_code
+        return _fail(str(error), SettingsError.exit_code)
+    except Exception as error:
+        return _fail(describe(error), EXIT_CODE_UNEXPECTED)
     return 0
+
+
+def describe(error: Exception) -> str:
+    """Return an error in one line, with the last frames of its traceback."""
+    frames = traceback.extract_tb(error.__traceback__)[-MAX_FRAMES:]
+    places = " > ".join(
+        f"{frame.filename.rpartition('/')[2]}:{frame.lineno}"
+        for frame in frames
+    )
+    return f"{error!r} at {places}"
+
+
+def _fail(reason: str, exit_code: int) -> int:
+    """Log why the process ends, as its last line; return the exit code."""
+    log = EventLog(time.monotonic)
+    log.record(GATEWAY_FAILED, reason=reason, exit_code=exit_code)
+    sys.stderr.write(f"{reason}\n")
+    return exit_code
--- a/heatherdyke/gateway/settings.py
+++ b/heatherdyke/gateway/settings.py
@@ -7,6 +7,7 @@
 
 # The store removes a leaf's entry after this many heartbeats without a report.
 EXPIRY_HEARTBEATS = 3
+DEFAULT_MEMORY_BYTES = 256 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,7 +40,10 @@
 
 @dataclass(frozen=True, slots=True)
 class GatewaySettings:
-    """The settings of one instance."""
+    """The settings of one instance.
+
+    The platform kills a process that uses more than ``memory_bytes``.
+    """
 
     name: str
     zone: str
@@ -53,6 +57,7 @@
     cores: float
     heartbeat_s: float
     bounds: Bounds
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
 
     @property
     def entry_expiry_s(self) -> float:
--- a/heatherdyke/observe/prometheus_text.py
+++ b/heatherdyke/observe/prometheus_text.py
@@ -25,6 +25,16 @@
     return "\n".join(lines) + "\n"
 
 
+def render_gauges(value_by_name: dict[str, float]) -> str:
+    """Render the current values of some quantities as text."""
+    lines: list[str] = []
+    for name, value in value_by_name.items():
+        metric_name = _metric_name(name)
+        lines.append(f"# TYPE {metric_name} gauge")
+        lines.append(f"{metric_name} {value}")
+    return "".join(line + "\n" for line in lines)
+
+
 def _summary_lines(name: str, series: LatencySeries) -> list[str]:
     summary = summarise(series)
     label = _label_pair(series.label)
--- a/heatherdyke/platform/settings.py
+++ b/heatherdyke/platform/settings.py
@@ -10,6 +10,7 @@
 
 from heatherdyke.config.fault import Fault
 from heatherdyke.errors import SettingsError
+from heatherdyke.gateway.settings import DEFAULT_MEMORY_BYTES
 from heatherdyke.gateway.settings import Bounds
 from heatherdyke.gateway.settings import GatewaySettings
 from heatherdyke.gateway.settings import StoreSettings
@@ -19,6 +20,7 @@
 
 PATH_VARIABLE = "HEATHERDYKE_BOOT"
 SECONDS_PER_MS = 1e-3
+BYTES_PER_MB = 1024 * 1024
 # Lower bound, because processing times are divided by the cores.
 MIN_CORES = 0.05
 
@@ -45,6 +47,7 @@
 
 class _WireLimits(msgspec.Struct, rename="kebab"):
     file_descriptors: Annotated[int, msgspec.Meta(gt=0)] = 1024
+    memory_mb: Positive = DEFAULT_MEMORY_BYTES / BYTES_PER_MB
     # The process's share of a core, and the core's relative speed.
     cpu_share: Positive = 1.0
     cpu_cores: Positive = 1.0
@@ -151,6 +154,7 @@
         region_by_zone=wire.zones,
         cores=max(MIN_CORES, wire.limits.cpu_share * wire.limits.cpu_cores),
         max_descriptors=wire.limits.file_descriptors,
+        memory_bytes=int(wire.limits.memory_mb * BYTES_PER_MB),
         heartbeat_s=wire.heartbeat_ms * SECONDS_PER_MS,
         bounds=Bounds(
             drain_s=bounds.drain_ms * SECONDS_PER_MS,
