--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -15,6 +15,7 @@
 
 HOST = "shop.example"
 READY_TIMEOUT_S = 15.0
+SETTINGS_VARIABLE = "HEATHERDYKE_BOOT"
 
 SETTINGS = """\
 node-name = "{name}"
@@ -34,9 +35,13 @@
 grace-s = 4
 retry-budget-ratio = 0.2
 retry-budget-slack = 50
+[limits]
+memory-mb = {memory_mb}
 [platform]
 address = "{store}"
 """
+# The smallest of the sites.
+MEMORY_MB = 160
 
 
 def route(name: str, prefix: str, **fields) -> dict:
@@ -85,6 +90,10 @@
     settings_path: Path
     process: asyncio.subprocess.Process | None = None
 
+    @property
+    def host(self) -> str:
+        return self.front.rpartition(":")[0]
+
     async def is_ready(self) -> bool:
         try:
             connection = await HttpConnection.open(self.ready)
@@ -141,6 +150,13 @@
             await asyncio.sleep(0.002)
 
 
+def peak_memory_mb(pid: int) -> float:
+    """Return the most memory that the process has used."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    (line,) = (x for x in status.splitlines() if x.startswith("VmHWM:"))
+    return int(line.split()[1]) / 1024
+
+
 class Fleet:
     """Starts a store, leafs and processes and stops them at the end."""
 
@@ -174,7 +190,11 @@
         self.store.put("config", "main", value)
 
     async def add_gateway(
-        self, name: str, zone: str = "brescia", store: str = ""
+        self,
+        name: str,
+        zone: str = "brescia",
+        store: str = "",
+        starts: bool = True,
     ) -> Gateway:
         front, ready = free_port(), free_port()
         path = self.directory / f"{name}.toml"
@@ -186,31 +206,41 @@
                 front_port=front,
                 ready_port=ready,
                 store=store or self.store.listener.address,
+                memory_mb=MEMORY_MB,
             )
         )
         gateway = Gateway(
             name, zone, f"127.0.0.1:{front}", f"127.0.0.1:{ready}", path
         )
-        await self.start_process(gateway)
+        if starts:
+            await self.start_process(gateway)
         self.gateways.append(gateway)
         return gateway
 
-    async def start_process(self, gateway: Gateway) -> None:
+    async def start_process(self, gateway: Gateway, *arguments: str) -> None:
         log = (self.directory / f"{gateway.name}.log").open("ab")
+        errors = (self.directory / f"{gateway.name}.errors").open("ab")
         gateway.process = await asyncio.create_subprocess_exec(
             sys.executable,
             *os.environ.get("GATEWAY_PYTHON_ARGUMENTS", "").split(),
             "-m",
             "heatherdyke.gateway",
-            env={**os.environ, "HEATHERDYKE_BOOT": str(gateway.settings_path)},
+            *arguments,
+            env={**os.environ, SETTINGS_VARIABLE: str(gateway.settings_path)},
             stdout=log,
+            stderr=errors,
         )
         self.processes.append(gateway.process)
         log.close()
+        errors.close()
 
     def read_log(self, gateway: Gateway) -> str:
         return (self.directory / f"{gateway.name}.log").read_text()
 
+    def read_errors(self, gateway: Gateway) -> str:
+        """Return what the processes have written to standard error."""
+        return (self.directory / f"{gateway.name}.errors").read_text()
+
 
 async def send_request(
     gateway: Gateway,
--- /dev/null
+++ b/tests/test_gateway_memory.py
@@ -0,0 +1,151 @@
+"""The memory of a real process whose leafs, store or clients send too much."""
+
+import asyncio
+from contextlib import suppress
+
+import pytest
+from endless_server import RESPONSE_BY_NAME
+from endless_server import EndlessServer
+from gateway_fleet import HOST
+from gateway_fleet import MEMORY_MB
+from gateway_fleet import Fleet
+from gateway_fleet import Gateway
+from gateway_fleet import config
+from gateway_fleet import peak_memory_mb
+from gateway_fleet import route
+from gateway_fleet import send_request
+from gateway_scenarios import ONE
+from gateway_scenarios import ready_gateway
+from gateway_scenarios import run
+from gateway_scenarios import set_up_forwarding
+from gateway_scenarios import until
+
+from heatherdyke.platform_standin.leaf import StandinLeaf
+
+ENDLESS_REQUESTS = 20
+ENDLESS_PATH = "/e/x"
+PIPELINED_BATCH = 500
+MAX_PIPELINED = 400_000
+CONNECTIONS = 2200
+STORE_FLOOD_S = 3.0
+
+
+async def add_endless_leaf(fleet: Fleet, server: EndlessServer) -> None:
+    """Add a service of one leaf, which is the server, and a route to it."""
+    leaf = await fleet.add_leaf(StandinLeaf("endless-0", "endless"))
+    entry = {**leaf.entry(), "address": server.address}
+    fleet.store.put("servers", leaf.leaf_id, entry)
+    endless = route("endless", "/e/", service="endless")
+    fleet.set_config(config(4, [ONE, endless], ["one", "endless"]))
+
+
+def memory_violations(gateway: Gateway) -> list[str]:
+    if gateway.process.returncode is not None:
+        return [f"ended with {gateway.process.returncode}"]
+    peak_mb = peak_memory_mb(gateway.process.pid)
+    return [] if peak_mb < MEMORY_MB else [f"used {peak_mb:.0f} MB"]
+
+
+async def still_serves(gateway: Gateway) -> bool:
+    answer = await send_request(gateway, "/o/x", "sound")
+    return answer.status == 200
+
+
+class TestEndlessLeaf:
+    # Guards against a leaf whose bytes never end: what they became once parsed
+    # filled the memory, and the process was killed with all its requests.
+    @pytest.mark.parametrize("name", RESPONSE_BY_NAME)
+    def test_memory_stays_within_the_limit(self, name, tmp_path):
+        async def scenario(fleet):
+            await set_up_forwarding(fleet, 1)
+            async with EndlessServer(RESPONSE_BY_NAME[name]) as server:
+                await add_endless_leaf(fleet, server)
+                gateway = await ready_gateway(fleet)
+                sends = [
+                    send_request(gateway, ENDLESS_PATH, f"e{number}")
+                    for number in range(ENDLESS_REQUESTS)
+                ]
+                answers = await asyncio.gather(*sends)
+                assert memory_violations(gateway) == []
+                assert {answer.status for answer in answers} <= {502, 503, 504}
+                assert await still_serves(gateway)
+
+        run(scenario, tmp_path)
+
+
+class TestEndlessStore:
+    # Guards against a store whose response never ends: nothing bounded it.
+    @pytest.mark.parametrize("name", ["body", "declared-length", "one-field"])
+    def test_memory_stays_within_the_limit(self, name, tmp_path):
+        async def scenario(fleet):
+            await set_up_forwarding(fleet, 1)
+            async with EndlessServer(RESPONSE_BY_NAME[name]) as server:
+                gateway = await fleet.add_gateway("a", store=server.address)
+                await asyncio.sleep(STORE_FLOOD_S)
+                assert memory_violations(gateway) == []
+
+        run(scenario, tmp_path)
+
+
+class TestClients:
+    # Guards against a client that sends requests and does not wait for, or
+    # read, the answers: all of them were kept.
+    @pytest.mark.parametrize("path", ["/o/x", "/nowhere/x"])
+    def test_pipelined_requests_are_bounded(self, path, tmp_path):
+        async def scenario(fleet):
+            (leaf,) = await set_up_forwarding(fleet, 1)
+            leaf.processing_s = 1.0
+            gateway = await ready_gateway(fleet)
+            host, port = gateway.front.split(":")
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.transport.pause_reading()
+            head = f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\n"
+            batch = f"{head}X-Request-Id: p\r\n\r\n".encode() * PIPELINED_BATCH
+            with suppress(OSError, TimeoutError):
+                for _ in range(MAX_PIPELINED // PIPELINED_BATCH):
+                    writer.write(batch)
+                    async with asyncio.timeout(1.0):
+                        await writer.drain()
+            violations = memory_violations(gateway)
+            writer.transport.abort()
+            assert violations == []
+            leaf.processing_s = 0.0
+            assert await still_serves(gateway)
+
+        run(scenario, tmp_path)
+
+    # Guards against many requests that arrive slowly: each was within its
+    # limits, and their sum exceeded the memory.
+    @pytest.mark.parametrize(
+        "rest",
+        [
+            b"a:b\r\n" * 1500,
+            b"Content-Length: 65000\r\n\r\n" + b"x" * 64_000,
+        ],
+        ids=["heads", "bodies"],
+    )
+    def test_incomplete_requests_are_bounded_in_sum(self, rest, tmp_path):
+        async def scenario(fleet):
+            await set_up_forwarding(fleet, 1)
+            gateway = await ready_gateway(fleet)
+            host, port = gateway.front.split(":")
+            start = f"POST /o/x HTTP/1.1\r\nHost: {HOST}\r\n".encode()
+            writers = []
+            try:
+                for _ in range(CONNECTIONS):
+                    _, writer = await asyncio.open_connection(host, int(port))
+                    writer.write(start + rest)
+                    writers.append(writer)
+                await until(lambda: not any(map(is_sending, writers)))
+                assert memory_violations(gateway) == []
+                assert await still_serves(gateway)
+            finally:
+                for writer in writers:
+                    writer.transport.abort()
+
+        run(scenario, tmp_path)
+
+
+def is_sending(writer: asyncio.StreamWriter) -> bool:
+    transport = writer.transport
+    return not transport.is_closing() and transport.get_write_buffer_size() > 0
--- /dev/null
+++ b/tests/test_gateway_start.py
@@ -0,0 +1,226 @@
+"""What the start and the end of a real process need from outside."""
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+import tomllib
+from contextlib import suppress
+from pathlib import Path
+from statistics import median
+
+import msgspec
+import pytest
+from gateway_fleet import SETTINGS_VARIABLE
+from gateway_fleet import Fleet
+from gateway_fleet import Gateway
+from gateway_fleet import ignores_reload_signal
+from gateway_scenarios import ready_gateway
+from gateway_scenarios import run
+from gateway_scenarios import set_up_forwarding
+
+from heatherdyke.standin.free_address import free_port
+
+ROOT = Path(__file__).resolve().parent.parent
+DEPLOYMENT = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+HELD_S = 1.0
+SIGNAL_INTERVAL_S = 0.0005
+STARTS = 15
+# How much later than an interpreter that does nothing else.
+MAX_DELAY_RATIO = 1.3
+MAX_DELAY_S = 0.003
+IGNORING_PROGRAM = """\
+import _signal
+_signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
+_signal.pause()
+"""
+
+
+async def prepared_gateway(fleet: Fleet) -> Gateway:
+    """Return a gateway whose process has not been started."""
+    await set_up_forwarding(fleet, 1)
+    return await fleet.add_gateway("a", starts=False)
+
+
+def last_event(fleet: Fleet, gateway: Gateway) -> dict:
+    return msgspec.json.decode(fleet.read_log(gateway).splitlines()[-1])
+
+
+class TestPortInUse:
+    # Guards against the end of a process whose port another one still holds,
+    # such as its predecessor.
+    @pytest.mark.parametrize("name", ["front", "ready"])
+    def test_the_process_waits_for_a_port_that_it_needs(self, name, tmp_path):
+        async def scenario(fleet):
+            gateway = await prepared_gateway(fleet)
+            host, port = getattr(gateway, name).split(":")
+            with socket.create_server((host, int(port))):
+                await fleet.start_process(gateway)
+                await asyncio.sleep(HELD_S)
+                assert gateway.process.returncode is None
+            await gateway.wait_ready()
+            assert "listen_delayed" in fleet.read_log(gateway)
+
+        run(scenario, tmp_path)
+
+    # Guards against the same where the process can serve without the port.
+    @pytest.mark.parametrize("name", ["peer", "metrics"])
+    def test_the_process_serves_without_a_port(self, name, tmp_path):
+        async def scenario(fleet):
+            gateway = await prepared_gateway(fleet)
+            settings = tomllib.loads(gateway.settings_path.read_text())
+            metrics_port = free_port()
+            peer_port = settings["internal-port-range"][0]
+            port = {"peer": peer_port, "metrics": metrics_port}[name]
+            with socket.create_server((gateway.host, port)):
+                await fleet.start_process(gateway, str(metrics_port))
+                await gateway.wait_ready()
+            assert "listen_delayed" in fleet.read_log(gateway)
+
+        run(scenario, tmp_path)
+
+
+class TestSettingsBeingWritten:
+    # Guards against the end of a process that reads its settings while they
+    # are being written.
+    @pytest.mark.parametrize("kept", [0.0, 0.5, 0.9, None])
+    def test_the_process_waits_for_the_rest(self, kept, tmp_path):
+        async def scenario(fleet):
+            gateway = await prepared_gateway(fleet)
+            path = gateway.settings_path
+            content = path.read_bytes()
+            if kept is None:
+                path.unlink()
+            else:
+                path.write_bytes(content[: int(kept * len(content))])
+            await fleet.start_process(gateway)
+            await asyncio.sleep(HELD_S)
+            assert gateway.process.returncode is None
+            path.write_bytes(content)
+            await gateway.wait_ready()
+            assert "settings_awaited" in fleet.read_log(gateway)
+
+        run(scenario, tmp_path)
+
+
+class TestLogOutput:
+    # Guards against the end of a process that cannot log: its output is
+    # closed, or on a disk that is full, or its reader has ended.
+    @pytest.mark.parametrize(
+        "redirection",
+        [">&-", ">&- 2>&-", "<&- >&- 2>&-", ">/dev/full", "| true"],
+        ids=["closed", "both-closed", "all-closed", "full", "no-reader"],
+    )
+    def test_the_process_serves_without_logs(self, redirection, tmp_path):
+        async def scenario(fleet):
+            gateway = await prepared_gateway(fleet)
+            errors = tmp_path / "errors"
+            command = f"{sys.executable} -m heatherdyke.gateway {redirection}"
+            with errors.open("wb") as error_file:
+                gateway.process = await asyncio.create_subprocess_exec(
+                    "bash",
+                    "-c",
+                    command if "|" in command else f"exec {command}",
+                    env={
+                        **os.environ,
+                        SETTINGS_VARIABLE: str(gateway.settings_path),
+                    },
+                    stderr=error_file,
+                    start_new_session=True,
+                )
+            try:
+                await gateway.wait_ready()
+            finally:
+                with suppress(ProcessLookupError):
+                    os.killpg(gateway.process.pid, signal.SIGTERM)
+                await gateway.process.wait()
+            assert errors.read_text() == ""
+
+        run(scenario, tmp_path)
+
+
+class TestSignals:
+    # Guards against the end of a process by a reload signal that arrives
+    # while it starts; the interpreter's own start cannot be protected.
+    def test_the_first_statements_ignore_reload_signals(self, tmp_path):
+        program = tmp_path / "ignoring.py"
+        program.write_text(IGNORING_PROGRAM)
+        words = DEPLOYMENT["roles"]["gateway"]["run"].split()
+        deployed = [sys.executable, *words[1:]]
+        plain = [sys.executable, "-S", str(program)]
+        pairs = [
+            (seconds_unprotected(deployed), seconds_unprotected(plain))
+            for _ in range(STARTS)
+        ]
+        gateway_s = median(pair[0] for pair in pairs)
+        plain_s = median(pair[1] for pair in pairs)
+        assert gateway_s < MAX_DELAY_RATIO * plain_s + MAX_DELAY_S
+
+    # Guards against the end of a stopping process by a further signal: at its
+    # end the event loop restores the default actions.
+    @pytest.mark.parametrize("name", ["SIGHUP", "SIGTERM", "SIGINT"])
+    def test_a_stop_is_not_cut_short_by_more_signals(self, name, tmp_path):
+        async def scenario(fleet):
+            await set_up_forwarding(fleet, 1)
+            gateway = await ready_gateway(fleet)
+            gateway.terminate()
+            while gateway.process.returncode is None:
+                with suppress(ProcessLookupError):
+                    gateway.process.send_signal(signal.Signals[name])
+                await asyncio.sleep(SIGNAL_INTERVAL_S)
+            assert gateway.process.returncode == 0
+            event = last_event(fleet, gateway)
+            assert event["event"] == "gateway_stopped"
+            assert event["signal"] == "SIGTERM"
+
+        run(scenario, tmp_path)
+
+
+def seconds_unprotected(command: list[str]) -> float:
+    """Return how long after its start a process ignores SIGHUP."""
+    began_at = time.monotonic()
+    process = subprocess.Popen(
+        command,
+        cwd=ROOT,
+        env={**os.environ, SETTINGS_VARIABLE: "/nonexistent"},
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+    try:
+        while not ignores_reload_signal(process.pid):
+            assert process.poll() is None
+        return time.monotonic() - began_at
+    finally:
+        process.kill()
+        process.wait()
+
+
+class TestEnd:
+    # Guards against a process that ends without saying why.
+    def test_the_last_line_states_an_error(self, tmp_path):
+        async def scenario(fleet):
+            gateway = await prepared_gateway(fleet)
+            gateway.settings_path.write_text("zone = 7\n")
+            await fleet.start_process(gateway)
+            assert await gateway.process.wait() == 2
+            event = last_event(fleet, gateway)
+            assert event["event"] == "gateway_failed"
+            assert event["exit_code"] == 2
+            assert str(gateway.settings_path) in event["reason"]
+
+        run(scenario, tmp_path)
+
+    # Guards against a stop that leaves a traceback, which looks like a crash.
+    def test_a_stop_writes_nothing_to_standard_error(self, tmp_path):
+        async def scenario(fleet):
+            await set_up_forwarding(fleet, 1)
+            gateway = await ready_gateway(fleet)
+            await asyncio.sleep(0.5)
+            gateway.terminate()
+            assert await gateway.process.wait() == 0
+            assert fleet.read_errors(gateway) == ""
+
+        run(scenario, tmp_path)
