Serve without logs if the output is closed, full or unread

Callers saw nothing served: a process with a closed standard output ended with exit code 1 (AttributeError: no fileno), and without a line if standard error was closed too. With a full disk, or a reader that had ended, each event left 20 lines of traceback on standard error. Cause: the log took its descriptor from `sys.stdout`, which is None then, and knew only one way in which a write fails, a full pipe. Closed standard descriptors are now opened on /dev/null, which also keeps a socket from getting the log's number, and each failed write counts as a lost line.

--- a/heatherdyke/gateway/event_log.py
+++ b/heatherdyke/gateway/event_log.py
@@ -5,7 +5,6 @@
 """
 
 import os
-import sys
 from dataclasses import dataclass
 from typing import Any
 
@@ -24,6 +23,8 @@
 from heatherdyke.observe.event_registry import EventKind
 from heatherdyke.observe.event_registry import Severity
 
+# ``sys.stdout`` is None if the descriptor was closed at the start.
+STANDARD_OUTPUT = 1
 LINES_PER_S = 40.0
 LINE_BURST = 200.0
 # With fewer tokens than this only warnings and errors are logged, so that
@@ -108,7 +109,7 @@
     """Writes JSON lines to a non-blocking file descriptor.
 
     The next line that is written states in ``lost`` how many were dropped
-    before it because the reader was slow.
+    before it because they could not be written.
     """
 
     __slots__ = ("_descriptor", "_name", "_encoder", "_lost")
@@ -135,8 +136,9 @@
         data = self._encoder.encode(line) + b"\n"
         try:
             os.write(self._descriptor, data)
-        except BlockingIOError:
-            # A slow reader must not delay requests.
+        except OSError:
+            # A reader that is slow or gone, or a full disk, must not delay
+            # or fail requests.
             self._lost += 1
         else:
             self._lost = 0
@@ -144,6 +146,6 @@
 
 def write_events_to_stdout(name: str, level: str = "DEBUG") -> None:
     """Write events of ``level`` and above to standard output."""
-    output = _JsonLineWriter(sys.stdout.fileno(), name)
+    output = _JsonLineWriter(STANDARD_OUTPUT, name)
     logger.remove()
     logger.add(output.write, level=level, format="{message}", catch=True)
--- a/heatherdyke/gateway/run.py
+++ b/heatherdyke/gateway/run.py
@@ -13,6 +13,7 @@
 from heatherdyke.gateway.mechanisms import DISABLE_VARIABLE
 from heatherdyke.gateway.mechanisms import parse_disabled
 from heatherdyke.gateway.process import GatewayProcess
+from heatherdyke.gateway.startup import open_standard_descriptors
 from heatherdyke.platform.settings import load_settings
 from heatherdyke.platform.settings import settings_path
 
@@ -25,9 +26,9 @@
     """Run a gateway with the settings file until it is stopped."""
     path = settings_path()
     settings = load_settings(path)
+    loop = asyncio.get_running_loop()
     disabled = parse_disabled(os.environ.get(DISABLE_VARIABLE, ""))
     write_events_to_stdout(settings.name)
-    loop = asyncio.get_running_loop()
     process = GatewayProcess.from_settings(
         path, settings, loop, metrics_port, disabled
     )
@@ -36,6 +37,7 @@
 
 def main() -> int:
     """Run the process; return its exit code."""
+    open_standard_descriptors()
     # Until the settings are known, lines do not name the instance.
     write_events_to_stdout("")
     try:
@@ -62,5 +64,6 @@
     """Log why the process ends, as its last line; return the exit code."""
     log = EventLog(time.monotonic)
     log.record(GATEWAY_FAILED, reason=reason, exit_code=exit_code)
-    sys.stderr.write(f"{reason}\n")
+    if sys.stderr is not None:
+        sys.stderr.write(f"{reason}\n")
     return exit_code
