Wait for ports that are in use instead of ending

Callers saw connections refused: a process that found one of its four ports in use, for example by its predecessor, ended with exit code 1 and a traceback. That held for the metrics port too, which is the same for all processes of a machine that share an address. Cause: the listeners were opened one after the other, and any failure ended the start.

The process is ready once the clients' listener is open. For other instances it takes the first free port of its range and announces that one; its entry in the store is corrected if a predecessor left another address, which no instance did before. Events listen_delayed (7011) and listening (7012).

--- a/heatherdyke/gateway/drain.py
+++ b/heatherdyke/gateway/drain.py
@@ -6,6 +6,8 @@
 from heatherdyke.gateway.events import GATEWAY_STOPPED
 from heatherdyke.gateway.events import GATEWAY_STOPPING
 from heatherdyke.gateway.isolation import BALANCER_REACTION_S
+from heatherdyke.gateway.listeners import CLIENTS
+from heatherdyke.gateway.listeners import Listeners
 from heatherdyke.gateway.peer_api import PeerApi
 from heatherdyke.gateway.shared_state import SharedState
 
@@ -30,9 +32,7 @@
         self._client_api = client_api
         self._peer_api = peer_api
 
-    async def run(
-        self, client_listener: asyncio.Server, stop_signal: str
-    ) -> None:
+    async def run(self, listeners: Listeners, stop_signal: str) -> None:
         """Drain, and close the listener for clients."""
         shared = self._shared
         started_at = shared.loop.time()
@@ -46,7 +46,7 @@
         self._peer_api.stopping = True
         shared.shutdown.begin(started_at, shared.settings.bounds.shutdown_s)
         await self._wait_for_end(started_at + BALANCER_REACTION_S)
-        client_listener.close()
+        listeners.close(CLIENTS)
         unfinished = await self._answer_unfinished()
         shared.log.record(
             GATEWAY_STOPPED,
--- a/heatherdyke/gateway/events.py
+++ b/heatherdyke/gateway/events.py
@@ -69,6 +69,22 @@
     "Log lines were dropped by the rate limit.",
     ("left_out_by_event",),
 )
+LISTEN_DELAYED = register(
+    7011,
+    "listen_delayed",
+    Severity.WARNING,
+    "An address cannot be listened on; the process goes on without it and "
+    "tries again.",
+    ("listener", "address", "reason"),
+    "Look for the process that listens there.",
+)
+LISTENING = register(
+    7012,
+    "listening",
+    Severity.INFO,
+    "A listener that had been delayed is open.",
+    ("listener", "address", "after_s"),
+)
 CONFIG_APPLIED = register(
     7101,
     "routing_adopted",
--- a/heatherdyke/gateway/instance_registry.py
+++ b/heatherdyke/gateway/instance_registry.py
@@ -11,6 +11,7 @@
 from heatherdyke.gateway.state_updater import StateUpdater
 from heatherdyke.net.address import Address
 from heatherdyke.platform.instances import KIND
+from heatherdyke.platform.instances import decode_instance
 from heatherdyke.platform.instances import encode_instance
 from heatherdyke.platform.store import Listing
 from heatherdyke.platform.store import StoreClient
@@ -26,51 +27,89 @@
 
 
 class InstanceRegistry:
-    """Creates this instance's object and lists all instances."""
+    """Creates this instance's object and lists all instances.
 
-    __slots__ = ("_shared", "_updater", "_store", "_created_at")
+    ``address`` is where the others reach this instance, None as long as they
+    cannot; it is then not registered.
+    """
+
+    __slots__ = (
+        "address",
+        "_shared",
+        "_updater",
+        "_store",
+        "_written_at",
+        "_wake",
+    )
 
     def __init__(self, shared: SharedState, updater: StateUpdater) -> None:
         self._shared = shared
         self._updater = updater
         self._store = StoreClient(shared.settings.store.address)
-        self._created_at: float | None = None
+        settings = shared.settings
+        self.address: Address | None = Address(
+            settings.ip, settings.peer_ports[0]
+        )
+        self._written_at: float | None = None
+        self._wake = asyncio.Event()
+
+    def set_address(self, address: Address) -> None:
+        """Register at this address soon."""
+        self.address = address
+        self._wake.set()
 
     async def run(self) -> None:
         """Register and list until cancelled."""
         interval_s = FIRST_LIST_INTERVAL_S
         while True:
+            self._wake.clear()
             try:
                 await self._register_and_list()
-                await asyncio.sleep(interval_s)
-                interval_s = LIST_INTERVAL_S
             except PlatformUnavailable as error:
                 self._shared.log.record(
                     STORE_LOST, kind=KIND, reason=error.detail
                 )
                 spread = 1.0 + self._shared.random.random()
                 await asyncio.sleep(RETRY_S * spread)
+                continue
+            try:
+                async with asyncio.timeout(interval_s):
+                    await self._wake.wait()
+            except TimeoutError:
+                interval_s = LIST_INTERVAL_S
 
     async def _register_and_list(self) -> None:
         """Create the object unless it exists, then list all of them."""
-        if self._created_at is None:
+        if self.address is not None and self._written_at is None:
             await self._create()
         listing = await self._store.list(KIND, allow_stale=True)
-        if self._is_lost(listing):
-            self._created_at = None
-            await self._create()
+        if self.address is not None:
+            await self._correct(listing)
         self._updater.on_instances_listed(listing)
 
     async def _create(self) -> None:
         settings = self._shared.settings
-        address = Address(settings.ip, settings.peer_ports[0])
-        spec = encode_instance(settings.zone, address)
+        spec = encode_instance(settings.zone, self.address)
         await self._store.create(KIND, settings.name, spec)
-        self._created_at = self._shared.loop.time()
+        self._written_at = self._shared.loop.time()
 
-    def _is_lost(self, listing: Listing) -> bool:
-        """Return whether a list lacks an object that it should have."""
-        name = self._shared.settings.name
-        is_listed = any(stored.name == name for stored in listing.objects)
-        age_s = self._shared.loop.time() - self._created_at
-        return not is_listed and age_s > STALE_LIST_S
+    async def _correct(self, listing: Listing) -> None:
+        """Write the object again if it is lost or has another address.
+
+        A previous process of this instance may have listened on another port.
+        """
+        settings = self._shared.settings
+        stored = next(
+            (item for item in listing.objects if item.name == settings.name),
+            None,
+        )
+        age_s = self._shared.loop.time() - self._written_at
+        if stored is None:
+            if age_s > STALE_LIST_S:
+                await self._create()
+            return
+        entry = decode_instance(stored.name, stored.spec)
+        if entry is None or entry.address != self.address:
+            spec = encode_instance(settings.zone, self.address)
+            await self._store.put(KIND, settings.name, spec)
+            self._written_at = self._shared.loop.time()
--- a/heatherdyke/gateway/process.py
+++ b/heatherdyke/gateway/process.py
@@ -22,9 +22,10 @@
 from heatherdyke.gateway.events import SETTINGS_REJECTED
 from heatherdyke.gateway.events import SETTINGS_RELOADED
 from heatherdyke.gateway.events import UNEXPECTED_ERROR
-from heatherdyke.gateway.inbound_connection import InboundConnection
 from heatherdyke.gateway.instance_registry import InstanceRegistry
 from heatherdyke.gateway.link_monitor import LinkMonitor
+from heatherdyke.gateway.listeners import CLIENTS
+from heatherdyke.gateway.listeners import Listeners
 from heatherdyke.gateway.mechanisms import Mechanism
 from heatherdyke.gateway.pause_detector import PauseDetector
 from heatherdyke.gateway.peer_api import PeerApi
@@ -48,7 +49,6 @@
 from heatherdyke.platform.settings import load_settings
 
 MAINTENANCE_INTERVAL_S = 0.25
-LISTEN_BACKLOG = 512
 # The settings file may change without a SIGHUP.
 RELOAD_INTERVAL_S = 2.0
 TASK_RESTART_DELAY_S = 1.0
@@ -71,6 +71,7 @@
         "_quarantine_store",
         "_peer_api",
         "_metrics_port",
+        "_listeners",
         "_stopping",
         "_stop_signal",
         "_pause_detector",
@@ -122,6 +123,7 @@
             zone_probes.handle,
         )
         self._metrics_port = metrics_port
+        self._listeners = Listeners(shared.loop, shared.log)
         self._stopping = asyncio.Event()
         self._stop_signal = ""
         self._pause_detector = PauseDetector(MAINTENANCE_INTERVAL_S)
@@ -154,9 +156,10 @@
         loaded = (
             shared.config is not None and self._leaf_watcher.listed.is_set()
         )
-        return (
-            loaded and not shared.is_isolated and not self._stopping.is_set()
+        accepts = (
+            self._listeners.is_open(CLIENTS) and not self._stopping.is_set()
         )
+        return loaded and accepts and not shared.is_isolated
 
     async def run(self) -> None:
         """Serve until a stop signal, then drain."""
@@ -166,22 +169,7 @@
         for number in STOP_SIGNALS:
             loop.add_signal_handler(number, self._stop, number)
         loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
-        settings = shared.settings
-        server = await self._listen(settings.client_address, self._client_api)
-        health = StatusApi.for_health(loop.time, lambda: self.is_ready)
-        await self._listen(settings.health_address, health)
-        peer_address = Address(settings.ip, settings.peer_ports[0])
-        await self._listen(peer_address, self._peer_api)
-        if self._metrics_port:
-            address = Address(settings.ip, self._metrics_port)
-            metrics = StatusApi.for_metrics(loop.time, self._render_metrics)
-            await self._listen(address, metrics)
-        shared.log.record(
-            GATEWAY_STARTED,
-            address=str(settings.client_address),
-            zone=settings.zone,
-            version=__version__,
-        )
+        await self._open_listeners()
         background = (
             self._config_watcher,
             self._leaf_watcher,
@@ -194,7 +182,7 @@
         tasks = [loop.create_task(self._keep_running(run)) for run in runs]
         await self._stopping.wait()
         drain = Drain(shared, self._client_api, self._peer_api)
-        await drain.run(server, self._stop_signal)
+        await drain.run(self._listeners, self._stop_signal)
         for task in tasks:
             task.cancel()
 
@@ -216,15 +204,41 @@
                 )
             await asyncio.sleep(TASK_RESTART_DELAY_S)
 
-    async def _listen(
-        self, address: Address, manager: ClientApi | PeerApi | StatusApi
-    ) -> asyncio.Server:
-        return await self._shared.loop.create_server(
-            lambda: InboundConnection(manager),
-            address.host,
-            address.port,
-            backlog=LISTEN_BACKLOG,
-            reuse_address=True,
+    async def _open_listeners(self) -> None:
+        """Open the listeners; those whose address is in use open later."""
+        now = self._shared.loop.time
+        settings = self._shared.settings
+        listeners = self._listeners
+        await listeners.open(
+            CLIENTS,
+            [settings.client_address],
+            self._client_api,
+            self._log_started,
+        )
+        health = StatusApi.for_health(now, lambda: self.is_ready)
+        await listeners.open("health", [settings.health_address], health)
+        first_port, last_port = settings.peer_ports
+        self._instance_registry.address = None
+        await listeners.open(
+            "instances",
+            [
+                Address(settings.ip, port)
+                for port in range(first_port, last_port + 1)
+            ],
+            self._peer_api,
+            self._instance_registry.set_address,
+        )
+        if self._metrics_port:
+            metrics = StatusApi.for_metrics(now, self._render_metrics)
+            address = Address(settings.ip, self._metrics_port)
+            await listeners.open("metrics", [address], metrics)
+
+    def _log_started(self, address: Address) -> None:
+        self._shared.log.record(
+            GATEWAY_STARTED,
+            address=str(address),
+            zone=self._shared.settings.zone,
+            version=__version__,
         )
 
     async def _serve_held(self) -> None:
--- a/tests/test_gateway_instance_registry.py
+++ b/tests/test_gateway_instance_registry.py
@@ -10,6 +10,7 @@
 from heatherdyke.gateway.instance_registry import InstanceRegistry
 from heatherdyke.gateway.shared_state import SharedState
 from heatherdyke.gateway.state_updater import StateUpdater
+from heatherdyke.net.address import Address
 from heatherdyke.platform.instances import KIND
 from heatherdyke.platform.store import StoreClient
 from heatherdyke.platform_standin.store import StandinStore
@@ -38,7 +39,7 @@
     def test_a_lost_entry_is_written_again(self):
         async def scenario(store, registry) -> None:
             store.delete(KIND, SETTINGS.name)
-            registry._created_at -= STALE_LIST_S + 1.0
+            registry._written_at -= STALE_LIST_S + 1.0
             await registry._register_and_list()
             assert store.names(KIND) == [SETTINGS.name]
 
@@ -57,8 +58,29 @@
     def test_an_entry_that_exists_is_left_alone(self):
         async def scenario(store, registry) -> None:
             creations = store.calls[f"POST {KIND}"]
-            registry._created_at -= STALE_LIST_S + 1.0
+            registry._written_at -= STALE_LIST_S + 1.0
             await registry._register_and_list()
             assert store.calls[f"POST {KIND}"] == creations
 
         with_registry(scenario)
+
+    # Guards against an instance that its peers look for at the port of its
+    # predecessor.
+    def test_another_address_replaces_that_of_a_previous_process(self):
+        async def scenario(store, registry) -> None:
+            registry.address = Address("127.0.0.1", 9)
+            await registry._register_and_list()
+            spec = store.spec(KIND, SETTINGS.name)
+            assert spec["address"] == "127.0.0.1:9"
+
+        with_registry(scenario)
+
+    # Guards against peers that send to an instance that does not listen.
+    def test_without_an_address_it_lists_and_is_not_registered(self):
+        async def scenario(store, registry) -> None:
+            store.delete(KIND, SETTINGS.name)
+            registry.address = registry._written_at = None
+            await registry._register_and_list()
+            assert store.names(KIND) == []
+
+        with_registry(scenario)
--- a/tests/test_gateway_start.py
+++ b/tests/test_gateway_start.py
@@ -21,7 +21,9 @@
 from gateway_scenarios import ready_gateway
 from gateway_scenarios import run
 from gateway_scenarios import set_up_forwarding
+from gateway_scenarios import until
 
+from heatherdyke.platform.instances import KIND as INSTANCE_KIND
 from heatherdyke.standin.free_address import free_port
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -82,6 +84,32 @@
 
         run(scenario, tmp_path)
 
+    # Guards against an instance that its peers look for at a port that another
+    # process holds.
+    def test_another_port_of_the_range_is_used_and_announced(self, tmp_path):
+        async def scenario(fleet):
+            gateway = await prepared_gateway(fleet)
+            taken, free = free_port(), free_port()
+            text = gateway.settings_path.read_text()
+            lines = [
+                f"internal-port-range = [{taken},{free}]"
+                if line.startswith("internal-port-range")
+                else line
+                for line in text.splitlines()
+            ]
+            gateway.settings_path.write_text("\n".join(lines))
+            with socket.create_server((gateway.host, taken)):
+                await fleet.start_process(gateway)
+                await gateway.wait_ready()
+                await until(lambda: fleet.store.names(INSTANCE_KIND))
+            entry = fleet.store.spec(INSTANCE_KIND, gateway.name)
+            host, port = entry["address"].split(":")
+            assert taken < int(port) <= free
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.close()
+
+        run(scenario, tmp_path)
+
 
 class TestSettingsBeingWritten:
     # Guards against the end of a process that reads its settings while they
