Close the store's connections before the event loop

Each stop left a traceback on standard error, `Event loop is closed`, which on call looks like a crash: connections to the store that were idle at the time were closed by the collection of garbage, after the loop. They are now closed with the tasks that own them.

--- a/heatherdyke/gateway/instance_registry.py
+++ b/heatherdyke/gateway/instance_registry.py
@@ -58,6 +58,10 @@
         self.address = address
         self._wake.set()
 
+    def close(self) -> None:
+        """Close the connection to the store, as the process ends."""
+        self._store.close()
+
     async def run(self) -> None:
         """Register and list until cancelled."""
         interval_s = FIRST_LIST_INTERVAL_S
--- a/heatherdyke/gateway/process.py
+++ b/heatherdyke/gateway/process.py
@@ -185,6 +185,8 @@
         await drain.run(self._listeners, self._stop_signal)
         for task in tasks:
             task.cancel()
+        for runner in background:
+            runner.close()
 
     def _stop(self, number: signal.Signals) -> None:
         """Begin to drain; further stop signals change nothing."""
--- a/heatherdyke/gateway/quarantine_store.py
+++ b/heatherdyke/gateway/quarantine_store.py
@@ -58,6 +58,10 @@
         """List again soon, as changes may have been missed."""
         self._wake.set()
 
+    def close(self) -> None:
+        """Close the connection to the store, as the process ends."""
+        self._store.close()
+
     async def run(self) -> None:
         """List and write until cancelled."""
         interval_s = FIRST_LIST_INTERVAL_S
--- a/heatherdyke/gateway/store_watcher.py
+++ b/heatherdyke/gateway/store_watcher.py
@@ -96,6 +96,10 @@
         self._relist_requested = True
         self._store.close()
 
+    def close(self) -> None:
+        """Close the connection to the store, as the process ends."""
+        self._store.close()
+
     async def run(self) -> None:
         """List and watch until cancelled."""
         revision: int | None = None
