Keep further signals from ending a process that is stopping

Seen from outside, a stop failed: with SIGHUP, SIGTERM or SIGINT in series, 14 of 14 processes ended by the signal (255 or -1, -15, -2) and not with 0, some before their last line was written. Cause: the event loop restores the default actions when it closes, and the interpreter takes some 20 ms more. The signals are blocked before the loop closes.

--- a/heatherdyke/gateway/run.py
+++ b/heatherdyke/gateway/run.py
@@ -13,6 +13,7 @@
 from heatherdyke.gateway.mechanisms import DISABLE_VARIABLE
 from heatherdyke.gateway.mechanisms import parse_disabled
 from heatherdyke.gateway.process import GatewayProcess
+from heatherdyke.gateway.startup import block_signals
 from heatherdyke.gateway.startup import open_standard_descriptors
 from heatherdyke.platform.settings import load_settings
 from heatherdyke.platform.settings import settings_path
@@ -32,7 +33,10 @@
     process = GatewayProcess.from_settings(
         path, settings, loop, metrics_port, disabled
     )
-    await process.run()
+    try:
+        await process.run()
+    finally:
+        block_signals()
 
 
 def main() -> int:
--- a/heatherdyke/gateway/startup.py
+++ b/heatherdyke/gateway/startup.py
@@ -1,8 +1,10 @@
-"""What a process does before it serves."""
+"""What a process does before it serves, and at its end."""
 
 import os
+import signal
 
 STANDARD_DESCRIPTORS = (0, 1, 2)
+HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
 
 
 def open_standard_descriptors() -> None:
@@ -12,3 +14,11 @@
             os.fstat(descriptor)
         except OSError:
             os.open(os.devnull, os.O_RDWR)
+
+
+def block_signals() -> None:
+    """Keep further signals from ending the process before its exit code.
+
+    The event loop restores their default actions when it closes.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
