Wait for settings that are being written

Callers saw connections refused: a process that was started while its settings file was missing or being rewritten in place ended with exit code 2. Cause: a file that cannot be used was taken for a wrong one at once. It is now read again for up to 10 s, and settings_awaited (7010) gives the reason; a file that is still wrong then ends the process as before.

--- a/heatherdyke/gateway/events.py
+++ b/heatherdyke/gateway/events.py
@@ -69,6 +69,15 @@
     "Log lines were dropped by the rate limit.",
     ("left_out_by_event",),
 )
+SETTINGS_AWAITED = register(
+    7010,
+    "settings_awaited",
+    Severity.WARNING,
+    "The settings file cannot be used yet; the process reads it again for "
+    "some seconds before it ends.",
+    ("reason",),
+    "Write the file as a whole: under another name, then renamed.",
+)
 LISTEN_DELAYED = register(
     7011,
     "listen_delayed",
--- a/heatherdyke/gateway/run.py
+++ b/heatherdyke/gateway/run.py
@@ -15,7 +15,7 @@
 from heatherdyke.gateway.process import GatewayProcess
 from heatherdyke.gateway.startup import block_signals
 from heatherdyke.gateway.startup import open_standard_descriptors
-from heatherdyke.platform.settings import load_settings
+from heatherdyke.gateway.startup import wait_for_settings
 from heatherdyke.platform.settings import settings_path
 
 EXIT_CODE_UNEXPECTED = 1
@@ -26,8 +26,8 @@
 async def serve(metrics_port: int) -> None:
     """Run a gateway with the settings file until it is stopped."""
     path = settings_path()
-    settings = load_settings(path)
     loop = asyncio.get_running_loop()
+    settings = await wait_for_settings(path, EventLog(loop.time))
     disabled = parse_disabled(os.environ.get(DISABLE_VARIABLE, ""))
     write_events_to_stdout(settings.name)
     process = GatewayProcess.from_settings(
--- a/heatherdyke/gateway/startup.py
+++ b/heatherdyke/gateway/startup.py
@@ -1,9 +1,20 @@
 """What a process does before it serves, and at its end."""
 
+import asyncio
 import os
 import signal
+from pathlib import Path
+
+from heatherdyke.errors import SettingsError
+from heatherdyke.gateway.event_log import EventLog
+from heatherdyke.gateway.events import SETTINGS_AWAITED
+from heatherdyke.gateway.settings import GatewaySettings
+from heatherdyke.platform.settings import load_settings
 
 STANDARD_DESCRIPTORS = (0, 1, 2)
+# How long settings that are missing or incomplete may take to be written.
+SETTINGS_WAIT_S = 10.0
+SETTINGS_POLL_S = 0.05
 HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)
 
 
@@ -16,6 +27,27 @@
             os.open(os.devnull, os.O_RDWR)
 
 
+async def wait_for_settings(path: Path, log: EventLog) -> GatewaySettings:
+    """Return the settings once the file is valid.
+
+    Raises SettingsError if it is not after SETTINGS_WAIT_S.
+    """
+    loop = asyncio.get_running_loop()
+    give_up_at = loop.time() + SETTINGS_WAIT_S
+    logged_reason = ""
+    while True:
+        try:
+            return load_settings(path)
+        except SettingsError as error:
+            if loop.time() >= give_up_at:
+                raise
+            reason = str(error)
+        if reason != logged_reason:
+            log.record(SETTINGS_AWAITED, reason=reason)
+            logged_reason = reason
+        await asyncio.sleep(SETTINGS_POLL_S)
+
+
 def block_signals() -> None:
     """Keep further signals from ending the process before its exit code.
 
