Raise the limit of open files to that of the settings

A shell's limit, often 1,024, stood below the 4,100 to 8,192 descriptors that the settings grant; a process that reaches it can neither accept clients nor reach leafs. Not seen at the users': found while looking for what else a start takes for granted. The soft limit is raised up to the hard one. The test uses the new function, so it was not seen failing.

--- a/heatherdyke/gateway/run.py
+++ b/heatherdyke/gateway/run.py
@@ -15,6 +15,7 @@
 from heatherdyke.gateway.process import GatewayProcess
 from heatherdyke.gateway.startup import block_signals
 from heatherdyke.gateway.startup import open_standard_descriptors
+from heatherdyke.gateway.startup import raise_descriptor_limit
 from heatherdyke.gateway.startup import wait_for_settings
 from heatherdyke.platform.settings import settings_path
 
@@ -30,6 +31,7 @@
     settings = await wait_for_settings(path, EventLog(loop.time))
     disabled = parse_disabled(os.environ.get(DISABLE_VARIABLE, ""))
     write_events_to_stdout(settings.name)
+    raise_descriptor_limit(settings.max_descriptors)
     process = GatewayProcess.from_settings(
         path, settings, loop, metrics_port, disabled
     )
--- a/heatherdyke/gateway/startup.py
+++ b/heatherdyke/gateway/startup.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import resource
 import signal
 from pathlib import Path
 
@@ -48,6 +49,16 @@
         await asyncio.sleep(SETTINGS_POLL_S)
 
 
+def raise_descriptor_limit(descriptors: int) -> None:
+    """Raise the limit of open files to ``descriptors`` if possible."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = descriptors
+    if hard != resource.RLIM_INFINITY:
+        wanted = min(descriptors, hard)
+    if soft != resource.RLIM_INFINITY and soft < wanted:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+
+
 def block_signals() -> None:
     """Keep further signals from ending the process before its exit code.
 
--- a/tests/test_gateway_start.py
+++ b/tests/test_gateway_start.py
@@ -111,6 +111,28 @@
         run(scenario, tmp_path)
 
 
+class TestDescriptorLimit:
+    # Guards against a process that a low limit of the shell keeps from the
+    # descriptors that its settings grant.
+    def test_is_raised_to_that_of_the_settings(self):
+        program = (
+            "import resource\n"
+            "from heatherdyke.gateway.startup import raise_descriptor_limit\n"
+            "resource.setrlimit(resource.RLIMIT_NOFILE, (64, 512))\n"
+            "for wanted in (32, 256, 4096):\n"
+            "    raise_descriptor_limit(wanted)\n"
+            "    print(resource.getrlimit(resource.RLIMIT_NOFILE)[0])\n"
+        )
+        finished = subprocess.run(
+            [sys.executable, "-c", program],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        assert finished.stdout.split() == ["64", "256", "512"]
+
+
 class TestSettingsBeingWritten:
     # Guards against the end of a process that reads its settings while they
     # are being written.
