Bound what leafs send by the memory of the process

Callers saw all requests of an instance end: a leaf that sent fields, trailers or a body without end filled its memory (20 requests: 345 to 869 MB, of 160 MB at the smallest site), and the platform kills such a process.

Cause: the only bound counted the bytes of one response on the wire, 16 MiB. Parsed, fields of a few bytes take over 20 times as much; nothing bounded the sum over connections, and a connection kept its last response while idle.

A MemoryQuota for the process, a quarter of limits.memory-mb, counts what is being received as parsed objects. Above it the largest message of the kind of sender that holds most is given up, as a broken attempt: its leaf may have run the request. A head, trailers included, has 64 KiB, and interim responses end after 100. Large parts of a search are reduced to their top records when they arrive; merging took four times a part's size. Event message_evicted (7013), heatherdyke_evicted_messages_total by source.

--- a/heatherdyke/gateway/events.py
+++ b/heatherdyke/gateway/events.py
@@ -94,6 +94,15 @@
     "A listener that had been delayed is open.",
     ("listener", "address", "after_s"),
 )
+MESSAGE_EVICTED = register(
+    7013,
+    "message_evicted",
+    Severity.WARNING,
+    "The messages in memory exceeded their limit, and the largest of the kind "
+    "of sender that holds most was given up with its connection.",
+    ("source", "bytes", "used_bytes", "limit_bytes"),
+    "Look for the leafs, clients or store whose messages grow or do not end.",
+)
 CONFIG_APPLIED = register(
     7101,
     "routing_adopted",
--- a/heatherdyke/gateway/leaf_connection.py
+++ b/heatherdyke/gateway/leaf_connection.py
@@ -3,7 +3,7 @@
 Responses are parsed by httptools.  A response that does not name the request
 is ignored: it is a late one, or bytes of a faulty leaf, and says nothing of
 whether the request ran.  Bytes received without a request in progress close
-the connection.
+the connection, and so does a response that does not end.
 """
 
 import asyncio
@@ -16,6 +16,11 @@
 from heatherdyke.gateway.messages import Failure
 from heatherdyke.gateway.messages import HeaderList
 from heatherdyke.gateway.messages import LeafResponse
+from heatherdyke.net.memory_quota import FIELD_OVERHEAD_BYTES
+from heatherdyke.net.memory_quota import PIECE_OVERHEAD_BYTES
+from heatherdyke.net.memory_quota import MemoryQuota
+from heatherdyke.net.memory_quota import Reservation
+from heatherdyke.net.memory_quota import Source
 from heatherdyke.platform import headers as names
 
 # A leaf may close an idle connection slightly before the time that it states.
@@ -24,6 +29,11 @@
 STATUS_CONTINUE = 100
 # A leaf at fault may send a head or a body without end.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# Trailers included.
+MAX_FIELDS_BYTES = 65_536
+MAX_INTERIM_RESPONSES = 100
+# The pieces of a body are joined when it is complete.
+BODY_COPIES = 2
 
 
 class ConnectionOwner(Protocol):
@@ -59,9 +69,21 @@
         "_completed_response",
         "_reusable",
         "_received_bytes",
+        "_in_head",
+        "_head_bytes",
+        "_fields_bytes",
+        "_interim_responses",
+        "_memory",
+        "_source",
+        "_reservation",
     )
 
-    def __init__(self, pool: ConnectionOwner) -> None:
+    def __init__(
+        self,
+        pool: ConnectionOwner,
+        memory: MemoryQuota | None = None,
+        source: Source = Source.LEAF,
+    ) -> None:
         self.pool = pool
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
@@ -76,6 +98,14 @@
         self._completed_response: LeafResponse | None = None
         self._reusable = False
         self._received_bytes = 0
+        self._in_head = True
+        self._head_bytes = 0
+        self._fields_bytes = 0
+        self._interim_responses = 0
+        self._memory = memory or MemoryQuota()
+        self._source = source
+        # Of a response that is being received.
+        self._reservation: Reservation | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -85,12 +115,16 @@
         """Send the attempt's message; its response is expected next."""
         self.attempt = attempt
         self._received_bytes = 0
+        self._head_bytes = 0
+        self._in_head = True
+        self._interim_responses = 0
         attempt.connection = self
         self.transport.write(attempt.message)
 
     def abort(self) -> None:
         """Close at once, without reporting an outcome."""
         self.attempt = None
+        self._discard_message()
         self._close_now()
 
     def data_received(self, data: bytes) -> None:
@@ -102,6 +136,8 @@
         if self._received_bytes > MAX_RESPONSE_BYTES:
             self._fail()
             return
+        if self._in_head:
+            self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -110,6 +146,30 @@
                 self._fail()
         if self._completed_response is not None:
             self._finish()
+        elif self.attempt is not None:
+            self._keep_incomplete()
+
+    def _keep_incomplete(self) -> None:
+        """Reserve the memory of an incomplete response, or give it up."""
+        if self._in_head and self._head_bytes > MAX_FIELDS_BYTES:
+            self._fail()
+            return
+        if self._reservation is None:
+            self._reservation = self._memory.reserve(self._source)
+        self._reservation.resize(
+            BODY_COPIES * self._received_bytes
+            + FIELD_OVERHEAD_BYTES * len(self._headers)
+            + PIECE_OVERHEAD_BYTES * len(self._chunks),
+            self._fail,
+        )
+
+    def _discard_message(self) -> None:
+        """Free the memory of the response that was being received."""
+        self._headers = []
+        self._chunks = []
+        if self._reservation is not None:
+            self._reservation.release()
+            self._reservation = None
 
     def eof_received(self) -> None:
         """Complete a response whose body is delimited by the close."""
@@ -121,6 +181,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Report a broken attempt if its response was not received."""
         self.is_closed = True
+        self._discard_message()
         attempt, self.attempt = self.attempt, None
         broken = error is not None or attempt is not None
         self.pool.connection_lost(self, broken)
@@ -136,9 +197,15 @@
         self._headers = []
         self._chunks = []
         self._is_close_delimited = False
+        self._in_head = True
+        self._head_bytes = 0
+        self._fields_bytes = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header field."""
+        """Append a field; raises ValueError if there are too many."""
+        self._fields_bytes += len(name) + len(value)
+        if self._fields_bytes > MAX_FIELDS_BYTES:
+            raise ValueError("too many header fields")
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -147,6 +214,7 @@
         A response to HEAD is completed here, as the parser would wait for a
         body; its connection cannot be reused.
         """
+        self._in_head = False
         status = self._parser.get_status_code()
         has_known_length = status < 200 or status in (204, 304)
         for name, value in self._headers:
@@ -176,7 +244,13 @@
         self._complete(reusable=self._parser.should_keep_alive())
 
     def _continue(self, status: int) -> None:
-        """Send the continuation after ``100 Continue``."""
+        """Send the continuation after ``100 Continue``.
+
+        Raises ValueError if there are too many interim responses.
+        """
+        self._interim_responses += 1
+        if self._interim_responses > MAX_INTERIM_RESPONSES:
+            raise ValueError("too many interim responses")
         attempt = self.attempt
         has_continuation = (
             attempt.continuation is not None and not attempt.continued
@@ -189,6 +263,7 @@
         """Keep the response as the attempt's if it names the request."""
         request_id = self.attempt.request_id
         if request_id and find_request_id(self._headers) != request_id:
+            self._discard_message()
             return
         self._is_close_delimited = False
         self._reusable = reusable
@@ -210,6 +285,12 @@
             headers=self._headers,
             body=b"".join(self._chunks),
         )
+        self._chunks = []
+        if self._reservation is not None:
+            # The response keeps its memory for as long as it exists.
+            self._reservation.resize(len(response.body))
+            response.reservation = self._reservation
+            self._reservation = None
         for name, value in self._headers:
             lower = name.lower()
             if lower == names.SIGNATURE:
@@ -235,6 +316,7 @@
     def _fail(self) -> None:
         """Close the connection and report the attempt as broken."""
         attempt, self.attempt = self.attempt, None
+        self._discard_message()
         self._close_now()
         attempt.on_end(attempt, AttemptOutcome(failure=Failure.BROKEN))
 
--- a/heatherdyke/gateway/leaf_pool.py
+++ b/heatherdyke/gateway/leaf_pool.py
@@ -8,6 +8,8 @@
 from heatherdyke.gateway.leaf_table import Leaf
 from heatherdyke.gateway.messages import AttemptOutcome
 from heatherdyke.gateway.messages import Failure
+from heatherdyke.net.memory_quota import MemoryQuota
+from heatherdyke.net.memory_quota import Source
 from heatherdyke.net.tcp_keepalive import KeepAliveOptions
 
 CONNECT_TIMEOUT_S = 1.0
@@ -29,6 +31,8 @@
     """Is notified of what a pool learns about its leaf."""
 
     loop: asyncio.AbstractEventLoop
+    memory: MemoryQuota
+    source: Source
 
     def can_connect(self) -> bool:
         """Return whether new connections are worth an attempt."""
@@ -192,8 +196,8 @@
 
     async def _connect(self, attempt: Attempt) -> None:
         address = self.leaf.entry.address
-        connection = LeafConnection(self)
         observer = self._observer
+        connection = LeafConnection(self, observer.memory, observer.source)
         slow_timer = observer.loop.call_later(
             SLOW_CONNECT_S, observer.on_connect_slow, self, attempt.sent_at
         )
--- a/heatherdyke/gateway/leaf_pools.py
+++ b/heatherdyke/gateway/leaf_pools.py
@@ -18,6 +18,8 @@
 from heatherdyke.gateway.messages import AttemptOutcome
 from heatherdyke.gateway.messages import LeafResponse
 from heatherdyke.gateway.routing import Service
+from heatherdyke.net.memory_quota import MemoryQuota
+from heatherdyke.net.memory_quota import Source
 from heatherdyke.platform.headers import EXPECTED_LEAF
 
 CHECK_TIMEOUT_S = 1.0
@@ -42,6 +44,8 @@
 
     __slots__ = (
         "loop",
+        "memory",
+        "source",
         "rates",
         "_log",
         "_links",
@@ -62,8 +66,12 @@
         service_of: Callable[[str], Service],
         rates: LeafRateLimiter,
         observer: LeafObserver | None = None,
+        memory: MemoryQuota | None = None,
+        source: Source = Source.LEAF,
     ) -> None:
         self.loop = loop
+        self.memory = memory or MemoryQuota()
+        self.source = source
         self.rates = rates
         self._observer = observer
         self._log = log
--- a/heatherdyke/gateway/messages.py
+++ b/heatherdyke/gateway/messages.py
@@ -4,6 +4,8 @@
 from dataclasses import field
 from enum import Enum
 
+from heatherdyke.net.memory_quota import Reservation
+
 HeaderList = list[tuple[bytes, bytes]]
 
 
@@ -47,6 +49,7 @@
     is how many requests per second it accepts from all instances, None if it
     states no limit; ``is_leaving`` states that it is about to end, and
     ``retry_after`` is the undecoded value of the header, None if absent.
+    ``reservation`` is that of a large body's memory.
     """
 
     status: int
@@ -60,6 +63,7 @@
     rate_limit: float | None = None
     is_leaving: bool = False
     retry_after: bytes | None = None
+    reservation: Reservation | None = None
 
     @property
     def is_signed_success(self) -> bool:
--- a/heatherdyke/gateway/peers.py
+++ b/heatherdyke/gateway/peers.py
@@ -20,6 +20,8 @@
 from heatherdyke.gateway.leaf_table import Removal
 from heatherdyke.gateway.peer_messages import HEALTH_PATH
 from heatherdyke.gateway.routing import Service
+from heatherdyke.net.memory_quota import MemoryQuota
+from heatherdyke.net.memory_quota import Source
 
 PEER_SERVICE = "peers"
 # Limit of connections to one instance; each carries one group at a time.
@@ -57,6 +59,7 @@
         own_name: str,
         own_zone: str,
         random: Random,
+        memory: MemoryQuota | None = None,
     ) -> None:
         self._loop = loop
         self._random = random
@@ -72,6 +75,8 @@
             self.links,
             lambda name: _PEER_SETTINGS,
             LeafRateLimiter(),
+            memory=memory,
+            source=Source.INSTANCE,
         )
 
     def set_entries(self, entries: Sequence[LeafEntry]) -> None:
--- a/heatherdyke/gateway/shard_search.py
+++ b/heatherdyke/gateway/shard_search.py
@@ -10,6 +10,7 @@
 from heatherdyke.gateway.messages import ClientRequest
 from heatherdyke.gateway.messages import Failure
 from heatherdyke.gateway.part_collector import PartCollector
+from heatherdyke.gateway.record_merge import shorten
 from heatherdyke.gateway.routing import Route
 from heatherdyke.gateway.shared_state import SharedState
 
@@ -157,7 +158,8 @@
         if outcome.failure is Failure.BROKEN:
             self._broken_count += 1
         if response is not None and response.is_signed_success:
-            collector.add_part(shard, response.signature, response.body)
+            body = shorten(response.body, self._route.record_limit)
+            collector.add_part(shard, response.signature, body)
             self._has_part = True
         elif shard not in collector.progress.answered:
             reason = "rejected" if outcome.not_run else "failed"
--- a/heatherdyke/gateway/shared_state.py
+++ b/heatherdyke/gateway/shared_state.py
@@ -5,6 +5,7 @@
 
 from heatherdyke.gateway.crash_guard import CrashGuard
 from heatherdyke.gateway.event_log import EventLog
+from heatherdyke.gateway.events import MESSAGE_EVICTED
 from heatherdyke.gateway.isolation import IsolationDetector
 from heatherdyke.gateway.leaf_entry import LeafEntry
 from heatherdyke.gateway.leaf_links import LeafLinks
@@ -25,8 +26,14 @@
 from heatherdyke.gateway.settings import GatewaySettings
 from heatherdyke.gateway.shutdown import Shutdown
 from heatherdyke.gateway.timing import LatencyEstimates
+from heatherdyke.net.memory_quota import MemoryQuota
+from heatherdyke.net.memory_quota import Source
 from heatherdyke.observe.metrics import Metrics
 
+# The share of the process's memory for messages.  The rest is for the
+# program, what it knows, and the memory that freed messages fragment.
+MESSAGE_MEMORY_SHARE = 0.25
+
 
 class SharedState:
     """Configuration, leafs, limits and connections of one instance."""
@@ -36,6 +43,7 @@
         "loop",
         "log",
         "metrics",
+        "memory",
         "random",
         "routes",
         "leafs",
@@ -69,6 +77,8 @@
         self.loop = loop
         self.log = log
         self.metrics = Metrics()
+        self.memory = MemoryQuota(on_evicted=self._on_evicted)
+        self._set_memory_limit()
         self.random = random
         self.routes: RouteTable | None = None
         self.leafs = LeafTable()
@@ -88,9 +98,16 @@
             self.service,
             LeafRateLimiter(settings.name),
             self.crash_guard,
+            self.memory,
         )
         self.peers = Peers(
-            loop, log, self.isolation, settings.name, settings.zone, random
+            loop,
+            log,
+            self.isolation,
+            settings.name,
+            settings.zone,
+            random,
+            self.memory,
         )
         self.relays = RelayBackOff()
         self.selector = LeafSelector(
@@ -168,12 +185,27 @@
         """Apply settings that were reloaded."""
         bounds = settings.bounds
         self.settings = settings
+        self._set_memory_limit()
         self.budget.set_bounds(
             bounds.retry_share, bounds.retry_slack, bounds.retry_window_s
         )
         self.selector.set_settings(settings)
         self._set_leaf_times()
 
+    def _set_memory_limit(self) -> None:
+        limit_bytes = MESSAGE_MEMORY_SHARE * self.settings.memory_bytes
+        self.memory.limit_bytes = int(limit_bytes)
+
+    def _on_evicted(self, source: Source, size: int) -> None:
+        self.metrics.count("evicted_messages", source.value)
+        self.log.record(
+            MESSAGE_EVICTED,
+            source=source.value,
+            bytes=size,
+            used_bytes=self.memory.used_bytes,
+            limit_bytes=self.memory.limit_bytes,
+        )
+
     def _set_leaf_times(self) -> None:
         keeps_live_leafs = self.has(Mechanism.LIVE_LEAFS)
         self.leafs.set_times(
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -12,6 +12,8 @@
 from heatherdyke.gateway.grouping import group_shards
 from heatherdyke.gateway.isolation import IsolationDetector
 from heatherdyke.gateway.pause_detector import PauseDetector
+from heatherdyke.gateway.record_merge import RECORD_BYTES
+from heatherdyke.gateway.record_merge import shorten
 from heatherdyke.gateway.record_merge import top_records
 from heatherdyke.gateway.refusal import RefusalReason
 from heatherdyke.gateway.refusal import make_refusal
@@ -284,3 +286,14 @@
         direct = top_records(bodies, limit)
         grouped = [top_records([body], limit) for body in bodies]
         assert top_records(grouped, limit) == direct
+
+    # Guards against a part of millions of records, each of which took several
+    # times its size until all were merged.
+    def test_a_large_part_is_reduced_to_its_top_records(self):
+        random = Random(1)
+        body = random.randbytes(RECORD_BYTES * 20_000) + b"tail"
+        records = [body[at : at + 16] for at in range(0, 320_000, 16)]
+        expected = b"".join(sorted(records, reverse=True)[:50])
+        assert top_records([body], 50) == expected
+        assert shorten(body, 50) == expected
+        assert shorten(body[:320], 5) == body[:320]
