Bound what the store sends by the memory of the process

A store, or what answers at its address, that sends a body without end filled an instance's memory: 1,644 MB after 3 s. Cause: the client of the store had no bound at all, and one that breaks off kept the pieces with the traceback until the error was handled. Responses and the pages of a list now reserve memory from the process's quota; one that is given up is a call that failed, which is repeated later.

--- a/heatherdyke/gateway/instance_registry.py
+++ b/heatherdyke/gateway/instance_registry.py
@@ -45,7 +45,7 @@
     def __init__(self, shared: SharedState, updater: StateUpdater) -> None:
         self._shared = shared
         self._updater = updater
-        self._store = StoreClient(shared.settings.store.address)
+        self._store = StoreClient(shared.settings.store.address, shared.memory)
         settings = shared.settings
         self.address: Address | None = Address(
             settings.ip, settings.peer_ports[0]
--- a/heatherdyke/gateway/quarantine_store.py
+++ b/heatherdyke/gateway/quarantine_store.py
@@ -42,7 +42,7 @@
     def __init__(self, shared: SharedState, sync: QuarantineSync) -> None:
         self._shared = shared
         self._sync = sync
-        self._store = StoreClient(shared.settings.store.address)
+        self._store = StoreClient(shared.settings.store.address, shared.memory)
         self._object_count = 0
         self._waiting_by_key: dict[str, Verdict] = {}
         self._wake = asyncio.Event()
--- a/heatherdyke/gateway/store_watcher.py
+++ b/heatherdyke/gateway/store_watcher.py
@@ -73,7 +73,7 @@
         self.last_response_at = 0.0
         self.listed = asyncio.Event()
         self._shared = shared
-        self._store = StoreClient(shared.settings.store.address)
+        self._store = StoreClient(shared.settings.store.address, shared.memory)
         self._on_listing = on_listing
         self._on_change = on_change
         self._unavailable_since: float | None = None
--- a/heatherdyke/net/http_connection.py
+++ b/heatherdyke/net/http_connection.py
@@ -16,10 +16,13 @@
 from heatherdyke.errors import ConnectionSilent
 from heatherdyke.errors import TransportError
 from heatherdyke.net.address import split_address
+from heatherdyke.net.memory_quota import Reservation
 from heatherdyke.net.tcp_keepalive import KeepAliveOptions
 
 READ_BUFFER_BYTES = 65536
 CONNECT_TIMEOUT_S = 2.0
+# The pieces of a body, the whole, and what is decoded from it.
+BODY_COPIES = 3
 
 _source_host: str | None = None
 
@@ -66,25 +69,40 @@
 class HttpConnection:
     """A connection to one address; not safe for concurrent requests."""
 
-    __slots__ = ("address", "_reader", "_writer", "_usable")
+    __slots__ = (
+        "address",
+        "_reader",
+        "_writer",
+        "_usable",
+        "_reservation",
+        "_received_bytes",
+    )
 
     def __init__(
         self,
         address: str,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        reservation: Reservation | None = None,
     ) -> None:
         self.address = address
         self._reader = reader
         self._writer = writer
         self._usable = True
+        self._reservation = reservation
+        self._received_bytes = 0
 
     @classmethod
     async def open(
-        cls, address: str, timeout_s: float = CONNECT_TIMEOUT_S
+        cls,
+        address: str,
+        timeout_s: float = CONNECT_TIMEOUT_S,
+        reservation: Reservation | None = None,
     ) -> "HttpConnection":
         """Connect to ``host:port``.
 
+        Incomplete responses are held within the ``reservation``, if given.
+
         Raises ConnectionRefused if nothing listens there, and
         TransportError if connecting fails or exceeds ``timeout_s``.
         """
@@ -103,7 +121,7 @@
             raise TransportError(
                 f"connecting to {address} failed: {error!r}", sent=False
             ) from error
-        return cls(address, reader, writer)
+        return cls(address, reader, writer, reservation)
 
     def set_tcp_user_timeout(self, timeout_s: float) -> None:
         """Have the kernel drop data unacknowledged for ``timeout_s``.
@@ -153,7 +171,12 @@
             await self._read_until_complete(parser, sink, timeout_s)
         except BaseException:
             self.close()
+            # The traceback keeps the sink until the error was handled.
+            sink.chunks.clear()
             raise
+        finally:
+            if self._reservation is not None:
+                self._reservation.release()
         self._usable = sink.keep_alive
         return HttpResponse(parser.get_status_code(), sink.pop_body())
 
@@ -209,8 +232,26 @@
         sink: _ResponseSink,
         timeout_s: float,
     ) -> None:
+        self._received_bytes = 0
         while not sink.complete:
             await self._read_and_parse(parser, timeout_s)
+            self._reserve()
+
+    def _reserve(self) -> None:
+        """Reserve the memory of what was received of a response.
+
+        Raises TransportError if it takes too much.
+        """
+        if self._reservation is None:
+            return
+        size = BODY_COPIES * self._received_bytes
+        self._reservation.resize(size, self.close)
+        if not self._usable:
+            raise TransportError(
+                f"{self.address} sent a response of over "
+                f"{self._received_bytes} bytes, more than the memory allows",
+                sent=True,
+            )
 
     async def _read_and_parse(
         self, parser: httptools.HttpResponseParser, timeout_s: float
@@ -232,6 +273,7 @@
             raise TransportError(
                 f"{self.address} closed the connection", sent=True
             )
+        self._received_bytes += len(data)
         try:
             parser.feed_data(data)
         except (
--- a/heatherdyke/platform/store.py
+++ b/heatherdyke/platform/store.py
@@ -13,6 +13,8 @@
 from heatherdyke.net.address import Address
 from heatherdyke.net.http_connection import HttpConnection
 from heatherdyke.net.http_connection import HttpResponse
+from heatherdyke.net.memory_quota import MemoryQuota
+from heatherdyke.net.memory_quota import Source
 from heatherdyke.net.tcp_keepalive import KeepAliveOptions
 from heatherdyke.platform.store_pages import Changes
 from heatherdyke.platform.store_pages import StoredObject
@@ -64,10 +66,13 @@
     does not respond or responds with an error.  ``calls`` counts them.
     """
 
-    __slots__ = ("calls", "_address", "_connection")
+    __slots__ = ("calls", "_address", "_connection", "_memory")
 
-    def __init__(self, address: Address) -> None:
+    def __init__(
+        self, address: Address, memory: MemoryQuota | None = None
+    ) -> None:
         self.calls = 0
+        self._memory = memory or MemoryQuota()
         self._address = str(address)
         self._connection: HttpConnection | None = None
 
@@ -81,9 +86,16 @@
         objects: list[StoredObject] = []
         nameless = 0
         revision: int | None = None
+        pages = self._memory.reserve(Source.STORE)
         target = f"/api/objects/{kind}?after={stale}"
         while True:
             response = await self._call("GET", target)
+            pages.resize(pages.size + len(response.body), pages.release)
+            if not pages.size:
+                raise PlatformUnavailable(
+                    f"the list of {kind} takes more than the memory allows",
+                    "delete objects of this kind",
+                )
             page = _decode(response, decode_list_page)
             objects += page.objects
             nameless += page.nameless
@@ -91,6 +103,7 @@
             # some page lacks.  A later page may be the older one if stale.
             revision = min(revision or page.revision, page.revision)
             if not page.has_more:
+                pages.release()
                 return Listing(objects, revision, nameless)
             if not page.objects:
                 raise PlatformUnavailable(
@@ -181,7 +194,9 @@
         if connection is None or not connection.usable:
             self.close()
             connection = await HttpConnection.open(
-                self._address, CONNECT_TIMEOUT_S
+                self._address,
+                CONNECT_TIMEOUT_S,
+                self._memory.reserve(Source.STORE),
             )
             connection.enable_keepalive(KEEPALIVE)
             self._connection = connection
