Bound what clients send and do not read by the memory

A client that pipelined requests, or did not read the answers, filled an instance's memory (259 MB), and so did many that sent bodies slowly (170 MB), each within its limits. Cause: requests were read without regard to those that waited, answers were written without regard to the client, and limits held for each connection alone.

Nothing more is read while 16 requests wait; the next one is served once the client has read enough; a client that reads nothing for 10 s is disconnected. All that a connection holds is reserved from the process's quota. Above it, of the connections without a running request the largest is closed, with 503 if a request was being read; while running requests alone exceed it, new ones are refused at once with 503 (reason memory), and those of peers declined.

--- a/heatherdyke/gateway/connection_manager.py
+++ b/heatherdyke/gateway/connection_manager.py
@@ -2,11 +2,18 @@
 
 from heatherdyke.gateway.inbound_connection import InboundConnection
 from heatherdyke.gateway.shared_state import SharedState
+from heatherdyke.net.memory_quota import MemoryQuota
+from heatherdyke.net.memory_quota import Source
+
+# A connection is closed if nothing was read from it for this long although
+# responses are unsent.
+MAX_UNREAD_S = 10.0
 
 
 class BaseConnectionManager:
     """Tracks open connections; subclasses serve their requests."""
 
+    source = Source.CLIENT
     __slots__ = ("stopping", "_shared", "_connections")
 
     def __init__(self, shared: SharedState) -> None:
@@ -14,6 +21,11 @@
         self._shared = shared
         self._connections: set[InboundConnection] = set()
 
+    @property
+    def memory(self) -> MemoryQuota:
+        """Return the quota of the memory that connections use."""
+        return self._shared.memory
+
     @property
     def is_draining(self) -> bool:
         """Return whether connections are closed after their next response."""
@@ -34,6 +46,12 @@
         for connection in list(self._connections):
             connection.shut_down()
 
+    def abort_unread(self, now: float) -> None:
+        """Close the connections whose clients do not read the responses."""
+        for connection in list(self._connections):
+            if connection.unread_for_s(now) > MAX_UNREAD_S:
+                connection.abort()
+
     def now(self) -> float:
         """Return monotonic seconds."""
         return self._shared.loop.time()
--- a/heatherdyke/gateway/dispatch.py
+++ b/heatherdyke/gateway/dispatch.py
@@ -47,6 +47,9 @@
         if not request.target.startswith(b"/") or not request.host:
             self._reject(exchange, 400, RefusalReason.MALFORMED)
             return
+        if self._shared.memory.is_exceeded:
+            self._refuse(exchange, RefusalReason.MEMORY)
+            return
         routes = self._shared.routes
         if routes is None or not self._leaf_watcher.listed.is_set():
             self._hold(exchange)
--- a/heatherdyke/gateway/inbound_connection.py
+++ b/heatherdyke/gateway/inbound_connection.py
@@ -12,12 +12,25 @@
 from heatherdyke.gateway.messages import ClientRequest
 from heatherdyke.gateway.messages import ClientResponse
 from heatherdyke.gateway.messages import HeaderList
+from heatherdyke.gateway.refusal import RETRY_AFTER
 from heatherdyke.gateway.routing import ClientLimits
+from heatherdyke.net.memory_quota import FIELD_OVERHEAD_BYTES
+from heatherdyke.net.memory_quota import PIECE_OVERHEAD_BYTES
+from heatherdyke.net.memory_quota import MemoryQuota
+from heatherdyke.net.memory_quota import Source
+from heatherdyke.net.memory_quota import fields_size
 from heatherdyke.platform import headers as names
 
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # The colon, space and CRLF of a header field.
 FIELD_FRAMING_BYTES = 4
+# What a connection without a request takes.
+CONNECTION_BYTES = 12_288
+# The pieces of a body are joined when it is complete.
+BODY_COPIES = 2
+# No more is read from a client while this many of its requests wait.
+MAX_PIPELINED = 16
+EVICTED_RETRY_AFTER = b"0.500"
 
 
 class ConnectionManager(Protocol):
@@ -27,6 +40,14 @@
     def limits(self) -> ClientLimits:
         """Return the limits on what clients may send."""
 
+    @property
+    def memory(self) -> MemoryQuota:
+        """Return the quota of the memory that connections use."""
+
+    @property
+    def source(self) -> Source:
+        """Return who connects to this listener."""
+
     @property
     def is_draining(self) -> bool:
         """Return whether connections are closed after their next response."""
@@ -44,8 +65,26 @@
         """Serve a request; the response may follow later."""
 
 
+class _QueuedRequest:
+    """A complete request and the memory that it takes."""
+
+    __slots__ = ("request", "keep_alive", "size")
+
+    def __init__(
+        self, request: ClientRequest, keep_alive: bool, size: int
+    ) -> None:
+        self.request = request
+        self.keep_alive = keep_alive
+        self.size = size
+
+
 class InboundConnection(asyncio.Protocol):
-    """Serves one request at a time; pipelined requests are queued."""
+    """Serves one request at a time; pipelined requests are queued.
+
+    The next one is served once the client reads the responses.  Memory is
+    reserved for all that the connection holds; unless a request is being
+    served, the connection may be closed to free it.
+    """
 
     __slots__ = (
         "manager",
@@ -64,6 +103,12 @@
         "_keep_alive",
         "_request_count",
         "_closing",
+        "_reservation",
+        "_waiting_bytes",
+        "_serving_bytes",
+        "_is_write_paused",
+        "_unsent_bytes",
+        "_unsent_since",
     )
 
     def __init__(self, manager: ConnectionManager) -> None:
@@ -79,10 +124,16 @@
         self._body_bytes = 0
         self._in_head = False
         self._in_message = False
-        self._pipelined: deque[tuple[ClientRequest, bool]] = deque()
+        self._pipelined: deque[_QueuedRequest] = deque()
         self._keep_alive = True
         self._request_count = 0
         self._closing = False
+        self._reservation = manager.memory.reserve(manager.source)
+        self._waiting_bytes = 0
+        self._serving_bytes = 0
+        self._is_write_paused = False
+        self._unsent_bytes = 0
+        self._unsent_since = 0.0
 
     @property
     def is_idle(self) -> bool:
@@ -98,6 +149,7 @@
         """Store the transport and register with the manager."""
         self.transport = transport
         self.manager.connection_opened(self)
+        self._reserve()
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser; malformed input closes the connection."""
@@ -115,6 +167,33 @@
             self._head_bytes > self.manager.limits.max_header_bytes
         ):
             self._reject(431)
+        if not self._closing:
+            self._reserve()
+        if len(self._pipelined) >= MAX_PIPELINED:
+            self.transport.pause_reading()
+
+    def pause_writing(self) -> None:
+        """Serve no further request until the client reads the responses."""
+        self._is_write_paused = True
+
+    def resume_writing(self) -> None:
+        """Serve the next request."""
+        self._is_write_paused = False
+        if self.exchange is None and not self._closing:
+            self._reserve()
+            if self._pipelined:
+                self._serve_next()
+
+    def unread_for_s(self, now: float) -> float:
+        """Return since when the client has read none of what is unsent.
+
+        Call it regularly.
+        """
+        unsent_bytes = self.transport.get_write_buffer_size()
+        if unsent_bytes == 0 or unsent_bytes != self._unsent_bytes:
+            self._unsent_since = now
+        self._unsent_bytes = unsent_bytes
+        return now - self._unsent_since
 
     def eof_received(self) -> None:
         """Treat the end of the client's stream as its disconnect."""
@@ -124,10 +203,56 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Notify the exchange and the manager that the client disconnected."""
         self._closing = True
+        self._discard()
+        self._reservation.release()
         if self.exchange is not None:
             self.exchange.disconnect()
         self.manager.connection_closed(self)
 
+    def _reserve(self) -> None:
+        """Reserve memory for what the connection holds now."""
+        size = (
+            CONNECTION_BYTES
+            + self._waiting_bytes
+            + self._serving_bytes
+            + self.transport.get_write_buffer_size()
+        )
+        if self._in_message:
+            limits = self.manager.limits
+            body_bytes = min(self._body_bytes, limits.max_body_bytes)
+            size += (
+                self._head_bytes
+                + BODY_COPIES * body_bytes
+                + FIELD_OVERHEAD_BYTES * len(self._headers)
+                + PIECE_OVERHEAD_BYTES * len(self._chunks)
+            )
+        has_next = bool(self._pipelined) and not self._is_write_paused
+        may_close = self.exchange is None and not has_next
+        self._reservation.resize(size, self._evict if may_close else None)
+
+    def _evict(self) -> None:
+        """Close the connection, as the memory is needed for others."""
+        if self.transport.get_write_buffer_size() > 0:
+            self.abort()
+        elif self._in_message:
+            retry_after = (RETRY_AFTER, EVICTED_RETRY_AFTER)
+            self._reject(503, [retry_after])
+        else:
+            self.close_if_idle()
+        self._discard()
+
+    def _discard(self) -> None:
+        """Free what was read of the next requests."""
+        self._headers = []
+        self._chunks = []
+        self._pipelined.clear()
+        self._waiting_bytes = 0
+
+    def abort(self) -> None:
+        """Close the connection without sending what is unsent."""
+        self._closing = True
+        self.transport.abort()
+
     def close_if_idle(self) -> bool:
         """Close the connection if it is idle; return whether it was."""
         if not self.is_idle or self._pipelined:
@@ -237,8 +362,13 @@
             self._reject(413)
             return
         request = self._build_request()
-        self._pipelined.append((request, self._parser.should_keep_alive()))
-        if self.exchange is None:
+        size = len(request.body) + fields_size(request.headers)
+        queued = _QueuedRequest(
+            request, self._parser.should_keep_alive(), size
+        )
+        self._pipelined.append(queued)
+        self._waiting_bytes += size
+        if self.exchange is None and not self._is_write_paused:
             self._serve_next()
 
     def _build_request(self) -> ClientRequest:
@@ -259,13 +389,19 @@
         )
 
     def _serve_next(self) -> None:
-        request, self._keep_alive = self._pipelined.popleft()
-        self.exchange = Exchange(request, self._send)
+        queued = self._pipelined.popleft()
+        self._waiting_bytes -= queued.size
+        self._serving_bytes = queued.size
+        self._keep_alive = queued.keep_alive
+        self.exchange = Exchange(queued.request, self._send)
+        if len(self._pipelined) < MAX_PIPELINED:
+            self.transport.resume_reading()
         self.manager.handle(self.exchange)
 
     def _send(self, answer: ClientResponse) -> None:
         request = self.exchange.request
         self.exchange = None
+        self._serving_bytes = 0
         self.last_active_at = self.manager.now()
         if self.transport.is_closing():
             return
@@ -277,16 +413,20 @@
         if close:
             self._closing = True
             self.transport.close()
-        elif self._pipelined:
+            return
+        self._reserve()
+        if self._pipelined and not self._is_write_paused:
             self._serve_next()
 
-    def _reject(self, status: int) -> None:
+    def _reject(self, status: int, headers: HeaderList | None = None) -> None:
         """Close; answer an error status if no request is being served."""
         if self._closing:
             return
         self._closing = True
         if self.exchange is None and not self.transport.is_closing():
             self.transport.write(
-                encode_answer(ClientResponse(status), False, True)
+                encode_answer(
+                    ClientResponse(status, headers or []), False, True
+                )
             )
         self.transport.close()
--- a/heatherdyke/gateway/peer_api.py
+++ b/heatherdyke/gateway/peer_api.py
@@ -28,6 +28,7 @@
 from heatherdyke.gateway.peer_requests import route_of
 from heatherdyke.gateway.routing import ClientLimits
 from heatherdyke.gateway.shared_state import SharedState
+from heatherdyke.net.memory_quota import Source
 from heatherdyke.platform.headers import LEAF_ID
 
 PEER_LIMITS = ClientLimits(
@@ -43,6 +44,7 @@
     instance.
     """
 
+    source = Source.INSTANCE
     __slots__ = (
         "_on_config_version",
         "_on_news",
@@ -89,7 +91,7 @@
             exchange.answer(ClientResponse(404))
 
     def _serve_search(self, exchange: Exchange) -> None:
-        if self._shared.has_lost_leafs:
+        if self._shared.has_lost_leafs or self.memory.is_exceeded:
             self._decline(exchange)
             return
         try:
@@ -114,7 +116,7 @@
     def _serve_forward(self, exchange: Exchange) -> None:
         """Forward a request; the result holds the response to the client."""
         shared = self._shared
-        if shared.has_lost_leafs:
+        if shared.has_lost_leafs or self.memory.is_exceeded:
             self._decline(exchange)
             return
         try:
--- a/heatherdyke/gateway/process.py
+++ b/heatherdyke/gateway/process.py
@@ -209,6 +209,7 @@
     async def _open_listeners(self) -> None:
         """Open the listeners; those whose address is in use open later."""
         now = self._shared.loop.time
+        memory = self._shared.memory
         settings = self._shared.settings
         listeners = self._listeners
         await listeners.open(
@@ -217,7 +218,7 @@
             self._client_api,
             self._log_started,
         )
-        health = StatusApi.for_health(now, lambda: self.is_ready)
+        health = StatusApi.for_health(now, lambda: self.is_ready, memory)
         await listeners.open("health", [settings.health_address], health)
         first_port, last_port = settings.peer_ports
         self._instance_registry.address = None
@@ -231,7 +232,7 @@
             self._instance_registry.set_address,
         )
         if self._metrics_port:
-            metrics = StatusApi.for_metrics(now, self._render_metrics)
+            metrics = StatusApi.for_metrics(now, self._render_metrics, memory)
             address = Address(settings.ip, self._metrics_port)
             await listeners.open("metrics", [address], metrics)
 
@@ -262,6 +263,8 @@
             shared.peers.pools.maintain(now)
             shared.selector.check_unreachable_zones()
             self._client_api.maintain(now)
+            self._client_api.abort_unread(now)
+            self._peer_api.abort_unread(now)
             self._state_updater.expire_absent_leafs(now)
             self._link_monitor.update(now)
             if now >= self._reload_at:
@@ -309,6 +312,8 @@
             "memory_bytes": read_memory_bytes(CURRENT_FIELD),
             "memory_peak_bytes": read_memory_bytes(PEAK_FIELD),
             "memory_limit_bytes": settings.memory_bytes,
+            "message_bytes": self._shared.memory.used_bytes,
+            "message_limit_bytes": self._shared.memory.limit_bytes,
             "uptime_seconds": self._shared.loop.time() - self._started_at,
         }
         return render_metrics(page) + render_gauges(gauges)
--- a/heatherdyke/gateway/refusal.py
+++ b/heatherdyke/gateway/refusal.py
@@ -36,6 +36,8 @@
     SHARE_NOT_REACHED = "share_not_reached"
     NO_TIME_LEFT = "no_time_left"
     MALFORMED = "malformed"
+    # Messages that are needed fill the memory.
+    MEMORY = "memory"
     # The request seems to crash the leafs that run it.
     QUARANTINED = "quarantined"
     # It may, and no leaf is available to find out.
--- a/heatherdyke/gateway/status_api.py
+++ b/heatherdyke/gateway/status_api.py
@@ -6,6 +6,8 @@
 from heatherdyke.gateway.inbound_connection import InboundConnection
 from heatherdyke.gateway.messages import ClientResponse
 from heatherdyke.gateway.routing import ClientLimits
+from heatherdyke.net.memory_quota import MemoryQuota
+from heatherdyke.net.memory_quota import Source
 from heatherdyke.platform.headers import READY_PATH
 
 METRICS_PATH = b"/metrics"
@@ -14,30 +16,39 @@
 class StatusApi:
     """Serves the listener for health checks or the one for metrics."""
 
-    __slots__ = ("_now", "_responder_by_path")
+    source = Source.CLIENT
+    __slots__ = ("memory", "_now", "_responder_by_path")
 
     def __init__(
         self,
         now: Callable[[], float],
         responder_by_path: dict[bytes, Callable[[], ClientResponse]],
+        memory: MemoryQuota | None = None,
     ) -> None:
+        self.memory = memory or MemoryQuota()
         self._now = now
         self._responder_by_path = responder_by_path
 
     @classmethod
     def for_health(
-        cls, now: Callable[[], float], is_ready: Callable[[], bool]
+        cls,
+        now: Callable[[], float],
+        is_ready: Callable[[], bool],
+        memory: MemoryQuota | None = None,
     ) -> "StatusApi":
         """Return an API that answers 200 while ``is_ready``, else 503."""
 
         def readiness() -> ClientResponse:
             return ClientResponse(200 if is_ready() else 503)
 
-        return cls(now, {READY_PATH: readiness})
+        return cls(now, {READY_PATH: readiness}, memory)
 
     @classmethod
     def for_metrics(
-        cls, now: Callable[[], float], render: Callable[[], str]
+        cls,
+        now: Callable[[], float],
+        render: Callable[[], str],
+        memory: MemoryQuota | None = None,
     ) -> "StatusApi":
         """Return an API that answers with the text from ``render``."""
 
@@ -45,7 +56,7 @@
             content_type = (b"Content-Type", b"text/plain; version=0.0.4")
             return ClientResponse(200, [content_type], render().encode())
 
-        return cls(now, {METRICS_PATH: metrics})
+        return cls(now, {METRICS_PATH: metrics}, memory)
 
     @property
     def limits(self) -> ClientLimits:
--- a/heatherdyke/platform_standin/listener.py
+++ b/heatherdyke/platform_standin/listener.py
@@ -7,6 +7,8 @@
 from heatherdyke.gateway.inbound_connection import InboundConnection
 from heatherdyke.gateway.routing import ClientLimits
 from heatherdyke.net.address import Address
+from heatherdyke.net.memory_quota import MemoryQuota
+from heatherdyke.net.memory_quota import Source
 from heatherdyke.standin.free_address import free_port
 
 LIMITS = ClientLimits(
@@ -23,8 +25,10 @@
     ``connections_opened`` counts all connections since the start.
     """
 
+    source = Source.CLIENT
     __slots__ = (
         "address",
+        "memory",
         "is_draining",
         "connections",
         "connections_opened",
@@ -35,6 +39,7 @@
     def __init__(self, handle: Callable[[Exchange], None]) -> None:
         self.address = Address("127.0.0.1", 0)
         self.is_draining = False
+        self.memory = MemoryQuota()
         self.connections_opened = 0
         self.connections: set[InboundConnection] = set()
         self._handle = handle
--- a/tests/test_gateway_upgrade_offers.py
+++ b/tests/test_gateway_upgrade_offers.py
@@ -7,6 +7,8 @@
 from heatherdyke.gateway.inbound_connection import InboundConnection
 from heatherdyke.gateway.messages import ClientResponse
 from heatherdyke.gateway.routing import ClientLimits
+from heatherdyke.net.memory_quota import MemoryQuota
+from heatherdyke.net.memory_quota import Source
 
 OFFER = (
     b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
@@ -47,6 +49,12 @@
     def is_closing(self) -> bool:
         return self.closed
 
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def resume_reading(self) -> None:
+        """Nothing is paused."""
+
 
 class Manager:
     """Answers each request at once, or keeps it open."""
@@ -55,6 +63,8 @@
 
     def __init__(self, answers: bool = True) -> None:
         self.limits = ClientLimits()
+        self.memory = MemoryQuota()
+        self.source = Source.CLIENT
         self.exchanges: list[Exchange] = []
         self._answers = answers
 
