Share a search's request among its attempts

A search whose request had a body filled an instance's memory: 30 requests of 64 kB to 120 shards used 219 to 243 MB. Cause: the message was copied for each attempt, and the copy was kept until its leaf had answered. Attempts now hold the shared pieces, which are joined when they are written; what a leaf does not read yet is reserved from the process's quota.

--- a/heatherdyke/gateway/attempt.py
+++ b/heatherdyke/gateway/attempt.py
@@ -28,6 +28,8 @@
 class Attempt:
     """One request that is sent to one leaf.
 
+    The pieces of ``message`` may be shared with other attempts; they are
+    joined when they are sent.
     ``on_end`` is called once with the attempt and its outcome, unless the
     attempt is abandoned before.  ``continuation`` returns the bytes to send
     after the receiver's ``100 Continue``; ``continued`` states whether they
@@ -52,7 +54,7 @@
         self,
         number: int,
         request_id: bytes,
-        message: bytes,
+        message: tuple[bytes, ...],
         is_head: bool,
         pool: AttemptPool,
         on_end: Callable[["Attempt", AttemptOutcome], None],
--- a/heatherdyke/gateway/header_rules.py
+++ b/heatherdyke/gateway/header_rules.py
@@ -73,10 +73,10 @@
 
 def attempt_message(
     head: bytes, body: bytes, remaining_s: float, leaf_id: str
-) -> bytes:
-    """Return the complete message for one leaf."""
+) -> tuple[bytes, ...]:
+    """Return the pieces of the message for one leaf."""
     set_fields = names.leaf_request_fields(remaining_s, leaf_id.encode())
-    return b"".join((head, set_fields, b"\r\n", body))
+    return head, set_fields, b"\r\n", body
 
 
 def encode_answer(answer: ClientResponse, is_head: bool, close: bool) -> bytes:
--- a/heatherdyke/gateway/leaf_connection.py
+++ b/heatherdyke/gateway/leaf_connection.py
@@ -119,7 +119,8 @@
         self._in_head = True
         self._interim_responses = 0
         attempt.connection = self
-        self.transport.write(attempt.message)
+        self.transport.write(b"".join(attempt.message))
+        self._reserve_unsent()
 
     def abort(self) -> None:
         """Close at once, without reporting an outcome."""
@@ -163,6 +164,13 @@
             self._fail,
         )
 
+    def _reserve_unsent(self) -> None:
+        """Reserve the memory of a request that the leaf does not read yet."""
+        unsent_bytes = self.transport.get_write_buffer_size()
+        if unsent_bytes > 0:
+            self._reservation = self._memory.reserve(self._source)
+            self._reservation.resize(unsent_bytes)
+
     def _discard_message(self) -> None:
         """Free the memory of the response that was being received."""
         self._headers = []
--- a/heatherdyke/gateway/leaf_pools.py
+++ b/heatherdyke/gateway/leaf_pools.py
@@ -212,7 +212,7 @@
         attempt = Attempt(
             number=self.next_attempt_number(),
             request_id=b"",
-            message=self._check_message(leaf),
+            message=(self._check_message(leaf),),
             is_head=False,
             pool=pool,
             on_end=self._on_checked,
--- a/heatherdyke/gateway/peer_send.py
+++ b/heatherdyke/gateway/peer_send.py
@@ -108,7 +108,7 @@
         self._attempt = Attempt(
             number=pools.next_attempt_number(),
             request_id=b"",
-            message=message,
+            message=(message,),
             is_head=False,
             pool=pool,
             on_end=self._on_attempt_end,
--- a/tests/test_gateway_endless_responses.py
+++ b/tests/test_gateway_endless_responses.py
@@ -16,6 +16,9 @@
     def __init__(self) -> None:
         self.aborted = False
 
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def write(self, data: bytes) -> None:
         """Discard what the connection sends."""
 
@@ -43,7 +46,7 @@
         attempt = Attempt(
             number=1,
             request_id=b"r1",
-            message=b"",
+            message=(b"",),
             is_head=False,
             pool=None,
             on_end=lambda attempt, outcome: outcomes.append(outcome),
--- a/tests/test_gateway_memory.py
+++ b/tests/test_gateway_memory.py
@@ -28,6 +28,8 @@
 MAX_PIPELINED = 400_000
 CONNECTIONS = 2200
 STORE_FLOOD_S = 3.0
+WIDE_SHARDS = 120
+WIDE_SEARCHES = 30
 
 
 async def add_endless_leaf(fleet: Fleet, server: EndlessServer) -> None:
@@ -146,6 +148,48 @@
         run(scenario, tmp_path)
 
 
+class TestSearches:
+    # Guards against a search whose request was copied for each shard, and the
+    # copies kept until its leafs had answered.
+    def test_the_shards_of_a_search_share_its_request(self, tmp_path):
+        async def scenario(fleet):
+            shards = [f"wide{number}" for number in range(WIDE_SHARDS)]
+            wide = {"fan-out-services": shards, "top-k": 20}
+            wide_route = route(
+                "wide", "/w/", **wide, **{"min-shard-share": 0.5}
+            )
+            loop = asyncio.get_running_loop()
+            server = await loop.create_server(
+                ReadsNothing, "127.0.0.1", 0, backlog=4096
+            )
+            port = server.sockets[0].getsockname()[1]
+            leaf = await fleet.add_leaf(StandinLeaf("one-0", "one"))
+            for shard in shards:
+                entry = {**leaf.entry(), "service": shard}
+                entry["address"] = f"127.0.0.1:{port}"
+                fleet.store.put("servers", f"{shard}-0", entry)
+            fleet.set_config(config(3, [ONE, wide_route], ["one", *shards]))
+            gateway = await ready_gateway(fleet)
+            body = b"x" * 64_000
+            sends = [
+                send_request(gateway, "/w/x", f"w{number}", "POST", body)
+                for number in range(WIDE_SEARCHES)
+            ]
+            await asyncio.gather(*sends)
+            assert memory_violations(gateway) == []
+            assert await still_serves(gateway)
+            server.close()
+
+        run(scenario, tmp_path)
+
+
+class ReadsNothing(asyncio.Protocol):
+    """Accepts a connection and leaves what it receives in the socket."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        transport.pause_reading()
+
+
 def is_sending(writer: asyncio.StreamWriter) -> bool:
     transport = writer.transport
     return not transport.is_closing() and transport.get_write_buffer_size() > 0
--- a/tests/test_leaf_connection_cuts.py
+++ b/tests/test_leaf_connection_cuts.py
@@ -68,6 +68,9 @@
 class Transport:
     """Discards what is written."""
 
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def write(self, data: bytes) -> None:
         pass
 
@@ -105,7 +108,7 @@
         attempt = Attempt(
             number=1,
             request_id=request_id,
-            message=b"",
+            message=(b"",),
             is_head=False,
             pool=None,
             on_end=lambda attempt, outcome: self.outcomes.append(outcome),
--- a/tests/test_leaf_foreign_responses.py
+++ b/tests/test_leaf_foreign_responses.py
@@ -48,6 +48,9 @@
 class Transport:
     """Discards what is written."""
 
+    def get_write_buffer_size(self) -> int:
+        return 0
+
     def write(self, data: bytes) -> None:
         pass
 
@@ -80,7 +83,7 @@
     attempt = Attempt(
         number=1,
         request_id=request_id,
-        message=b"",
+        message=(b"",),
         is_head=False,
         pool=None,
         on_end=lambda attempt, outcome: outcomes.append(outcome),
