Build the gateway without a C compiler

Callers saw nothing served: on arm64 the build ended with exit code 1 on a machine without a compiler and with an empty cache of pip ("Failed building wheel for hdrhistogram"). Cause: the gateway's latencies were kept in a library that has no wheel there, and machines start clean.

The gateway keeps them in DDSketch, a library without compiled code, with an accuracy of 1%; its series are never merged with others, for which the product's own instances go on using HdrHistogram. With the library blocked the old gateway ended with ModuleNotFoundError; the test passes now.

--- a/heatherdyke/gateway/crash_guard.py
+++ b/heatherdyke/gateway/crash_guard.py
@@ -9,6 +9,7 @@
 from enum import Enum
 
 from heatherdyke.gateway.crash_evidence import Level
+from heatherdyke.gateway.gateway_metrics import GatewayMetrics
 from heatherdyke.gateway.leaf_crashes import SETTLE_S
 from heatherdyke.gateway.leaf_crashes import BrokenAttempt
 from heatherdyke.gateway.leaf_crashes import CrashSighting
@@ -20,7 +21,6 @@
 from heatherdyke.gateway.quarantine import Quarantine
 from heatherdyke.gateway.quarantine import QuarantineEntry
 from heatherdyke.gateway.request_key import request_key
-from heatherdyke.observe.metrics import Metrics
 
 # Characters of a target in log lines and messages.
 MAX_TARGET = 120
@@ -69,7 +69,7 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        metrics: Metrics,
+        metrics: GatewayMetrics,
         is_enabled: bool,
         links: LeafLinks,
     ) -> None:
--- a/heatherdyke/gateway/process.py
+++ b/heatherdyke/gateway/process.py
@@ -41,8 +41,7 @@
 from heatherdyke.gateway.store_watcher import StoreWatcher
 from heatherdyke.gateway.zone_probes import ZoneProbes
 from heatherdyke.net.address import Address
-from heatherdyke.observe.prometheus_text import render_gauges
-from heatherdyke.observe.prometheus_text import render_metrics
+from heatherdyke.observe.prometheus_lines import render_gauges
 from heatherdyke.platform.configuration import KIND as CONFIG_KIND
 from heatherdyke.platform.discovery import LEAF_KIND
 from heatherdyke.platform.discovery import ZONE_OUT_KIND
@@ -307,7 +306,6 @@
 
     def _render_metrics(self) -> str:
         settings = self._shared.settings
-        page = self._shared.metrics.read(settings.name, settings.zone, "")
         gauges = {
             "memory_bytes": read_memory_bytes(CURRENT_FIELD),
             "memory_peak_bytes": read_memory_bytes(PEAK_FIELD),
@@ -316,7 +314,7 @@
             "message_limit_bytes": self._shared.memory.limit_bytes,
             "uptime_seconds": self._shared.loop.time() - self._started_at,
         }
-        return render_metrics(page) + render_gauges(gauges)
+        return self._shared.metrics.render() + render_gauges(gauges)
 
     def _on_unhandled(
         self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
--- a/heatherdyke/gateway/shared_state.py
+++ b/heatherdyke/gateway/shared_state.py
@@ -6,6 +6,7 @@
 from heatherdyke.gateway.crash_guard import CrashGuard
 from heatherdyke.gateway.event_log import EventLog
 from heatherdyke.gateway.events import MESSAGE_EVICTED
+from heatherdyke.gateway.gateway_metrics import GatewayMetrics
 from heatherdyke.gateway.isolation import IsolationDetector
 from heatherdyke.gateway.leaf_entry import LeafEntry
 from heatherdyke.gateway.leaf_links import LeafLinks
@@ -28,7 +29,6 @@
 from heatherdyke.gateway.timing import LatencyEstimates
 from heatherdyke.net.memory_quota import MemoryQuota
 from heatherdyke.net.memory_quota import Source
-from heatherdyke.observe.metrics import Metrics
 
 # The share of the process's memory for messages.  The rest is for the
 # program, what it knows, and the memory that freed messages fragment.
@@ -76,7 +76,7 @@
         self.settings = settings
         self.loop = loop
         self.log = log
-        self.metrics = Metrics()
+        self.metrics = GatewayMetrics()
         self.memory = MemoryQuota(on_evicted=self._on_evicted)
         self._set_memory_limit()
         self.random = random
--- a/heatherdyke/observe/metrics.py
+++ b/heatherdyke/observe/metrics.py
@@ -10,14 +10,16 @@
 
 from hdrh.histogram import HdrHistogram
 
+from heatherdyke.observe.series import MAX_SERIES as MAX_SERIES
+from heatherdyke.observe.series import PERCENTILES
+from heatherdyke.observe.series import CounterSeries
+from heatherdyke.observe.series import LatencySummary
+from heatherdyke.observe.series import SeriesKey
+from heatherdyke.observe.series import bounded_key
+
 MIN_LATENCY_US = 1
 MAX_LATENCY_US = 100_000_000
 SIGNIFICANT_DIGITS = 2
-MAX_SERIES = 512
-OVERFLOW_LABEL = "other"
-PERCENTILES = (50.0, 99.0, 99.9)
-
-SeriesKey = tuple[str, str]
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,15 +31,6 @@
     histogram: str
 
 
-@dataclass(frozen=True, slots=True)
-class CounterSeries:
-    """A counter's value since the instance started."""
-
-    name: str
-    label: str
-    count: int
-
-
 @dataclass(frozen=True, slots=True)
 class StatsPage:
     """All series of one instance, or of several instances merged."""
@@ -49,19 +42,6 @@
     counters: list[CounterSeries] = field(default_factory=list)
 
 
-@dataclass(frozen=True, slots=True)
-class LatencySummary:
-    """Count and percentiles of a latency series, in milliseconds."""
-
-    name: str
-    label: str
-    count: int
-    p50_ms: float
-    p99_ms: float
-    p999_ms: float
-    max_ms: float
-
-
 class Metrics:
     """Collects latencies and counters by name and label.
 
@@ -77,7 +57,7 @@
 
     def record_latency(self, name: str, label: str, seconds: float) -> None:
         """Record a duration, clamped to the range of the histogram."""
-        key = _bounded_key(self._histogram_by_key, name, label)
+        key = bounded_key(self._histogram_by_key, name, label)
         histogram = self._histogram_by_key.get(key)
         if histogram is None:
             histogram = _new_histogram()
@@ -89,7 +69,7 @@
 
     def count(self, name: str, label: str, n: int = 1) -> None:
         """Increase a counter by ``n``."""
-        key = _bounded_key(self._count_by_key, name, label)
+        key = bounded_key(self._count_by_key, name, label)
         self._count_by_key[key] = self._count_by_key.get(key, 0) + n
 
     def read(self, instance: str, zone: str, incarnation: str) -> StatsPage:
@@ -158,12 +138,5 @@
     )
 
 
-def _bounded_key(by_key: dict, name: str, label: str) -> SeriesKey:
-    key = (name, label)
-    if key in by_key or len(by_key) < MAX_SERIES:
-        return key
-    return (name, OVERFLOW_LABEL)
-
-
 def _new_histogram() -> HdrHistogram:
     return HdrHistogram(MIN_LATENCY_US, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
--- a/heatherdyke/observe/prometheus_text.py
+++ b/heatherdyke/observe/prometheus_text.py
@@ -1,69 +1,12 @@
 """Metrics in Prometheus' text exposition format."""
 
-import re
-
-from heatherdyke.observe.metrics import LatencySeries
 from heatherdyke.observe.metrics import StatsPage
 from heatherdyke.observe.metrics import summarise
+from heatherdyke.observe.prometheus_lines import render_series
 
 CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
-PREFIX = "heatherdyke_"
 
 
 def render_metrics(page: StatsPage) -> str:
     """Render the series as text; durations are in seconds."""
-    lines: list[str] = []
-    declared: set[str] = set()
-    for series in page.latencies:
-        name = _metric_name(series.name) + "_seconds"
-        _declare_type(name, "summary", declared, lines)
-        lines.extend(_summary_lines(name, series))
-    for counter in page.counters:
-        name = _metric_name(counter.name) + "_total"
-        _declare_type(name, "counter", declared, lines)
-        lines.append(f"{name}{{{_label_pair(counter.label)}}} {counter.count}")
-    return "\n".join(lines) + "\n"
-
-
-def render_gauges(value_by_name: dict[str, float]) -> str:
-    """Render the current values of some quantities as text."""
-    lines: list[str] = []
-    for name, value in value_by_name.items():
-        metric_name = _metric_name(name)
-        lines.append(f"# TYPE {metric_name} gauge")
-        lines.append(f"{metric_name} {value}")
-    return "".join(line + "\n" for line in lines)
-
-
-def _summary_lines(name: str, series: LatencySeries) -> list[str]:
-    summary = summarise(series)
-    label = _label_pair(series.label)
-    seconds_by_quantile = {
-        "0.5": summary.p50_ms / 1000,
-        "0.99": summary.p99_ms / 1000,
-        "0.999": summary.p999_ms / 1000,
-    }
-    lines = [
-        f'{name}{{{label},quantile="{quantile}"}} {seconds:.6f}'
-        for quantile, seconds in seconds_by_quantile.items()
-    ]
-    lines.append(f"{name}_count{{{label}}} {summary.count}")
-    return lines
-
-
-def _declare_type(
-    name: str, metric_type: str, declared: set[str], lines: list[str]
-) -> None:
-    if name not in declared:
-        declared.add(name)
-        lines.append(f"# TYPE {name} {metric_type}")
-
-
-def _metric_name(name: str) -> str:
-    return PREFIX + re.sub(r"[^a-zA-Z0-9_]", "_", name)
-
-
-def _label_pair(value: str) -> str:
-    escaped = value.replace("\\", "\\\\").replace('"', '\\"')
-    escaped = escaped.replace("\n", "\\n")
-    return f'label="{escaped}"'
+    return render_series(map(summarise, page.latencies), page.counters)
