Close the connections of commands before the event loop

Cause: commands left the connections of ObjectClient, which had no close(), and of StoreClient to the collection of garbage, which closes them after their loop. The error goes to sys.unraisablehook. That of pytest formats the traceback; in Python 3.11 this calls ast.parse for the carets. If the collection happens within another ast.parse, as hypothesis calls it, the inner call overwrites the recursion depth that the interpreter keeps for both.

Now the function that runs a command's loop closes the client within it.

--- a/heatherdyke/cli/config.py
+++ b/heatherdyke/cli/config.py
@@ -5,7 +5,6 @@
 another edit.
 """
 
-import asyncio
 from collections.abc import Awaitable
 from pathlib import Path
 from time import time
@@ -19,7 +18,7 @@
 from heatherdyke.cli.options import PlatformOption
 from heatherdyke.cli.options import WaitOption
 from heatherdyke.cli.options import WaitSecondsOption
-from heatherdyke.cli.options import create_platform_client
+from heatherdyke.cli.options import call_platform
 from heatherdyke.cli.options import print_json
 from heatherdyke.cli.options import report_change
 from heatherdyke.cli.options import resolve_editor
@@ -94,8 +93,9 @@
     as_json: JsonOption = False,
 ) -> None:
     """Show the accepted document, or with --team a section as YAML."""
-    client = create_platform_client(platform)
-    shown = asyncio.run(commands.show_document(client, team))
+    shown = call_platform(
+        platform, lambda client: commands.show_document(client, team)
+    )
     if as_json:
         print_json(shown)
     elif team:
@@ -116,8 +116,9 @@
     as_json: JsonOption = False,
 ) -> None:
     """Show what applying the file would change."""
-    client = create_platform_client(platform)
-    changes = asyncio.run(commands.diff_file(client, file))
+    changes = call_platform(
+        platform, lambda client: commands.diff_file(client, file)
+    )
     if as_json:
         print_json(changes)
         return
@@ -142,13 +143,14 @@
     """Apply your team's section."""
     section = load_valid_section(file)
     commands.require_team(section, team)
-    client = create_platform_client(platform)
-    change = commands.apply_section(
-        client, team, section, resolve_editor(editor), edit, if_version
-    )
-    asyncio.run(
-        _apply_change(client, change, wait_s if wait else None, as_json)
-    )
+
+    async def run(client: ObjectClient) -> None:
+        change = commands.apply_section(
+            client, team, section, resolve_editor(editor), edit, if_version
+        )
+        await _apply_change(client, change, wait_s if wait else None, as_json)
+
+    call_platform(platform, run)
 
 
 @config_app.command("remove")
@@ -163,13 +165,14 @@
     as_json: JsonOption = False,
 ) -> None:
     """Remove your team's section."""
-    client = create_platform_client(platform)
-    change = commands.apply_section(
-        client, team, None, resolve_editor(editor), edit, if_version
-    )
-    asyncio.run(
-        _apply_change(client, change, wait_s if wait else None, as_json)
-    )
+
+    async def run(client: ObjectClient) -> None:
+        change = commands.apply_section(
+            client, team, None, resolve_editor(editor), edit, if_version
+        )
+        await _apply_change(client, change, wait_s if wait else None, as_json)
+
+    call_platform(platform, run)
 
 
 @config_app.command("collect")
@@ -181,8 +184,9 @@
     as_json: JsonOption = False,
 ) -> None:
     """Remove section objects that later edits have superseded."""
-    client = create_platform_client(platform)
-    outcome = asyncio.run(collect_garbage(client, older_than_s, time()))
+    outcome = call_platform(
+        platform, lambda client: collect_garbage(client, older_than_s, time())
+    )
     if as_json:
         print_json(outcome)
     else:
--- a/heatherdyke/cli/options.py
+++ b/heatherdyke/cli/options.py
@@ -1,9 +1,13 @@
 """Options and output shared by the ``config`` and ``zone`` commands."""
 
+import asyncio
 import getpass
+from collections.abc import Awaitable
 from collections.abc import Callable
+from contextlib import closing
 from typing import Annotated
 from typing import Any
+from typing import TypeVar
 
 import typer
 
@@ -16,6 +20,8 @@
 from heatherdyke.net.address import split_address
 from heatherdyke.objects.client import ObjectClient
 
+T = TypeVar("T")
+
 PlatformOption = Annotated[
     str,
     typer.Option(
@@ -66,6 +72,22 @@
     return ObjectClient(address)
 
 
+def call_platform(
+    address: str, call: Callable[[ObjectClient], Awaitable[T]]
+) -> T:
+    """Run ``call`` with a client of the platform, then close the client.
+
+    Raises SettingsError if ``address`` is malformed.
+    """
+    client = create_platform_client(address)
+
+    async def run() -> T:
+        with closing(client):
+            return await call(client)
+
+    return asyncio.run(run())
+
+
 def resolve_editor(editor: str) -> str:
     """Return ``editor``, or the login name if it is empty."""
     return editor or getpass.getuser()
--- a/heatherdyke/cli/quarantine.py
+++ b/heatherdyke/cli/quarantine.py
@@ -2,7 +2,11 @@
 
 import asyncio
 import time
+from collections.abc import Awaitable
+from collections.abc import Callable
+from contextlib import closing
 from typing import Annotated
+from typing import TypeVar
 
 import typer
 
@@ -19,6 +23,8 @@
 from heatherdyke.platform.quarantines import encode_quarantine
 from heatherdyke.platform.store import StoreClient
 
+T = TypeVar("T")
+
 quarantine_app = typer.Typer(
     name="quarantine",
     help="List and lift requests that crash the leafs that run them.",
@@ -33,8 +39,7 @@
     platform: PlatformOption = "", as_json: JsonOption = False
 ) -> None:
     """Show the quarantined requests with the evidence against them."""
-    store = _create_store_client(platform)
-    verdicts = asyncio.run(read_verdicts(store))
+    verdicts = _call_store(platform, read_verdicts)
     if as_json:
         print_json(verdicts)
         return
@@ -47,8 +52,7 @@
 @quarantine_app.command("lift")
 def lift(key: KeyArgument, platform: PlatformOption = "") -> None:
     """Let a request be sent again, at all instances within a minute."""
-    store = _create_store_client(platform)
-    asyncio.run(lift_request(store, key))
+    _call_store(platform, lambda store: lift_request(store, key))
     typer.echo(f"lifted {key}; the instances follow within a minute")
 
 
@@ -83,6 +87,19 @@
     )
 
 
+def _call_store(
+    address: str, call: Callable[[StoreClient], Awaitable[T]]
+) -> T:
+    """Run ``call`` with a client of the store, then close the client."""
+    store = _create_store_client(address)
+
+    async def run() -> T:
+        with closing(store):
+            return await call(store)
+
+    return asyncio.run(run())
+
+
 def _create_store_client(address: str) -> StoreClient:
     """Create a client; raises SettingsError if ``address`` is malformed."""
     try:
--- a/heatherdyke/cli/zone.py
+++ b/heatherdyke/cli/zone.py
@@ -1,6 +1,5 @@
 """The ``zone`` commands; the exit codes are those of ``config``."""
 
-import asyncio
 from typing import Annotated
 
 import typer
@@ -11,7 +10,7 @@
 from heatherdyke.cli.options import PlatformOption
 from heatherdyke.cli.options import WaitOption
 from heatherdyke.cli.options import WaitSecondsOption
-from heatherdyke.cli.options import create_platform_client
+from heatherdyke.cli.options import call_platform
 from heatherdyke.cli.options import report_change
 from heatherdyke.cli.options import resolve_editor
 from heatherdyke.config import commands
@@ -44,16 +43,15 @@
     as_json: JsonOption = False,
 ) -> None:
     """Take a zone out of service: its leaves get no new work."""
-    client = create_platform_client(platform)
 
-    async def run() -> None:
+    async def run(client: ObjectClient) -> None:
         await commands.require_zone(client, zone)
         zones = await commands.change_zone_state(
             client, zone, ZoneStatus.OUT, resolve_editor(editor), reason, edit
         )
         await _report(client, zones, wait_s if wait else None, as_json)
 
-    asyncio.run(run())
+    call_platform(platform, run)
 
 
 @zone_app.command("in")
@@ -68,15 +66,14 @@
     as_json: JsonOption = False,
 ) -> None:
     """Put a zone back into service."""
-    client = create_platform_client(platform)
 
-    async def run() -> None:
+    async def run(client: ObjectClient) -> None:
         zones = await commands.change_zone_state(
             client, zone, ZoneStatus.IN, resolve_editor(editor), reason, edit
         )
         await _report(client, zones, wait_s if wait else None, as_json)
 
-    asyncio.run(run())
+    call_platform(platform, run)
 
 
 @zone_app.command("status")
@@ -84,13 +81,12 @@
     platform: PlatformOption = "", as_json: JsonOption = False
 ) -> None:
     """Show each zone's state and on which instances it is active."""
-    client = create_platform_client(platform)
 
-    async def run() -> None:
+    async def run(client: ObjectClient) -> None:
         zones = await commands.show_zones(client)
         await _report(client, zones, 0.0, as_json)
 
-    asyncio.run(run())
+    call_platform(platform, run)
 
 
 async def _report(
--- a/heatherdyke/objects/client.py
+++ b/heatherdyke/objects/client.py
@@ -32,16 +32,18 @@
     Each call raises PlatformUnavailable if the platform does not respond or
     responds with a status of 500 or above.
 
-    ``calls`` counts the calls, for the capacity measurements.
+    ``calls`` counts the calls, for the capacity measurements.  The owner
+    closes the client before the event loop ends.
     """
 
-    __slots__ = ("address", "timeout_s", "calls", "_idle")
+    __slots__ = ("address", "timeout_s", "calls", "_idle", "_closed")
 
     def __init__(self, address: str, timeout_s: float = 2.0) -> None:
         self.address = address
         self.timeout_s = timeout_s
         self.calls = 0
         self._idle: list[HttpConnection] = []
+        self._closed = False
 
     async def get(self, key: str) -> PlatformObject | None:
         """Return the object, or None if it does not exist."""
@@ -112,6 +114,12 @@
         """
         await self._call("POST", "/instances", encode(row))
 
+    def close(self) -> None:
+        """Close the idle connections; calls in progress close theirs."""
+        self._closed = True
+        while self._idle:
+            self._idle.pop().close()
+
     async def _call(
         self,
         method: str,
@@ -145,10 +153,12 @@
             connection = self._idle.pop()
             if connection.usable:
                 return connection
+            connection.close()
         return await HttpConnection.open(self.address, self.timeout_s)
 
     def _release_connection(self, connection: HttpConnection) -> None:
-        if connection.usable and len(self._idle) < MAX_IDLE_CONNECTIONS:
+        has_room = not self._closed and len(self._idle) < MAX_IDLE_CONNECTIONS
+        if connection.usable and has_room:
             self._idle.append(connection)
         else:
             connection.close()
--- a/heatherdyke/observe/fleet_client.py
+++ b/heatherdyke/observe/fleet_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import closing
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Generic
@@ -107,4 +108,5 @@
 
 
 async def _list_from_platform(address: str) -> list[KnownInstance]:
-    return await list_instances(ObjectClient(address, REQUEST_TIMEOUT_S))
+    with closing(ObjectClient(address, REQUEST_TIMEOUT_S)) as client:
+        return await list_instances(client)
--- a/heatherdyke/usage/report.py
+++ b/heatherdyke/usage/report.py
@@ -1,5 +1,6 @@
 """Collects the teams' usage from the instances and the platform."""
 
+from contextlib import closing
 from dataclasses import dataclass
 from dataclasses import field
 
@@ -80,7 +81,8 @@
     platform: str, not_read: list[str], has_pages: bool
 ) -> list[UsagePage]:
     try:
-        stored = await ObjectClient(platform).list(USAGE_PREFIX)
+        with closing(ObjectClient(platform)) as client:
+            stored = await client.list(USAGE_PREFIX)
     except PlatformUnavailable as error:
         if not has_pages:
             raise
