Close the connections of instances and leafs as they stop

Seen and cause: as with the commands, an instance that had stopped left its idle connections to the platform (4) to the collection of garbage, and so did the demo and the task that announces a stand-in leaf (1).

Instance.stop() now closes the client of the platform as it does that of the peers, also if a second signal cancels the shutdown; a closed client keeps no connection that a late call gives back. The demo and the announcer close theirs where they end.

The tests now record the streams that are opened instead of waiting for their collection: an instance that something else still referred to hid its streams from the first form of the test.

--- a/heatherdyke/instance.py
+++ b/heatherdyke/instance.py
@@ -173,21 +173,14 @@
         The instance first stops being ready, but accepts new requests until
         load balancers have had time to notice.  Then it releases its home
         leases.  The running requests and then the remaining leaf work have
-        up to ``drain_s`` each to finish.
+        up to ``drain_s`` each to finish.  The connections are closed even if
+        the shutdown is cancelled.
         """
-        self.journal.record(INSTANCE_STOPPING)
-        graceful = self.settings.is_enabled(Mechanism.GRACEFUL_SHUTDOWN)
-        if graceful:
-            await self._drain()
-        for component in reversed(self.components):
-            await component.stop()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        self.dispatcher.stop_workers()
-        for server in reversed(self._servers):
-            await server.stop(force=not graceful)
-        self.peers.close()
+        try:
+            await self._shut_down()
+        finally:
+            self.peers.close()
+            self.platform.close()
         self.journal.record(INSTANCE_STOPPED)
 
     async def serve(self) -> None:
@@ -233,6 +226,21 @@
             clock,
         )
 
+    async def _shut_down(self) -> None:
+        """Stop the servers and components."""
+        self.journal.record(INSTANCE_STOPPING)
+        graceful = self.settings.is_enabled(Mechanism.GRACEFUL_SHUTDOWN)
+        if graceful:
+            await self._drain()
+        for component in reversed(self.components):
+            await component.stop()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.dispatcher.stop_workers()
+        for server in reversed(self._servers):
+            await server.stop(force=not graceful)
+
     async def _drain(self) -> None:
         self.active_requests.begin_leaving()
         drain_s = self.settings.drain_s
--- a/heatherdyke/standin/announcer.py
+++ b/heatherdyke/standin/announcer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import closing
 
 from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.messages import ListedInstance
@@ -14,10 +15,10 @@
     platform: str, make_row: Callable[[], ListedInstance]
 ) -> None:
     """Renew the row every ANNOUNCE_INTERVAL_S until cancelled."""
-    client = ObjectClient(platform)
-    while True:
-        await announce_once(client, make_row())
-        await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+    with closing(ObjectClient(platform)) as client:
+        while True:
+            await announce_once(client, make_row())
+            await asyncio.sleep(ANNOUNCE_INTERVAL_S)
 
 
 async def announce_once(client: ObjectClient, row: ListedInstance) -> None:
--- a/heatherdyke/standin/demo.py
+++ b/heatherdyke/standin/demo.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from contextlib import AsyncExitStack
+from contextlib import closing
 from uuid import uuid4
 
 import msgspec
@@ -156,19 +157,19 @@
 
 
 async def _publish_config(address: str, section: SectionConfig) -> None:
-    platform = ObjectClient(address)
-    key = f"config/{TEAM}/first"
-    raw = msgspec.Raw(encode(section))
-    stored = StoredSection(TEAM, "first", "demo", "", 0.0, raw)
-    await platform.put(key, stored, ABSENT_VERSION)
-    pointer = SectionPointer(1, key, "first", "demo")
-    head = ConfigHead(1, {TEAM: pointer})
-    await platform.put(HEAD_KEY, head, ABSENT_VERSION)
-    await platform.put(
-        SNAPSHOTS_PREFIX + PERMITS_INDEX,
-        IndexSnapshots(1, [1]),
-        ABSENT_VERSION,
-    )
+    with closing(ObjectClient(address)) as platform:
+        key = f"config/{TEAM}/first"
+        raw = msgspec.Raw(encode(section))
+        stored = StoredSection(TEAM, "first", "demo", "", 0.0, raw)
+        await platform.put(key, stored, ABSENT_VERSION)
+        pointer = SectionPointer(1, key, "first", "demo")
+        head = ConfigHead(1, {TEAM: pointer})
+        await platform.put(HEAD_KEY, head, ABSENT_VERSION)
+        await platform.put(
+            SNAPSHOTS_PREFIX + PERMITS_INDEX,
+            IndexSnapshots(1, [1]),
+            ABSENT_VERSION,
+        )
 
 
 def _build_section(leaves: dict[str, LeafStandin]) -> SectionConfig:
--- a/tests/test_unclosed_connections.py
+++ b/tests/test_unclosed_connections.py
@@ -6,7 +6,9 @@
 """
 
 import asyncio
-import gc
+import socket
+from contextlib import closing
+from contextlib import suppress
 
 import pytest
 from test_cli_config import ROSTER
@@ -15,38 +17,98 @@
 from typer.testing import CliRunner
 
 from heatherdyke.cli.app import app
+from heatherdyke.instance import Instance
+from heatherdyke.objects.client import ObjectClient
 from heatherdyke.platform_standin.store import StandinStore
+from heatherdyke.settings import Settings
+from heatherdyke.standin.demo import run_demo
+from heatherdyke.standin.free_address import free_address
+from heatherdyke.standin.leaf import LeafStandin
+from heatherdyke.standin.leaf_model import LeafProfile
 
 
 @pytest.fixture
 def unclosed(monkeypatch):
-    """Return a list that grows by each stream that was not closed."""
-    peers = []
-    gc.collect()
+    """Yield a function that lists the peers of the streams left open."""
+    opened = []
+    open_connection = asyncio.open_connection
+
+    async def record(*arguments, **options):
+        reader, writer = await open_connection(*arguments, **options)
+        opened.append(writer)
+        return reader, writer
+
+    def list_open():
+        assert opened
+        return [
+            writer.get_extra_info("peername")
+            for writer in opened
+            if not writer.is_closing()
+        ]
+
+    monkeypatch.setattr(asyncio, "open_connection", record)
+    yield list_open
+    for writer in opened:
+        # What a test finds must not fail others when it is collected: an
+        # aborted stream has nothing to close, even if its loop is closed.
+        with suppress(RuntimeError):
+            writer.transport.abort()
+
+
+async def until(condition):
+    async with asyncio.timeout(10):
+        while not await condition():
+            await asyncio.sleep(0.02)
+
+
+async def serve_and_stop(platform, cancelled):
+    """Run an instance until it has called the platform, then stop it."""
+    instance = Instance.from_settings(
+        Settings.from_values(
+            name="a",
+            zone="brescia",
+            listen=free_address(),
+            internal_listen=free_address(),
+            platform=platform,
+            peer_key="peer key of the test",
+            drain_s=0.1,
+        )
+    )
+
+    async def has_called():
+        return instance.platform.calls > 3
+
+    await instance.start()
+    await until(has_called)
+    stopping = asyncio.create_task(instance.stop())
+    await asyncio.sleep(0)
+    if cancelled:
+        stopping.cancel()
+    await asyncio.wait([stopping])
+    assert stopping.cancelled() == cancelled
+
 
-    def record(writer):
-        if not writer.is_closing():
-            peers.append(writer.get_extra_info("peername"))
+async def announce_and_stop(platform):
+    """Run a leaf until the platform lists it, then stop it."""
+    profile = LeafProfile(leaf="a", zone="brescia", platform=platform)
+    leaf = LeafStandin(profile)
 
-    monkeypatch.setattr(asyncio.StreamWriter, "__del__", record)
-    return peers
+    async def is_listed():
+        with closing(ObjectClient(platform)) as client:
+            return await client.instances()
+
+    await leaf.start()
+    await until(is_listed)
+    await leaf.stop()
 
 
 class TestFixture:
     # Guards against a fixture that sees no stream, whatever is left open.
     def test_sees_an_open_stream(self, unclosed):
-        async def leave_open():
-            server = await asyncio.start_server(
-                lambda reader, writer: writer.close(), "127.0.0.1", 0
-            )
-            address = server.sockets[0].getsockname()
-            await asyncio.open_connection(*address)
-            server.close()
-            return address
-
-        address = asyncio.run(leave_open())
-        gc.collect()
-        assert unclosed == [address]
+        with socket.create_server(("127.0.0.1", 0)) as listening:
+            address = listening.getsockname()
+            asyncio.run(asyncio.open_connection(*address))
+            assert unclosed() == [address]
 
 
 class TestCommands:
@@ -72,8 +134,7 @@
     def test_leave_no_connection_open(self, command, unclosed):
         with running_platform() as address:
             run(command.split(), address)
-        gc.collect()
-        assert not unclosed
+        assert not unclosed()
 
     # Guards against the same of commands that use the gateway's store.
     @pytest.mark.parametrize("command", ["list", "lift absent"])
@@ -90,5 +151,25 @@
             await store.listener.stop()
 
         asyncio.run(main())
-        gc.collect()
-        assert not unclosed
+        assert not unclosed()
+
+
+class TestProcesses:
+    # Guards against a demo that ends with connections open.
+    def test_the_demo_leaves_no_connection_open(self, unclosed):
+        asyncio.run(run_demo(lambda line: None))
+        assert not unclosed()
+
+    # Guards against the same where the platform outlives the instance, also
+    # if a second signal ends the shutdown.
+    @pytest.mark.parametrize("cancelled", [False, True])
+    def test_a_stop_leaves_no_connection_open(self, cancelled, unclosed):
+        with running_platform() as address:
+            asyncio.run(serve_and_stop(address, cancelled))
+        assert not unclosed()
+
+    # Guards against the same of a backend server that announces itself.
+    def test_a_leaf_leaves_no_connection_open(self, unclosed):
+        with running_platform() as address:
+            asyncio.run(announce_and_stop(address))
+        assert not unclosed()
