Evict messages one after the other

Found by the review of the fix: each eviction nested in the one before, so that some 250 at once ended in a RecursionError, after which connections stayed open whose memory was no longer counted (2,500 connections, memory-mb lowered by a reload). Evictions now run in one loop; sums are kept by kind of sender, which saves a scan; a lower limit takes effect at once. The test uses set_limit, which the old code lacks; the old behaviour was seen by the review.

--- a/heatherdyke/gateway/shared_state.py
+++ b/heatherdyke/gateway/shared_state.py
@@ -194,7 +194,7 @@
 
     def _set_memory_limit(self) -> None:
         limit_bytes = MESSAGE_MEMORY_SHARE * self.settings.memory_bytes
-        self.memory.limit_bytes = int(limit_bytes)
+        self.memory.set_limit(int(limit_bytes))
 
     def _on_evicted(self, source: Source, size: int) -> None:
         self.metrics.count("evicted_messages", source.value)
--- a/heatherdyke/net/memory_quota.py
+++ b/heatherdyke/net/memory_quota.py
@@ -6,9 +6,9 @@
 senders of one kind do not crowd out the others.
 """
 
-from collections import Counter
 from collections.abc import Callable
 from enum import Enum
+from operator import attrgetter
 
 DEFAULT_LIMIT_BYTES = 64 * 1024 * 1024
 # What a header field takes beside its bytes: two objects, their pair and its
@@ -43,7 +43,7 @@
         self._quota = quota
 
     def __del__(self) -> None:
-        self.release()
+        self._quota.free(self)
 
     def resize(
         self, size: int, on_evict: Callable[[], None] | None = None
@@ -53,12 +53,11 @@
         This may evict messages, this one too if ``on_evict`` is given;
         without it the message is needed.
         """
-        self.on_evict = on_evict
-        self._quota.resize(self, size)
+        self._quota.resize(self, size, on_evict)
 
     def release(self) -> None:
         """Give the memory back; the reservation can be used again."""
-        self.resize(0)
+        self._quota.free(self)
 
 
 class MemoryQuota:
@@ -68,7 +67,14 @@
     given up.
     """
 
-    __slots__ = ("limit_bytes", "used_bytes", "on_evicted", "_evictable")
+    __slots__ = (
+        "limit_bytes",
+        "used_bytes",
+        "on_evicted",
+        "_evictable_by_source",
+        "_size_by_source",
+        "_is_evicting",
+    )
 
     def __init__(
         self,
@@ -78,7 +84,12 @@
         self.limit_bytes = limit_bytes
         self.used_bytes = 0
         self.on_evicted = on_evicted
-        self._evictable: set[Reservation] = set()
+        self._evictable_by_source: dict[Source, set[Reservation]] = {
+            source: set() for source in Source
+        }
+        # Of the evictable reservations.
+        self._size_by_source = dict.fromkeys(Source, 0)
+        self._is_evicting = False
 
     @property
     def is_exceeded(self) -> bool:
@@ -89,31 +100,56 @@
         """Return an empty reservation."""
         return Reservation(self, source)
 
-    def resize(self, reservation: Reservation, size: int) -> None:
+    def set_limit(self, limit_bytes: int) -> None:
+        """Change the limit; evict messages above it."""
+        self.limit_bytes = limit_bytes
+        self._evict_excess()
+
+    def resize(
+        self,
+        reservation: Reservation,
+        size: int,
+        on_evict: Callable[[], None] | None,
+    ) -> None:
         """Set a reservation's size; evict messages above the limit."""
-        self.used_bytes += size - reservation.size
+        self.free(reservation)
         reservation.size = size
-        if size and reservation.on_evict is not None:
-            self._evictable.add(reservation)
-        else:
-            self._evictable.discard(reservation)
-        while self.is_exceeded and self._evictable:
-            self._evict(self._next_to_evict())
+        self.used_bytes += size
+        if size > 0 and on_evict is not None:
+            reservation.on_evict = on_evict
+            self._evictable_by_source[reservation.source].add(reservation)
+            self._size_by_source[reservation.source] += size
+        self._evict_excess()
+
+    def free(self, reservation: Reservation) -> None:
+        """Set a reservation's size to zero."""
+        self.used_bytes -= reservation.size
+        if reservation.on_evict is not None:
+            source = reservation.source
+            self._evictable_by_source[source].discard(reservation)
+            self._size_by_source[source] -= reservation.size
+            reservation.on_evict = None
+        reservation.size = 0
+
+    def _evict_excess(self) -> None:
+        """Evict until the rest fits; what that calls evicts nothing more."""
+        if self._is_evicting:
+            return
+        self._is_evicting = True
+        try:
+            while self.is_exceeded and any(self._size_by_source.values()):
+                self._evict(self._next_to_evict())
+        finally:
+            self._is_evicting = False
 
     def _next_to_evict(self) -> Reservation:
-        size_by_source: Counter[Source] = Counter()
-        for item in self._evictable:
-            size_by_source[item.source] += item.size
-        ((source, _),) = size_by_source.most_common(1)
-        return max(
-            (item for item in self._evictable if item.source is source),
-            key=lambda item: item.size,
-        )
+        source = max(Source, key=self._size_by_source.__getitem__)
+        return max(self._evictable_by_source[source], key=attrgetter("size"))
 
     def _evict(self, reservation: Reservation) -> None:
         size = reservation.size
         on_evict = reservation.on_evict
-        reservation.release()
+        self.free(reservation)
         self.on_evicted(reservation.source, size)
         on_evict()
 
--- a/heatherdyke/observe/metrics.py
+++ b/heatherdyke/observe/metrics.py
@@ -10,7 +10,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from heatherdyke.observe.series import MAX_SERIES as MAX_SERIES
+from heatherdyke.observe.series import MAX_SERIES as MAX_SERIES  # noqa: F401
 from heatherdyke.observe.series import PERCENTILES
 from heatherdyke.observe.series import CounterSeries
 from heatherdyke.observe.series import LatencySummary
--- a/tests/test_memory_quota.py
+++ b/tests/test_memory_quota.py
@@ -47,6 +47,19 @@
         assert quota.is_exceeded
         assert other.size == 0
 
+    # Guards against evictions that nest in each other: from 250 at once on
+    # the recursion ended, and memory was freed whose owner had not been told.
+    def test_a_lower_limit_evicts_all_that_exceeds_it(self):
+        evicted: list[str] = []
+        quota = MemoryQuota(LIMIT_BYTES)
+        held = [
+            evictable(quota, 1, evicted, f"client {number}", Source.CLIENT)
+            for number in range(LIMIT_BYTES)
+        ]
+        quota.set_limit(100)
+        assert len(evicted) == LIMIT_BYTES - 100
+        assert sum(item.size for item in held) == quota.used_bytes == 100
+
     # Guards against a quota that fills up over time.
     def test_a_message_that_is_gone_frees_its_memory(self):
         quota = MemoryQuota(LIMIT_BYTES)
