Count a request's memory until it has ended, and parse no more than waits

Cause: memory was counted for a connection, not for its requests, which may outlive it; what was pipelined was parsed before any limit was looked at; idle connections held a share and were closed for it. A request now reserves its own memory until it is answered, or its time is over if its client has left; parsing stops while 16 requests or 64 kB wait or the quota is exceeded, and goes on in a loop; idle connections hold nothing, and above three quarters of the descriptors the longest idle one is closed. The listeners for health checks and metrics have a quota of their own. A response that is given up for lack of memory, and a lack of descriptors, say nothing against the leaf.

--- a/heatherdyke/gateway/attempt_sender.py
+++ b/heatherdyke/gateway/attempt_sender.py
@@ -176,7 +176,7 @@
 
     def _record_end(self, attempt: Attempt, outcome: AttemptOutcome) -> None:
         """Record whether the leaf survived the request."""
-        if outcome.not_run:
+        if outcome.not_run or outcome.failure is Failure.EVICTED:
             return
         crash_guard = self.shared.crash_guard
         leaf_id = attempt.pool.leaf.leaf_id
@@ -199,7 +199,7 @@
     """Update the leaf's state and the latency estimate from an outcome."""
     response = outcome.response
     if response is None:
-        if not outcome.not_run:
+        if outcome.failure is Failure.BROKEN:
             leaf.record_failure(now)
     elif response.status == 421:
         leaf.misdirected = True
--- a/heatherdyke/gateway/connection_manager.py
+++ b/heatherdyke/gateway/connection_manager.py
@@ -8,6 +8,11 @@
 # A connection is closed if nothing was read from it for this long although
 # responses are unsent.
 MAX_UNREAD_S = 10.0
+# How long the memory of a request is reserved after its client has left.
+MAX_WAIT_S = 10.0
+# Sockets for leafs, other instances and the store, and files.
+RESERVED_DESCRIPTORS = 200
+INBOUND_SHARE = 0.75
 
 
 class BaseConnectionManager:
@@ -57,9 +62,36 @@
         return self._shared.loop.time()
 
     def connection_opened(self, connection: InboundConnection) -> None:
-        """Register a new connection."""
+        """Register a new connection; close an idle one above the limit."""
         self._connections.add(connection)
+        if len(self._connections) > self.max_connections:
+            self._close_longest_idle(connection)
+
+    @property
+    def max_connections(self) -> int:
+        """Return how many connections leave descriptors for others."""
+        descriptors = self._shared.settings.max_descriptors
+        return int(INBOUND_SHARE * max(0, descriptors - RESERVED_DESCRIPTORS))
+
+    def _close_longest_idle(self, newest: InboundConnection) -> None:
+        """Close the connection that is idle for longest, else the newest."""
+        idle = [item for item in self._connections if item.is_idle]
+        longest = min(
+            idle, key=lambda item: item.last_active_at, default=newest
+        )
+        longest.close_if_idle()
 
     def connection_closed(self, connection: InboundConnection) -> None:
-        """Remove a connection that was closed."""
+        """Remove a connection that was closed.
+
+        A request that is running may go on without its client until its
+        deadline, and keeps its memory.
+        """
         self._connections.discard(connection)
+        exchange = connection.exchange
+        if exchange is not None and exchange.request.reservation is not None:
+            request = exchange.request
+            wait_s = MAX_WAIT_S if request.wait_s is None else request.wait_s
+            self._shared.loop.call_later(
+                min(wait_s, MAX_WAIT_S), request.reservation.release
+            )
--- a/heatherdyke/gateway/inbound_connection.py
+++ b/heatherdyke/gateway/inbound_connection.py
@@ -14,7 +14,6 @@
 from heatherdyke.gateway.messages import HeaderList
 from heatherdyke.gateway.refusal import RETRY_AFTER
 from heatherdyke.gateway.routing import ClientLimits
-from heatherdyke.net.memory_quota import FIELD_OVERHEAD_BYTES
 from heatherdyke.net.memory_quota import PIECE_OVERHEAD_BYTES
 from heatherdyke.net.memory_quota import MemoryQuota
 from heatherdyke.net.memory_quota import Source
@@ -24,12 +23,17 @@
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # The colon, space and CRLF of a header field.
 FIELD_FRAMING_BYTES = 4
-# What a connection without a request takes.
-CONNECTION_BYTES = 12_288
 # The pieces of a body are joined when it is complete.
 BODY_COPIES = 2
-# No more is read from a client while this many of its requests wait.
+# What a complete request takes beside its fields and its body.
+REQUEST_OVERHEAD_BYTES = 1024
+# No more is parsed while this many requests, or bytes of them, wait behind the
+# one that is served.
 MAX_PIPELINED = 16
+MAX_WAITING_BYTES = 65_536
+# Limit what is read, and parsed, before the limits above are looked at.
+MAX_READ_BYTES = 32_768
+MAX_PARSED_BYTES = 4096
 EVICTED_RETRY_AFTER = b"0.500"
 
 
@@ -66,24 +70,21 @@
 
 
 class _QueuedRequest:
-    """A complete request and the memory that it takes."""
+    """A complete request that waits to be served."""
 
-    __slots__ = ("request", "keep_alive", "size")
+    __slots__ = ("request", "keep_alive")
 
-    def __init__(
-        self, request: ClientRequest, keep_alive: bool, size: int
-    ) -> None:
+    def __init__(self, request: ClientRequest, keep_alive: bool) -> None:
         self.request = request
         self.keep_alive = keep_alive
-        self.size = size
 
 
 class InboundConnection(asyncio.Protocol):
     """Serves one request at a time; pipelined requests are queued.
 
     The next one is served once the client reads the responses.  Memory is
-    reserved for all that the connection holds; unless a request is being
-    served, the connection may be closed to free it.
+    reserved for requests and for all else that the connection holds; while no
+    request is served, the connection may be closed to free it.
     """
 
     __slots__ = (
@@ -104,8 +105,9 @@
         "_request_count",
         "_closing",
         "_reservation",
+        "_unparsed",
         "_waiting_bytes",
-        "_serving_bytes",
+        "_is_advancing",
         "_is_write_paused",
         "_unsent_bytes",
         "_unsent_since",
@@ -129,8 +131,9 @@
         self._request_count = 0
         self._closing = False
         self._reservation = manager.memory.reserve(manager.source)
+        self._unparsed = b""
         self._waiting_bytes = 0
-        self._serving_bytes = 0
+        self._is_advancing = False
         self._is_write_paused = False
         self._unsent_bytes = 0
         self._unsent_since = 0.0
@@ -148,29 +151,17 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and register with the manager."""
         self.transport = transport
+        transport.max_size = MAX_READ_BYTES
         self.manager.connection_opened(self)
-        self._reserve()
 
     def data_received(self, data: bytes) -> None:
-        """Feed the parser; malformed input closes the connection."""
+        """Parse the data, as far as the requests in it may wait."""
         if self._closing:
             return
         if self.is_idle:
             self.last_active_at = self.manager.now()
-        if self._in_head or not self._in_message:
-            self._head_bytes += len(data)
-        try:
-            self._parse(data)
-        except httptools.HttpParserError:
-            self._reject(400)
-        if self._in_head and (
-            self._head_bytes > self.manager.limits.max_header_bytes
-        ):
-            self._reject(431)
-        if not self._closing:
-            self._reserve()
-        if len(self._pipelined) >= MAX_PIPELINED:
-            self.transport.pause_reading()
+        self._unparsed += data
+        self._advance()
 
     def pause_writing(self) -> None:
         """Serve no further request until the client reads the responses."""
@@ -179,10 +170,7 @@
     def resume_writing(self) -> None:
         """Serve the next request."""
         self._is_write_paused = False
-        if self.exchange is None and not self._closing:
-            self._reserve()
-            if self._pipelined:
-                self._serve_next()
+        self._advance()
 
     def unread_for_s(self, now: float) -> float:
         """Return since when the client has read none of what is unsent.
@@ -209,26 +197,73 @@
             self.exchange.disconnect()
         self.manager.connection_closed(self)
 
-    def _reserve(self) -> None:
-        """Reserve memory for what the connection holds now."""
-        size = (
-            CONNECTION_BYTES
-            + self._waiting_bytes
-            + self._serving_bytes
-            + self.transport.get_write_buffer_size()
+    def _advance(self) -> None:
+        """Serve the next requests and parse more, as far as possible."""
+        if self._is_advancing:
+            return
+        self._is_advancing = True
+        try:
+            while not self._closing and self._advance_once():
+                pass
+        finally:
+            self._is_advancing = False
+        self._reserve()
+        if self._unparsed:
+            self.transport.pause_reading()
+        elif not self._closing:
+            self.transport.resume_reading()
+
+    def _advance_once(self) -> bool:
+        """Serve or parse; return False if neither is possible now."""
+        if self._pipelined and self.exchange is None:
+            if not self._is_write_paused:
+                self._serve_next()
+                return True
+        if self._unparsed and self._may_parse():
+            self._parse_next()
+            return True
+        return False
+
+    def _may_parse(self) -> bool:
+        """Return whether one more request may wait."""
+        if self.exchange is None and not self._pipelined:
+            return True
+        return (
+            len(self._pipelined) < MAX_PIPELINED
+            and self._waiting_bytes < MAX_WAITING_BYTES
+            and not self.manager.memory.is_exceeded
         )
+
+    def _parse_next(self) -> None:
+        """Feed the parser; malformed input closes the connection."""
+        data = self._unparsed[:MAX_PARSED_BYTES]
+        self._unparsed = self._unparsed[MAX_PARSED_BYTES:]
+        if self._in_head or not self._in_message:
+            self._head_bytes += len(data)
+        try:
+            self._parse(data)
+        except httptools.HttpParserError:
+            self._reject(400)
+        if self._in_head and (
+            self._head_bytes > self.manager.limits.max_header_bytes
+        ):
+            self._reject(431)
+
+    def _reserve(self) -> None:
+        """Reserve memory for what is read in part, and what is unsent."""
+        size = len(self._unparsed) + self.transport.get_write_buffer_size()
         if self._in_message:
             limits = self.manager.limits
             body_bytes = min(self._body_bytes, limits.max_body_bytes)
             size += (
                 self._head_bytes
                 + BODY_COPIES * body_bytes
-                + FIELD_OVERHEAD_BYTES * len(self._headers)
+                + fields_size(self._headers)
                 + PIECE_OVERHEAD_BYTES * len(self._chunks)
             )
-        has_next = bool(self._pipelined) and not self._is_write_paused
-        may_close = self.exchange is None and not has_next
-        self._reservation.resize(size, self._evict if may_close else None)
+        if size > 0 or self._reservation.size > 0:
+            may_close = self.exchange is None
+            self._reservation.resize(size, self._evict if may_close else None)
 
     def _evict(self) -> None:
         """Close the connection, as the memory is needed for others."""
@@ -243,6 +278,7 @@
 
     def _discard(self) -> None:
         """Free what was read of the next requests."""
+        self._unparsed = b""
         self._headers = []
         self._chunks = []
         self._pipelined.clear()
@@ -362,21 +398,17 @@
             self._reject(413)
             return
         request = self._build_request()
-        size = len(request.body) + fields_size(request.headers)
-        queued = _QueuedRequest(
-            request, self._parser.should_keep_alive(), size
+        self._waiting_bytes += len(request.body)
+        self._pipelined.append(
+            _QueuedRequest(request, self._parser.should_keep_alive())
         )
-        self._pipelined.append(queued)
-        self._waiting_bytes += size
-        if self.exchange is None and not self._is_write_paused:
-            self._serve_next()
 
     def _build_request(self) -> ClientRequest:
         headers = self._headers
         host = find_header(headers, b"host") or b""
         remaining = find_header(headers, names.DEADLINE_REMAINING)
         self._request_count += 1
-        return ClientRequest(
+        request = ClientRequest(
             method=self._parser.get_method(),
             target=self._target,
             headers=headers,
@@ -386,37 +418,47 @@
             wait_s=names.parse_deadline(remaining),
             arrived_at=self.manager.now(),
             first_on_connection=self._request_count == 1,
+            reservation=self.manager.memory.reserve(self.manager.source),
         )
+        self._chunks = []
+        # The request takes over what was reserved while it was read.
+        self._reservation.release()
+        request.reservation.resize(
+            REQUEST_OVERHEAD_BYTES
+            + len(request.target)
+            + fields_size(headers)
+            + len(request.body)
+        )
+        return request
 
     def _serve_next(self) -> None:
         queued = self._pipelined.popleft()
-        self._waiting_bytes -= queued.size
-        self._serving_bytes = queued.size
+        self._waiting_bytes -= len(queued.request.body)
         self._keep_alive = queued.keep_alive
         self.exchange = Exchange(queued.request, self._send)
-        if len(self._pipelined) < MAX_PIPELINED:
-            self.transport.resume_reading()
         self.manager.handle(self.exchange)
 
     def _send(self, answer: ClientResponse) -> None:
         request = self.exchange.request
         self.exchange = None
-        self._serving_bytes = 0
+        if request.reservation is not None:
+            request.reservation.release()
         self.last_active_at = self.manager.now()
         if self.transport.is_closing():
             return
         # A pipelined request has been read, so it is answered too.
-        is_last = self.manager.is_draining and not self._pipelined
+        has_next = bool(self._pipelined or self._unparsed)
+        is_last = self.manager.is_draining and not has_next
         close = is_last or not self._keep_alive
         is_head = request.method == b"HEAD"
         self.transport.write(encode_answer(answer, is_head, close))
         if close:
             self._closing = True
+            self._reserve()
             self.transport.close()
             return
         self._reserve()
-        if self._pipelined and not self._is_write_paused:
-            self._serve_next()
+        self._advance()
 
     def _reject(self, status: int, headers: HeaderList | None = None) -> None:
         """Close; answer an error status if no request is being served."""
--- a/heatherdyke/gateway/leaf_connection.py
+++ b/heatherdyke/gateway/leaf_connection.py
@@ -161,7 +161,7 @@
             BODY_COPIES * self._received_bytes
             + FIELD_OVERHEAD_BYTES * len(self._headers)
             + PIECE_OVERHEAD_BYTES * len(self._chunks),
-            self._fail,
+            self._evict,
         )
 
     def _reserve_unsent(self) -> None:
@@ -321,12 +321,16 @@
             response.not_run = True
         return response
 
-    def _fail(self) -> None:
-        """Close the connection and report the attempt as broken."""
+    def _evict(self) -> None:
+        """Give the response up, as the memory is needed for others."""
+        self._fail(Failure.EVICTED)
+
+    def _fail(self, failure: Failure = Failure.BROKEN) -> None:
+        """Close the connection and report the attempt as failed."""
         attempt, self.attempt = self.attempt, None
         self._discard_message()
         self._close_now()
-        attempt.on_end(attempt, AttemptOutcome(failure=Failure.BROKEN))
+        attempt.on_end(attempt, AttemptOutcome(failure=failure))
 
     def _close_now(self) -> None:
         self.is_closed = True
--- a/heatherdyke/gateway/leaf_pool.py
+++ b/heatherdyke/gateway/leaf_pool.py
@@ -1,6 +1,7 @@
 """The pool of connections to one leaf."""
 
 import asyncio
+import errno
 from typing import Protocol
 
 from heatherdyke.gateway.attempt import Attempt
@@ -207,6 +208,12 @@
                     lambda: connection, address.host, address.port
                 )
         except (OSError, TimeoutError) as error:
+            if is_out_of_descriptors(error):
+                self.open_count -= 1
+                attempt.on_end(
+                    attempt, AttemptOutcome(failure=Failure.NO_CONNECTION)
+                )
+                return
             if connection.transport is None:
                 self.open_count -= 1
             else:
@@ -236,6 +243,14 @@
         self.release(connection, reusable=True)
 
 
+def is_out_of_descriptors(error: Exception) -> bool:
+    """Return whether this process, not the other side, is the cause."""
+    return isinstance(error, OSError) and error.errno in (
+        errno.EMFILE,
+        errno.ENFILE,
+    )
+
+
 def _is_fresh(connection: LeafConnection, now: float) -> bool:
     idle_for_s = now - connection.idle_since
     remaining_s = connection.idle_until - now
--- a/heatherdyke/gateway/messages.py
+++ b/heatherdyke/gateway/messages.py
@@ -15,7 +15,8 @@
 
     ``wait_s`` is how long the client waits for the response, None if it did
     not say; ``arrived_at`` is monotonic.  Header names keep their case.
-    ``key`` caches what ``request_key`` returns.
+    ``key`` caches what ``request_key`` returns; ``reservation`` is that of the
+    request's memory.
     """
 
     method: bytes
@@ -28,6 +29,7 @@
     arrived_at: float
     first_on_connection: bool = False
     key: str = ""
+    reservation: Reservation | None = None
 
     @property
     def path(self) -> str:
@@ -79,12 +81,15 @@
 class Failure(Enum):
     """The reason why an attempt got no response.
 
-    After BROKEN the leaf may have run the request, after the others not.
+    After BROKEN and EVICTED the leaf may have run the request, after the
+    others not.  EVICTED says nothing of the leaf: its response was given up
+    for lack of memory.
     """
 
     UNREACHABLE = "unreachable"
     NO_CONNECTION = "no_connection"
     BROKEN = "broken"
+    EVICTED = "evicted"
 
 
 @dataclass(slots=True)
@@ -99,7 +104,7 @@
         """Return whether the leaf certainly did not run the request."""
         if self.response is not None:
             return self.response.not_run
-        return self.failure is not Failure.BROKEN
+        return self.failure not in (Failure.BROKEN, Failure.EVICTED)
 
 
 @dataclass(slots=True)
--- a/heatherdyke/gateway/process.py
+++ b/heatherdyke/gateway/process.py
@@ -208,7 +208,6 @@
     async def _open_listeners(self) -> None:
         """Open the listeners; those whose address is in use open later."""
         now = self._shared.loop.time
-        memory = self._shared.memory
         settings = self._shared.settings
         listeners = self._listeners
         await listeners.open(
@@ -217,7 +216,7 @@
             self._client_api,
             self._log_started,
         )
-        health = StatusApi.for_health(now, lambda: self.is_ready, memory)
+        health = StatusApi.for_health(now, lambda: self.is_ready)
         await listeners.open("health", [settings.health_address], health)
         first_port, last_port = settings.peer_ports
         self._instance_registry.address = None
@@ -231,7 +230,7 @@
             self._instance_registry.set_address,
         )
         if self._metrics_port:
-            metrics = StatusApi.for_metrics(now, self._render_metrics, memory)
+            metrics = StatusApi.for_metrics(now, self._render_metrics)
             address = Address(settings.ip, self._metrics_port)
             await listeners.open("metrics", [address], metrics)
 
--- a/heatherdyke/gateway/status_api.py
+++ b/heatherdyke/gateway/status_api.py
@@ -23,32 +23,26 @@
         self,
         now: Callable[[], float],
         responder_by_path: dict[bytes, Callable[[], ClientResponse]],
-        memory: MemoryQuota | None = None,
     ) -> None:
-        self.memory = memory or MemoryQuota()
+        # Its own, so that it answers also while messages fill the memory.
+        self.memory = MemoryQuota()
         self._now = now
         self._responder_by_path = responder_by_path
 
     @classmethod
     def for_health(
-        cls,
-        now: Callable[[], float],
-        is_ready: Callable[[], bool],
-        memory: MemoryQuota | None = None,
+        cls, now: Callable[[], float], is_ready: Callable[[], bool]
     ) -> "StatusApi":
         """Return an API that answers 200 while ``is_ready``, else 503."""
 
         def readiness() -> ClientResponse:
             return ClientResponse(200 if is_ready() else 503)
 
-        return cls(now, {READY_PATH: readiness}, memory)
+        return cls(now, {READY_PATH: readiness})
 
     @classmethod
     def for_metrics(
-        cls,
-        now: Callable[[], float],
-        render: Callable[[], str],
-        memory: MemoryQuota | None = None,
+        cls, now: Callable[[], float], render: Callable[[], str]
     ) -> "StatusApi":
         """Return an API that answers with the text from ``render``."""
 
@@ -56,7 +50,7 @@
             content_type = (b"Content-Type", b"text/plain; version=0.0.4")
             return ClientResponse(200, [content_type], render().encode())
 
-        return cls(now, {METRICS_PATH: metrics}, memory)
+        return cls(now, {METRICS_PATH: metrics})
 
     @property
     def limits(self) -> ClientLimits:
--- a/tests/test_gateway_memory.py
+++ b/tests/test_gateway_memory.py
@@ -29,6 +29,10 @@
 CONNECTIONS = 2200
 STORE_FLOOD_S = 3.0
 WIDE_SHARDS = 120
+WAITING_CONNECTIONS = 180
+LARGE_BODY_BYTES = 1_000_000
+LARGE_BODIES = 200
+OBJECTS_PER_PAGE = 25_000
 WIDE_SEARCHES = 30
 
 
@@ -89,6 +93,46 @@
         run(scenario, tmp_path)
 
 
+class TestListWithoutEnd:
+    # Guards against a list of the store that goes on for ever: the memory of
+    # its pages was given up, and their objects were kept.
+    def test_memory_stays_within_the_limit(self, tmp_path):
+        async def scenario(fleet):
+            async with EndlessList() as server:
+                gateway = await fleet.add_gateway("a", store=server.address)
+                await asyncio.sleep(2 * STORE_FLOOD_S)
+                assert memory_violations(gateway) == []
+
+        run(scenario, tmp_path)
+
+
+class EndlessList(EndlessServer):
+    """A store each of whose lists has one more page."""
+
+    def __init__(self) -> None:
+        super().__init__(RESPONSE_BY_NAME["body"])
+        self._page = 0
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with suppress(OSError, EOFError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                self._page += 1
+                items = ",".join(
+                    f'{{"meta":{{"name":"{self._page:06}-{number:05}","revision":1}}}}'
+                    for number in range(OBJECTS_PER_PAGE)
+                )
+                body = f'{{"at-revision":1,"more":true,"items":[{items}]}}'
+                head = (
+                    f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+                )
+                writer.write((head + body).encode())
+                await writer.drain()
+        writer.transport.abort()
+
+
 class TestClients:
     # Guards against a client that sends requests and does not wait for, or
     # read, the answers: all of them were kept.
@@ -116,6 +160,75 @@
 
         run(scenario, tmp_path)
 
+    # Guards against the same on many connections, each within its limits.
+    @pytest.mark.parametrize(
+        "waiting",
+        [
+            b"GET / HTTP/1.1\r\n\r\n" * 12_000,
+            (
+                f"POST /o/x HTTP/1.1\r\nHost: {HOST}\r\n".encode()
+                + b"Content-Length: 65000\r\n\r\n"
+                + b"x" * 65_000
+            )
+            * 16,
+        ],
+        ids=["tiny", "bodies"],
+    )
+    def test_requests_that_wait_are_bounded_in_sum(self, waiting, tmp_path):
+        async def scenario(fleet):
+            leafs = await set_up_forwarding(fleet, 12)
+            for leaf in leafs:
+                leaf.processing_s = 2.0
+            gateway = await ready_gateway(fleet)
+            host, port = gateway.front.split(":")
+            first = f"GET /o/x HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode()
+            writers = []
+            try:
+                for _ in range(WAITING_CONNECTIONS):
+                    _, writer = await asyncio.open_connection(host, int(port))
+                    writer.write(first + waiting)
+                    writers.append(writer)
+                await asyncio.sleep(1.0)
+                assert memory_violations(gateway) == []
+                assert await gateway.is_ready()
+            finally:
+                for writer in writers:
+                    writer.transport.abort()
+
+        run(scenario, tmp_path)
+
+    # Guards against requests that go on without their clients: their memory
+    # was no longer counted.
+    def test_requests_of_clients_that_left_are_bounded(self, tmp_path):
+        async def scenario(fleet):
+            server = await asyncio.get_running_loop().create_server(
+                ReadsNothing, "127.0.0.1", 0, backlog=4096
+            )
+            port = server.sockets[0].getsockname()[1]
+            for number in range(8):
+                leaf = StandinLeaf(f"big-{number}", "big")
+                await fleet.add_leaf(leaf)
+                entry = {**leaf.entry(), "address": f"127.0.0.1:{port}"}
+                fleet.store.put(
+                    "servers", leaf.leaf_id, {**entry, "slots": 99}
+                )
+            big = route("big", "/b/", service="big", kind="unsafe")
+            value = config(3, [{**big, "timeout-ms": 8000}], ["big"])
+            value["limits"]["max-body-bytes"] = LARGE_BODY_BYTES
+            value["services"][0]["connection-limit"] = 400
+            fleet.set_config(value)
+            gateway = await ready_gateway(fleet)
+            host, port = gateway.front.split(":")
+            for first in range(0, LARGE_BODIES, 10):
+                numbers = range(first, first + 10)
+                await asyncio.gather(
+                    *(send_and_leave(gateway, f"u{n}") for n in numbers)
+                )
+            assert memory_violations(gateway) == []
+            server.close()
+
+        run(scenario, tmp_path)
+
     # Guards against many requests that arrive slowly: each was within its
     # limits, and their sum exceeded the memory.
     @pytest.mark.parametrize(
@@ -183,6 +296,23 @@
         run(scenario, tmp_path)
 
 
+async def send_and_leave(gateway: Gateway, request_id: str) -> None:
+    """Send a request with a large body, and do not wait for the answer."""
+    host, port = gateway.front.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    head = (
+        f"POST /b/x HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {request_id}\r\n"
+        f"X-Deadline-Remaining: 8000\r\n"
+        f"Content-Length: {LARGE_BODY_BYTES}\r\n\r\n"
+    )
+    with suppress(OSError, TimeoutError):
+        writer.write(head.encode() + b"x" * LARGE_BODY_BYTES)
+        await writer.drain()
+        async with asyncio.timeout(0.3):
+            await reader.read(1)
+    writer.transport.abort()
+
+
 class ReadsNothing(asyncio.Protocol):
     """Accepts a connection and leaves what it receives in the socket."""
 
--- /dev/null
+++ b/tests/test_gateway_own_limits.py
@@ -0,0 +1,85 @@
+"""Limits of this process, which say nothing of leafs and clients."""
+
+import asyncio
+import errno
+from dataclasses import replace
+from random import Random
+
+import pytest
+from gateway_entries import SETTINGS
+from gateway_entries import entry
+
+from heatherdyke.gateway.attempt import Attempt
+from heatherdyke.gateway.attempt_sender import record_outcome
+from heatherdyke.gateway.connection_manager import BaseConnectionManager
+from heatherdyke.gateway.event_log import EventLog
+from heatherdyke.gateway.leaf_pool import is_out_of_descriptors
+from heatherdyke.gateway.leaf_table import Leaf
+from heatherdyke.gateway.messages import AttemptOutcome
+from heatherdyke.gateway.messages import Failure
+from heatherdyke.gateway.shared_state import SharedState
+from heatherdyke.gateway.timing import LatencyEstimates
+
+NOW = 100.0
+
+
+class IdleConnection:
+    def __init__(self, last_active_at: float, is_idle: bool = True) -> None:
+        self.last_active_at = last_active_at
+        self.is_idle = is_idle
+        self.closed = False
+
+    def close_if_idle(self) -> bool:
+        self.closed = self.is_idle
+        return self.closed
+
+
+class TestEvictedResponse:
+    # Guards against a sound leaf that is taken for a faulty one, because this
+    # process had no memory for its response.
+    @pytest.mark.parametrize(
+        ("failure", "is_counted"),
+        [(Failure.EVICTED, False), (Failure.BROKEN, True)],
+    )
+    def test_says_nothing_of_the_leaf(self, failure, is_counted):
+        leaf = Leaf(entry("x"))
+        attempt = Attempt(1, b"r1", (b"",), False, None, None)
+        latency = LatencyEstimates().of("route", "", 0.1)
+        before = leaf.current_failure_share(NOW)
+        outcome = AttemptOutcome(failure=failure)
+        record_outcome(leaf, latency, attempt, outcome, NOW)
+        assert (leaf.current_failure_share(NOW) > before) is is_counted
+
+    def test_its_request_may_have_run(self):
+        assert not AttemptOutcome(failure=Failure.EVICTED).not_run
+
+
+class TestDescriptors:
+    # Guards against clients that take the descriptors which connections to
+    # leafs need: all leafs then seem to be unreachable.
+    def test_the_longest_idle_connection_is_closed_above_the_limit(self):
+        async def main() -> None:
+            loop = asyncio.get_running_loop()
+            settings = replace(SETTINGS, max_descriptors=204)
+            log = EventLog(loop.time)
+            manager = BaseConnectionManager(
+                SharedState(settings, loop, log, Random(1))
+            )
+            assert manager.max_connections == 3
+            connections = [
+                IdleConnection(1.0, is_idle=False),
+                IdleConnection(3.0),
+                IdleConnection(2.0),
+                IdleConnection(4.0),
+            ]
+            for connection in connections:
+                manager.connection_opened(connection)
+            closed = [connection.closed for connection in connections]
+            assert closed == [False, False, True, False]
+
+        asyncio.run(main())
+
+    def test_a_lack_of_descriptors_is_the_own_fault(self):
+        assert is_out_of_descriptors(OSError(errno.EMFILE, "too many"))
+        assert not is_out_of_descriptors(ConnectionRefusedError())
+        assert not is_out_of_descriptors(TimeoutError())
