Give up a list of the store that does not end

Cause: giving up the memory of the pages did not end the list, and a page takes ten times its size while it is decoded. Lists and watches now end with the eviction and count what decoding takes.

--- a/heatherdyke/platform/store.py
+++ b/heatherdyke/platform/store.py
@@ -23,6 +23,11 @@
 
 T = TypeVar("T")
 
+# A page of many small objects takes this many times its size to decode, and
+# then this much for each object.
+DECODING_FACTOR = 10
+OBJECT_BYTES = 400
+
 CONNECT_TIMEOUT_S = 1.0
 CALL_TIMEOUT_S = 2.0
 KEEPALIVE = KeepAliveOptions(idle_s=1, interval_s=1, probes=2)
@@ -86,24 +91,18 @@
         objects: list[StoredObject] = []
         nameless = 0
         revision: int | None = None
-        pages = self._memory.reserve(Source.STORE)
+        pages = _DecodedPages(self._memory)
         target = f"/api/objects/{kind}?after={stale}"
         while True:
             response = await self._call("GET", target)
-            pages.resize(pages.size + len(response.body), pages.release)
-            if not pages.size:
-                raise PlatformUnavailable(
-                    f"the list of {kind} takes more than the memory allows",
-                    "delete objects of this kind",
-                )
-            page = _decode(response, decode_list_page)
+            page = pages.decode(response, decode_list_page)
+            pages.keep(response, len(page.objects))
             objects += page.objects
             nameless += page.nameless
             # A watch from the oldest page's revision reports all changes that
             # some page lacks.  A later page may be the older one if stale.
             revision = min(revision or page.revision, page.revision)
             if not page.has_more:
-                pages.release()
                 return Listing(objects, revision, nameless)
             if not page.objects:
                 raise PlatformUnavailable(
@@ -126,7 +125,7 @@
             f"&wait-ms={int(wait_s * 1000)}&allow-stale=1"
         )
         response = await self._call("GET", target, timeout_s)
-        return _decode(response, decode_changes)
+        return _DecodedPages(self._memory).decode(response, decode_changes)
 
     async def create(self, kind: str, name: str, spec: object) -> bool:
         """Create the object; return False if it already exists."""
@@ -203,8 +202,38 @@
         return connection
 
 
-def _decode(response: HttpResponse, decode: Callable[[bytes], T]) -> T:
-    try:
-        return decode(response.body)
-    except UnreadableObject as error:
-        raise PlatformUnavailable(error.detail, "try again") from error
+class _DecodedPages:
+    """The memory of the pages of one call; raises if they take too much."""
+
+    __slots__ = ("_reservation", "_kept_bytes", "_is_evicted")
+
+    def __init__(self, memory: MemoryQuota) -> None:
+        self._reservation = memory.reserve(Source.STORE)
+        self._kept_bytes = 0
+        self._is_evicted = False
+
+    def decode(
+        self, response: HttpResponse, decode: Callable[[bytes], T]
+    ) -> T:
+        """Decode a page; raises PlatformUnavailable if that is impossible."""
+        self._resize(self._kept_bytes + DECODING_FACTOR * len(response.body))
+        try:
+            return decode(response.body)
+        except UnreadableObject as error:
+            raise PlatformUnavailable(error.detail, "try again") from error
+
+    def keep(self, response: HttpResponse, objects: int) -> None:
+        """Keep the memory of a decoded page."""
+        self._kept_bytes += len(response.body) + OBJECT_BYTES * objects
+        self._resize(self._kept_bytes)
+
+    def _resize(self, size: int) -> None:
+        self._reservation.resize(size, self._evict)
+        if self._is_evicted:
+            raise PlatformUnavailable(
+                "the response takes more than the memory allows",
+                "delete objects of this kind",
+            )
+
+    def _evict(self) -> None:
+        self._is_evicted = True
