Stop a process that waits for settings, with a last line

Found by the review: SIGTERM or SIGINT ended it with -15 or -2, without a last line and with a traceback; a full standard error changed its exit code to 120; a port that opened while the registry listed ended the registry's task. The stop handlers are now installed before the wait, the last words are written past the interpreter's buffers, and an instance whose address has just become known is registered first. 3 tests failed before.

--- a/heatherdyke/gateway/entry.py
+++ b/heatherdyke/gateway/entry.py
@@ -2,6 +2,8 @@
 
 import sys
 
+from heatherdyke.gateway.stderr import write_to_stderr
+
 EXIT_CODE = 1
 
 
@@ -13,10 +15,9 @@
     try:
         from heatherdyke.gateway.run import main
     except ImportError as error:
-        if sys.stderr is not None:
-            sys.stderr.write(
-                f"{error}: the libraries are missing or of another kind of "
-                "machine; run the build\n"
-            )
+        write_to_stderr(
+            f"{error}: the libraries are missing or of another kind of "
+            "machine; run the build"
+        )
         return EXIT_CODE
     return main()
--- a/heatherdyke/gateway/instance_registry.py
+++ b/heatherdyke/gateway/instance_registry.py
@@ -102,6 +102,10 @@
 
         A previous process of this instance may have listened on another port.
         """
+        if self._written_at is None:
+            # The address has become known while the list was in flight.
+            await self._create()
+            return
         settings = self._shared.settings
         stored = next(
             (item for item in listing.objects if item.name == settings.name),
--- a/heatherdyke/gateway/listeners.py
+++ b/heatherdyke/gateway/listeners.py
@@ -114,5 +114,6 @@
                     )
                 continue
             self._server_by_name[name] = server
-            return address
+            port = server.sockets[0].getsockname()[1]
+            return Address(address.host, port)
         return None
--- a/heatherdyke/gateway/run.py
+++ b/heatherdyke/gateway/run.py
@@ -17,6 +17,7 @@
 from heatherdyke.gateway.startup import open_standard_descriptors
 from heatherdyke.gateway.startup import raise_descriptor_limit
 from heatherdyke.gateway.startup import wait_for_settings
+from heatherdyke.gateway.stderr import write_to_stderr
 from heatherdyke.platform.settings import settings_path
 
 EXIT_CODE_UNEXPECTED = 1
@@ -43,12 +44,15 @@
 
 def main() -> int:
     """Run the process; return its exit code."""
-    open_standard_descriptors()
-    # Until the settings are known, lines do not name the instance.
-    write_events_to_stdout("")
     try:
+        open_standard_descriptors()
+        # Until the settings are known, lines do not name the instance.
+        write_events_to_stdout("")
         metrics_port = int(sys.argv[1]) if len(sys.argv) > 1 else 0
         asyncio.run(serve(metrics_port))
+    except asyncio.CancelledError:
+        # A stop signal while the settings were awaited.
+        return 0
     except SettingsError as error:
         return _fail(str(error), SettingsError.exit_code)
     except Exception as error:
@@ -70,6 +74,5 @@
     """Log why the process ends, as its last line; return the exit code."""
     log = EventLog(time.monotonic)
     log.record(GATEWAY_FAILED, reason=reason, exit_code=exit_code)
-    if sys.stderr is not None:
-        sys.stderr.write(f"{reason}\n")
+    write_to_stderr(reason)
     return exit_code
--- a/heatherdyke/gateway/startup.py
+++ b/heatherdyke/gateway/startup.py
@@ -8,6 +8,7 @@
 
 from heatherdyke.errors import SettingsError
 from heatherdyke.gateway.event_log import EventLog
+from heatherdyke.gateway.events import GATEWAY_STOPPED
 from heatherdyke.gateway.events import SETTINGS_AWAITED
 from heatherdyke.gateway.settings import GatewaySettings
 from heatherdyke.platform.settings import load_settings
@@ -31,10 +32,21 @@
 async def wait_for_settings(path: Path, log: EventLog) -> GatewaySettings:
     """Return the settings once the file is valid.
 
-    Raises SettingsError if it is not after SETTINGS_WAIT_S.
+    Raises SettingsError if it is not after SETTINGS_WAIT_S, and CancelledError
+    on a stop signal.
     """
     loop = asyncio.get_running_loop()
     give_up_at = loop.time() + SETTINGS_WAIT_S
+    task = asyncio.current_task()
+
+    def stop(number: signal.Signals) -> None:
+        log.record(
+            GATEWAY_STOPPED, signal=number.name, unfinished=0, after_s=0.0
+        )
+        task.cancel()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop, number)
     logged_reason = ""
     while True:
         try:
--- a/tests/test_gateway_instance_registry.py
+++ b/tests/test_gateway_instance_registry.py
@@ -84,3 +84,16 @@
             assert store.names(KIND) == []
 
         with_registry(scenario)
+
+    # Guards against an instance whose port opens while it lists: it was not
+    # registered, as the age of its entry was unknown.
+    def test_an_address_that_comes_while_it_lists_is_registered(self):
+        async def scenario(store, registry) -> None:
+            store.delete(KIND, SETTINGS.name)
+            registry.address = registry._written_at = None
+            listing = await registry._store.list(KIND)
+            registry.set_address(Address("127.0.0.1", 9))
+            await registry._correct(listing)
+            assert store.names(KIND) == [SETTINGS.name]
+
+        with_registry(scenario)
--- a/tests/test_gateway_start.py
+++ b/tests/test_gateway_start.py
@@ -229,6 +229,23 @@
 
         run(scenario, tmp_path)
 
+    # Guards against a stop without a last line, while settings are awaited.
+    @pytest.mark.parametrize("name", ["SIGTERM", "SIGINT"])
+    def test_a_process_without_settings_can_be_stopped(self, name, tmp_path):
+        async def scenario(fleet):
+            gateway = await prepared_gateway(fleet)
+            gateway.settings_path.unlink()
+            await fleet.start_process(gateway)
+            await until(lambda: "settings_awaited" in fleet.read_log(gateway))
+            os.kill(gateway.process.pid, signal.Signals[name])
+            assert await gateway.process.wait() == 0
+            event = last_event(fleet, gateway)
+            assert event["event"] == "gateway_stopped"
+            assert event["signal"] == name
+            assert fleet.read_errors(gateway) == ""
+
+        run(scenario, tmp_path)
+
 
 def seconds_unprotected(command: list[str]) -> float:
     """Return how long after its start a process ignores SIGHUP."""
