Close the connections of fleets, measurements and tests

A fleet now has one client of its platform, which stop() closes; it opens a connection for each concurrent call, as the separate clients did.

--- a/heatherdyke_bench/fleet.py
+++ b/heatherdyke_bench/fleet.py
@@ -76,6 +76,7 @@
         self._start_semaphore = asyncio.Semaphore(MAX_CONCURRENT_STARTS)
         self.proxy_process: FleetProcess | None = None
         self._announcer: asyncio.Task | None = None
+        self._platform_client: ObjectClient | None = None
         self.platform = self._process(
             "platform",
             ["heatherdyke.cli.standin", "platform", "--listen=127.0.0.1:0"],
@@ -100,6 +101,8 @@
         """Stop all processes that this fleet started."""
         if self._announcer is not None:
             self._announcer.cancel()
+        if self._platform_client is not None:
+            self._platform_client.close()
         instances = list(self.instance_by_name.values())
         others = [*self.leaf_by_name.values(), self.platform]
         if self.proxy_process is not None:
@@ -155,8 +158,10 @@
         return await read_record(self.platform.address, PlatformRecord)
 
     def platform_client(self) -> ObjectClient:
-        """Return a client of this fleet's platform."""
-        return ObjectClient(self.platform.address)
+        """Return the client of the started platform; ``stop`` closes it."""
+        if self._platform_client is None:
+            self._platform_client = ObjectClient(self.platform.address)
+        return self._platform_client
 
     async def leaf_addresses(self) -> dict[str, str]:
         """Return, by leaf, the address at which instances reach it."""
--- a/heatherdyke_bench/load.py
+++ b/heatherdyke_bench/load.py
@@ -163,6 +163,14 @@
         """Return a connection to the pool of idle ones."""
         if connection.usable:
             self._idle_by_address[connection.address].append(connection)
+        else:
+            connection.close()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for idle in self._idle_by_address.values():
+            while idle:
+                idle.pop().close()
 
 
 class LoadGenerator:
@@ -186,6 +194,7 @@
             phase_start += phase.seconds
         await asyncio.gather(*self._tasks)
         readiness_task.cancel()
+        self._balancer.close()
         return self._collect()
 
     async def _run_phase(self, phase: PhasePlan, starts_at: float) -> None:
--- a/heatherdyke_bench/member_slopes.py
+++ b/heatherdyke_bench/member_slopes.py
@@ -60,6 +60,7 @@
     def __init__(self, size: int, interval_s: float, lease_s: float) -> None:
         self.platform = PlatformStandin()
         self.tasks: list[MembershipTask] = []
+        self._clients: list[ObjectClient] = []
         self._servers: list[HttpServer] = []
         self._member_loops: list[asyncio.Task] = []
         self._size = size
@@ -68,7 +69,7 @@
 
     async def start(self, other_zones: int) -> None:
         await self.platform.start()
-        client = ObjectClient(self.platform.address)
+        client = self._new_client()
         for number in range(other_zones):
             zone = f"other{number:02d}"
             members = tuple(
@@ -91,6 +92,8 @@
         for task in self._member_loops:
             task.cancel()
         await asyncio.gather(*self._member_loops, return_exceptions=True)
+        for client in self._clients:
+            client.close()
         await asyncio.gather(*(server.stop() for server in self._servers))
         await self.platform.stop()
 
@@ -100,6 +103,11 @@
     def platform_calls(self) -> int:
         return sum(self.platform.record().calls_by_kind.values())
 
+    def _new_client(self) -> ObjectClient:
+        """Return a client of the platform that ``stop`` closes."""
+        self._clients.append(ObjectClient(self.platform.address))
+        return self._clients[-1]
+
     async def _start_member(self, name: str) -> None:
         settings = Settings(
             name,
@@ -113,7 +121,7 @@
         )
         task = MembershipTask.from_settings(
             settings,
-            ObjectClient(settings.platform),
+            self._new_client(),
             Journal(name, ZONE),
             Clock(),
         )
--- a/tests/test_cli_observe.py
+++ b/tests/test_cli_observe.py
@@ -126,6 +126,7 @@
             member = Member("a", "verona", "127.0.0.1:1", "i1")
             roster = Roster("verona", 1, (member,))
             await client.put(ROSTER_PREFIX + "verona", roster, 0)
+            client.close()
             found = await discover_instances("", platform.address)
             await platform.stop()
             assert found == [KnownInstance("a", "verona", "127.0.0.1:1")]
--- a/tests/test_fault_proxy.py
+++ b/tests/test_fault_proxy.py
@@ -93,6 +93,7 @@
                     await _post(connection, b"x")
                 connection = await HttpConnection.open(address)
             _set_faults(proxy)
+            connection.close()
             connection = await HttpConnection.open(address)
             assert await _post(connection, b"x") == b"x"
             connection.close()
--- a/tests/test_run_store.py
+++ b/tests/test_run_store.py
@@ -61,6 +61,7 @@
         assert await store.read("permits/old") is None
         assert await client.list("result/permits/old/") == []
         assert (await store.read("permits/new")).record == young
+        client.close()
         await platform.stop()
 
     def test_returns_large_results_and_removes_only_expired_records(self):
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -1,6 +1,7 @@
 """The stand-in platform implements the object API and injects faults."""
 
 import asyncio
+from contextlib import closing
 
 import pytest
 
@@ -21,7 +22,8 @@
         platform = PlatformStandin()
         await platform.start()
         try:
-            await test(platform, ObjectClient(platform.address))
+            with closing(ObjectClient(platform.address)) as client:
+                await test(platform, client)
         finally:
             await platform.stop()
 
@@ -50,7 +52,8 @@
             watch = asyncio.ensure_future(client.watch("a", 0, 5.0))
             while not platform.record().watches_waiting:
                 await asyncio.sleep(0.001)
-            await ObjectClient(platform.address).put("a", 7, 0)
+            with closing(ObjectClient(platform.address)) as other:
+                await other.put("a", 7, 0)
             assert (await watch).value == 7
             assert await client.watch("a", 1, 0.01) is None
             assert platform.record().watches_waiting_max == 1
--- a/tests/test_unclosed_connections.py
+++ b/tests/test_unclosed_connections.py
@@ -11,6 +11,8 @@
 from contextlib import suppress
 
 import pytest
+from small_fleet import small_deployment
+from small_fleet import start_fleet
 from test_cli_config import ROSTER
 from test_cli_config import run
 from test_cli_config import running_platform
@@ -25,6 +27,8 @@
 from heatherdyke.standin.free_address import free_address
 from heatherdyke.standin.leaf import LeafStandin
 from heatherdyke.standin.leaf_model import LeafProfile
+from heatherdyke_bench.load import RoundRobinBalancer
+from heatherdyke_bench.member_slopes import measure
 
 
 @pytest.fixture
@@ -173,3 +177,33 @@
         with running_platform() as address:
             asyncio.run(announce_and_stop(address))
         assert not unclosed()
+
+
+class TestBench:
+    # Guards against fleets of tests and measurements that do the same.
+    def test_a_fleet_leaves_no_connection_open(self, tmp_path, unclosed):
+        async def main():
+            deployment = small_deployment(instances=1)
+            async with start_fleet(tmp_path, deployment=deployment) as fleet:
+                assert await fleet.platform_client().list("config/")
+
+        asyncio.run(main())
+        assert not unclosed()
+
+    # Guards against the same of the generator of load.
+    def test_a_balancer_leaves_no_connection_open(self, unclosed):
+        async def main(address):
+            balancer = RoundRobinBalancer([address])
+            for connection in [await balancer.acquire() for _ in range(2)]:
+                balancer.release(connection)
+            balancer.close()
+
+        with socket.create_server(("127.0.0.1", 0)) as listening:
+            host, port = listening.getsockname()
+            asyncio.run(main(f"{host}:{port}"))
+        assert not unclosed()
+
+    # Guards against the same of the measurement of a member's cost.
+    def test_a_measured_zone_leaves_no_connection_open(self, unclosed):
+        asyncio.run(measure(2, 1, 0.1, 0.1))
+        assert not unclosed()
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -33,6 +33,7 @@
         assert not await writer.store()
         platform.set_faults(PlatformFaults())
         await writer.stop()
+        client.close()
         report = await read_usage("", platform.address)
         await platform.stop()
         return report
