Block further signals also while settings are awaited

The signals were blocked only after a process that had served. Both cases of the test, which sends the signal until the process has gone, failed before (-15, -2).

--- a/heatherdyke/gateway/run.py
+++ b/heatherdyke/gateway/run.py
@@ -27,6 +27,13 @@
 
 async def serve(metrics_port: int) -> None:
     """Run a gateway with the settings file until it is stopped."""
+    try:
+        await _serve(metrics_port)
+    finally:
+        block_signals()
+
+
+async def _serve(metrics_port: int) -> None:
     path = settings_path()
     loop = asyncio.get_running_loop()
     settings = await wait_for_settings(path, EventLog(loop.time))
@@ -36,10 +43,7 @@
     process = GatewayProcess.from_settings(
         path, settings, loop, metrics_port, disabled
     )
-    try:
-        await process.run()
-    finally:
-        block_signals()
+    await process.run()
 
 
 def main() -> int:
--- a/tests/test_gateway_start.py
+++ b/tests/test_gateway_start.py
@@ -237,8 +237,11 @@
             gateway.settings_path.unlink()
             await fleet.start_process(gateway)
             await until(lambda: "settings_awaited" in fleet.read_log(gateway))
-            os.kill(gateway.process.pid, signal.Signals[name])
-            assert await gateway.process.wait() == 0
+            while gateway.process.returncode is None:
+                with suppress(ProcessLookupError):
+                    os.kill(gateway.process.pid, signal.Signals[name])
+                await asyncio.sleep(SIGNAL_INTERVAL_S)
+            assert gateway.process.returncode == 0
             event = last_event(fleet, gateway)
             assert event["event"] == "gateway_stopped"
             assert event["signal"] == name
