Bring the troubles that ended processes into the soak

Beside the faults, with random numbers of their own, so that the seeds keep theirs: a leaf gives way to a server that answers without end, in each of its eight forms; a client pipelines and does not read; the settings are emptied, half written and completed in place; a process is stopped among SIGHUP and SIGTERM until it is gone, and started while one of its three ports is in use, its settings may be incomplete, and SIGHUP comes in series from its first lines on. No process may end except with 0 and a last line after SIGTERM, -9 after SIGKILL, or -15 after a SIGTERM before it had a handler; exceed the memory of its settings; or write to standard error. Signals go past Popen, which took the exit code from asyncio.

One fault was found: answers given at once to waiting pipelined requests recurse. RecursionError; a new test gets 123 of 501 answers, then none.

--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -129,16 +129,21 @@
 
 def ignores_reload_signal(pid: int) -> bool:
     """Return whether SIGHUP does not end the process, or it has ended."""
+    return has_action(pid, signal.SIGHUP)
+
+
+def has_action(pid: int, number: signal.Signals) -> bool:
+    """Return whether a process ignores or handles a signal, or has ended."""
     try:
         status = Path(f"/proc/{pid}/status").read_text()
-    except FileNotFoundError:
+    except (FileNotFoundError, ProcessLookupError):
         return True
     masks = [
         int(line.split()[1], 16)
         for line in status.splitlines()
         if line.startswith(("SigIgn:", "SigCgt:"))
     ]
-    return any(mask >> (signal.SIGHUP - 1) & 1 for mask in masks)
+    return any(mask >> (number - 1) & 1 for mask in masks)
 
 
 async def wait_for_first_code(process: asyncio.subprocess.Process) -> None:
--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -10,6 +10,7 @@
 from gateway_fleet import config
 from gateway_fleet import route
 from soak_crashing import ProxiedLeaf
+from soak_process_checks import ProcessChecks
 
 from heatherdyke.platform_standin.leaf import StandinLeaf
 from heatherdyke.standin.fault_proxy_model import RouteConfig
@@ -81,6 +82,8 @@
         self.live: list[ProxiedLeaf] = []
         self.route_by_leaf: dict[str, TcpRoute] = {}
         self.route_by_gateway: dict[str, TcpRoute] = {}
+        self.settings_by_gateway: dict[str, bytes] = {}
+        self.checks = ProcessChecks(self)
 
     async def __aexit__(self, *error) -> None:
         for proxied in self.routes():
@@ -114,13 +117,22 @@
         entry["address"] = self.route_by_leaf[leaf.leaf_id].address
         self.store.put("servers", leaf.leaf_id, entry)
 
+    async def start_process(self, gateway: Gateway, *arguments: str) -> None:
+        await super().start_process(gateway, *arguments)
+        self.checks.add(gateway)
+
+    def claim_restart(self, process: asyncio.subprocess.Process) -> bool:
+        """Return whether the caller is the one to restart after a process."""
+        is_claimed = process.pid in self.restarted_pids
+        self.restarted_pids.add(process.pid)
+        return not is_claimed
+
     async def restart(
         self, gateway: Gateway, process: asyncio.subprocess.Process
     ) -> None:
         """Start a gateway again after its process ended, once per process."""
         await process.wait()
-        if process.pid not in self.restarted_pids:
-            self.restarted_pids.add(process.pid)
+        if self.claim_restart(process):
             await self.start_process(gateway)
 
     def publish_next_config(self) -> None:
@@ -143,8 +155,10 @@
             proxied = TcpRoute(RouteConfig(name, "127.0.0.1:0", store))
             await proxied.start()
             self.route_by_gateway[name] = proxied
-            await self.add_gateway(
+            gateway = await self.add_gateway(
                 name, ZONES[number % 2], store=proxied.address
             )
+            settings = gateway.settings_path.read_bytes()
+            self.settings_by_gateway[name] = settings
         for gateway in self.gateways:
             await gateway.wait_ready()
--- a/tests/test_gateway_memory.py
+++ b/tests/test_gateway_memory.py
@@ -10,6 +10,7 @@
 from gateway_fleet import MEMORY_MB
 from gateway_fleet import Fleet
 from gateway_fleet import Gateway
+from gateway_fleet import RawAnswer
 from gateway_fleet import config
 from gateway_fleet import peak_memory_mb
 from gateway_fleet import route
@@ -114,6 +115,30 @@
 
         run(scenario, tmp_path)
 
+    # Guards against requests that wait behind a running one and are answered
+    # within the answer to the one before: the recursion had an end.
+    def test_waiting_requests_are_answered_one_by_one(self, tmp_path):
+        async def scenario(fleet):
+            (leaf,) = await set_up_forwarding(fleet, 1)
+            leaf.processing_s = 0.3
+            gateway = await ready_gateway(fleet)
+            head = f" HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: p\r\n\r\n"
+            waiting = f"GET /nowhere/x{head}" * PIPELINED_BATCH
+            host, port = gateway.front.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(f"GET /o/x{head}{waiting}".encode())
+            statuses = []
+            with suppress(OSError, EOFError, TimeoutError):
+                async with asyncio.timeout(5.0):
+                    while len(statuses) <= PIPELINED_BATCH:
+                        answer = await read_answer(reader)
+                        statuses.append(answer.status)
+            writer.transport.abort()
+            assert statuses == [200] + [404] * PIPELINED_BATCH
+            assert "unexpected_error" not in fleet.read_log(gateway)
+
+        run(scenario, tmp_path)
+
     # Guards against many requests that arrive slowly: each was within its
     # limits, and their sum exceeded the memory.
     @pytest.mark.parametrize(
@@ -146,6 +171,13 @@
         run(scenario, tmp_path)
 
 
+async def read_answer(reader: asyncio.StreamReader) -> RawAnswer:
+    answer = RawAnswer.parse(await reader.readuntil(b"\r\n\r\n"))
+    length = int(answer.value_by_header.get("content-length", 0))
+    answer.body = await reader.readexactly(length)
+    return answer
+
+
 def is_sending(writer: asyncio.StreamWriter) -> bool:
     transport = writer.transport
     return not transport.is_closing() and transport.get_write_buffer_size() > 0
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -10,6 +10,9 @@
 connections open until the process has ended.  Wall clocks are not changed, as
 the processes use them only for log lines.
 
+Beside them come the troubles of soak_troubles.  No process may end except by
+a signal that the soak sent, exceed its memory or write to standard error.
+
 To run seeds 100 to 149 for 10 s each:
 ``SOAK_SEEDS=100:150 SOAK_SECONDS=10 pytest tests/test_gateway_soak.py``;
 ``SOAK_GATEWAYS`` sets the number of processes.
@@ -19,7 +22,6 @@
 import os
 import signal
 from collections import Counter
-from contextlib import suppress
 from random import Random
 
 import pytest
@@ -35,6 +37,7 @@
 from soak_fleet import SoakFleet
 from soak_invariants import SoakRecord
 from soak_invariants import violations
+from soak_troubles import Troubles
 
 from heatherdyke.platform_standin.leaf import Behaviour
 from heatherdyke.registry import Registry
@@ -133,6 +136,7 @@
         self.faults_ended_at = self.now()
         if self._restarts:
             await asyncio.wait(self._restarts)
+        assert self.fleet.checks.violations() == [], self.history
         for gateway in self.fleet.gateways:
             await gateway.wait_ready()
         await asyncio.sleep(RECOVERY_S)
@@ -157,10 +161,11 @@
 async def pause(soak: Soak) -> None:
     gateway = soak.random.choice(soak.fleet.gateways)
     began_at = soak.now()
-    with suppress(ProcessLookupError):
-        gateway.process.send_signal(signal.SIGSTOP)
+    process = gateway.process
+    if process.returncode is None:
+        soak.fleet.checks.send(process, signal.SIGSTOP)
         await asyncio.sleep(soak.random.random() * 1.5)
-        gateway.process.send_signal(signal.SIGCONT)
+        soak.fleet.checks.send(process, signal.SIGCONT)
     soak.record_disruption(gateway, began_at, soak.now() + 1.0)
 
 
@@ -168,9 +173,9 @@
 async def kill(soak: Soak) -> None:
     gateway = soak.random.choice(soak.fleet.gateways)
     began_at = soak.now()
-    with suppress(ProcessLookupError):
-        gateway.kill()
-    await soak.fleet.restart(gateway, gateway.process)
+    process = gateway.process
+    soak.fleet.checks.send(process, signal.SIGKILL)
+    await soak.fleet.restart(gateway, process)
     soak.record_disruption(gateway, began_at, soak.now() + 1.5)
 
 
@@ -181,7 +186,7 @@
     process = gateway.process
     if process.returncode is not None:
         return
-    process.terminate()
+    soak.fleet.checks.send(process, signal.SIGTERM)
     soak.run_in_background(soak.fleet.restart(gateway, process))
 
 
@@ -190,8 +195,7 @@
     gateway = soak.random.choice(soak.fleet.gateways)
     process = gateway.process
     await wait_for_first_code(process)
-    with suppress(ProcessLookupError):
-        process.send_signal(signal.SIGHUP)
+    soak.fleet.checks.send(process, signal.SIGHUP)
 
 
 @faults_by_name.register("the store refuses calls")
@@ -342,9 +346,13 @@
                 tasks.append(asyncio.create_task(caller.run()))
                 background = Background(fleet, fleet.gateways, seed)
                 tasks += background.start()
+                troubles = Troubles(fleet, seed)
+                tasks += troubles.start()
+                watcher = asyncio.create_task(fleet.checks.run())
                 await soak.inject_faults(seconds)
                 soak.stopping = caller.stopping = True
                 background.stop()
+                troubles.stop()
                 await asyncio.gather(*tasks)
                 await soak.end_faults()
                 found = []
@@ -356,10 +364,17 @@
                 ids = {sent.request_id for sent in soak.all_sent()}
                 found += wrongly_refused(fleet, ids)
                 record = SoakRecord(
-                    soak.all_sent() + caller.sent + background.sent,
+                    soak.all_sent()
+                    + caller.sent
+                    + background.sent
+                    + troubles.sent,
                     fleet.leafs,
                     soak.disruptions,
                 )
+                fleet.checks.is_stopping = True
+                await watcher
+                found += fleet.checks.violations()
+                soak.history += troubles.history
                 return soak, found + violations(record)
 
         soak, found = asyncio.run(main())
