Close the connections of endless servers and soak clients in any case

A server that was cancelled, and a client of a soak that failed, left their streams to the collector; one run of the soak passed all nine tests and then ended with SystemError (AST constructor recursion depth mismatch) as such a stream was collected inside a parse. The test of requests that wait failed once of three runs under load: its first requests had been answered before the check, and processing the rest held up the health check; they now last for 60 s.

--- a/tests/endless_server.py
+++ b/tests/endless_server.py
@@ -64,10 +64,17 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._tasks.add(asyncio.current_task())
-        with suppress(OSError, EOFError):
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(self.response.start)
-            while True:
-                writer.write(self.response.piece)
-                await writer.drain()
-        writer.transport.abort()
+        try:
+            with suppress(OSError, EOFError):
+                await self._respond(reader, writer)
+        finally:
+            writer.transport.abort()
+
+    async def _respond(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(self.response.start)
+        while True:
+            writer.write(self.response.piece)
+            await writer.drain()
--- a/tests/soak_background.py
+++ b/tests/soak_background.py
@@ -37,10 +37,12 @@
     is_stopping: bool = False
 
     async def run(self, name: str) -> None:
-        while not self.is_stopping:
-            await self.send("/l/", f"l{name}-{len(self.sent)}", "POST")
-            await asyncio.sleep(LONG_CLIENT_INTERVAL_S)
-        self.close()
+        try:
+            while not self.is_stopping:
+                await self.send("/l/", f"l{name}-{len(self.sent)}", "POST")
+                await asyncio.sleep(LONG_CLIENT_INTERVAL_S)
+        finally:
+            self.close()
 
 
 class ForeignWriter:
--- a/tests/test_gateway_memory.py
+++ b/tests/test_gateway_memory.py
@@ -4,6 +4,7 @@
 from contextlib import suppress
 
 import pytest
+from endless_server import OK
 from endless_server import RESPONSE_BY_NAME
 from endless_server import EndlessServer
 from gateway_fleet import HOST
@@ -31,6 +32,7 @@
 STORE_FLOOD_S = 3.0
 WIDE_SHARDS = 120
 WAITING_CONNECTIONS = 180
+SLOW_S = 60.0
 LARGE_BODY_BYTES = 1_000_000
 LARGE_BODIES = 200
 OBJECTS_PER_PAGE = 25_000
@@ -114,24 +116,20 @@
         super().__init__(RESPONSE_BY_NAME["body"])
         self._page = 0
 
-    async def _serve(
+    async def _respond(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        with suppress(OSError, EOFError):
-            while True:
-                await reader.readuntil(b"\r\n\r\n")
-                self._page += 1
-                items = ",".join(
-                    f'{{"meta":{{"name":"{self._page:06}-{number:05}"}}}}'
-                    for number in range(OBJECTS_PER_PAGE)
-                )
-                body = f'{{"at-revision":1,"more":true,"items":[{items}]}}'
-                head = (
-                    f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
-                )
-                writer.write((head + body).encode())
-                await writer.drain()
-        writer.transport.abort()
+        while True:
+            await reader.readuntil(b"\r\n\r\n")
+            self._page += 1
+            items = ",".join(
+                f'{{"meta":{{"name":"{self._page:06}-{number:05}"}}}}'
+                for number in range(OBJECTS_PER_PAGE)
+            )
+            body = f'{{"at-revision":1,"more":true,"items":[{items}]}}'
+            length = f"Content-Length: {len(body)}\r\n\r\n"
+            writer.write(OK + f"{length}{body}".encode())
+            await writer.drain()
 
 
 class TestClients:
@@ -178,8 +176,11 @@
     def test_requests_that_wait_are_bounded_in_sum(self, waiting, tmp_path):
         async def scenario(fleet):
             leafs = await set_up_forwarding(fleet, 12)
+            slow = {"timeout-ms": int(1000 * SLOW_S)}
+            one = route("one", "/o/", service="one", **slow)
+            fleet.set_config(config(4, [one], ["one"]))
             for leaf in leafs:
-                leaf.processing_s = 2.0
+                leaf.processing_s = SLOW_S
             gateway = await ready_gateway(fleet)
             host, port = gateway.front.split(":")
             first = f"GET /o/x HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode()
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -91,10 +91,12 @@
     async def client(self, gateway: Gateway) -> None:
         client = SoakClient(gateway, self.random)
         self.clients.append(client)
-        while not self.stopping:
-            await self.one_request(client)
-            await asyncio.sleep(self.random.random() * 0.03)
-        client.close()
+        try:
+            while not self.stopping:
+                await self.one_request(client)
+                await asyncio.sleep(self.random.random() * 0.03)
+        finally:
+            client.close()
 
     async def one_request(
         self, client: SoakClient, kind: str = ""
