--- a/tests/test_gateway_start.py
+++ b/tests/test_gateway_start.py
@@ -51,6 +51,14 @@
     return msgspec.json.decode(fleet.read_log(gateway).splitlines()[-1])
 
 
+async def send_until_gone(gateway: Gateway, number: signal.Signals) -> None:
+    """Send a signal again and again until the process has ended."""
+    while gateway.process.returncode is None:
+        with suppress(ProcessLookupError):
+            os.kill(gateway.process.pid, number)
+        await asyncio.sleep(SIGNAL_INTERVAL_S)
+
+
 class TestPortInUse:
     # Guards against the end of a process whose port another one still holds,
     # such as its predecessor.
@@ -217,10 +225,7 @@
             await set_up_forwarding(fleet, 1)
             gateway = await ready_gateway(fleet)
             gateway.terminate()
-            while gateway.process.returncode is None:
-                with suppress(ProcessLookupError):
-                    os.kill(gateway.process.pid, signal.Signals[name])
-                await asyncio.sleep(SIGNAL_INTERVAL_S)
+            await send_until_gone(gateway, signal.Signals[name])
             assert gateway.process.returncode == 0
             event = last_event(fleet, gateway)
             assert event["event"] == "gateway_stopped"
@@ -237,10 +242,7 @@
             gateway.settings_path.unlink()
             await fleet.start_process(gateway)
             await until(lambda: "settings_awaited" in fleet.read_log(gateway))
-            while gateway.process.returncode is None:
-                with suppress(ProcessLookupError):
-                    os.kill(gateway.process.pid, signal.Signals[name])
-                await asyncio.sleep(SIGNAL_INTERVAL_S)
+            await send_until_gone(gateway, signal.Signals[name])
             assert gateway.process.returncode == 0
             event = last_event(fleet, gateway)
             assert event["event"] == "gateway_stopped"
