--- a/review/8/case.py
+++ b/review/8/case.py
@@ -7,7 +7,6 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from fleet_2 import FAILED  # noqa: E402
-from fleet_2 import HEARTBEAT_S  # noqa: E402
 from fleet_2 import PASSED  # noqa: E402
 from fleet_2 import Client  # noqa: E402
 from fleet_2 import Deployment  # noqa: E402
@@ -17,8 +16,6 @@
 from fleet_2 import play  # noqa: E402
 from fleet_2 import route  # noqa: E402
 
-from heatherdyke.platform_standin.leaf import Behaviour  # noqa: E402
-
 SERVICE = "gowu98c"
 ZONES = ("ktm-north", "lalitpur", "bhaktapur", "kirtipur")
 LEAF_ZONES = (*ZONES, "ktm-north")
@@ -28,9 +25,10 @@
 RATIO = 0.2
 SLACK = 52.0
 WINDOW_S = 10.0
-# The store removes an entry after three heartbeat intervals of silence.
-EXPIRY_S = 3 * HEARTBEAT_S
-# Leafs that crash, each after the entry of the one before is gone.
+# Doses of the site file's srv_grey (shed) and of review/8/day.toml.
+REJECTED_SHARE = 0.6
+DOWN_S = 3.0
+# Leafs that crash, each when the one before is back.
 CRASHES = 3
 
 
@@ -56,16 +54,18 @@
 
 
 async def crash(deployment: Deployment, leaf: Leaf) -> None:
-    """End a leaf; its entry goes when the store hears no more of it."""
+    """End a leaf; it is back under its id after DOWN_S."""
     deployment.record.add(f"{leaf.leaf_id} crashes")
     leaf.stop_heartbeats()
-    await leaf.stop()
-    await asyncio.sleep(EXPIRY_S)
-    deployment.store.delete("servers", leaf.leaf_id)
+    leaf.down_s = DOWN_S
+    await leaf.crash()
+    leaf.born_ms += 60_000
+    leaf.sequence = 1
+    leaf.begin_heartbeats()
 
 
 async def scenario(deployment: Deployment) -> int:
-    """Have full leafs reject requests; let one of five crash by turns."""
+    """Have leafs shed requests; let one of five crash by turns."""
     record = deployment.record
     loop = asyncio.get_running_loop()
     for number, zone in enumerate(LEAF_ZONES):
@@ -91,14 +91,17 @@
     ]
     tasks = [loop.create_task(client.run()) for client in clients]
     await asyncio.sleep(5.0)
-    record.add("all leafs are full and say so")
+    record.add(f"leafs reject {REJECTED_SHARE} of their requests")
     for leaf in deployment.leafs:
-        leaf.behaviour = Behaviour.REJECT
+        leaf.rejected_share = REJECTED_SHARE
     for leaf in deployment.leafs[:CRASHES]:
         if has_trouble():
             await crash(deployment, leaf)
         else:
-            await asyncio.sleep(EXPIRY_S)
+            await asyncio.sleep(DOWN_S)
+    for leaf in deployment.leafs:
+        leaf.rejected_share = 0.0
+    await asyncio.sleep(1.0)
     for task in tasks:
         task.cancel()
     for client in clients:
--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -285,13 +285,15 @@
 
     It is cold from ``cold_from`` to ``cold_until``, in the event loop's time,
     and then crashes under more than ``crashes_above`` requests in a second.
-    It writes its first entry ``registers_after_s`` after its start.
+    It rejects ``rejected_share`` of its requests, though it is healthy, and
+    writes its first entry ``registers_after_s`` after its start.
     """
 
     store: Store
     cold_from: float = 0.0
     cold_until: float = 0.0
     crashes_above: float = float("inf")
+    rejected_share: float = 0.0
     registers_after_s: float = 0.0
     heartbeats: asyncio.Task | None = None
     crash_task: asyncio.Task | None = None
@@ -350,6 +352,9 @@
             if self.crash_task is None:
                 self.crash_task = asyncio.create_task(self.crash())
             return
+        if self.random.random() < self.rejected_share:
+            self._reject(exchange)
+            return
         StandinLeaf._execute(self, exchange)
 
     def _answer_health(self, exchange: Exchange) -> None:
