Show that changes are late while the store's stale reads are old

Callers saw requests run at the old service of a route that had moved, 404 on routes that had been added, and requests at leafs that drain or of zones out.

The stand-in store can now serve stale reads that are seconds old, for all or for single kinds, with the revision of their data or the store's. Before, it could only freeze lists, so that no test could see this.

--- a/heatherdyke/platform_standin/store.py
+++ b/heatherdyke/platform_standin/store.py
@@ -1,6 +1,7 @@
 """A stand-in for the platform's store: objects by kind and name."""
 
 import asyncio
+import time
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Any
@@ -12,6 +13,7 @@
 from heatherdyke.gateway.exchange import Exchange
 from heatherdyke.gateway.messages import ClientResponse
 from heatherdyke.platform_standin.listener import Listener
+from heatherdyke.platform_standin.old_reads import OldReads
 
 PREFIX = "/api/objects/"
 MAX_OBJECTS_PER_PAGE = 50
@@ -43,12 +45,16 @@
 
 @dataclass(slots=True)
 class HistoryEntry:
-    """A change in the history that watches read."""
+    """A change in the history that watches read.
+
+    ``before`` is the object that it replaced, None for a new one.
+    """
 
     revision: int
     kind: str
     item: StoredItem
     deleted: bool
+    before: StoredItem | None
 
 
 @dataclass(slots=True, eq=False)
@@ -58,6 +64,7 @@
     kind: str
     revision: int
     exchange: Exchange
+    is_stale: bool
     timer: asyncio.TimerHandle = field(repr=False)
 
 
@@ -66,7 +73,8 @@
 
     A ``status`` other than 200 is returned to every call, and 503 to those
     for one of the ``refused_kinds``.  ``calls`` counts the calls by method
-    and kind.
+    and kind, ``fresh_reads`` the up-to-date lists and watches by kind.
+    ``old_reads`` states how old the data of the other reads is.
     """
 
     __slots__ = (
@@ -74,6 +82,8 @@
         "status",
         "refused_kinds",
         "calls",
+        "fresh_reads",
+        "old_reads",
         "_revision",
         "_items_by_kind",
         "_history",
@@ -87,6 +97,8 @@
         self.status = 200
         self.refused_kinds: set[str] = set()
         self.calls: dict[str, int] = {}
+        self.fresh_reads: dict[str, int] = {}
+        self.old_reads = OldReads()
         self._revision = 1
         self._items_by_kind: dict[str, dict[str, StoredItem]] = {}
         self._history: list[HistoryEntry] = []
@@ -111,14 +123,14 @@
         created = existing.created if existing else self._revision
         item = StoredItem(name, spec, self._revision, created)
         items[name] = item
-        self._record_change(kind, item, deleted=False)
+        self._record_change(kind, item, False, existing)
 
     def delete(self, kind: str, name: str) -> None:
         """Delete the object if it exists."""
         item = self._items_by_kind.get(kind, {}).pop(name, None)
         if item is not None:
             self._revision += 1
-            self._record_change(kind, item, deleted=True)
+            self._record_change(kind, item, True, item)
 
     def names(self, kind: str) -> list[str]:
         """Return the names of all objects of a kind, sorted."""
@@ -135,14 +147,56 @@
         for watch in list(self._watches):
             self._respond_to_watch(watch)
 
-    def _record_change(
-        self, kind: str, item: StoredItem, deleted: bool
-    ) -> None:
-        self._history.append(HistoryEntry(self._revision, kind, item, deleted))
+    def show_changes(self) -> None:
+        """Respond to the watches for which there are visible changes."""
         for watch in list(self._watches):
-            if watch.kind == kind:
+            if self._changes_for(watch):
                 self._respond_to_watch(watch)
 
+    def _record_change(
+        self,
+        kind: str,
+        item: StoredItem,
+        deleted: bool,
+        before: StoredItem | None,
+    ) -> None:
+        self._history.append(
+            HistoryEntry(self._revision, kind, item, deleted, before)
+        )
+        self.old_reads.record(self._revision, time.monotonic())
+        self.show_changes()
+        lag_s = self.old_reads.lag_of(kind)
+        if lag_s > 0.0:
+            # Timers may fire a little early.
+            later_s = lag_s + 0.01
+            loop = asyncio.get_running_loop()
+            loop.call_later(later_s, self.show_changes)
+
+    def _visible_revision(self, kind: str, is_stale: bool) -> int:
+        if not is_stale:
+            return self._revision
+        now = time.monotonic()
+        return self.old_reads.visible_revision(kind, self._revision, now)
+
+    def _stated_revision(self, kind: str, is_stale: bool) -> int:
+        if self.old_reads.hides_its_age:
+            return self._revision
+        return self._visible_revision(kind, is_stale)
+
+    def _items_at(self, kind: str, revision: int) -> dict[str, StoredItem]:
+        """Return the objects of a kind at an earlier revision."""
+        items = dict(self._items_by_kind.get(kind, {}))
+        for change in reversed(self._history):
+            if change.revision <= revision:
+                break
+            if change.kind != kind:
+                continue
+            if change.before is None:
+                items.pop(change.item.name, None)
+            else:
+                items[change.item.name] = change.before
+        return items
+
     def _handle(self, exchange: Exchange) -> None:
         request = exchange.request
         path, _, query = request.target.decode().partition("?")
@@ -200,11 +254,15 @@
     def _list(
         self, exchange: Exchange, kind: str, arguments: dict[str, str]
     ) -> None:
-        revision, items_by_kind = self._revision, self._items_by_kind
-        if self._stale_lists is not None and "allow-stale" in arguments:
+        is_stale = self._is_stale(kind, arguments)
+        if self._stale_lists is not None and is_stale:
             revision, items_by_kind = self._stale_lists
+            items = items_by_kind.get(kind, {})
+        else:
+            revision = self._stated_revision(kind, is_stale)
+            visible = self._visible_revision(kind, is_stale)
+            items = self._items_at(kind, visible)
         after = arguments.get("after", "")
-        items = items_by_kind.get(kind, {})
         names = [name for name in sorted(items) if name > after]
         page = names[:MAX_OBJECTS_PER_PAGE]
         _reply(
@@ -217,15 +275,23 @@
             },
         )
 
+    def _is_stale(self, kind: str, arguments: dict[str, str]) -> bool:
+        """Return whether a read may be stale; count it otherwise."""
+        if "allow-stale" in arguments:
+            return True
+        self.fresh_reads[kind] = self.fresh_reads.get(kind, 0) + 1
+        return False
+
     def _watch(
         self, exchange: Exchange, kind: str, arguments: dict[str, str]
     ) -> None:
+        is_stale = self._is_stale(kind, arguments)
         revision = int(arguments["watch"])
         if revision + 1 < self._first_revision:
             exchange.answer(ClientResponse(410))
             return
         wait_s = int(arguments.get("wait-ms", "0")) / 1000
-        watch = PendingWatch(kind, revision, exchange, timer=None)
+        watch = PendingWatch(kind, revision, exchange, is_stale, timer=None)
         loop = asyncio.get_running_loop()
         watch.timer = loop.call_later(wait_s, self._respond_to_watch, watch)
         self._watches.append(watch)
@@ -234,10 +300,12 @@
             self._respond_to_watch(watch)
 
     def _changes_for(self, watch: PendingWatch) -> list[HistoryEntry]:
+        visible = self._visible_revision(watch.kind, watch.is_stale)
         return [
             change
             for change in self._history
-            if change.kind == watch.kind and change.revision > watch.revision
+            if change.kind == watch.kind
+            and watch.revision < change.revision <= visible
         ]
 
     def _remove_watch(self, watch: PendingWatch) -> None:
@@ -256,7 +324,12 @@
         _reply(
             watch.exchange,
             200,
-            {"events": events, "at-revision": self._revision},
+            {
+                "events": events,
+                "at-revision": self._stated_revision(
+                    watch.kind, watch.is_stale
+                ),
+            },
         )
 
 
--- /dev/null
+++ b/tests/test_gateway_old_reads.py
@@ -0,0 +1,180 @@
+"""Reads of the store that are seconds old, while everything else works."""
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+from gateway_fleet import Fleet
+from gateway_fleet import Gateway
+from gateway_fleet import config
+from gateway_fleet import route
+from gateway_fleet import send_request
+from gateway_scenarios import run
+
+from heatherdyke.platform_standin.leaf import StandinLeaf
+from heatherdyke.platform_standin.store import StandinStore
+
+# Longer than any time within which a change must be in force.
+LAG_S = 7.0
+CONFIG_S = 3.0
+DRAIN_S = 3.0
+ZONE_OUT_S = 5.0
+SERVICES = ["old", "new", "drains", "vanishes", "zone"]
+KEPT = [
+    route("drains", "/d/", service="drains"),
+    route("vanishes", "/v/", service="vanishes"),
+    route("zone", "/z/", service="zone"),
+]
+BEFORE = config(
+    3,
+    [
+        *KEPT,
+        route("moved", "/m/", service="old"),
+        route("dropped", "/x/", service="old"),
+    ],
+    SERVICES,
+)
+AFTER = config(
+    7,
+    [
+        *KEPT,
+        route("moved", "/m/", service="new"),
+        route("added", "/a/", service="new"),
+    ],
+    SERVICES,
+)
+PATHS = ("/m/1", "/x/1", "/a/1", "/d/1", "/v/1", "/z/1")
+
+
+def lag_everything(store: StandinStore) -> None:
+    store.old_reads.lag_s = LAG_S
+
+
+def lag_each_kind_alone(kind: str) -> Callable[[StandinStore], None]:
+    def lag(store: StandinStore) -> None:
+        store.old_reads.lag_by_kind = {kind: LAG_S}
+
+    return lag
+
+
+def hide_a_short_lag(store: StandinStore) -> None:
+    store.old_reads.lag_s = 0.6
+    store.old_reads.hides_its_age = True
+
+
+LAGS = {
+    "all": lag_everything,
+    "config": lag_each_kind_alone("config"),
+    "servers": lag_each_kind_alone("servers"),
+    "evacuations": lag_each_kind_alone("evacuations"),
+    "hidden": hide_a_short_lag,
+}
+
+
+class Sender:
+    """Sends requests to all instances and keeps what became of them."""
+
+    def __init__(self, gateways: list[Gateway]) -> None:
+        self.gateways = gateways
+        self.statuses: list[tuple[str, float, int]] = []
+        self.is_stopping = False
+
+    async def run(self) -> None:
+        senders = [
+            self._send(gateway, path)
+            for gateway in self.gateways
+            for path in PATHS
+        ]
+        await asyncio.gather(*senders)
+
+    async def _send(self, gateway: Gateway, path: str) -> None:
+        loop = asyncio.get_running_loop()
+        count = 0
+        while not self.is_stopping:
+            count += 1
+            sent_at = loop.time()
+            request_id = f"{gateway.name}{path}{count}".replace("/", "-")
+            answer = await send_request(gateway, path, request_id)
+            self.statuses.append((path, sent_at, answer.status))
+            await asyncio.sleep(0.05)
+
+    def last_with_status(self, path: str, status: int, since: float) -> float:
+        """Return when the last such request was sent, as of ``since``."""
+        times = [
+            sent_at - since
+            for sent_path, sent_at, sent_status in self.statuses
+            if sent_path == path and sent_status == status
+        ]
+        return max(times, default=float("-inf"))
+
+
+async def add_leafs(fleet: Fleet) -> dict[str, StandinLeaf]:
+    """Add two leafs a service, those of ``zone`` in zones of their own."""
+    leaf_by_name = {}
+    for service in SERVICES:
+        for copy in range(2):
+            zone = "verona" if (service, copy) == ("zone", 1) else "brescia"
+            leaf = StandinLeaf(f"{service}-{copy}", service, zone=zone)
+            await fleet.add_leaf(leaf)
+            leaf_by_name[leaf.leaf_id] = leaf
+    return leaf_by_name
+
+
+def last_arrival(leaf: StandinLeaf, since: float) -> float:
+    times = [arrival.at - since for arrival in leaf.received_requests]
+    return max(times, default=float("-inf"))
+
+
+class TestOldReads:
+    # Guards against versions, drains, removals and zones out that take effect
+    # as late as the store's stale reads show them, on all instances.
+    @pytest.mark.parametrize("lag", LAGS.values(), ids=LAGS.keys())
+    def test_changes_are_in_force_in_time(self, tmp_path, lag):
+        async def scenario(fleet: Fleet):
+            leafs = await add_leafs(fleet)
+            fleet.set_config(BEFORE)
+            gateways = [
+                await fleet.add_gateway(name, zone)
+                for name, zone in (("a", "brescia"), ("b", "verona"))
+            ]
+            for gateway in gateways:
+                await gateway.wait_ready()
+            await asyncio.sleep(0.5)
+            lag(fleet.store)
+            sender = Sender(gateways)
+            task = asyncio.create_task(sender.run())
+            await asyncio.sleep(1.0)
+            # A response that shows these may already state the revision of
+            # the next ones.
+            fleet.set_config({**BEFORE, "version": 5})
+            fleet.store.put("servers", "odd", {})
+            fleet.store.put("evacuations", "nowhere", {})
+            await asyncio.sleep(0.4)
+            changed_at = asyncio.get_running_loop().time()
+            fleet.set_config(AFTER)
+            draining = {**leafs["drains-0"].entry(), "state": "draining"}
+            fleet.store.put("servers", "drains-0", draining)
+            fleet.store.delete("servers", "vanishes-0")
+            fleet.store.put("evacuations", "verona", {})
+            await asyncio.sleep(LAG_S + 1.0)
+            sender.is_stopping = True
+            await task
+            lateness = {
+                "moved": last_arrival(leafs["old-0"], changed_at),
+                "moved too": last_arrival(leafs["old-1"], changed_at),
+                "added": sender.last_with_status("/a/1", 404, changed_at),
+                "dropped": sender.last_with_status("/x/1", 200, changed_at),
+                "drains": last_arrival(leafs["drains-0"], changed_at),
+                "vanishes": last_arrival(leafs["vanishes-0"], changed_at),
+                "zone": last_arrival(leafs["zone-1"], changed_at),
+            }
+            print(lateness)
+            late = {
+                name: late_s
+                for name, late_s in lateness.items()
+                if late_s > (ZONE_OUT_S if name == "zone" else CONFIG_S)
+            }
+            assert not late
+            assert sender.last_with_status("/a/1", 200, changed_at) > 0
+
+        run(scenario, tmp_path)
