End a hold by the age of a version, not by its arrival alone

Callers could see requests run by old shards for up to 1.2 s more than the store's old reads had already delayed a version: it was held for leafs of new shards that were cold from its arrival, though a watch that was never interrupted may show it late.

A hold now also ends at 0.8 of the bound after the last time at which the configuration was known to be complete, before which the version was not written. Two tests failed before: a version that arrived 3 s late was held. The tests of holds now state since when the configuration is complete, as an instance that does not know it holds nothing.

--- a/heatherdyke/gateway/config_activation.py
+++ b/heatherdyke/gateway/config_activation.py
@@ -17,6 +17,8 @@
 # Longest hold, as a fraction of the time within which a version must be active
 # on all instances.
 MAX_HOLD_FRACTION = 0.4
+# Greatest age of a version at the end of its hold, as such a fraction.
+MAX_AGE_FRACTION = 0.8
 
 # Returns the share of a route's shards that have a warm leaf.
 WarmShare = Callable[[Route], float]
@@ -32,10 +34,22 @@
     config: RoutingConfig | None = None
     hold_until: float = 0.0
 
-    def add(self, config: RoutingConfig, now: float, config_s: float) -> None:
-        """Set the pending version; a later one does not extend the hold."""
+    def add(
+        self,
+        config: RoutingConfig,
+        now: float,
+        config_s: float,
+        written_after: float,
+    ) -> None:
+        """Set the pending version, written after a time.
+
+        A later version does not extend the hold.
+        """
         if self.config is None:
-            self.hold_until = now + MAX_HOLD_FRACTION * config_s
+            self.hold_until = min(
+                now + MAX_HOLD_FRACTION * config_s,
+                written_after + MAX_AGE_FRACTION * config_s,
+            )
         self.config = config
 
     def take_ready(
--- a/heatherdyke/gateway/state_updater.py
+++ b/heatherdyke/gateway/state_updater.py
@@ -89,7 +89,8 @@
         now = shared.loop.time()
         holds = shared.has(Mechanism.CONFIG_HOLD)
         config_s = shared.settings.bounds.config_s if holds else 0.0
-        self._pending.add(config, now, config_s)
+        freshness = shared.freshness.by_kind[CONFIG_KIND]
+        self._pending.add(config, now, config_s, freshness.complete_at)
         self._activate_if_ready()
         if not was_held and self._pending.config is not None:
             shared.log.record(CONFIG_HELD, version=config.version)
--- a/tests/test_gateway_config_activation.py
+++ b/tests/test_gateway_config_activation.py
@@ -13,6 +13,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from heatherdyke.gateway.config_activation import MAX_AGE_FRACTION
 from heatherdyke.gateway.config_activation import MAX_HOLD_FRACTION
 from heatherdyke.gateway.config_activation import PendingConfig
 from heatherdyke.gateway.dispatch import MAX_HOLD_S
@@ -49,7 +50,7 @@
 class TestPendingConfig:
     def test_new_shards_are_held_until_warm_while_old_ones_serve(self):
         pending = PendingConfig()
-        pending.add(config(2, NEW), 10.0, CONFIG_S)
+        pending.add(config(2, NEW), 10.0, CONFIG_S, 10.0)
         cold = warm_share_of({"a1", "a2", "b1"})
         assert pending.take_ready(config(1, OLD), cold, 10.1) is None
         warm = warm_share_of({"a1", "a2", "b1", "b2"})
@@ -58,7 +59,7 @@
 
     def test_hold_ends_well_before_the_version_must_be_active(self):
         pending = PendingConfig()
-        pending.add(config(2, NEW), 10.0, CONFIG_S)
+        pending.add(config(2, NEW), 10.0, CONFIG_S, 10.0)
         cold = warm_share_of({"a1", "a2"})
         end = 10.0 + MAX_HOLD_FRACTION * CONFIG_S
         assert pending.take_ready(config(1, OLD), cold, end - 0.01) is None
@@ -72,7 +73,7 @@
         now = 0.0
         cold = warm_share_of(set(OLD))
         for version, gap_s in enumerate(gaps, start=2):
-            pending.add(config(version, NEW), now, CONFIG_S)
+            pending.add(config(version, NEW), now, CONFIG_S, now)
             taken = pending.take_ready(config(1, OLD), cold, now)
             if now >= MAX_HOLD_FRACTION * CONFIG_S:
                 assert taken.version == version
@@ -80,20 +81,31 @@
             assert taken is None
             now += gap_s
 
+    # Guards against a version that arrives late in a watch that was not
+    # interrupted, and is held until after it is due.
+    @given(st.floats(0.0, 6.0))
+    def test_hold_ends_in_time_for_a_version_that_arrives_late(self, age_s):
+        pending = PendingConfig()
+        pending.add(config(2, NEW), age_s, CONFIG_S, 0.0)
+        cold = warm_share_of(set(OLD))
+        at = max(age_s, MAX_AGE_FRACTION * CONFIG_S)
+        assert pending.take_ready(config(1, OLD), cold, at).version == 2
+        assert MAX_AGE_FRACTION * CONFIG_S < CONFIG_S - 0.5
+
     def test_old_shards_without_warm_leafs_are_replaced_at_once(self):
         pending = PendingConfig()
-        pending.add(config(2, NEW), 0.0, CONFIG_S)
+        pending.add(config(2, NEW), 0.0, CONFIG_S, 0.0)
         warm_share = warm_share_of({"b1"})
         assert pending.take_ready(config(1, OLD), warm_share, 0.0).version == 2
 
     def test_version_with_the_same_shards_is_not_held(self):
         pending = PendingConfig()
-        pending.add(config(2, OLD), 0.0, CONFIG_S)
+        pending.add(config(2, OLD), 0.0, CONFIG_S, 0.0)
         assert pending.take_ready(config(1, OLD), warm_share_of(set()), 0.0)
 
     def test_first_version_is_not_held(self):
         pending = PendingConfig()
-        pending.add(config(1, NEW), 0.0, CONFIG_S)
+        pending.add(config(1, NEW), 0.0, CONFIG_S, 0.0)
         assert pending.take_ready(None, warm_share_of(set()), 0.0).version == 1
 
 
@@ -154,6 +166,7 @@
         shared.routes = RouteTable(config(1, OLD))
         for shard in OLD:
             shared.leafs.apply(leaf_entry(shard), loop.time())
+        shared.freshness.by_kind["config"].apply_current(1, loop.time())
         updater = StateUpdater(shared)
         updater.on_config_changed(change(2, NEW), Removal.TIMELY)
         assert shared.config.version == 1
@@ -177,6 +190,20 @@
 
         assert asyncio.run(main()) == 3
 
+    # Guards against a hold that counts from the arrival of a version which
+    # the store's old reads have shown late.
+    def test_version_that_may_be_due_already_is_not_held(self):
+        async def main() -> int:
+            loop = asyncio.get_running_loop()
+            shared, _ = self.holding_version_2()
+            updater = StateUpdater(shared)
+            known = shared.freshness.by_kind["config"]
+            known.complete_at = loop.time() - CONFIG_S
+            updater.on_config_changed(change(3, NEW), Removal.TIMELY)
+            return shared.config.version
+
+        assert asyncio.run(main()) == 3
+
     def test_held_version_is_activated_when_a_peer_uses_it(self):
         """Otherwise this instance would route by an older version."""
         assert self.active_after(2) == 2
