Take no response with a status outside HTTP's for an answer

Callers got 504 at their deadline (status 000, 001, 099), or the response itself (600, 999), with stamp and body, as an answer that HTTP does not define.

Cause: a status below 200 counted as interim, any other as final. The parser accepts all three-digit numbers.

Such a response is now bytes that are no answer: the connection is closed, the attempt ends as broken, may have run, and counts against the leaf as a broken connection does; an idempotent request goes to another leaf.

--- a/heatherdyke/gateway/leaf_connection.py
+++ b/heatherdyke/gateway/leaf_connection.py
@@ -3,7 +3,8 @@
 Responses are parsed by httptools.  A response that does not name the request
 is ignored: it is a late one, or bytes of a faulty leaf, and says nothing of
 whether the request ran.  Bytes received without a request in progress close
-the connection, and so does a response that does not end.
+the connection, and so does a response that does not end, or whose status is
+not one of HTTP's.
 """
 
 import asyncio
@@ -12,6 +13,7 @@
 import httptools
 
 from heatherdyke.gateway.attempt import Attempt
+from heatherdyke.gateway.messages import MAX_FINAL_STATUS
 from heatherdyke.gateway.messages import AttemptOutcome
 from heatherdyke.gateway.messages import Failure
 from heatherdyke.gateway.messages import HeaderList
@@ -27,6 +29,7 @@
 IDLE_MARGIN_S = 0.5
 DEFAULT_IDLE_TIMEOUT_S = 4.0
 STATUS_CONTINUE = 100
+MIN_STATUS = 100
 # A leaf at fault may send a head or a body without end.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Trailers included.
@@ -223,10 +226,13 @@
         """Determine the end of the body and the idle timeout.
 
         A response to HEAD is completed here, as the parser would wait for a
-        body; its connection cannot be reused.
+        body; its connection cannot be reused.  Raises ValueError if the status
+        is invalid.
         """
         self._in_head = False
         status = self._parser.get_status_code()
+        if not MIN_STATUS <= status <= MAX_FINAL_STATUS:
+            raise ValueError("invalid status")
         has_known_length = status < 200 or status in (204, 304)
         for name, value in self._headers:
             lower = name.lower()
--- a/heatherdyke/gateway/messages.py
+++ b/heatherdyke/gateway/messages.py
@@ -6,6 +6,10 @@
 
 from heatherdyke.net.memory_quota import Reservation
 
+# Bounds of the statuses that end a request; lower ones are interim.
+MIN_FINAL_STATUS = 200
+MAX_FINAL_STATUS = 599
+
 HeaderList = list[tuple[bytes, bytes]]
 
 
--- a/heatherdyke/gateway/peer_messages.py
+++ b/heatherdyke/gateway/peer_messages.py
@@ -11,6 +11,8 @@
 import msgspec
 
 from heatherdyke.gateway.leaf_crashes import CrashSighting
+from heatherdyke.gateway.messages import MAX_FINAL_STATUS
+from heatherdyke.gateway.messages import MIN_FINAL_STATUS
 from heatherdyke.gateway.quarantine import Verdict
 
 SEARCH_PATH = b"/peer/search"
@@ -34,6 +36,9 @@
 Fields = Annotated[
     list[tuple[bytes, bytes]], msgspec.Meta(max_length=MAX_FIELDS)
 ]
+FinalStatus = Annotated[
+    int, msgspec.Meta(ge=MIN_FINAL_STATUS, le=MAX_FINAL_STATUS)
+]
 Places = Annotated[list[str], msgspec.Meta(max_length=MAX_PLACES)]
 Keys = Annotated[list[str], msgspec.Meta(max_length=MAX_NEWS)]
 Sightings = Annotated[list[CrashSighting], msgspec.Meta(max_length=MAX_NEWS)]
@@ -115,7 +120,7 @@
 class ForwardResult(msgspec.Struct, array_like=True):
     """The response to the client; 503 means that the request has not run."""
 
-    status: int
+    status: FinalStatus
     headers: Fields
     body: bytes
 
