Make few up-to-date reads while the store refuses them

While the store was away each instance asked another one in vain, read by itself several times a second, and left the one it had asked alone for 10 s, so that all read the store after the outage. No caller saw this; calls are paid for and limited.

Refused reads are repeated after 1 to 2 s, and an instance is left alone only if the store knew more than it did, for 2 s if it had answered.

--- a/heatherdyke/gateway/freshness_checks.py
+++ b/heatherdyke/gateway/freshness_checks.py
@@ -32,8 +32,13 @@
 
 # Instances that start together check at different times.
 INTERVAL_SPREAD = 0.1
-# How long an instance that has not answered is not asked again.
-ASK_AGAIN_S = 10.0
+# How long an instance is not asked again that has not answered, or that knew
+# less than the store, as it may be the last to reach the store again.
+NO_ANSWER_PAUSE_S = 10.0
+OLD_ANSWER_PAUSE_S = 2.0
+# Pauses after reads that the store refuses, which each instance then makes.
+FIRST_PAUSE_S = 1.0
+MAX_PAUSE_S = 2.0
 # How long the first check waits for the list of instances.
 INSTANCES_WAIT_S = 0.2
 # An instance that starts serves after this time although the store refuses
@@ -54,6 +59,8 @@
         "_watcher_by_kind",
         "_store",
         "_failed_until",
+        "_pause_s",
+        "_read_again_at",
         "_refresh",
         "_answers",
     )
@@ -68,6 +75,8 @@
         self._watcher_by_kind = watcher_by_kind
         self._store = StoreClient(shared.settings.store.address, shared.memory)
         self._failed_until: dict[str, float] = {}
+        self._pause_s = FIRST_PAUSE_S
+        self._read_again_at = 0.0
         self._refresh: asyncio.Task[None] | None = None
         self._answers: set[asyncio.Task[None]] = set()
 
@@ -82,7 +91,7 @@
         self._shared.loop.call_later(MAX_START_S, self.started.set)
         await self._wait_for_instances()
         while True:
-            await self._update(self._timing.max_age_s)
+            await self._update()
             spread = INTERVAL_SPREAD * self._shared.random.random()
             await asyncio.sleep(self._timing.interval_s * (1.0 - spread))
 
@@ -93,7 +102,7 @@
         task.add_done_callback(self._answers.discard)
 
     async def _answer(self, exchange: Exchange) -> None:
-        await self._update(self._timing.max_age_s)
+        await self._update()
         if not exchange.answered:
             body = encode_message(self._report())
             exchange.answer(ClientResponse(200, [], body))
@@ -128,22 +137,20 @@
                 return
             await asyncio.sleep(INSTANCES_WAIT_S / 20)
 
-    async def _update(self, max_age_s: float) -> None:
+    async def _update(self) -> None:
         """Learn of the latest changes unless they are known as of recently.
 
         Callers at the same time wait for the same read.
         """
-        now = self._shared.loop.time()
-        if now - self._shared.freshness.known_at <= max_age_s:
+        age_s = self._shared.loop.time() - self._shared.freshness.known_at
+        if age_s <= self._timing.max_age_s:
             return
         if self._refresh is None or self._refresh.done():
             self._refresh = self._shared.loop.create_task(self._learn())
         await asyncio.shield(self._refresh)
 
     async def _learn(self) -> None:
-        how = "instance" if await self._ask_instance() else "store"
-        if how == "store" and not await self._read_store():
-            how = "failed"
+        how = await self._ask_or_read()
         self._shared.metrics.count("freshness_checks", how)
         behind = self._shared.freshness.behind()
         if behind:
@@ -152,6 +159,39 @@
         elif how != "failed":
             self.started.set()
 
+    async def _ask_or_read(self) -> str:
+        """Ask an instance, or else read; return which of them succeeded."""
+        asked = self._instance_to_ask()
+        report = None
+        if asked is not None:
+            report = await self._request_report(asked)
+            if report is not None and self._is_recent():
+                return "instance"
+        if not await self._try_to_read():
+            return "failed"
+        if asked is not None:
+            pause_s = OLD_ANSWER_PAUSE_S if report else NO_ANSWER_PAUSE_S
+            now = self._shared.loop.time()
+            self._failed_until[asked.leaf_id] = now + pause_s
+        return "store"
+
+    def _is_recent(self) -> bool:
+        """Return whether the latest changes are known well enough."""
+        max_age_s = self._timing.max_age_s + self._timing.ask_timeout_s
+        known_at = self._shared.freshness.known_at
+        return self._shared.loop.time() - known_at <= max_age_s
+
+    async def _try_to_read(self) -> bool:
+        """Read the store unless it has just refused that."""
+        if self._shared.loop.time() < self._read_again_at:
+            return False
+        if await self._read_store():
+            self._pause_s = FIRST_PAUSE_S
+            return True
+        self._read_again_at = self._shared.loop.time() + self._pause_s
+        self._pause_s = min(MAX_PAUSE_S, 2.0 * self._pause_s)
+        return False
+
     def _catch_up(self) -> None:
         """Have the changes read that the watches have not shown."""
         for kind in self._shared.freshness.behind():
@@ -166,10 +206,8 @@
         if not self._shared.freshness.behind():
             self.started.set()
 
-    async def _ask_instance(self) -> bool:
-        """Ask another instance; return whether its answer is recent."""
+    def _instance_to_ask(self) -> Leaf | None:
         shared = self._shared
-        now = shared.loop.time()
         silent_zones = shared.isolation.zones.silent_zones()
         found = (shared.peers.find(name) for name in shared.peers.names())
         names = [
@@ -178,24 +216,15 @@
             if peer.entry.zone not in silent_zones
         ]
         name = instance_to_ask(
-            shared.settings.name, names, self._failed_until, now
+            shared.settings.name,
+            names,
+            self._failed_until,
+            shared.loop.time(),
         )
-        if name is None:
-            return False
-        report = await self._request_report(shared.peers.find(name))
-        if report is not None:
-            for item in report.kinds:
-                kind = self._by_kind.get(item.kind)
-                if kind is not None:
-                    quiet = QuietRange(item.changed, item.until)
-                    kind.learn(quiet, now - item.age_s)
-        max_age_s = self._timing.max_age_s + self._timing.ask_timeout_s
-        if shared.loop.time() - shared.freshness.known_at <= max_age_s:
-            return True
-        self._failed_until[name] = now + ASK_AGAIN_S
-        return False
+        return None if name is None else shared.peers.find(name)
 
     async def _request_report(self, peer: Leaf) -> FreshnessReport | None:
+        """Ask another instance and learn from its answer, None without one."""
         answered = self._shared.loop.create_future()
 
         def on_end(response: LeafResponse | None, reason: str) -> None:
@@ -205,13 +234,27 @@
         body = encode_message(FreshnessReport([]))
         send = PeerSend(self._shared, peer, lambda: body, on_end)
         send.start_at_once(FRESHNESS_PATH, self._timing.ask_timeout_s)
+        asked_at = self._shared.loop.time()
         response = await answered
         if response is None:
             return None
         try:
-            return decode_message(response.body, FreshnessReport)
+            report = decode_message(response.body, FreshnessReport)
         except msgspec.MsgspecError:
             return None
+        self._learn_report(report, asked_at)
+        return report
+
+    def _learn_report(self, report: FreshnessReport, asked_at: float) -> None:
+        """Learn what was known when the question was sent.
+
+        The answer may have been delayed on its way.
+        """
+        for item in report.kinds:
+            kind = self._by_kind.get(item.kind)
+            if kind is not None:
+                quiet = QuietRange(item.changed, item.until)
+                kind.learn(quiet, asked_at - item.age_s)
 
     async def _read_store(self) -> bool:
         """Read the store up to date; return whether that succeeded.
--- a/heatherdyke/platform/store.py
+++ b/heatherdyke/platform/store.py
@@ -31,6 +31,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 CALL_TIMEOUT_S = 2.0
+# A read that the changes' time limits depend on is repeated sooner.
+CURRENT_TIMEOUT_S = 1.0
 # How long a call may take beyond the time without progress: a page of 10 MB
 # at 8 Mbit/s.
 TRANSFER_S = 10.0
@@ -138,7 +140,7 @@
         Raises HistoryGone if the store no longer has them.
         """
         target = f"/api/objects/{kind}?watch={revision}&wait-ms=0"
-        return await self._fetch_changes(target, CALL_TIMEOUT_S)
+        return await self._fetch_changes(target, CURRENT_TIMEOUT_S)
 
     async def _fetch_changes(self, target: str, timeout_s: float) -> Changes:
         response = await self._call("GET", target, timeout_s)
--- a/heatherdyke/platform_standin/store.py
+++ b/heatherdyke/platform_standin/store.py
@@ -73,7 +73,7 @@
 
     A ``status`` other than 200 is returned to every call, and 503 to those
     for one of the ``refused_kinds``.  ``calls`` counts the calls by method
-    and kind, ``fresh_reads`` the up-to-date lists and watches by kind.
+    and kind, ``fresh_reads`` the up-to-date reads by kind.
     ``old_reads`` states how old the data of the other reads is.
     """
 
@@ -203,6 +203,8 @@
         kind, _, name = path.removeprefix(PREFIX).partition("/")
         key = f"{request.method.decode()} {kind}"
         self.calls[key] = self.calls.get(key, 0) + 1
+        if request.method == b"GET" and "allow-stale" not in query:
+            self.fresh_reads[kind] = self.fresh_reads.get(kind, 0) + 1
         if self.status != 200 or not path.startswith(PREFIX):
             status = self.status if self.status != 200 else 404
             exchange.answer(ClientResponse(status))
@@ -254,7 +256,7 @@
     def _list(
         self, exchange: Exchange, kind: str, arguments: dict[str, str]
     ) -> None:
-        is_stale = self._is_stale(kind, arguments)
+        is_stale = "allow-stale" in arguments
         if self._stale_lists is not None and is_stale:
             revision, items_by_kind = self._stale_lists
             items = items_by_kind.get(kind, {})
@@ -275,17 +277,10 @@
             },
         )
 
-    def _is_stale(self, kind: str, arguments: dict[str, str]) -> bool:
-        """Return whether a read may be stale; count it otherwise."""
-        if "allow-stale" in arguments:
-            return True
-        self.fresh_reads[kind] = self.fresh_reads.get(kind, 0) + 1
-        return False
-
     def _watch(
         self, exchange: Exchange, kind: str, arguments: dict[str, str]
     ) -> None:
-        is_stale = self._is_stale(kind, arguments)
+        is_stale = "allow-stale" in arguments
         revision = int(arguments["watch"])
         if revision + 1 < self._first_revision:
             exchange.answer(ClientResponse(410))
--- a/tests/test_gateway_freshness.py
+++ b/tests/test_gateway_freshness.py
@@ -156,6 +156,7 @@
         timing = CheckTiming.from_bounds(bounds)
         longest_s = (
             timing.max_age_s
+            + timing.ask_timeout_s
             + timing.interval_s
             + timing.ask_timeout_s
             + timing.arrival_s
--- a/tests/test_gateway_old_reads.py
+++ b/tests/test_gateway_old_reads.py
@@ -273,6 +273,27 @@
 
         run(scenario, tmp_path)
 
+    # Guards against a fleet in which each instance reads the store on its own
+    # while the store refuses all calls, and after that.
+    def test_an_outage_costs_few_reads(self, tmp_path):
+        async def scenario(fleet: Fleet):
+            gateways = await start_fleet(fleet, NAMES)
+            store = fleet.store
+            store.status = 503
+            before = sum(store.fresh_reads.values())
+            await asyncio.sleep(6.0)
+            during = sum(store.fresh_reads.values()) - before
+            store.status = 200
+            await asyncio.sleep(3.0)
+            before = sum(store.fresh_reads.values())
+            await asyncio.sleep(3.0)
+            after = sum(store.fresh_reads.values()) - before
+            print(during, after)
+            assert during <= 3 * len(gateways)
+            assert after <= 3.0 / 0.6 + 1
+
+        run(scenario, tmp_path)
+
 
 class TestStart:
     # Guards against an instance that starts with an older version than its
