Refuse, not deny, a path without a route if versions may be missing

An instance that could not tell for longer than the bound whether its configuration was complete answered 404 on paths that it did not know. Callers do not repeat a request after 404. It now answers 503 with a time to come back, as it did already while the store was away. The test failed before (404).

--- a/heatherdyke/gateway/dispatch.py
+++ b/heatherdyke/gateway/dispatch.py
@@ -14,6 +14,7 @@
 from heatherdyke.gateway.shared_state import SharedState
 from heatherdyke.gateway.store_watcher import StoreWatcher
 from heatherdyke.gateway.timing import final_answer_deadline
+from heatherdyke.platform.configuration import KIND as CONFIG_KIND
 
 # Once the store has been unreachable for this long, a path without a route may
 # belong to a route that this instance has not received yet.
@@ -115,7 +116,13 @@
                 self._refuse(exchange, RefusalReason.STARTING)
 
     def _may_lack_routes(self) -> bool:
-        return self._config_watcher.unavailable_for_s() > ROUTES_STALE_AFTER_S
+        shared = self._shared
+        complete_at = shared.freshness.by_kind[CONFIG_KIND].complete_at
+        age_s = shared.loop.time() - complete_at
+        return (
+            age_s > shared.settings.bounds.config_s
+            or self._config_watcher.unavailable_for_s() > ROUTES_STALE_AFTER_S
+        )
 
     def _refuse(
         self, exchange: Exchange, reason: RefusalReason, route: str = ""
--- a/tests/test_gateway_config_activation.py
+++ b/tests/test_gateway_config_activation.py
@@ -284,12 +284,27 @@
     def test_are_served_after_the_first_lists(self):
         async def receive_lists(shared, watcher, dispatcher, exchange):
             shared.routes = RouteTable(RoutingConfig(1))
+            now = shared.loop.time()
+            shared.freshness.by_kind["config"].apply_current(1, now)
             watcher.listed.set()
             for held in dispatcher.release_held():
                 dispatcher.handle(held)
 
         assert statuses_of(receive_lists) == [404]
 
+    # Guards against denials by an instance that may lack versions which are
+    # due.
+    def test_are_refused_if_routes_that_are_due_may_be_missing(self):
+        async def receive_old_list(shared, watcher, dispatcher, exchange):
+            shared.routes = RouteTable(RoutingConfig(1))
+            then = shared.loop.time() - CONFIG_S
+            shared.freshness.by_kind["config"].apply_current(1, then)
+            watcher.listed.set()
+            for held in dispatcher.release_held():
+                dispatcher.handle(held)
+
+        assert statuses_of(receive_old_list) == [503]
+
     def test_are_refused_soon_without_the_first_lists(self):
         async def wait(shared, watcher, dispatcher, exchange):
             assert not exchange.answered
