Read on from what was applied after the store has lost its history

It now starts at the last revision known or applied, and a kind without history no longer holds up the others. An instance that asks is answered with what is known after six tenths of its patience, so that it does not take the other one for silent on sites with longer bounds (that test held before as well: the bounds of the tests are too short for it).

--- a/heatherdyke/gateway/freshness.py
+++ b/heatherdyke/gateway/freshness.py
@@ -19,6 +19,7 @@
 CHECK_SHARE = 0.22
 MAX_AGE_SHARE = 0.2
 ASK_SHARE = 0.1
+ANSWER_SHARE = 0.06
 ARRIVAL_SHARE = 0.2
 # How many instances ask the same one.
 FAN_OUT = 16
@@ -60,6 +61,12 @@
         """Return whether there are changes that have not been applied."""
         return self.quiet is not None and self.applied < self.quiet.changed
 
+    @property
+    def read_from(self) -> int:
+        """Return the revision after which changes are not known."""
+        known = self.quiet.until if self.quiet is not None else 0
+        return max(known, self.applied)
+
     def apply_stale(self, revision: int) -> None:
         """Record that changes up to this one were applied."""
         self.applied = max(self.applied, revision)
@@ -120,13 +127,15 @@
     """The timing of checks, in seconds.
 
     An instance checks every ``interval_s``.  The answer of another one may be
-    ``max_age_s`` old and may take ``ask_timeout_s``.  Changes that reads which
-    may be old have not shown ``arrival_s`` after a check are read up to date.
+    ``max_age_s`` old and may take ``ask_timeout_s``; that one answers with
+    what it knows after ``answer_timeout_s``.  Changes that reads which may be
+    old have not shown ``arrival_s`` after a check are read up to date.
     """
 
     interval_s: float
     max_age_s: float
     ask_timeout_s: float
+    answer_timeout_s: float
     arrival_s: float
 
     @classmethod
@@ -137,6 +146,7 @@
             CHECK_SHARE * due_s,
             MAX_AGE_SHARE * due_s,
             ASK_SHARE * due_s,
+            ANSWER_SHARE * due_s,
             ARRIVAL_SHARE * due_s,
         )
 
--- a/heatherdyke/gateway/freshness_checks.py
+++ b/heatherdyke/gateway/freshness_checks.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Mapping
+from contextlib import suppress
 
 import msgspec
 
@@ -102,7 +103,9 @@
         task.add_done_callback(self._answers.discard)
 
     async def _answer(self, exchange: Exchange) -> None:
-        await self._update()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(self._timing.answer_timeout_s):
+                await self._update()
         if not exchange.answered:
             body = encode_message(self._report())
             exchange.answer(ClientResponse(200, [], body))
@@ -259,7 +262,8 @@
     async def _read_store(self) -> bool:
         """Read the store up to date; return whether that succeeded.
 
-        A store that the watches cannot reach is left to them.
+        A store that the watches cannot reach is left to them, and a kind whose
+        history is gone is listed.
         """
         watchers = self._watcher_by_kind.values()
         if all(watcher.unavailable_for_s() for watcher in watchers):
@@ -267,7 +271,7 @@
         latest = 0
         called_at = self._shared.loop.time()
         for name, kind in self._by_kind.items():
-            since = kind.quiet.until if kind.quiet else kind.applied
+            since = kind.read_from
             if latest and since >= latest:
                 kind.learn(QuietRange(since, since), called_at)
                 continue
@@ -276,7 +280,7 @@
                 page = await self._store.changes_since(name, since)
             except HistoryGone:
                 self._watcher_by_kind[name].relist()
-                return False
+                continue
             except PlatformUnavailable:
                 return False
             changed = last_change(page.changes, since, page.revision)
--- a/heatherdyke/platform_standin/store.py
+++ b/heatherdyke/platform_standin/store.py
@@ -72,7 +72,8 @@
     """A store in memory that serves the platform's object API.
 
     A ``status`` other than 200 is returned to every call, and 503 to those
-    for one of the ``refused_kinds``.  ``calls`` counts the calls by method
+    for one of the ``refused_kinds``; while it ``is_silent`` it accepts calls
+    and answers none.  ``calls`` counts the calls by method
     and kind, ``fresh_reads`` the up-to-date reads by kind.
     ``old_reads`` states how old the data of the other reads is.
     """
@@ -80,6 +81,7 @@
     __slots__ = (
         "listener",
         "status",
+        "is_silent",
         "refused_kinds",
         "calls",
         "fresh_reads",
@@ -95,6 +97,7 @@
     def __init__(self) -> None:
         self.listener = Listener(self._handle)
         self.status = 200
+        self.is_silent = False
         self.refused_kinds: set[str] = set()
         self.calls: dict[str, int] = {}
         self.fresh_reads: dict[str, int] = {}
@@ -205,6 +208,8 @@
         self.calls[key] = self.calls.get(key, 0) + 1
         if request.method == b"GET" and "allow-stale" not in query:
             self.fresh_reads[kind] = self.fresh_reads.get(kind, 0) + 1
+        if self.is_silent:
+            return
         if self.status != 200 or not path.startswith(PREFIX):
             status = self.status if self.status != 200 else 404
             exchange.answer(ClientResponse(status))
--- a/tests/test_gateway_old_reads.py
+++ b/tests/test_gateway_old_reads.py
@@ -273,6 +273,39 @@
 
         run(scenario, tmp_path)
 
+    # Guards against instances that are taken for silent by others, and get no
+    # groups of shards, as they wait for the store.
+    def test_none_is_doubted_while_the_store_is_silent(self, tmp_path):
+        async def scenario(fleet: Fleet):
+            gateways = await start_fleet(fleet, NAMES)
+            fleet.store.is_silent = True
+            await asyncio.sleep(4.0)
+            for gateway in gateways:
+                assert "leaf_doubted" not in fleet.read_log(gateway)
+
+        run(scenario, tmp_path)
+
+    # Guards against instances that ask for ever for a history that is gone.
+    def test_reads_continue_after_a_lost_history(self, tmp_path):
+        async def scenario(fleet: Fleet):
+            gateways = await start_fleet(fleet, ("a", "b"))
+            for gateway in gateways:
+                gateway.process.send_signal(signal.SIGSTOP)
+            fleet.set_config(config(2, routes_of(2), SERVICES))
+            fleet.store.put("servers", "odd", {})
+            fleet.store.put("evacuations", "nowhere", {})
+            fleet.store.compact_history()
+            for gateway in gateways:
+                gateway.process.send_signal(signal.SIGCONT)
+            lag_everything(fleet.store)
+            await asyncio.sleep(CONFIG_S)
+            fleet.set_config(config(3, routes_of(3), SERVICES))
+            await asyncio.sleep(CONFIG_S)
+            for gateway in gateways:
+                assert await check_version(gateway, 3), gateway.name
+
+        run(scenario, tmp_path)
+
     # Guards against a fleet in which each instance reads the store on its own
     # while the store refuses all calls, and after that.
     def test_an_outage_costs_few_reads(self, tmp_path):
