Let the soak bring old reads, and check versions by their bound

Each run changes how old the store's stale reads are, by kind, sometimes with responses that hide it.

--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -10,9 +10,11 @@
 connections open until the process has ended.  Wall clocks are not changed, as
 the processes use them only for log lines.
 
-Beside them come the troubles of soak_troubles.  No process may end except by
-a signal that the soak sent, exceed its memory or write to standard error, and
-one that is neither paused, stopped nor starting answers health checks in time.
+Beside them come the troubles of soak_troubles, and stale reads of the store
+that are old; at the end, versions that these show late must be in force in
+time.  No process may end except by a signal that the soak sent, exceed its
+memory or write to standard error, and one that is neither paused, stopped nor
+starting answers health checks in time.
 
 To run seeds 100 to 149 for 10 s each:
 ``SOAK_SEEDS=100:150 SOAK_SECONDS=10 pytest tests/test_gateway_soak.py``;
@@ -40,6 +42,8 @@
 from soak_invariants import SoakRecord
 from soak_invariants import violations
 from soak_loop_watch import LoopWatch
+from soak_old_reads import OldReadsTrouble
+from soak_old_reads import late_versions
 from soak_troubles import Troubles
 
 from heatherdyke.platform_standin.leaf import Behaviour
@@ -355,6 +359,8 @@
                 tasks += background.start()
                 troubles = Troubles(fleet, seed)
                 tasks += troubles.start()
+                old_reads = OldReadsTrouble(fleet, seed)
+                tasks.append(asyncio.create_task(old_reads.run()))
                 watcher = asyncio.create_task(fleet.checks.run())
                 health = HealthChecks(fleet.gateways, fleet.checks)
                 async with health:
@@ -362,6 +368,7 @@
                     soak.stopping = caller.stopping = True
                     background.stop()
                     troubles.stop()
+                    old_reads.stop()
                     await asyncio.gather(*tasks)
                 await soak.end_faults()
                 found = health.violations()
@@ -380,13 +387,15 @@
                     fleet.leafs,
                     soak.disruptions,
                 )
+                found += violations(record)
+                found += await late_versions(fleet)
                 fleet.checks.is_stopping = True
                 await watcher
                 found += fleet.checks.violations()
                 watch_task.cancel()
                 await asyncio.wait([watch_task])
                 soak.history += troubles.history + loop_watch.stalls
-                return soak, found + violations(record)
+                return soak, found
 
         soak, found = asyncio.run(main())
         assert found == [], soak.history
