Wait for the list of a kind whose history is gone

Found by reading the change. With a store that has lost its history and answers slowly, each check cancelled the list that the one before had requested, so that a list that takes longer than the time between two checks never ended, and the instance answered 503 on added routes. The check now requests what is missing as for any other change, which is not requested again before it is done. With lists of 0.6 s and a check each 0.2 s the test failed with a relist, and holds.

--- a/heatherdyke/gateway/freshness_sources.py
+++ b/heatherdyke/gateway/freshness_sources.py
@@ -175,7 +175,7 @@
             try:
                 page = await self._store.changes_since(name, since)
             except HistoryGone:
-                self._watcher_by_kind[name].relist()
+                self._watcher_by_kind[name].catch_up()
                 continue
             except PlatformUnavailable:
                 return False
--- a/heatherdyke/platform_standin/store.py
+++ b/heatherdyke/platform_standin/store.py
@@ -73,8 +73,8 @@
 
     A ``status`` other than 200 is returned to every call, and 503 to those
     for one of the ``refused_kinds``; while it ``is_silent`` it accepts calls
-    and answers none.  ``calls`` counts the calls by method
-    and kind, ``fresh_reads`` the up-to-date reads by kind.
+    and answers none.  Lists take ``list_delay_s``.  ``calls`` counts the calls
+    by method and kind, ``fresh_reads`` the up-to-date reads by kind.
     ``old_reads`` states how old the data of the other reads is.
     """
 
@@ -82,6 +82,7 @@
         "listener",
         "status",
         "is_silent",
+        "list_delay_s",
         "refused_kinds",
         "calls",
         "fresh_reads",
@@ -98,6 +99,7 @@
         self.listener = Listener(self._handle)
         self.status = 200
         self.is_silent = False
+        self.list_delay_s = 0.0
         self.refused_kinds: set[str] = set()
         self.calls: dict[str, int] = {}
         self.fresh_reads: dict[str, int] = {}
@@ -231,7 +233,9 @@
             if "watch" in arguments:
                 self._watch(exchange, kind, arguments)
             else:
-                self._list(exchange, kind, arguments)
+                asyncio.get_running_loop().call_later(
+                    self.list_delay_s, self._list, exchange, kind, arguments
+                )
 
     def _create(self, exchange: Exchange, kind: str) -> None:
         body = msgspec.json.decode(exchange.request.body)
--- a/tests/test_gateway_stale_lists.py
+++ b/tests/test_gateway_stale_lists.py
@@ -104,6 +104,42 @@
         assert recorder.listed == ["kept", "removed", "added", "kept"]
 
 
+class TestCatchUp:
+    # Guards against a list that is cancelled again and again, as it takes
+    # longer than the time between two checks.
+    def test_does_not_cancel_the_list_that_it_waits_for(self):
+        async def main() -> list[str]:
+            store = StandinStore()
+            await store.listener.start()
+            store.put(KIND, "first", 1)
+            loop = asyncio.get_running_loop()
+            address = store.listener.address
+            settings = replace(SETTINGS, store=StoreSettings(address))
+            shared = SharedState(
+                settings, loop, EventLog(loop.time), Random(1)
+            )
+            recorder = Recorder()
+            watcher = StoreWatcher(
+                KIND, shared, recorder.on_listing, recorder.on_change
+            )
+            task = asyncio.create_task(watcher.run())
+            await watcher.listed.wait()
+            store.old_reads.lag_s = 60.0
+            store.put(KIND, "second", 1)
+            store.compact_history()
+            store.list_delay_s = 0.6
+            for _ in range(12):
+                watcher.catch_up()
+                await asyncio.sleep(0.2)
+            task.cancel()
+            await asyncio.wait([task])
+            watcher.close()
+            await store.listener.stop()
+            return recorder.listed
+
+        assert "second" in asyncio.run(main())
+
+
 class TestPagesOfDifferentAge:
     # Guards against a drain that is never noticed: it happened after the
     # second page was recorded, and before the first one was.
