Take what is known of the store for old after a suspension

The steady clock stands while an instance is suspended, so that it could tell others for one check that revisions from before were the latest. Found by reading the change; the test is of the decision alone.

--- a/heatherdyke/gateway/freshness.py
+++ b/heatherdyke/gateway/freshness.py
@@ -117,6 +117,12 @@
         """Return when the state of all kinds was complete for certain."""
         return min(kind.complete_at for kind in self.by_kind.values())
 
+    def forget_ages(self) -> None:
+        """Take everything for old: the clock stood while others changed."""
+        for kind in self.by_kind.values():
+            kind.known_at = float("-inf")
+            kind.complete_at = float("-inf")
+
     def behind(self) -> list[str]:
         """Return the kinds with changes that have not been applied."""
         return [name for name, kind in self.by_kind.items() if kind.is_behind]
--- a/heatherdyke/gateway/process.py
+++ b/heatherdyke/gateway/process.py
@@ -325,6 +325,7 @@
     def _reload_state(self, paused_s: float) -> None:
         """Relist configuration, leafs and zones after the process paused."""
         self._shared.log.record(PROCESS_PAUSED, paused_s=round(paused_s, 3))
+        self._shared.freshness.forget_ages()
         for watcher in (
             self._config_watcher,
             self._leaf_watcher,
--- a/tests/test_gateway_freshness.py
+++ b/tests/test_gateway_freshness.py
@@ -105,6 +105,17 @@
         kind.learn(QuietRange(13, 14), as_of=5.0)
         assert kind.is_behind
 
+    # Guards against an instance whose clock stood while it was suspended, and
+    # that tells others old revisions as the latest ones.
+    def test_ages_are_unknown_after_a_pause(self):
+        freshness = StoreFreshness(("a",))
+        freshness.by_kind["a"].apply_current(5, as_of=2.0)
+        freshness.forget_ages()
+        assert freshness.known_at == float("-inf")
+        assert freshness.complete_at == float("-inf")
+        freshness.by_kind["a"].learn(QuietRange(5, 6), as_of=3.0)
+        assert freshness.complete_at == 3.0
+
     def test_the_kind_that_is_known_least_counts(self):
         freshness = StoreFreshness(("a", "b"))
         freshness.by_kind["a"].apply_current(5, as_of=2.0)
