--- a/heatherdyke/gateway/peer_send.py
+++ b/heatherdyke/gateway/peer_send.py
@@ -86,11 +86,16 @@
         )
 
     def start_at_once(
-        self, path: bytes, timeout_s: float = RESPONSE_TIMEOUT_S
+        self, path: bytes, timeout_s: float | None = None
     ) -> None:
-        """Send header and body together; the response must arrive in time."""
+        """Send header and body together; the response must arrive in time.
+
+        ``timeout_s`` defaults to RESPONSE_TIMEOUT_S.
+        """
         body = self._encode()
         self._send(_header(self.peer, path, len(body)) + b"\r\n" + body, None)
+        if timeout_s is None:
+            timeout_s = RESPONSE_TIMEOUT_S
         self._timer = self._shared.loop.call_later(
             timeout_s, self._check_responded
         )
