Go on after a response only from where its changes or a proof end

While the store's stale responses state its present revision and not that of their data, changes in a series were skipped for good: of six leafs' entries 0.1 s apart the watch delivered the first and the last two, and a deletion not at all. Up-to-date reads show such a gap only until a later change arrives, which then looks like the last one. Callers would reach leafs that drain or are gone.

Found by asking whether the cause could still act elsewhere. A watch now starts where the changes of the response before end, or as far as up-to-date reads have shown that there are none, and never after what the response states, which an old copy may not have. If the latest changes stay unknown for 10 s it starts there all the same, so that its history does not end. Both tests failed before.

The log is checked for store_reads_behind wherever the lag is longer than changes get to arrive.

--- a/heatherdyke/gateway/freshness.py
+++ b/heatherdyke/gateway/freshness.py
@@ -21,6 +21,8 @@
 ASK_SHARE = 0.1
 ANSWER_SHARE = 0.06
 ARRIVAL_SHARE = 0.2
+# Below the history that the store keeps.
+MAX_UNKNOWN_S = 10.0
 # How many instances ask the same one.
 FAN_OUT = 16
 ORDER_KEY = "store-readers"
@@ -157,14 +159,32 @@
         )
 
 
-def last_change(changes: Collection[Change], since: int, until: int) -> int:
-    """Return the revision of the last of the changes between two revisions.
+def last_change(changes: Collection[Change], since: int) -> int | None:
+    """Return the revision of the last change after ``since``, which if none.
 
-    A deletion may state the revision of the change before it.
+    None means that the changes do not tell: a deletion may state the revision
+    of the change before it.
     """
-    if any(change.deleted or not change.object.revision for change in changes):
-        return until
-    return max((change.object.revision for change in changes), default=since)
+    revisions = [change.object.revision for change in changes]
+    has_own = len(set(revisions)) == len(revisions)
+    if not has_own or any(revision <= since for revision in revisions):
+        return None
+    return max(revisions, default=since)
+
+
+def next_revision(
+    changed: int, stated: int, applied: int, unknown_s: float
+) -> int:
+    """Return where to go on after a response that may be old.
+
+    It has the changes up to ``changed``, but may state a revision newer than
+    its data.  So the next one starts no later than what was ``applied``,
+    unless the latest changes have been unknown for so long that the store's
+    history of them may end.
+    """
+    if unknown_s > MAX_UNKNOWN_S:
+        return max(changed, stated)
+    return max(changed, min(stated, applied))
 
 
 def instance_to_ask(
--- a/heatherdyke/gateway/freshness_sources.py
+++ b/heatherdyke/gateway/freshness_sources.py
@@ -179,7 +179,9 @@
                 continue
             except PlatformUnavailable:
                 return False
-            changed = last_change(page.changes, since, page.revision)
+            changed = last_change(page.changes, since)
+            if changed is None:
+                changed = page.revision
             kind.learn(QuietRange(changed, page.revision), called_at)
             latest = page.revision
         return True
--- a/heatherdyke/gateway/store_watcher.py
+++ b/heatherdyke/gateway/store_watcher.py
@@ -11,6 +11,8 @@
 from heatherdyke.gateway.events import STORE_REGAINED
 from heatherdyke.gateway.events import UNEXPECTED_ERROR
 from heatherdyke.gateway.freshness import KindFreshness
+from heatherdyke.gateway.freshness import last_change
+from heatherdyke.gateway.freshness import next_revision
 from heatherdyke.gateway.leaf_table import Removal
 from heatherdyke.gateway.mechanisms import Mechanism
 from heatherdyke.gateway.shared_state import SharedState
@@ -65,6 +67,7 @@
         "_has_stale_list",
         "_relist_requested",
         "_catch_up_requested",
+        "_listed_at",
         "_reading",
         "_is_interrupted",
         "_freshness",
@@ -96,6 +99,7 @@
         self._has_stale_list = False
         self._relist_requested = False
         self._catch_up_requested = False
+        self._listed_at = 0.0
         self._reading: asyncio.Task[int] | None = None
         self._is_interrupted = False
         self._freshness = shared.freshness.by_kind.get(kind, KindFreshness())
@@ -161,6 +165,7 @@
         began_at = self._shared.loop.time()
         listing = await self._store.list(self.kind, self._list_may_be_stale)
         self._timing.add_delay(self._shared.loop.time() - began_at)
+        self._listed_at = began_at
         self._has_stale_list = self._list_may_be_stale
         self._list_may_be_stale = False
         self._on_response()
@@ -195,9 +200,8 @@
         self._on_response()
         self._count_unreadable(page.nameless)
         self._apply(page, was_interrupted)
-        revisions = (change.object.revision for change in page.changes)
-        self._freshness.apply_stale(max(revisions, default=0))
         has_news = bool(page.changes) and page.revision > revision
+        revision = self._next_revision(page, revision)
         if not has_news and elapsed_s < EARLY_SHARE * duration.wait_s:
             await self._pause()
         else:
@@ -207,7 +211,24 @@
             idle_s = shared.loop.time() - shared.last_request_at
             instances = len(shared.instances)
             await asyncio.sleep(batch_delay_s(idle_s, instances))
-        return max(revision, page.revision)
+        return revision
+
+    def _next_revision(self, page: Changes, since: int) -> int:
+        """Return where the next watch starts, and note what was applied.
+
+        What a page does not tell is read up to date.
+        """
+        changed = last_change(page.changes, since)
+        if changed is None:
+            self._catch_up_requested = True
+            return max(since, page.revision)
+        freshness = self._freshness
+        freshness.apply_stale(changed)
+        known_at = max(self._listed_at, freshness.complete_at)
+        unknown_s = self._shared.loop.time() - known_at
+        return next_revision(
+            changed, page.revision, freshness.applied, unknown_s
+        )
 
     async def _read_current_changes(self, revision: int) -> int:
         """Read what the watch from this revision has not shown."""
--- a/heatherdyke/platform_standin/store.py
+++ b/heatherdyke/platform_standin/store.py
@@ -4,6 +4,7 @@
 import time
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from typing import Any
 from urllib.parse import parse_qs
 from urllib.parse import unquote
@@ -135,7 +136,8 @@
         item = self._items_by_kind.get(kind, {}).pop(name, None)
         if item is not None:
             self._revision += 1
-            self._record_change(kind, item, True, item)
+            deleted = replace(item, revision=self._revision)
+            self._record_change(kind, deleted, True, item)
 
     def names(self, kind: str) -> list[str]:
         """Return the names of all objects of a kind, sorted."""
--- a/tests/test_gateway_freshness.py
+++ b/tests/test_gateway_freshness.py
@@ -13,6 +13,7 @@
 from heatherdyke.gateway.freshness import StoreFreshness
 from heatherdyke.gateway.freshness import instance_to_ask
 from heatherdyke.gateway.freshness import last_change
+from heatherdyke.gateway.freshness import next_revision
 from heatherdyke.platform.store_pages import Change
 from heatherdyke.platform.store_pages import StoredObject
 
@@ -44,18 +45,38 @@
 
 class TestLastChange:
     def test_is_the_latest_of_the_changes(self):
-        assert last_change([change(6), change(8)], 5, 10) == 8
+        assert last_change([change(6), change(8, deleted=True)], 5) == 8
 
     def test_is_the_start_without_changes(self):
-        assert last_change([], 5, 10) == 5
+        assert last_change([], 5) == 5
 
     # Guards against a removal that is overlooked, as it states the revision
     # of the change before it.
-    def test_is_not_before_a_deletion(self):
-        assert last_change([change(3, deleted=True)], 5, 10) == 10
+    @pytest.mark.parametrize("before", [[], [change(6)]], ids=["old", "new"])
+    def test_is_unknown_after_a_deletion_without_its_own(self, before):
+        revision = 6 if before else 3
+        changes = [*before, change(revision, deleted=True)]
+        assert last_change(changes, 5) is None
 
-    def test_is_not_before_a_change_without_revision(self):
-        assert last_change([change(0)], 5, 10) == 10
+    def test_is_unknown_after_a_change_without_revision(self):
+        assert last_change([change(0)], 5) is None
+
+
+class TestNextRevision:
+    def test_follows_the_changes_of_a_response(self):
+        assert next_revision(8, stated=12, applied=8, unknown_s=0.0) == 8
+
+    def test_passes_revisions_without_changes_of_the_kind(self):
+        assert next_revision(8, stated=12, applied=10, unknown_s=0.0) == 10
+
+    # Guards against a watch from a revision that an old copy does not have.
+    def test_does_not_pass_what_the_response_states(self):
+        assert next_revision(8, stated=9, applied=20, unknown_s=0.0) == 9
+
+    # Guards against a watch whose history is gone, while the store refuses
+    # up-to-date reads only.
+    def test_follows_the_statement_if_nothing_else_is_known(self):
+        assert next_revision(8, stated=12, applied=8, unknown_s=11.0) == 12
 
 
 class TestKindFreshness:
--- a/tests/test_gateway_old_reads.py
+++ b/tests/test_gateway_old_reads.py
@@ -179,6 +179,11 @@
             }
             assert not late
             assert sender.last_with_status("/a/1", 200, changed_at) > 0
+            # A lag as short as the time that changes get to arrive shows
+            # nowhere, and needs to be made up for by nobody.
+            if lag is not hide_a_short_lag:
+                logs = [fleet.read_log(gateway) for gateway in gateways]
+                assert all("store_reads_behind" in log for log in logs)
 
         run(scenario, tmp_path)
 
--- a/tests/test_gateway_stale_lists.py
+++ b/tests/test_gateway_stale_lists.py
@@ -104,6 +104,42 @@
         assert recorder.listed == ["kept", "removed", "added", "kept"]
 
 
+class TestResponsesThatHideTheirAge:
+    # Guards against changes that are skipped for good, as the response before
+    # states a revision newer than its data, and that a later one then hides.
+    def test_no_change_of_a_series_is_skipped(self):
+        def change_in_series(store: StandinStore) -> None:
+            store.old_reads.lag_s = 0.3
+            store.old_reads.hides_its_age = True
+            loop = asyncio.get_running_loop()
+            for number in range(6):
+                loop.call_later(
+                    0.1 * number, store.put, KIND, f"leaf{number}", 1
+                )
+
+        recorder = watch(lambda store: None, change_in_series)
+        names = [name for name, _, _ in recorder.changed]
+        assert names == [f"leaf{number}" for number in range(6)]
+
+    def test_nor_is_a_deletion(self):
+        def change_in_series(store: StandinStore) -> None:
+            store.old_reads.lag_s = 0.3
+            store.old_reads.hides_its_age = True
+            loop = asyncio.get_running_loop()
+            store.delete(KIND, "first")
+            loop.call_later(0.1, store.delete, KIND, "second")
+
+        def prepare(store: StandinStore) -> None:
+            store.put(KIND, "first", 1)
+            store.put(KIND, "second", 1)
+
+        recorder = watch(prepare, change_in_series)
+        assert [name for name, _, _ in recorder.changed] == [
+            "first",
+            "second",
+        ]
+
+
 class TestCatchUp:
     # Guards against a list that is cancelled again and again, as it takes
     # longer than the time between two checks.
