Name the range of revisions without changes for what it is

QuietRange and its field changed needed explaining: it is now UnchangedRange, after one revision up to another. No behaviour changes; the tests of freshness pass.

--- a/heatherdyke/gateway/freshness.py
+++ b/heatherdyke/gateway/freshness.py
@@ -29,44 +29,46 @@
 
 
 @dataclass(frozen=True, slots=True)
-class QuietRange:
-    """No object of the kind changed after ``changed``, up to ``until``."""
+class UnchangedRange:
+    """No object of the kind changed after one revision, up to another."""
 
-    changed: int
+    after: int
     until: int
 
-    def joined(self, later: "QuietRange") -> "QuietRange":
+    def joined(self, later: "UnchangedRange") -> "UnchangedRange":
         """Return what both say, or the later one if there is a gap."""
-        if later.changed > self.until:
+        if later.after > self.until:
             return later
-        return QuietRange(self.changed, max(self.until, later.until))
+        return UnchangedRange(self.after, max(self.until, later.until))
 
 
 class KindFreshness:
     """The freshness of one kind of objects on this instance.
 
     All changes up to the revision ``applied`` have been applied.  Up-to-date
-    reads, here or at other instances, have shown ``quiet`` as of the time
+    reads, here or at other instances, have shown ``unchanged`` as of the time
     ``known_at``; the state was complete at the time ``complete_at``.
     """
 
-    __slots__ = ("applied", "quiet", "known_at", "complete_at")
+    __slots__ = ("applied", "unchanged", "known_at", "complete_at")
 
     def __init__(self) -> None:
         self.applied = 0
-        self.quiet: QuietRange | None = None
+        self.unchanged: UnchangedRange | None = None
         self.known_at = float("-inf")
         self.complete_at = float("-inf")
 
     @property
     def is_behind(self) -> bool:
         """Return whether there are changes that have not been applied."""
-        return self.quiet is not None and self.applied < self.quiet.changed
+        return (
+            self.unchanged is not None and self.applied < self.unchanged.after
+        )
 
     @property
     def read_from(self) -> int:
         """Return the revision after which changes are not known."""
-        known = self.quiet.until if self.quiet is not None else 0
+        known = self.unchanged.until if self.unchanged is not None else 0
         return max(known, self.applied)
 
     def apply_stale(self, revision: int) -> None:
@@ -80,24 +82,24 @@
         A store that was restored from a copy may be at a lower revision.
         """
         self.applied = revision
-        if self.quiet is None or revision < self.quiet.until:
-            self.quiet = QuietRange(revision, revision)
+        if self.unchanged is None or revision < self.unchanged.until:
+            self.unchanged = UnchangedRange(revision, revision)
             self.known_at = as_of
         self.complete_at = max(self.complete_at, as_of)
         self._update()
 
-    def learn(self, quiet: QuietRange, as_of: float) -> None:
+    def learn(self, unchanged: UnchangedRange, as_of: float) -> None:
         """Take what an up-to-date read has shown as of this time."""
-        if self.quiet is None:
-            self.quiet = quiet
-        elif quiet.until > self.quiet.until:
-            self.quiet = self.quiet.joined(quiet)
+        if self.unchanged is None:
+            self.unchanged = unchanged
+        elif unchanged.until > self.unchanged.until:
+            self.unchanged = self.unchanged.joined(unchanged)
         self.known_at = max(self.known_at, as_of)
         self._update()
 
     def _update(self) -> None:
-        if self.quiet is not None and not self.is_behind:
-            self.applied = max(self.applied, self.quiet.until)
+        if self.unchanged is not None and not self.is_behind:
+            self.applied = max(self.applied, self.unchanged.until)
             self.complete_at = max(self.complete_at, self.known_at)
 
 
--- a/heatherdyke/gateway/freshness_checks.py
+++ b/heatherdyke/gateway/freshness_checks.py
@@ -88,12 +88,12 @@
             [
                 KindReport(
                     name,
-                    kind.quiet.changed,
-                    kind.quiet.until,
+                    kind.unchanged.after,
+                    kind.unchanged.until,
                     now - kind.known_at,
                 )
                 for name, kind in self._by_kind.items()
-                if kind.quiet is not None
+                if kind.unchanged is not None
             ]
         )
 
--- a/heatherdyke/gateway/freshness_sources.py
+++ b/heatherdyke/gateway/freshness_sources.py
@@ -11,7 +11,7 @@
 
 from heatherdyke.errors import PlatformUnavailable
 from heatherdyke.gateway.freshness import CheckTiming
-from heatherdyke.gateway.freshness import QuietRange
+from heatherdyke.gateway.freshness import UnchangedRange
 from heatherdyke.gateway.freshness import instance_to_ask
 from heatherdyke.gateway.freshness import last_change
 from heatherdyke.gateway.leaf_table import Leaf
@@ -152,8 +152,8 @@
         for item in report.kinds:
             kind = self._shared.freshness.by_kind.get(item.kind)
             if kind is not None:
-                quiet = QuietRange(item.changed, item.until)
-                kind.learn(quiet, asked_at - item.age_s)
+                unchanged = UnchangedRange(item.after, item.until)
+                kind.learn(unchanged, asked_at - item.age_s)
 
     async def _read_store(self) -> bool:
         """Read the store up to date; return whether that succeeded.
@@ -169,7 +169,7 @@
         for name, kind in self._shared.freshness.by_kind.items():
             since = kind.read_from
             if latest and since >= latest:
-                kind.learn(QuietRange(since, since), called_at)
+                kind.learn(UnchangedRange(since, since), called_at)
                 continue
             called_at = self._shared.loop.time()
             try:
@@ -182,7 +182,7 @@
             changed = last_change(page.changes, since)
             if changed is None:
                 changed = page.revision
-            kind.learn(QuietRange(changed, page.revision), called_at)
+            kind.learn(UnchangedRange(changed, page.revision), called_at)
             latest = page.revision
         return True
 
--- a/heatherdyke/gateway/peer_messages.py
+++ b/heatherdyke/gateway/peer_messages.py
@@ -153,7 +153,7 @@
     """
 
     kind: str
-    changed: int
+    after: int
     until: int
     age_s: float
 
--- a/tests/test_gateway_freshness.py
+++ b/tests/test_gateway_freshness.py
@@ -9,8 +9,8 @@
 
 from heatherdyke.gateway.freshness import CheckTiming
 from heatherdyke.gateway.freshness import KindFreshness
-from heatherdyke.gateway.freshness import QuietRange
 from heatherdyke.gateway.freshness import StoreFreshness
+from heatherdyke.gateway.freshness import UnchangedRange
 from heatherdyke.gateway.freshness import instance_to_ask
 from heatherdyke.gateway.freshness import last_change
 from heatherdyke.gateway.freshness import next_revision
@@ -30,17 +30,17 @@
     return instance_to_ask(name, INSTANCES, failed, now)
 
 
-class TestQuietRange:
+class TestUnchangedRange:
     def test_continues_an_earlier_one(self):
-        joined = QuietRange(5, 9).joined(QuietRange(9, 12))
-        assert joined == QuietRange(5, 12)
+        joined = UnchangedRange(5, 9).joined(UnchangedRange(9, 12))
+        assert joined == UnchangedRange(5, 12)
 
     def test_starts_anew_at_a_later_change(self):
-        assert QuietRange(5, 9).joined(QuietRange(11, 12)).changed == 11
+        assert UnchangedRange(5, 9).joined(UnchangedRange(11, 12)).after == 11
 
     # Guards against a gap between two reads in which a change is overlooked.
     def test_starts_anew_after_a_gap(self):
-        assert QuietRange(5, 9).joined(QuietRange(10, 12)).changed == 10
+        assert UnchangedRange(5, 9).joined(UnchangedRange(10, 12)).after == 10
 
 
 class TestLastChange:
@@ -83,21 +83,21 @@
     def test_a_state_without_later_changes_is_complete(self):
         kind = KindFreshness()
         kind.apply_stale(7)
-        kind.learn(QuietRange(7, 30), as_of=2.0)
+        kind.learn(UnchangedRange(7, 30), as_of=2.0)
         assert not kind.is_behind
         assert kind.complete_at == 2.0
 
     def test_a_change_that_was_not_applied_is_noticed(self):
         kind = KindFreshness()
         kind.apply_stale(7)
-        kind.learn(QuietRange(8, 30), as_of=2.0)
+        kind.learn(UnchangedRange(8, 30), as_of=2.0)
         assert kind.is_behind
         assert kind.complete_at == float("-inf")
 
     def test_a_change_that_arrives_completes_the_state(self):
         kind = KindFreshness()
         kind.apply_stale(7)
-        kind.learn(QuietRange(8, 30), as_of=2.0)
+        kind.learn(UnchangedRange(8, 30), as_of=2.0)
         kind.apply_stale(8)
         assert not kind.is_behind
         assert kind.complete_at == 2.0
@@ -105,8 +105,8 @@
     def test_an_older_report_changes_nothing(self):
         kind = KindFreshness()
         kind.apply_current(30, as_of=2.0)
-        kind.learn(QuietRange(8, 20), as_of=1.0)
-        assert kind.quiet == QuietRange(30, 30)
+        kind.learn(UnchangedRange(8, 20), as_of=1.0)
+        assert kind.unchanged == UnchangedRange(30, 30)
         assert kind.complete_at == 2.0
 
     # Guards against a fleet that reads all anew when its reader changes.
@@ -114,16 +114,16 @@
         reader, other = KindFreshness(), KindFreshness()
         for kind in (reader, other):
             kind.apply_stale(7)
-            kind.learn(QuietRange(7, 30), as_of=2.0)
-        reader.learn(QuietRange(30, 40), as_of=3.0)
-        other.learn(reader.quiet, as_of=3.0)
+            kind.learn(UnchangedRange(7, 30), as_of=2.0)
+        reader.learn(UnchangedRange(30, 40), as_of=3.0)
+        other.learn(reader.unchanged, as_of=3.0)
         assert not other.is_behind
 
     def test_a_store_that_was_restored_has_lower_revisions(self):
         kind = KindFreshness()
         kind.apply_current(30, as_of=2.0)
         kind.apply_current(12, as_of=4.0)
-        kind.learn(QuietRange(13, 14), as_of=5.0)
+        kind.learn(UnchangedRange(13, 14), as_of=5.0)
         assert kind.is_behind
 
     # Guards against an instance whose clock stood while it was suspended, and
@@ -134,7 +134,7 @@
         freshness.forget_ages()
         assert freshness.known_at == float("-inf")
         assert freshness.complete_at == float("-inf")
-        freshness.by_kind["a"].learn(QuietRange(5, 6), as_of=3.0)
+        freshness.by_kind["a"].learn(UnchangedRange(5, 6), as_of=3.0)
         assert freshness.complete_at == 3.0
 
     def test_the_kind_that_is_known_least_counts(self):
