Keep a later change in mind when a slower read ends

Found by reading the change. An up-to-date read that began before a change and ended after the check that showed it was taken for a store restored from a copy, and the change was forgotten until the next check, some 0.7 s of 3 s later. Callers could see a version up to that much later than its bound allows.

A lower revision shows a restored store only if the read began after the higher one was known.

--- a/heatherdyke/gateway/freshness.py
+++ b/heatherdyke/gateway/freshness.py
@@ -79,12 +79,15 @@
     def apply_current(self, revision: int, as_of: float) -> None:
         """Record that everything was applied as an up-to-date read had it.
 
-        A store that was restored from a copy may be at a lower revision.
+        A read that began after a higher revision was known shows that the
+        store was restored from a copy.
         """
-        self.applied = revision
-        if self.unchanged is None or revision < self.unchanged.until:
+        known = self.unchanged
+        if known is None or (revision < known.until and as_of > self.known_at):
+            self.applied = revision
             self.unchanged = UnchangedRange(revision, revision)
             self.known_at = as_of
+        self.applied = max(self.applied, revision)
         self.complete_at = max(self.complete_at, as_of)
         self._update()
 
--- a/tests/test_gateway_freshness.py
+++ b/tests/test_gateway_freshness.py
@@ -119,6 +119,15 @@
         other.learn(reader.unchanged, as_of=3.0)
         assert not other.is_behind
 
+    # Guards against a change that is forgotten, as a read that began before it
+    # ends after the check that showed it.
+    def test_a_slower_read_does_not_hide_a_later_change(self):
+        kind = KindFreshness()
+        kind.apply_current(20, as_of=1.0)
+        kind.learn(UnchangedRange(31, 31), as_of=2.1)
+        kind.apply_current(30, as_of=2.0)
+        assert kind.is_behind
+
     def test_a_store_that_was_restored_has_lower_revisions(self):
         kind = KindFreshness()
         kind.apply_current(30, as_of=2.0)
