--- a/tests/test_gateway_old_reads.py
+++ b/tests/test_gateway_old_reads.py
@@ -1,7 +1,6 @@
 """Reads of the store that are seconds old, while everything else works."""
 
 import asyncio
-import signal
 from collections.abc import Callable
 from random import Random
 
@@ -12,17 +11,20 @@
 from gateway_fleet import route
 from gateway_fleet import send_request
 from gateway_scenarios import run
+from old_reads_fleet import CONFIG_S
+from old_reads_fleet import LAG_S
+from old_reads_fleet import SERVICES
+from old_reads_fleet import add_leafs
+from old_reads_fleet import check_version
+from old_reads_fleet import lag_everything
+from old_reads_fleet import routes_of
+from old_reads_fleet import start_fleet
 
-from heatherdyke.gateway.freshness import instance_to_ask
 from heatherdyke.platform_standin.leaf import StandinLeaf
 from heatherdyke.platform_standin.store import StandinStore
 
-# Longer than any time within which a change must be in force.
-LAG_S = 7.0
-CONFIG_S = 3.0
-DRAIN_S = 3.0
 ZONE_OUT_S = 5.0
-SERVICES = ["old", "new", "drains", "vanishes", "zone"]
+READ_KINDS = ("config", "servers", "evacuations")
 KEPT = [
     route("drains", "/d/", service="drains"),
     route("vanishes", "/v/", service="vanishes"),
@@ -49,10 +51,6 @@
 PATHS = ("/m/1", "/x/1", "/a/1", "/d/1", "/v/1", "/z/1")
 
 
-def lag_everything(store: StandinStore) -> None:
-    store.old_reads.lag_s = LAG_S
-
-
 def lag_each_kind_alone(kind: str) -> Callable[[StandinStore], None]:
     def lag(store: StandinStore) -> None:
         store.old_reads.lag_by_kind = {kind: LAG_S}
@@ -111,18 +109,6 @@
         return max(times, default=float("-inf"))
 
 
-async def add_leafs(fleet: Fleet) -> dict[str, StandinLeaf]:
-    """Add two leafs a service, those of ``zone`` in zones of their own."""
-    leaf_by_name = {}
-    for service in SERVICES:
-        for copy in range(2):
-            zone = "verona" if (service, copy) == ("zone", 1) else "brescia"
-            leaf = StandinLeaf(f"{service}-{copy}", service, zone=zone)
-            await fleet.add_leaf(leaf)
-            leaf_by_name[leaf.leaf_id] = leaf
-    return leaf_by_name
-
-
 def last_arrival(leaf: StandinLeaf, since: float) -> float:
     times = [arrival.at - since for arrival in leaf.received_requests]
     return max(times, default=float("-inf"))
@@ -188,151 +174,6 @@
         run(scenario, tmp_path)
 
 
-NAMES = ("a", "b", "c", "d")
-READ_KINDS = ("config", "servers", "evacuations")
-
-
-def routes_of(version: int) -> list[dict]:
-    """Return routes of which one is added and one dropped by the version."""
-    return [
-        route(f"added{version}", f"/a{version}/", service="new"),
-        route(f"dropped{version + 1}", f"/x{version + 1}/", service="new"),
-    ]
-
-
-async def start_fleet(fleet: Fleet, names: tuple[str, ...]) -> list[Gateway]:
-    await add_leafs(fleet)
-    fleet.set_config(config(1, routes_of(1), SERVICES))
-    gateways = [await fleet.add_gateway(name) for name in names]
-    for gateway in gateways:
-        await gateway.wait_ready()
-    # The second list of instances is read after 3 s.
-    await asyncio.sleep(3.5)
-    return gateways
-
-
-async def check_version(gateway: Gateway, version: int) -> bool:
-    """Return whether an instance serves this version's routes alone."""
-    answers = [
-        await send_request(gateway, path, f"v{version}-{number}")
-        for number, path in enumerate((f"/a{version}/1", f"/x{version}/1"))
-    ]
-    return [answer.status for answer in answers] == [200, 404]
-
-
-def reader_of(gateways: list[Gateway]) -> Gateway:
-    """Return the one that the others ask."""
-    names = [gateway.name for gateway in gateways]
-    return next(
-        gateway
-        for gateway in gateways
-        if instance_to_ask(gateway.name, names, {}, 0.0) is None
-    )
-
-
-class TestReaders:
-    # Guards against a fleet whose reads of the store grow with its size.
-    def test_one_instance_reads_for_all(self, tmp_path):
-        async def scenario(fleet: Fleet):
-            await start_fleet(fleet, NAMES)
-            store = fleet.store
-            before = sum(store.fresh_reads.values())
-            await asyncio.sleep(4.0)
-            reads = sum(store.fresh_reads.values()) - before
-            assert 4.0 / 0.7 - 1 <= reads <= 4.0 / 0.6 + 1
-
-        run(scenario, tmp_path)
-
-    # Guards against instances that take the silence of the one that reads the
-    # store for the absence of changes.
-    @pytest.mark.parametrize("number", [signal.SIGSTOP, signal.SIGKILL])
-    def test_others_read_when_the_reader_is_gone(self, tmp_path, number):
-        async def scenario(fleet: Fleet):
-            gateways = await start_fleet(fleet, NAMES)
-            lag_everything(fleet.store)
-            reader = reader_of(gateways)
-            reader.process.send_signal(number)
-            fleet.set_config(config(2, routes_of(2), SERVICES))
-            await asyncio.sleep(CONFIG_S)
-            for gateway in gateways:
-                if gateway is not reader:
-                    assert await check_version(gateway, 2), gateway.name
-
-        run(scenario, tmp_path)
-
-    # Guards against the old answers of a reader that was paused.
-    def test_a_reader_that_wakes_holds_nobody_up(self, tmp_path):
-        async def scenario(fleet: Fleet):
-            gateways = await start_fleet(fleet, NAMES)
-            lag_everything(fleet.store)
-            reader = reader_of(gateways)
-            others = [gateway for gateway in gateways if gateway != reader]
-            for version in (2, 3):
-                reader.process.send_signal(signal.SIGSTOP)
-                fleet.set_config(config(version, routes_of(version), SERVICES))
-                await asyncio.sleep(CONFIG_S / 2)
-                reader.process.send_signal(signal.SIGCONT)
-                await asyncio.sleep(CONFIG_S / 2)
-                for gateway in others:
-                    assert await check_version(gateway, version), gateway.name
-
-        run(scenario, tmp_path)
-
-    # Guards against instances that are taken for silent by others, and get no
-    # groups of shards, as they wait for the store.
-    def test_none_is_doubted_while_the_store_is_silent(self, tmp_path):
-        async def scenario(fleet: Fleet):
-            gateways = await start_fleet(fleet, NAMES)
-            fleet.store.is_silent = True
-            await asyncio.sleep(4.0)
-            for gateway in gateways:
-                assert "leaf_doubted" not in fleet.read_log(gateway)
-
-        run(scenario, tmp_path)
-
-    # Guards against instances that ask for ever for a history that is gone.
-    def test_reads_continue_after_a_lost_history(self, tmp_path):
-        async def scenario(fleet: Fleet):
-            gateways = await start_fleet(fleet, ("a", "b"))
-            for gateway in gateways:
-                gateway.process.send_signal(signal.SIGSTOP)
-            fleet.set_config(config(2, routes_of(2), SERVICES))
-            fleet.store.put("servers", "odd", {})
-            fleet.store.put("evacuations", "nowhere", {})
-            fleet.store.compact_history()
-            for gateway in gateways:
-                gateway.process.send_signal(signal.SIGCONT)
-            lag_everything(fleet.store)
-            await asyncio.sleep(CONFIG_S)
-            fleet.set_config(config(3, routes_of(3), SERVICES))
-            await asyncio.sleep(CONFIG_S)
-            for gateway in gateways:
-                assert await check_version(gateway, 3), gateway.name
-
-        run(scenario, tmp_path)
-
-    # Guards against a fleet in which each instance reads the store on its own
-    # while the store refuses all calls, and after that.
-    def test_an_outage_costs_few_reads(self, tmp_path):
-        async def scenario(fleet: Fleet):
-            gateways = await start_fleet(fleet, NAMES)
-            store = fleet.store
-            store.status = 503
-            before = sum(store.fresh_reads.values())
-            await asyncio.sleep(6.0)
-            during = sum(store.fresh_reads.values()) - before
-            store.status = 200
-            await asyncio.sleep(3.0)
-            before = sum(store.fresh_reads.values())
-            await asyncio.sleep(3.0)
-            after = sum(store.fresh_reads.values()) - before
-            print(during, after)
-            assert during <= 3 * len(gateways)
-            assert after <= 3.0 / 0.6 + 1
-
-        run(scenario, tmp_path)
-
-
 class TestStart:
     # Guards against an instance that starts with an older version than its
     # predecessor served.
