Pass a rejected request on with its retry budget and its attempts

Cause: an instance that passes a request on sent nothing of its history along. The next one counted it as a new request, took its first send from no budget, gave it all attempts of the route anew, at the same leafs, and without the care taken with a suspect one.

Change: the message names the leafs that rejected the request, the attempts left, and whether it was counted, charged and suspect. The sender takes the next send from its budget before it asks, and takes it back if all decline; if it has none, the other instance takes it from its own, or declines. What no leaf has got is passed on as before, without a budget.

Why it works: each request is counted by one instance, each later arrival is taken from one budget before it is sent, and the sum over all budgets is below the bound. Lost messages and instances leave no arrival uncounted.

--- a/heatherdyke/gateway/events.py
+++ b/heatherdyke/gateway/events.py
@@ -315,7 +315,15 @@
     "request_relayed",
     Severity.INFO,
     "Another instance forwarded a request, or none of those asked could.",
-    ("request_id", "route", "peers", "status", "why", "elapsed_ms"),
+    (
+        "request_id",
+        "route",
+        "peers",
+        "status",
+        "why",
+        "rejected_by",
+        "elapsed_ms",
+    ),
 )
 CRASH_SIGHTED = register(
     7309,
--- a/heatherdyke/gateway/forwarded_request.py
+++ b/heatherdyke/gateway/forwarded_request.py
@@ -15,6 +15,8 @@
 from heatherdyke.gateway.messages import LeafResponse
 from heatherdyke.gateway.outcome_report import OutcomeReport
 from heatherdyke.gateway.peer_forward import PeerForward
+from heatherdyke.gateway.prior_attempts import NO_ATTEMPTS
+from heatherdyke.gateway.prior_attempts import PriorAttempts
 from heatherdyke.gateway.refusal import RefusalReason
 from heatherdyke.gateway.refusal import make_refusal
 from heatherdyke.gateway.refused_request import refuse_quarantined
@@ -29,7 +31,11 @@
 
 
 class ForwardedRequest:
-    """One forwarded request, from its arrival to its response."""
+    """One forwarded request, from its arrival to its response.
+
+    ``prior`` is given for a request that another instance has passed on; it
+    is not passed on again.
+    """
 
     __slots__ = (
         "_shared",
@@ -38,7 +44,10 @@
         "_service",
         "_latency",
         "_sender",
+        "_prior",
         "_tried_leafs",
+        "_rejected_by",
+        "_is_counted",
         "_deadline_at",
         "_due_at",
         "_timer",
@@ -58,7 +67,7 @@
         exchange: Exchange,
         route: Route,
         service: str,
-        may_relay: bool = True,
+        prior: PriorAttempts | None = None,
     ) -> None:
         request = exchange.request
         self._shared = shared
@@ -85,14 +94,17 @@
             self._on_attempt_end,
             route.name,
         )
+        self._prior = prior or NO_ATTEMPTS
         self._tried_leafs: list[Leaf] = []
+        self._rejected_by: list[str] = []
+        self._is_counted = self._prior.is_counted
         self._timer: asyncio.TimerHandle | None = None
         self._may_have_run = False
         self._careful = False
         self._broken_count = 0
         self._last_failure: LeafResponse | None = None
         self._refusal_reason = RefusalReason.NO_LEAF
-        self._may_relay = may_relay
+        self._may_relay = prior is None
         self._relay: PeerForward | None = None
         self._report = OutcomeReport(shared, request, route, "forward")
 
@@ -111,26 +123,50 @@
         if admission is Admission.REFUSED:
             refuse_quarantined(shared, self._exchange, self._route.name)
             return
-        self._careful = admission is Admission.CAREFUL
+        self._careful = (
+            self._prior.is_careful or admission is Admission.CAREFUL
+        )
         self._exchange.on_disconnect(self._on_client_disconnect)
         self._exchange.on_shutdown(self._on_shutdown)
         if shared.has_lost_leafs and self._start_relay():
             return
         leaf = self._choose()
         if leaf is not None:
-            shared.budget.count_request(self._service, now)
-            self._send(leaf)
-            self._set_timer()
+            self._send_first(leaf)
         elif not self._start_relay():
             self._refuse_without_leaf()
 
+    def _send_first(self, leaf: Leaf) -> None:
+        """Send to the first leaf here, a retry if one has rejected it."""
+        budget = self._shared.budget
+        now = self._shared.loop.time()
+        if self._prior.is_uncharged_retry and not budget.try_acquire(
+            self._service, now
+        ):
+            self._refuse(RefusalReason.RETRY_BUDGET)
+            return
+        if not self._is_counted:
+            self._is_counted = True
+            budget.count_request(self._service, now)
+        is_retry = bool(self._prior.rejected_by)
+        self._send(leaf, "rejected_elsewhere" if is_retry else None)
+        self._set_timer()
+
     def _start_relay(self) -> bool:
         """Ask another instance; return False if none may help."""
         if not self._may_relay:
             return False
         self._may_relay = False
         shared = self._shared
-        if not shared.may_relay(self._service, self._route):
+        is_retry = bool(self._rejected_by)
+        if not shared.may_relay(self._service, self._route, is_retry):
+            return False
+        prior = PriorAttempts(
+            tuple(self._rejected_by),
+            is_counted=self._is_counted,
+            is_careful=self._careful,
+        )
+        if prior.attempts_left(self._route.max_attempts) <= 0:
             return False
         relay = PeerForward(
             shared,
@@ -138,6 +174,7 @@
             self._route,
             self._service,
             self._deadline_at,
+            prior,
             self._on_relay_end,
         )
         if not relay.start():
@@ -155,14 +192,16 @@
             self._exchange.answer(answer)
             return
         shared = self._shared
-        shared.relays.record_failure((self._service,), shared.loop.time())
+        relays = shared.relays_of(is_retry=bool(self._rejected_by))
+        relays.record_failure((self._service,), shared.loop.time())
         self._refuse_without_leaf()
 
     def _choose(self) -> Leaf | None:
+        rejected_before = self._shared.leafs.find(self._prior.rejected_by)
         return self._shared.selector.choose(
             self._service,
             self._route,
-            self._tried_leafs,
+            [*rejected_before, *self._tried_leafs],
             self._latency.median_s,
         )
 
@@ -210,6 +249,8 @@
             self._pass_on(response)
             return
         if outcome.not_run:
+            if response is not None:
+                self._rejected_by.append(attempt.pool.leaf.leaf_id)
             self._refusal_reason = RefusalReason.LEAFS_FULL
         else:
             self._last_failure = response or self._last_failure
--- a/heatherdyke/gateway/leaf_selection.py
+++ b/heatherdyke/gateway/leaf_selection.py
@@ -140,21 +140,25 @@
                 self._pools.check(self._random.choice(leafs))
 
     def zones_with_leaf(
-        self, service: str, route: Route, access: ZoneAccess = DIRECT_ACCESS
+        self,
+        service: str,
+        route: Route,
+        access: ZoneAccess = DIRECT_ACCESS,
+        tried: Collection[Leaf] = (),
     ) -> set[str]:
         """Return the zones with a leaf that can receive a request now.
 
-        A cold leaf counts if its rate limit allows a request.  Where no other
-        instance can query the leaf, a connection must be available.  A leaf
-        that states a rate counts for the own zone: this instance knows only
-        its own share of the rate.
+        Leafs that were ``tried`` do not count, a cold one does if its rate
+        limit allows a request.  Where no other instance can query the leaf, a
+        connection must be available.  A leaf that states a rate counts for
+        the own zone: this instance knows only its own share of the rate.
         """
         now = self._loop.time()
         own_zone = self._settings.zone
         zones = set()
         for leaf in self._candidates(service, route):
             zone = leaf.entry.zone
-            if zone in access.unreachable:
+            if leaf in tried or zone in access.unreachable:
                 continue
             if leaf.is_cold(now) and not self._may_send_cold(leaf, now):
                 continue
--- a/heatherdyke/gateway/leaf_table.py
+++ b/heatherdyke/gateway/leaf_table.py
@@ -233,6 +233,11 @@
         """Return the leafs of a service, in no particular order."""
         return self._leafs_by_service.get(service, [])
 
+    def find(self, leaf_ids: Iterable[str]) -> list[Leaf]:
+        """Return those of these leafs that are known."""
+        leafs = (self.leaf_by_id.get(leaf_id) for leaf_id in leaf_ids)
+        return [leaf for leaf in leafs if leaf is not None]
+
     def apply(self, entry: LeafEntry, now: float) -> Leaf | None:
         """Apply an entry; return the leaf that it replaces, if any.
 
--- a/heatherdyke/gateway/peer_api.py
+++ b/heatherdyke/gateway/peer_api.py
@@ -26,6 +26,7 @@
 from heatherdyke.gateway.peer_messages import decode_message
 from heatherdyke.gateway.peer_messages import encode_message
 from heatherdyke.gateway.peer_requests import client_request_of
+from heatherdyke.gateway.peer_requests import prior_attempts_of
 from heatherdyke.gateway.peer_requests import route_of
 from heatherdyke.gateway.routing import ClientLimits
 from heatherdyke.gateway.shared_state import SharedState
@@ -145,14 +146,20 @@
             exchange.answer(ClientResponse(400))
             return
         route = route_of(message)
+        prior = prior_attempts_of(message)
         if shared.config is None or not shared.selector.zones_with_leaf(
-            message.service, route
+            message.service, route, tried=shared.leafs.find(prior.rejected_by)
         ):
             self._decline(exchange)
             return
         if not shared.can_finish(route, message.service, message.limit_s):
             self._decline(exchange)
             return
+        if prior.is_uncharged_retry and not shared.budget.allows(
+            message.service, shared.loop.time()
+        ):
+            self._decline(exchange)
+            return
         shared.last_request_at = shared.loop.time()
         self._on_config_version(message.config_version)
         request = client_request_of(message, shared.loop.time())
@@ -166,9 +173,7 @@
         inner = Exchange(request, answer)
         exchange.on_disconnect(inner.disconnect)
         exchange.on_shutdown(inner.shut_down)
-        ForwardedRequest(
-            shared, inner, route, message.service, may_relay=False
-        ).start()
+        ForwardedRequest(shared, inner, route, message.service, prior).start()
 
     def _serve_news(self, exchange: Exchange) -> None:
         try:
--- a/heatherdyke/gateway/peer_messages.py
+++ b/heatherdyke/gateway/peer_messages.py
@@ -29,6 +29,7 @@
 MAX_FIELDS = 16_384
 MAX_NEWS = 4096
 MAX_PLACES = 1024
+MAX_ATTEMPTS = 1024
 MAX_KINDS = 16
 
 Shards = Annotated[list[str], msgspec.Meta(max_length=MAX_SHARDS)]
@@ -39,6 +40,7 @@
 FinalStatus = Annotated[
     int, msgspec.Meta(ge=MIN_FINAL_STATUS, le=MAX_FINAL_STATUS)
 ]
+LeafIds = Annotated[list[str], msgspec.Meta(max_length=MAX_ATTEMPTS)]
 Places = Annotated[list[str], msgspec.Meta(max_length=MAX_PLACES)]
 Keys = Annotated[list[str], msgspec.Meta(max_length=MAX_NEWS)]
 Sightings = Annotated[list[CrashSighting], msgspec.Meta(max_length=MAX_NEWS)]
@@ -98,7 +100,9 @@
 class ForwardRequest(msgspec.Struct, array_like=True):
     """Requests that a client's request is forwarded to a leaf of a service.
 
-    After ``limit_s`` the sender stops waiting.
+    After ``limit_s`` the sender stops waiting.  ``max_attempts`` is how many
+    more leafs may get the request; the last four fields are those of
+    PriorAttempts.
     """
 
     method: bytes
@@ -115,6 +119,10 @@
     home_regions: Places
     limit_s: float = 0.0
     config_version: int = 0
+    rejected_by: LeafIds = []
+    counted: bool = False
+    charged: bool = False
+    careful: bool = False
 
 
 class ForwardResult(msgspec.Struct, array_like=True):
--- a/heatherdyke/gateway/peer_requests.py
+++ b/heatherdyke/gateway/peer_requests.py
@@ -5,6 +5,7 @@
 from heatherdyke.gateway.messages import ClientRequest
 from heatherdyke.gateway.peer_messages import ForwardRequest
 from heatherdyke.gateway.peer_messages import GroupRequest
+from heatherdyke.gateway.prior_attempts import PriorAttempts
 from heatherdyke.gateway.routing import Route
 
 
@@ -26,15 +27,35 @@
 
 
 def forward_request(
-    request: ClientRequest, route: Route, service: str, config_version: int
+    request: ClientRequest,
+    route: Route,
+    service: str,
+    config_version: int,
+    prior: PriorAttempts,
 ) -> ForwardRequest:
     """Return the message that has a client's request forwarded."""
+    route_fields = _route_fields(route)
+    route_fields["max_attempts"] = prior.attempts_left(route.max_attempts)
     return ForwardRequest(
         **_request_fields(request),
-        **_route_fields(route),
+        **route_fields,
         service=service,
         idempotent=route.idempotent,
         config_version=config_version,
+        rejected_by=list(prior.rejected_by),
+        counted=prior.is_counted,
+        charged=prior.is_charged,
+        careful=prior.is_careful,
+    )
+
+
+def prior_attempts_of(message: ForwardRequest) -> PriorAttempts:
+    """Return what the sender of the message has done with the request."""
+    return PriorAttempts(
+        rejected_by=tuple(message.rejected_by),
+        is_counted=message.counted,
+        is_charged=message.charged,
+        is_careful=message.careful,
     )
 
 
--- a/heatherdyke/gateway/retry_budget.py
+++ b/heatherdyke/gateway/retry_budget.py
@@ -31,6 +31,13 @@
         else:
             self.counts.append((second, 1))
 
+    def remove(self, second: int) -> None:
+        """Remove one of this second, unless the window has passed it."""
+        for index, (counted_at, count) in enumerate(self.counts):
+            if counted_at == second and count > 0:
+                self.counts[index] = (second, count - 1)
+                self.total -= 1
+
     def sum_since(self, first: int) -> int:
         while self.counts and self.counts[0][0] < first:
             self.total -= self.counts.popleft()[1]
@@ -77,6 +84,13 @@
 
     def try_acquire(self, service: str, now: float) -> bool:
         """Return True and count one extra send if it is allowed."""
+        if not self.allows(service, now):
+            return False
+        self._extras_by_service[service].add(int(now))
+        return True
+
+    def allows(self, service: str, now: float) -> bool:
+        """Return whether one extra send is allowed."""
         second = int(now)
         extras = self._extras_by_service.setdefault(service, _Window())
         extra_count = extras.sum_since(second - self._window_s)
@@ -84,7 +98,8 @@
         request_count = requests.sum_since(second - self._window_s + 1)
         slack = self._slack / self._instances if self._instances else 0.0
         allowed = self._share * request_count + slack
-        if extra_count + 1 > allowed:
-            return False
-        extras.add(second)
-        return True
+        return extra_count + 1 <= allowed
+
+    def give_back(self, service: str, acquired_at: float) -> None:
+        """Undo an acquisition; the extra send was not made."""
+        self._extras_by_service[service].remove(int(acquired_at))
--- a/heatherdyke/gateway/shared_state.py
+++ b/heatherdyke/gateway/shared_state.py
@@ -60,6 +60,7 @@
         "pools",
         "peers",
         "relays",
+        "_retry_relays",
         "selector",
         "latencies",
         "budget",
@@ -123,6 +124,7 @@
             self.memory,
         )
         self.relays = RelayBackOff()
+        self._retry_relays = RelayBackOff()
         self.selector = LeafSelector(
             loop,
             random,
@@ -174,11 +176,21 @@
             ).slowest_s
         return self.shutdown.allows(self.loop.time(), limit_s, expected_s)
 
-    def may_relay(self, service: str, route: Route) -> bool:
+    def relays_of(self, is_retry: bool) -> RelayBackOff:
+        """Return the back-off of relays.
+
+        Those of requests that a leaf has rejected need a retry budget, and
+        may fail while others succeed.
+        """
+        return self._retry_relays if is_retry else self.relays
+
+    def may_relay(
+        self, service: str, route: Route, is_retry: bool = False
+    ) -> bool:
         """Return whether to ask other instances for a leaf of a service."""
         return (
             self.has(Mechanism.RELAYS)
-            and self.relays.allows(service, self.loop.time())
+            and self.relays_of(is_retry).allows(service, self.loop.time())
             and not self.selector.zone_access().is_isolated
             and self.selector.is_out_of_reach(service, route)
         )
