--- a/heatherdyke/gateway/events.py
+++ b/heatherdyke/gateway/events.py
@@ -62,6 +62,15 @@
     "The process was paused; configuration, leafs and zones are listed again.",
     ("paused_s",),
 )
+LOOP_STALLED = register(
+    7014,
+    "event_loop_stalled",
+    Severity.WARNING,
+    "The event loop stood still. With about as much processor time it did "
+    "work of its own; with less the process was paused or the machine busy.",
+    ("late_s", "cpu_s"),
+    "Look for a large message or page in the lines that follow.",
+)
 LOG_LIMITED = register(
     7008,
     "log_limited",
@@ -375,6 +384,15 @@
     ("kind", "count"),
     "Look in the store for objects of the kind whose JSON is malformed.",
 )
+STORE_PAGE_SALVAGED = register(
+    7605,
+    "store_page_salvaged",
+    Severity.WARNING,
+    "Pages of the store with an object that cannot be decoded were read "
+    "object by object.",
+    ("kind", "bytes", "took_ms"),
+    "Find the writer of the objects that leaf_entry_unreadable names.",
+)
 STORE_READS_BEHIND = register(
     7604,
     "store_reads_behind",
--- a/heatherdyke/gateway/process.py
+++ b/heatherdyke/gateway/process.py
@@ -9,6 +9,7 @@
 from random import Random
 from time import CLOCK_BOOTTIME
 from time import clock_gettime
+from time import process_time
 from typing import Any
 
 from heatherdyke import __version__
@@ -19,6 +20,7 @@
 from heatherdyke.gateway.event_log import EventLog
 from heatherdyke.gateway.events import GATEWAY_READY
 from heatherdyke.gateway.events import GATEWAY_STARTED
+from heatherdyke.gateway.events import LOOP_STALLED
 from heatherdyke.gateway.events import PROCESS_PAUSED
 from heatherdyke.gateway.events import SETTINGS_REJECTED
 from heatherdyke.gateway.events import SETTINGS_RELOADED
@@ -40,6 +42,7 @@
 from heatherdyke.gateway.settings import GatewaySettings
 from heatherdyke.gateway.shared_state import SharedState
 from heatherdyke.gateway.signal_calls import call_on_signal
+from heatherdyke.gateway.stall_detector import StallDetector
 from heatherdyke.gateway.standstill import TICK_INTERVAL_S
 from heatherdyke.gateway.state_updater import StateUpdater
 from heatherdyke.gateway.status_api import StatusApi
@@ -84,6 +87,7 @@
         "_stopping",
         "_stop_signal",
         "_pause_detector",
+        "_stall_detector",
         "_started_at",
         "_ready_logged",
         "_link_monitor",
@@ -172,6 +176,7 @@
         self._stopping = asyncio.Event()
         self._stop_signal = ""
         self._pause_detector = PauseDetector(TICK_INTERVAL_S)
+        self._stall_detector = StallDetector(TICK_INTERVAL_S)
         self._started_at = shared.loop.time()
         self._ready_logged = False
         self._link_monitor = LinkMonitor(shared, zone_probes)
@@ -307,6 +312,7 @@
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             now = shared.loop.time()
+            self._report_stall(now)
             paused_s = self._pause_detector.tick(clock_gettime(CLOCK_BOOTTIME))
             if paused_s:
                 self._reload_state(paused_s)
@@ -322,6 +328,18 @@
             if not self._ready_logged and self.is_ready:
                 self._log_ready(now)
 
+    def _report_stall(self, now: float) -> None:
+        stall = self._stall_detector.tick(now, process_time())
+        if stall is None:
+            return
+        shared = self._shared
+        shared.metrics.count("event_loop_stalls", "")
+        shared.log.record(
+            LOOP_STALLED,
+            late_s=round(stall.late_s, 3),
+            cpu_s=round(stall.cpu_s, 3),
+        )
+
     def _reload_state(self, paused_s: float) -> None:
         """Relist configuration, leafs and zones after the process paused."""
         self._shared.log.record(PROCESS_PAUSED, paused_s=round(paused_s, 3))
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -5,6 +5,7 @@
 
 from random import Random
 
+import pytest
 from gateway_entries import route
 from hypothesis import given
 from hypothesis import strategies as st
@@ -23,6 +24,7 @@
 from heatherdyke.gateway.routing import WeightedService
 from heatherdyke.gateway.search_progress import Decision
 from heatherdyke.gateway.search_progress import SearchProgress
+from heatherdyke.gateway.stall_detector import StallDetector
 from heatherdyke.gateway.timing import LatencyEstimate
 
 MEDIAN_S = 0.02
@@ -266,6 +268,20 @@
         assert latency.hedge_delay_s(0.0) >= latency.median_s
 
 
+class TestStallDetector:
+    def test_late_ticks_tell_how_busy_the_process_was(self):
+        detector = StallDetector(0.25)
+        assert detector.tick(10.0, 1.0) is None
+        assert detector.tick(10.3, 1.1) is None
+        working = detector.tick(12.55, 3.0)
+        assert working.late_s == pytest.approx(2.0)
+        assert working.cpu_s == pytest.approx(1.9)
+        paused = detector.tick(15.8, 3.01)
+        assert paused.late_s == pytest.approx(3.0)
+        assert paused.cpu_s == pytest.approx(0.01)
+        assert detector.tick(16.05, 3.1) is None
+
+
 class TestPauseDetector:
     def test_pause_is_reported_once(self):
         detector = PauseDetector(0.25)
