List again if the changes of a watch take too much memory

Callers saw: another writer stores 20 entries of 1 MB at once, and from then on requests go to leafs that have drained or left.

Cause: all changes since a revision come in one response. If it took more than the memory for messages, the watch failed and was repeated from the same revision, until the store forgot it. Decoding was estimated by ten times the size, so that 4 MB sufficed in a process of 160 MB.

Change: such a watch is followed by a list, which comes in pages.

--- a/heatherdyke/errors.py
+++ b/heatherdyke/errors.py
@@ -169,6 +169,12 @@
     kind = "connection_silent"
 
 
+class ResponseTooLarge(TransportError):
+    """A response takes more memory than there is."""
+
+    kind = "response_too_large"
+
+
 class ForgedMessage(HeatherdykeError):
     """A message between instances is not authenticated with the peer key."""
 
--- a/heatherdyke/net/http_connection.py
+++ b/heatherdyke/net/http_connection.py
@@ -14,6 +14,7 @@
 
 from heatherdyke.errors import ConnectionRefused
 from heatherdyke.errors import ConnectionSilent
+from heatherdyke.errors import ResponseTooLarge
 from heatherdyke.errors import TransportError
 from heatherdyke.net.address import split_address
 from heatherdyke.net.memory_quota import Reservation
@@ -240,14 +241,14 @@
     def _reserve(self) -> None:
         """Reserve the memory of what was received of a response.
 
-        Raises TransportError if it takes too much.
+        Raises ResponseTooLarge if it takes too much.
         """
         if self._reservation is None:
             return
         size = BODY_COPIES * self._received_bytes
         self._reservation.resize(size, self.close)
         if not self._usable:
-            raise TransportError(
+            raise ResponseTooLarge(
                 f"{self.address} sent a response of over "
                 f"{self._received_bytes} bytes, more than the memory allows",
                 sent=True,
--- a/heatherdyke/platform/store.py
+++ b/heatherdyke/platform/store.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from heatherdyke.errors import PlatformUnavailable
+from heatherdyke.errors import ResponseTooLarge
 from heatherdyke.errors import TransportError
 from heatherdyke.errors import UnreadableObject
 from heatherdyke.net.address import Address
@@ -49,6 +50,9 @@
 TRANSFER_S = 10.0
 KEEPALIVE = KeepAliveOptions(idle_s=1, interval_s=1, probes=2)
 
+# The remedy of a response that takes too much memory.
+DELETE_OBJECTS = "delete objects of this kind"
+
 STATUS_OK = 200
 STATUS_CREATED = 201
 STATUS_CONFLICT = 409
@@ -61,14 +65,21 @@
 
 
 class HistoryGone(PlatformUnavailable):
-    """The store no longer has the changes that a watch requested.
+    """The changes that a watch requested cannot be had.
 
-    The client has to list the objects again.
+    The store no longer has them, or they take more memory than there is.  The
+    client has to list the objects again, page by page.
     """
 
     kind = "history_gone"
 
 
+class PageTooLarge(PlatformUnavailable):
+    """A response of the store takes more memory than there is."""
+
+    kind = "page_too_large"
+
+
 @dataclass(frozen=True, slots=True)
 class Listing:
     """All objects of a kind, with the store revision to watch from.
@@ -162,8 +173,11 @@
         self, kind: str, target: str, timeout_s: float
     ) -> Changes:
         pages = _DecodedPages(kind, self._memory, self._on_salvaged)
-        response = await self._call("GET", target, timeout_s)
-        return await pages.decode(response, decode_changes)
+        try:
+            response = await self._call("GET", target, timeout_s)
+            return await pages.decode(response, decode_changes)
+        except PageTooLarge as error:
+            raise HistoryGone(error.detail, "list again") from error
 
     async def create(self, kind: str, name: str, spec: object) -> bool:
         """Create the object; return False if it already exists."""
@@ -212,6 +226,9 @@
                 response = await connection.request(
                     method, target, body, timeout_s
                 )
+        except ResponseTooLarge as error:
+            self.close()
+            raise PageTooLarge(error.detail, DELETE_OBJECTS) from error
         except TransportError as error:
             self.close()
             raise PlatformUnavailable(error.detail, "try again") from error
@@ -308,9 +325,9 @@
     def _resize(self, size: int) -> None:
         self._reservation.resize(size, self._evict)
         if self._is_evicted:
-            raise PlatformUnavailable(
+            raise PageTooLarge(
                 "the response takes more than the memory allows",
-                "delete objects of this kind",
+                DELETE_OBJECTS,
             )
 
     def _evict(self) -> None:
--- a/tests/test_gateway_large_entries.py
+++ b/tests/test_gateway_large_entries.py
@@ -118,3 +118,18 @@
             assert "process_paused" not in log
 
         run(scenario, tmp_path)
+
+    # Guards against a watch whose response never fits into the memory, so
+    # that no later change is seen.
+    def test_many_at_once_do_not_end_the_watches(self, tmp_path):
+        async def scenario(fleet):
+            async def store_entries():
+                odd = Raw(SPECS["empty lists"])
+                for number in range(20):
+                    fleet.store.put("servers", f"odd-{number}", odd)
+
+            for item in await play(fleet, store_entries):
+                assert set(item.statuses) == {200}
+                assert max(item.took_s) < TIMEOUT_S + LATE_S
+
+        run(scenario, tmp_path)
