Cut long texts in log lines

Found by looking for work that follows from odd input: an entry of another writer with a service or state of 1 MB made a log line of 1 MB at each of its changes, more than a pipe holds, so that the line was broken off and its reader lost the next one too. Texts are cut at 8,192 characters, with their length. The test failed before.

--- a/heatherdyke/gateway/event_log.py
+++ b/heatherdyke/gateway/event_log.py
@@ -31,6 +31,8 @@
 # refused and failed requests take precedence over successful ones.
 RESERVED_LINES = 100.0
 REPORT_INTERVAL_S = 1.0
+# Longer texts are cut.  They come from others' entries and requests.
+MAX_TEXT_CHARS = 8192
 # These are rare, and other lines cannot be understood without them.
 UNLIMITED = frozenset(
     (
@@ -101,10 +103,19 @@
     def _write(
         self, kind: EventKind, now: float, fields: dict[str, Any]
     ) -> None:
-        line = {"at_s": round(now, 4), "number": kind.number, **fields}
+        line = {"at_s": round(now, 4), "number": kind.number}
+        for name, value in fields.items():
+            line[name] = _shorten(value)
         logger.bind(fields=line).log(kind.severity.value, kind.name)
 
 
+def _shorten(value: Any) -> Any:
+    """Return the value of a field, without most of a long text."""
+    if isinstance(value, str) and len(value) > MAX_TEXT_CHARS:
+        return f"{value[:MAX_TEXT_CHARS]}... ({len(value)} characters)"
+    return value
+
+
 class _JsonLineWriter:
     """Writes JSON lines to a non-blocking file descriptor.
 
--- a/tests/test_gateway_event_log.py
+++ b/tests/test_gateway_event_log.py
@@ -3,6 +3,7 @@
 from loguru import logger
 
 from heatherdyke.gateway.event_log import LINE_BURST
+from heatherdyke.gateway.event_log import MAX_TEXT_CHARS
 from heatherdyke.gateway.event_log import EventLog
 from heatherdyke.gateway.events import GATEWAY_STOPPED
 from heatherdyke.gateway.events import LEAF_UPDATED
@@ -18,6 +19,18 @@
         logger.remove(sink)
         return [line.strip() for line in lines]
 
+    # Guards against lines of a megabyte, made of what another writer stores.
+    def test_long_texts_are_cut(self):
+        fields: list[dict] = []
+        sink = logger.add(
+            lambda message: fields.append(message.record["extra"]["fields"]),
+            level="DEBUG",
+        )
+        EventLog(lambda: 100.0).record(LEAF_UPDATED, service="s" * 1_000_000)
+        logger.remove(sink)
+        assert len(fields[0]["service"]) < 2 * MAX_TEXT_CHARS
+        assert "1000000 characters" in fields[0]["service"]
+
     def test_a_flood_of_refusals_is_limited(self):
         def record(log: EventLog) -> None:
             for _ in range(2 * int(LINE_BURST)):
