Require all fields of a leaf's entry

Cause: slots had a default and version was not read, so that an entry without them was taken for the leaf's own.

Change: both are required. Such an entry is invalid, as one with a wrong type is.

The test failed before for slots and version (2 of its 8 cases).

--- a/heatherdyke/platform/discovery.py
+++ b/heatherdyke/platform/discovery.py
@@ -33,7 +33,9 @@
     cold_remaining_ms: float
     # The number of heartbeats since the leaf's start.
     sequence: Count
-    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)] = 1
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    # Not used, but an entry without it is not the leaf's own.
+    version: str
     # The Unix time of the start in ms; it identifies the incarnation.
     born: Count = 0
 
--- a/tests/test_leaf_connection_cuts.py
+++ b/tests/test_leaf_connection_cuts.py
@@ -235,6 +235,7 @@
             "address": f"127.0.0.1:{self.port}",
             "zone": "brescia",
             "slots": 3,
+            "version": "v1",
             "state": "ready",
             "cold-remaining-ms": 0,
             "sequence": 1,
--- a/tests/test_store_pages.py
+++ b/tests/test_store_pages.py
@@ -280,7 +280,7 @@
 
 ENTRY = (
     '{"service":"one","address":"10.0.0.1:80","zone":"a","state":"ready",'
-    '"cold-remaining-ms":0,"sequence":1,"slots":3,"born":1}'
+    '"cold-remaining-ms":0,"sequence":1,"slots":3,"version":"v1","born":1}'
 )
 
 
@@ -310,10 +310,31 @@
         ],
     )
     def test_an_invalid_one_is_rejected(self, text, odd):
+        assert text in ENTRY
         spec = Raw(ENTRY.replace(text, odd).encode())
         with pytest.raises(UnreadableObject):
             decode_leaf("x", spec)
 
+    # Guards against an entry of another writer that moves a leaf to another
+    # service, whose requests then run there.
+    @pytest.mark.parametrize(
+        "field",
+        [
+            '"service":"one",',
+            '"address":"10.0.0.1:80",',
+            '"zone":"a",',
+            '"state":"ready",',
+            '"cold-remaining-ms":0,',
+            '"sequence":1,',
+            '"slots":3,',
+            '"version":"v1",',
+        ],
+    )
+    def test_an_entry_without_a_field_is_rejected(self, field):
+        assert field in ENTRY
+        with pytest.raises(UnreadableObject):
+            decode_leaf("x", Raw(ENTRY.replace(field, "").encode()))
+
     @by_label
     def test_unreadable_specs_are_rejected(self, spec):
         with pytest.raises(UnreadableObject):
