Soak: entries of a megabyte, and the bounds on arrivals at leafs

The soak had no entry of another writer above 60 kB, and no check of what leafs get. It now stores unreadable entries of 1 MB in series, in six forms, and checks that no request reaches more leafs of a service than its route allows, and that arrivals beyond the first of each request keep to the users' bound. The random numbers of the other faults are the same.

--- a/tests/soak_invariants.py
+++ b/tests/soak_invariants.py
@@ -12,6 +12,10 @@
 from heatherdyke.platform_standin.leaf import StandinLeaf
 
 MAX_ATTEMPTS = 2
+# The bound on arrivals beyond the first of each request, as in the settings.
+BUDGET_SHARE = 0.2
+BUDGET_SLACK = 50
+BUDGET_WINDOW_S = 10.0
 
 
 @dataclass
@@ -35,7 +39,8 @@
             runs = runs_by_id.setdefault(run.decode(), Counter())
             runs[leaf.service] += 1
     sent_by_id = {sent.request_id: sent for sent in record.sent}
-    found = [
+    found = arrival_violations(record)
+    found += [
         f"{arrival} was never sent by a client"
         for leaf in record.leafs
         for arrival in leaf.received_requests
@@ -49,6 +54,54 @@
     return found
 
 
+def arrival_violations(record: SoakRecord) -> list[str]:
+    """Check how many leafs got a request, and each service in a window."""
+    found = []
+    arrivals_by_service: dict[str, list[tuple[float, str]]] = {}
+    for leaf in record.leafs:
+        arrivals = arrivals_by_service.setdefault(leaf.service, [])
+        arrivals += [
+            (item.at, item.request_id.decode())
+            for item in leaf.received_requests
+        ]
+    for service, arrivals in arrivals_by_service.items():
+        counts = Counter(request_id for _, request_id in arrivals)
+        found += [
+            f"{request_id} reached {count} leafs of {service}"
+            for request_id, count in counts.items()
+            if count > MAX_ATTEMPTS
+        ]
+        sent = [
+            item.began_at
+            for item in record.sent
+            if service in services_for(item.kind)
+        ]
+        found += extra_violations(service, sorted(arrivals), sent)
+    return found
+
+
+def extra_violations(
+    service: str, arrivals: list[tuple[float, str]], sent: list[float]
+) -> list[str]:
+    """Check the arrivals beyond the first of each request."""
+    known: set[str] = set()
+    extras = []
+    for at, request_id in arrivals:
+        if request_id in known:
+            extras.append(at)
+        known.add(request_id)
+    for end in extras:
+        count = sum(end - BUDGET_WINDOW_S < at <= end for at in extras)
+        starts = [end - x * BUDGET_WINDOW_S for x in (1.0, 1.5, 2.0)]
+        requests = max(
+            sum(start < at <= start + BUDGET_WINDOW_S for at in sent)
+            for start in starts
+        )
+        if count > BUDGET_SHARE * requests + BUDGET_SLACK:
+            return [f"{service}: {count} extra arrivals, {requests} requests"]
+    return []
+
+
 def run_violations(sent: SentRequest, runs: Counter) -> list[str]:
     """Check at which services and how often a request ran."""
     found = [
--- a/tests/soak_troubles.py
+++ b/tests/soak_troubles.py
@@ -2,8 +2,8 @@
 
 Leafs answer without end, clients pipeline and do not read, and processes are
 restarted among signals, ports in use and settings that are being written.
-Those of soak_pressure come beside them.  Each kind has random numbers of its
-own, so that the seeds keep their faults.
+Those of soak_pressure and soak_large_entries come beside them.  Each kind has
+random numbers of its own, so that the seeds keep their faults.
 """
 
 import asyncio
@@ -19,6 +19,7 @@
 from soak_client import SentRequest
 from soak_fleet import SoakFleet
 from soak_fleet import redirect
+from soak_large_entries import store_large_entries
 from soak_pressure import pipeline_and_read
 from soak_pressure import reload_in_series
 from soak_pressure import send_half_health_checks
@@ -67,6 +68,7 @@
             self._repeat(send_half_health_checks, (0.2, 1.0)),
             self._repeat(reload_in_series, (0.5, 2.0)),
             self._repeat(trickle_store, (0.5, 2.0)),
+            self._repeat(store_large_entries, (1.0, 2.0)),
         ]
         return [asyncio.create_task(one) for one in repeated]
 
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -6,9 +6,9 @@
 history; leafs that reject, fail, go silent, lose responses, drain, or whose
 address is reused by another service; in half of the runs a caller whose
 request crashes the leafs that run it; another writer that stores unreadable
-entries, also in the place of a leaf's.  Some requests take long.  Clients keep
-connections open until the process has ended.  Wall clocks are not changed, as
-the processes use them only for log lines.
+entries, also in the place of a leaf's and of a megabyte.  Some requests take
+long.  Clients keep connections open until the process has ended.  Wall clocks
+are not changed, as the processes use them only for log lines.
 
 Beside them come the troubles of soak_troubles, and stale reads of the store
 that are old; at the end, versions that these show late must be in force in
