--- a/tests/soak_large_entries.py
+++ b/tests/soak_large_entries.py
@@ -3,11 +3,9 @@
 import asyncio
 from random import Random
 
-from msgspec import Raw
+from large_entries import odd_spec
 from soak_fleet import SoakFleet
 
-SPEC_BYTES = 1_000_000
-HEAD = b'{"label":"\\ud83d","x":['
 # What an entry that no decoder reads is full of.
 ELEMENTS = (b"[]", b"[[],[[]]]", b'{"x":[{}]}', b'""', b'"\\ud83d"', b"7")
 NAMES = 4
@@ -15,16 +13,10 @@
 SERIES_INTERVAL_S = 0.1
 
 
-def odd_spec(element: bytes) -> bytes:
-    """Return an object that no decoder reads, full of these elements."""
-    count = (SPEC_BYTES - len(HEAD)) // (len(element) + 1)
-    return HEAD + b",".join([element] * count) + b"]}"
-
-
 async def store_large_entries(fleet: SoakFleet, random: Random) -> None:
     """Store some in series, and delete one that may be among them."""
     for _ in range(random.randint(1, MAX_SERIES)):
-        spec = Raw(odd_spec(random.choice(ELEMENTS)))
+        spec = odd_spec(random.choice(ELEMENTS))
         fleet.store.put("servers", f"large-{random.randrange(NAMES)}", spec)
         await asyncio.sleep(SERIES_INTERVAL_S)
     fleet.store.delete("servers", f"large-{random.randrange(NAMES)}")
--- a/tests/test_gateway_large_entries.py
+++ b/tests/test_gateway_large_entries.py
@@ -9,11 +9,9 @@
 from gateway_scenarios import ready_gateway
 from gateway_scenarios import run
 from gateway_scenarios import set_up_forwarding
-from msgspec import Raw
+from large_entries import nested_spec
+from large_entries import odd_spec
 
-# The largest object that the users' store holds, less the rest of it.
-SPEC_BYTES = 1_048_576 - 16_384
-HEAD = b'{"label":"\\ud83d","postings":['
 # The users' bounds: an answer half a second after the timeout of its route, a
 # drain in force 3 s after its acknowledgement.
 TIMEOUT_S = 2.0
@@ -25,16 +23,10 @@
 INTERVAL_S = 0.05
 
 
-def odd_spec(element: bytes) -> bytes:
-    """Return an object that no decoder reads, full of these elements."""
-    count = (SPEC_BYTES - len(HEAD)) // (len(element) + 1)
-    return HEAD + b",".join([element] * count) + b"]}"
-
-
 SPECS = {
     "empty lists": odd_spec(b"[]"),
     "lists in lists": odd_spec(b"[[],[[]]]"),
-    "nested": b"[" * (SPEC_BYTES // 2) + b"]" * (SPEC_BYTES // 2),
+    "nested": nested_spec(),
 }
 
 
@@ -106,8 +98,7 @@
         async def scenario(fleet):
             async def store_entries():
                 for number in range(6):
-                    odd = Raw(spec)
-                    fleet.store.put("servers", f"odd-{number % 3}", odd)
+                    fleet.store.put("servers", f"odd-{number % 3}", spec)
                     await asyncio.sleep(0.3)
 
             for item in await play(fleet, store_entries):
@@ -124,9 +115,9 @@
     def test_many_at_once_do_not_end_the_watches(self, tmp_path):
         async def scenario(fleet):
             async def store_entries():
-                odd = Raw(SPECS["empty lists"])
+                spec = SPECS["empty lists"]
                 for number in range(20):
-                    fleet.store.put("servers", f"odd-{number}", odd)
+                    fleet.store.put("servers", f"odd-{number}", spec)
 
             for item in await play(fleet, store_entries):
                 assert set(item.statuses) == {200}
--- a/tests/test_gateway_passed_on_requests.py
+++ b/tests/test_gateway_passed_on_requests.py
@@ -18,6 +18,7 @@
 from test_gateway_unreachable_leafs import add_cut_off_gateway
 from test_gateway_unreachable_leafs import refusing_address
 
+from heatherdyke.gateway.attempt import Attempt
 from heatherdyke.gateway.exchange import Exchange
 from heatherdyke.gateway.forwarded_request import ForwardedRequest
 from heatherdyke.gateway.leaf_pools import LeafPools
@@ -137,8 +138,10 @@
 
     def __init__(self, shared: SharedState, monkeypatch) -> None:
         self.shared = shared
-        self.attempts = []
+        self.attempts: list[Attempt] = []
         self.messages: list[ForwardRequest] = []
+        # The last attempt at another instance.
+        self.peer_attempt: Attempt | None = None
         self.answers: list[ClientResponse] = []
         monkeypatch.setattr(
             LeafPools, "of", lambda pools, leaf: FakePool(self, leaf)
